Add the design, shared records and the streams between processes

Cause: the repository was empty, and the parts can only be built side by side once their records, messages and streams are fixed.

The package has immutable records, typed messages, authenticated msgpack frames, RPC with answers matched by id, settings with one schema, clock, logs and metrics.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+DEPLOYMENT ?= cedarwake
+RUNS ?= 20
+SEED ?= 1
+CASE ?=
+
+.PHONY: test format demo measure faults random
+
+$(VENV)/ready: pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --editable '.[dev]'
+	touch $@
+
+test: $(VENV)/ready
+	$(VENV)/bin/black --check --quiet skylarksill standins bench features examples
+	$(VENV)/bin/ruff check --quiet skylarksill standins bench features examples
+	$(PYTHON) -m bench.features
+
+format: $(VENV)/ready
+	$(VENV)/bin/black --quiet skylarksill standins bench features examples
+	$(VENV)/bin/ruff check --fix --quiet skylarksill standins bench features examples
+
+demo: $(VENV)/ready
+	$(PYTHON) -m bench.demo --deployment $(DEPLOYMENT)
+
+measure: $(VENV)/ready
+	$(PYTHON) -m bench.measure $(if $(CASE),--case $(CASE))
+
+faults: $(VENV)/ready
+	$(PYTHON) -m bench.faults
+
+random: $(VENV)/ready
+	$(PYTHON) -m bench.random_runs --runs $(RUNS) --seed $(SEED)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, measurements, fault matrix and randomised runs."""
--- /dev/null
+++ b/skylarksill/_rpcclient.py
@@ -0,0 +1,152 @@
+"""Calling side of calls between own processes."""
+
+import itertools
+
+import eventlet
+from eventlet import event, semaphore
+from eventlet.green import socket
+
+from skylarksill import _rpcstream, frames, records
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class RpcClient:
+    """Calls one process over one connection, opened on demand and again after a failure.
+
+    Args:
+      address: IP address and port of the process.
+      shared_key: The deployment's shared key.
+      identity: Identity of this process.
+      connect_timeout_s: Bound of connecting and handshake in seconds.
+    """
+
+    def __init__(self, address, shared_key, identity, connect_timeout_s=CONNECT_TIMEOUT_S):
+        self.address = address
+        self._shared_key = shared_key
+        self._identity = identity
+        self._connect_timeout_s = connect_timeout_s
+        self._connect_lock = semaphore.Semaphore(1)
+        self._call_ids = itertools.count(1)
+        self._stream = None
+        self._pending = {}
+
+    @property
+    def peer(self):
+        """Identity of the connected process, or None without a connection."""
+        return self._stream.peer if self._stream else None
+
+    def call(self, method, body, timeout_s):
+        """Calls a method and waits for its answer.
+
+        Args:
+          method: Name of the method.
+          body: Value that msgpack can encode.
+          timeout_s: Bound of the whole call in seconds; the call is cancelled past it.
+        Returns:
+          The answer's body.
+        Raises:
+          CallNotSentError: If the call was not sent; it was not executed.
+          CallLostError: If no answer came; it may have been executed.
+          CallFailedError: If the other side answered with an error.
+        """
+        timeout = eventlet.Timeout(timeout_s)
+        call_id = next(self._call_ids)
+        result = event.Event()
+        stream = None
+        try:
+            stream = self._connect()
+            self._send_call(stream, call_id, method, body, result)
+            answer = result.wait()
+        except eventlet.Timeout as error:
+            if error is not timeout:
+                raise
+            self._abandon_call(stream, call_id)
+            raise self._describe_timeout(stream, call_id, method, timeout_s) from None
+        finally:
+            timeout.cancel()
+            self._pending.pop(call_id, None)
+        if answer["ok"]:
+            return answer["body"]
+        raise _rpcstream.CallFailedError(answer["body"]["reason"], answer["body"]["detail"])
+
+    def close(self):
+        """Closes the connection; calls that wait for an answer end with CallLostError."""
+        if self._stream:
+            self._stream.close()
+
+    def _connect(self):
+        with self._connect_lock:
+            if self._stream is None:
+                self._stream = self._open_stream()
+                eventlet.spawn_n(self._read_answers, self._stream)
+            return self._stream
+
+    def _open_stream(self):
+        connection = None
+        try:
+            with eventlet.Timeout(
+                self._connect_timeout_s, frames.StreamEndError("connect timed out")
+            ):
+                connection = socket.create_connection(self.address)
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                return _rpcstream.connect_stream(connection, self._shared_key, self._identity)
+        except (OSError, records.SkylarksillError) as error:
+            if connection is not None:
+                _rpcstream.close_connection(connection)
+            host, port = self.address
+            raise _rpcstream.CallNotSentError(
+                f"cannot connect to {host}:{port}: {error}"
+            ) from error
+
+    def _send_call(self, stream, call_id, method, body, result):
+        self._pending[call_id] = (stream, result)
+        try:
+            stream.send({"id": call_id, "method": method, "body": body})
+        except frames.FrameError as error:
+            raise _rpcstream.CallNotSentError(str(error)) from error
+        except OSError as error:
+            # Part of the frame may have been delivered, and a whole frame may be executed.
+            self._drop_stream(stream)
+            raise _rpcstream.CallLostError(f"connection lost while sending {method}") from error
+
+    def _abandon_call(self, stream, call_id):
+        if stream is None or self._pending.pop(call_id, None) is None:
+            return
+        eventlet.spawn_n(self._send_cancel, stream, call_id)
+
+    def _send_cancel(self, stream, call_id):
+        try:
+            stream.send({"id": call_id, "cancel": True})
+        except (OSError, frames.FrameError):
+            self._drop_stream(stream)
+
+    def _describe_timeout(self, stream, call_id, method, timeout_s):
+        if stream is None:
+            return _rpcstream.CallNotSentError(f"{method}: no connection within {timeout_s} s")
+        return _rpcstream.CallLostError(f"{method}: no answer within {timeout_s} s")
+
+    def _read_answers(self, stream):
+        try:
+            while True:
+                self._deliver_answer(stream.receive())
+        except (OSError, records.SkylarksillError):
+            pass
+        finally:
+            self._drop_stream(stream)
+
+    def _deliver_answer(self, answer):
+        if not isinstance(answer, dict):
+            raise frames.FrameError("answer is not a map")
+        waiting = self._pending.pop(answer.get("id"), None)
+        if waiting is not None:
+            waiting[1].send(answer)
+
+    def _drop_stream(self, stream):
+        if self._stream is stream:
+            self._stream = None
+        stream.close()
+        for call_id, (owner, result) in list(self._pending.items()):
+            if owner is stream:
+                self._pending.pop(call_id, None)
+                result.send_exception(_rpcstream.CallLostError("connection lost before the answer"))
--- /dev/null
+++ b/skylarksill/_rpcstream.py
@@ -0,0 +1,220 @@
+"""Handshake and framing of one connection between own processes."""
+
+import dataclasses
+import hmac
+import os
+import struct
+
+from eventlet import semaphore
+
+from skylarksill import frames, records
+
+MAX_HELLO_BYTES = 1024
+
+_HELLO_LENGTH = struct.Struct(">H")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Names one process: its part, host and incarnation."""
+
+    part: str
+    host: records.HostId
+    incarnation: records.Incarnation
+
+
+class RpcError(records.SkylarksillError):
+    """A call failed."""
+
+
+class CallNotSentError(RpcError):
+    """The call did not reach the other side, so that it was not executed."""
+
+
+class CallLostError(RpcError):
+    """The call was sent and no answer came, so that it may have been executed."""
+
+    verdict = records.Verdict.MAY_HAVE_RUN
+
+
+class CallFailedError(RpcError):
+    """The other side answered with an error.
+
+    Attributes:
+      reason: Short name of the error.
+    """
+
+    verdict = records.Verdict.MAY_HAVE_RUN
+
+    def __init__(self, reason, detail):
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.detail = detail
+
+
+class Stream:
+    """One authenticated connection that carries frames in both directions."""
+
+    def __init__(self, connection, peer, write_key, read_key):
+        self.peer = peer
+        self._connection = connection
+        self._writer = frames.FrameWriter(write_key)
+        self._reader = frames.FrameReader(read_key, ExactReader(connection).read)
+        self._write_lock = semaphore.Semaphore(1)
+
+    def send(self, value):
+        """Writes one frame.
+
+        Raises:
+          OSError: If the connection is broken.
+          frames.FrameError: If the value is too long for a frame; nothing was written then.
+        """
+        with self._write_lock:
+            self._connection.sendall(self._writer.encode(value))
+
+    def receive(self):
+        """Reads one frame.
+
+        Raises:
+          OSError, frames.StreamEndError, frames.FrameError: If the connection is of no more use.
+        """
+        return self._reader.read()
+
+    def close(self):
+        """Closes the connection; a concurrent receive ends with an error."""
+        close_connection(self._connection)
+
+
+class ExactReader:
+    """Reads exact numbers of bytes from a socket through a buffer."""
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._buffer = bytearray()
+
+    def read(self, count):
+        """Returns the next ``count`` bytes.
+
+        Raises:
+          frames.StreamEndError: If the stream ends before.
+        """
+        while len(self._buffer) < count:
+            chunk = self._connection.recv(65536)
+            if not chunk:
+                raise frames.StreamEndError("the other side closed the connection")
+            self._buffer += chunk
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return data
+
+
+def close_connection(connection):
+    """Shuts a socket down and closes it, whatever its state."""
+    try:
+        connection.shutdown(2)
+    except OSError:
+        pass
+    finally:
+        connection.close()
+
+
+def connect_stream(connection, shared_key, identity):
+    """Performs the handshake of the connecting side.
+
+    Returns:
+      The authenticated stream.
+    Raises:
+      OSError, frames.StreamEndError, frames.FrameError: If the handshake fails.
+    """
+    client_nonce = os.urandom(frames.NONCE_BYTES)
+    _send_hello(connection, identity, client_nonce, b"")
+    hello = _receive_hello(connection)
+    server_nonce = hello["nonce"]
+    peer = _read_identity(hello)
+    proof = _compute_proof(shared_key, client_nonce, server_nonce, peer)
+    if not hmac.compare_digest(proof, hello["proof"]):
+        raise frames.FrameError("the accepting side does not hold the shared key")
+    stream = _open_stream(connection, peer, shared_key, client_nonce, server_nonce, b"client")
+    stream.send({"identity": dataclasses.asdict(identity)})
+    return stream
+
+
+def accept_stream(connection, shared_key, identity):
+    """Performs the handshake of the accepting side.
+
+    Returns:
+      The authenticated stream.
+    Raises:
+      OSError, frames.StreamEndError, frames.FrameError: If the handshake fails.
+    """
+    hello = _receive_hello(connection)
+    client_nonce = hello["nonce"]
+    server_nonce = os.urandom(frames.NONCE_BYTES)
+    proof = _compute_proof(shared_key, client_nonce, server_nonce, identity)
+    _send_hello(connection, identity, server_nonce, proof)
+    peer = _read_identity(hello)
+    stream = _open_stream(connection, peer, shared_key, client_nonce, server_nonce, b"server")
+    confirmed = stream.receive()
+    if confirmed != {"identity": dataclasses.asdict(peer)}:
+        raise frames.FrameError("the connecting side did not confirm its identity")
+    return stream
+
+
+def _open_stream(connection, peer, shared_key, client_nonce, server_nonce, own_direction):
+    other_direction = b"server" if own_direction == b"client" else b"client"
+    write_key = frames.derive_key(shared_key, client_nonce, server_nonce, own_direction)
+    read_key = frames.derive_key(shared_key, client_nonce, server_nonce, other_direction)
+    return Stream(connection, peer, write_key, read_key)
+
+
+def _send_hello(connection, identity, nonce, proof):
+    hello = {
+        "version": frames.PROTOCOL_VERSION,
+        "nonce": nonce,
+        "proof": proof,
+        **dataclasses.asdict(identity),
+    }
+    payload = frames.pack_payload(hello)
+    connection.sendall(_HELLO_LENGTH.pack(len(payload)) + payload)
+
+
+def _receive_hello(connection):
+    # The hello is read without a buffer, so that no byte of a following frame is taken with it.
+    (length,) = _HELLO_LENGTH.unpack(_receive_unbuffered(connection, _HELLO_LENGTH.size))
+    if length > MAX_HELLO_BYTES:
+        raise frames.FrameError(f"hello of {length} bytes exceeds {MAX_HELLO_BYTES} bytes")
+    hello = frames.unpack_payload(_receive_unbuffered(connection, length))
+    if not isinstance(hello, dict) or hello.get("version") != frames.PROTOCOL_VERSION:
+        raise frames.FrameError(
+            f"the other side does not speak protocol version {frames.PROTOCOL_VERSION}"
+        )
+    nonce = hello.get("nonce")
+    if not isinstance(nonce, bytes) or len(nonce) != frames.NONCE_BYTES:
+        raise frames.FrameError("hello has no valid nonce")
+    if not isinstance(hello.get("proof"), bytes):
+        raise frames.FrameError("hello has no valid proof")
+    return hello
+
+
+def _receive_unbuffered(connection, count):
+    data = b""
+    while len(data) < count:
+        chunk = connection.recv(count - len(data))
+        if not chunk:
+            raise frames.StreamEndError("the other side closed the connection")
+        data += chunk
+    return data
+
+
+def _read_identity(hello):
+    fields = [hello.get(name) for name in ("part", "host", "incarnation")]
+    if not all(isinstance(field, str) for field in fields):
+        raise frames.FrameError("hello has no valid identity")
+    return Identity(*fields)
+
+
+def _compute_proof(shared_key, client_nonce, server_nonce, identity):
+    message = frames.pack_payload(
+        ["skylarksill accept", client_nonce, server_nonce, *dataclasses.astuple(identity)]
+    )
+    return hmac.digest(shared_key, message, "sha256")
--- /dev/null
+++ b/skylarksill/console/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line."""
--- /dev/null
+++ b/skylarksill/messages.py
@@ -0,0 +1,326 @@
+"""Typed messages between own processes and their conversion to msgpack values.
+
+A record is encoded as a list of its fields in order; the protocol version of the handshake covers
+their layout.
+"""
+
+import dataclasses
+import enum
+import functools
+import types
+import typing
+
+from skylarksill import frames, records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchCall:
+    """Asks a dispatcher to run a request."""
+
+    request: records.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchResult:
+    """The outcome of a request: either an answer or a refusal is present."""
+
+    verdict: records.Verdict
+    answer: records.Answer | None
+    refusal: records.Refusal | None
+    upstream: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimCall:
+    """Asks the arbiter for the right to run a ticket; sent by the ticket's home."""
+
+    ticket: records.Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordCall:
+    """Copies the outcome of a ticket to its arbiter; the answer is None if it is too long."""
+
+    ticket: records.Ticket
+    answer: records.Answer | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevokeCall:
+    """Asks the arbiter to forbid a ticket that has not been claimed."""
+
+    ticket: records.Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimResult:
+    """The arbiter's state of a ticket, with the kept answer if the state is RAN."""
+
+    state: records.ClaimState
+    answer: records.Answer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LendCall:
+    """Asks a standby dispatcher to lend its slot of each named upstream."""
+
+    upstreams: tuple[records.UpstreamId, ...]
+    borrower: records.HostId
+    incarnation: records.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LendResult:
+    """The upstreams whose slot was lent and the duration, counted from the borrower's question."""
+
+    upstreams: tuple[records.UpstreamId, ...]
+    duration_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadEntry:
+    """Load of one service at one host's dispatcher; ``age_ms`` is the age of the figures."""
+
+    host: records.HostId
+    service: records.ServiceId
+    slots: int
+    free: int
+    queued: int
+    in_flight: int
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """State of an upstream as its home dispatcher sees it."""
+
+    upstream: records.UpstreamId
+    state: records.LifeState
+    is_ejected: bool
+    free: int
+    in_flight: int
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectEntry:
+    """A request fingerprint whose runs ended with the death of an upstream connection."""
+
+    fingerprint: records.Fingerprint
+    deaths: int
+    expires_in_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEntry:
+    """One running program of a host."""
+
+    part: str
+    incarnation: records.Incarnation
+    state: records.LifeState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerEntry:
+    """What agents tell each other of a host.
+
+    ``heartbeat`` is raised by the host's own agent; a new agent incarnation starts from its wall
+    clock in milliseconds, so that it supersedes the entries of its predecessor.
+    """
+
+    host: records.HostId
+    zone: records.ZoneId
+    incarnation: records.Incarnation
+    heartbeat: int
+    generation: records.Generation
+    state: records.LifeState
+    parts: tuple[PartEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerView:
+    """A peer as the local agent judges it; ``age_ms`` counts from its last new heartbeat."""
+
+    entry: PeerEntry
+    is_alive: bool
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewCall:
+    """A daemon reports to its host's agent and asks for what changed after ``version``."""
+
+    part: str
+    incarnation: records.Incarnation
+    state: records.LifeState
+    version: int
+    loads: tuple[LoadEntry, ...] = ()
+    upstreams: tuple[UpstreamEntry, ...] = ()
+    suspects: tuple[SuspectEntry, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewResult:
+    """The agent's view; ``shards`` is filled only if the configuration is new to the daemon.
+
+    ``head`` is None while the agent has no configuration. ``leaving_upstreams`` comes from the
+    platform's host list. ``store_age_ms`` is the age of the last answer of the platform's store,
+    or -1 if there was none.
+    """
+
+    version: int
+    head: records.ConfigurationHead | None
+    shards: tuple[tuple[str, str], ...]
+    peers: tuple[PeerView, ...]
+    loads: tuple[LoadEntry, ...]
+    suspects: tuple[SuspectEntry, ...]
+    leaving_upstreams: tuple[records.UpstreamId, ...]
+    store_age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeMessage:
+    """Both the question and the answer of an exchange between two agents."""
+
+    sender: records.HostId
+    head: records.ConfigurationHead | None
+    peers: tuple[PeerEntry, ...]
+    loads: tuple[LoadEntry, ...]
+    suspects: tuple[SuspectEntry, ...]
+    leaving_upstreams: tuple[records.UpstreamId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardsCall:
+    """Asks an agent for configuration shards by digest."""
+
+    digests: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardsResult:
+    """Pairs of digest and text of the shards that the agent holds."""
+
+    shards: tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusCall:
+    """Asks an agent for everything that the status command shows."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusResult:
+    """State of the deployment as one agent sees it."""
+
+    host: records.HostId
+    generation: records.Generation
+    store_age_ms: int
+    peers: tuple[PeerView, ...]
+    loads: tuple[LoadEntry, ...]
+    upstreams: tuple[UpstreamEntry, ...]
+
+
+def encode_message(message):
+    """Encodes a message as nested lists that msgpack can carry.
+
+    Args:
+      message: Any record of this module or of ``records``.
+    Returns:
+      Lists, strings, numbers, bytes and None.
+    """
+    if dataclasses.is_dataclass(message):
+        fields = _list_fields(type(message))
+        return [encode_message(getattr(message, name)) for name, _ in fields]
+    if isinstance(message, enum.Enum):
+        return message.value
+    if isinstance(message, (list, tuple)):
+        return [encode_message(item) for item in message]
+    return message
+
+
+def decode_message(message_type, value):
+    """Decodes a value that ``encode_message`` made.
+
+    Args:
+      message_type: The expected class.
+      value: The value that was received.
+    Returns:
+      A record of that class.
+    Raises:
+      frames.FrameError: If the value does not fit the class.
+    """
+    return _make_decoder(message_type)(value)
+
+
+@functools.cache
+def _list_fields(message_type):
+    hints = typing.get_type_hints(message_type)
+    return [(field.name, hints[field.name]) for field in dataclasses.fields(message_type)]
+
+
+@functools.cache
+def _make_decoder(hint):
+    if isinstance(hint, typing.NewType):
+        return _make_decoder(hint.__supertype__)
+    if dataclasses.is_dataclass(hint):
+        return _make_record_decoder(hint)
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return functools.partial(_decode_enum, hint)
+    if isinstance(hint, types.UnionType):
+        return _make_optional_decoder(hint)
+    if typing.get_origin(hint) is tuple:
+        return _make_tuple_decoder(typing.get_args(hint))
+    return functools.partial(_decode_plain, hint)
+
+
+def _make_record_decoder(message_type):
+    decoders = [_make_decoder(hint) for _, hint in _list_fields(message_type)]
+
+    def decode(value):
+        if not isinstance(value, list) or len(value) != len(decoders):
+            raise frames.FrameError(f"{message_type.__name__} needs {len(decoders)} fields")
+        return message_type(*[decode(item) for decode, item in zip(decoders, value, strict=True)])
+
+    return decode
+
+
+def _make_optional_decoder(hint):
+    (inner,) = [_make_decoder(arg) for arg in typing.get_args(hint) if arg is not type(None)]
+    return lambda value: None if value is None else inner(value)
+
+
+def _make_tuple_decoder(arguments):
+    if len(arguments) == 2 and arguments[1] is Ellipsis:
+        decode_item = _make_decoder(arguments[0])
+        return lambda value: tuple([decode_item(item) for item in _expect_list(value)])
+    decoders = [_make_decoder(argument) for argument in arguments]
+
+    def decode(value):
+        if len(_expect_list(value)) != len(decoders):
+            raise frames.FrameError(f"expected a list of {len(decoders)} items")
+        return tuple([decode(item) for decode, item in zip(decoders, value, strict=True)])
+
+    return decode
+
+
+def _expect_list(value):
+    if not isinstance(value, list):
+        raise frames.FrameError(f"expected a list, received {type(value).__name__}")
+    return value
+
+
+def _decode_enum(enum_type, value):
+    try:
+        return enum_type(value)
+    except ValueError as error:
+        raise frames.FrameError(str(error)) from error
+
+
+def _decode_plain(plain_type, value):
+    if plain_type is float and type(value) is int:
+        return float(value)
+    if type(value) is not plain_type:
+        received = type(value).__name__
+        raise frames.FrameError(f"expected {plain_type.__name__}, received {received}")
+    return value
