Add the configuration as INI text, as shards, and its checks

Cause: agents, routing and the command line need one format and one set of rules for what operators decide.

Change: configuration.py converts between text and records, checks a configuration as a whole, and splits it into shards and back. Blocks are halved by address until a shard has at most 2,048, so that changing, adding or removing a block changes one shard; sections stand in one core shard up to 64 KiB and are cut by the hash of their names past it. The test builder gives upstreams the other host of their zone as standby.

Conclusion: the interface is ready for the other parts; joining everything on each change costs too much at the target size and needs a cache of parsed shards.

--- a/features/builders.py
+++ b/features/builders.py
@@ -51,9 +51,8 @@
 
 def build_host(zone_id, index):
     """Builds an entry host of a zone with addresses on the loopback network."""
-    return records.Host(
-        records.HostId(f"host-{index}"), zone_id, f"127.0.1.{index + 1}", 7001, 7002, 7003, 7004
-    )
+    address = f"127.0.{1 + index // 250}.{index % 250 + 1}"
+    return records.Host(records.HostId(f"host-{index}"), zone_id, address, 7001, 7002, 7003, 7004)
 
 
 def build_request(service="catalogue", body=b"", **fields):
@@ -76,7 +75,8 @@
 def _build_upstream(service, zone, zones, hosts, slots):
     homes = [host for host in hosts if host.zone_id == zone.zone_id]
     siblings = [other.zone_id for other in zones if other.region_id == zone.region_id]
-    standby = [host for host in hosts if host.zone_id in siblings and host is not homes[0]]
+    others = [host for host in hosts if host.zone_id in siblings and host.zone_id != zone.zone_id]
+    standby = homes[1:] or others
     index = zones.index(zone)
     return records.Upstream(
         records.UpstreamId(f"{service}-{zone.zone_id}"),
--- /dev/null
+++ b/skylarksill/configuration.py
@@ -0,0 +1,16 @@
+"""The configuration as INI text and as shards, and its checks.
+
+A parsed configuration may still be unusable; ``check_configuration`` finds what cannot be put in
+force.
+"""
+
+from skylarksill import _configcheck, _configshards, _configtext
+
+MAX_SHARD_BYTES = _configshards.MAX_SHARD_BYTES
+
+format_configuration = _configtext.format_configuration
+parse_configuration = _configtext.parse_configuration
+check_configuration = _configcheck.check_configuration
+split_shards = _configshards.split_shards
+join_shards = _configshards.join_shards
+compute_digest = _configshards.compute_digest
