--- a/bench/features.py
+++ b/bench/features.py
@@ -29,7 +29,7 @@
     """Runs the features; exits with 1 if one failed or none ran."""
     reset_runtime()
     config = configuration.Configuration(
-        ["--format", "progress", "--no-capture", "--no-timings", "features", *sys.argv[1:]]
+        ["--format", "progress", "--no-timings", "features", *sys.argv[1:]]
     )
     behave_runner = runner.Runner(config)
     has_failed = behave_runner.run()
--- a/skylarksill/_rpcclient.py
+++ b/skylarksill/_rpcclient.py
@@ -134,6 +134,7 @@
             pass
         finally:
             self._drop_stream(stream)
+            stream.release()
 
     def _deliver_answer(self, answer):
         if not isinstance(answer, dict):
--- a/skylarksill/_rpcserver.py
+++ b/skylarksill/_rpcserver.py
@@ -72,13 +72,14 @@
             try:
                 connection, _ = self._socket.accept()
             except OSError:
+                self._socket.close()
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             eventlet.spawn_n(self._serve_connection, connection)
 
     def close(self):
         """Stops listening and ends all connections."""
-        _rpcstream.close_connection(self._socket)
+        _rpcstream.shut_down_connection(self._socket)
         for stream in list(self._streams):
             stream.close()
 
@@ -106,7 +107,7 @@
             self._log.warning("closed the connection from {}: {}", stream.peer.host, error)
         finally:
             self._streams.discard(stream)
-            stream.close()
+            stream.release()
             for context in list(contexts.values()):
                 context.cancel()
 
--- a/skylarksill/_rpcstream.py
+++ b/skylarksill/_rpcstream.py
@@ -1,11 +1,13 @@
 """Handshake and framing of one connection between own processes."""
 
+import contextlib
 import dataclasses
 import hmac
 import os
 import struct
 
 from eventlet import semaphore
+from eventlet.green import socket
 
 from skylarksill import frames, records
 
@@ -81,8 +83,18 @@
         return self._reader.read()
 
     def close(self):
-        """Closes the connection; a concurrent receive ends with an error."""
-        close_connection(self._connection)
+        """Shuts the connection down, so that concurrent sends and receives end with an error.
+
+        The file descriptor stays open until ``release``: eventlet would deliver the end of a
+        descriptor that is closed under a waiting green thread to the next user of its number.
+        """
+        shut_down_connection(self._connection)
+
+    def release(self):
+        """Closes the file descriptor; called by the reading side once it has stopped."""
+        self.close()
+        with self._write_lock:
+            self._connection.close()
 
 
 class ExactReader:
@@ -108,14 +120,16 @@
         return data
 
 
+def shut_down_connection(connection):
+    """Shuts a socket down, whatever its state."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 def close_connection(connection):
-    """Shuts a socket down and closes it, whatever its state."""
-    try:
-        connection.shutdown(2)
-    except OSError:
-        pass
-    finally:
-        connection.close()
+    """Shuts down and closes a socket that no other green thread waits for."""
+    shut_down_connection(connection)
+    connection.close()
 
 
 def connect_stream(connection, shared_key, identity):
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -267,7 +267,7 @@
         return _make_record_decoder(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return functools.partial(_decode_enum, hint)
-    if isinstance(hint, types.UnionType):
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
         return _make_optional_decoder(hint)
     if typing.get_origin(hint) is tuple:
         return _make_tuple_decoder(typing.get_args(hint))
