--- /dev/null
+++ b/bench/queue_model.py
@@ -0,0 +1,259 @@
+"""Queueing model of one service: jobs, upstreams whose speed changes, and delays.
+
+The model runs on virtual time. A policy decides where jobs go; the policies of ``bench.baselines``
+are simple, and ``bench.steered`` calls the decision modules of the product.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """One request; ``work_s`` is its service time in seconds at an upstream of full speed."""
+
+    job_id: int
+    arrival: float
+    zone: str
+    work_s: float
+    is_long: bool = False
+    finished: float | None = None
+    refused: float | None = None
+    started: float | None = None
+    runs: int = 0
+
+    @property
+    def latency_s(self):
+        """Seconds from arrival to the answer."""
+        return self.finished - self.arrival
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """An upstream of the modelled service."""
+
+    upstream: str
+    zone: str
+    region: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """The modelled deployment: its upstreams and one-way delays in seconds."""
+
+    deployment: str
+    service: str
+    sites: tuple[Site, ...]
+    zone_delay_s: float
+    region_delay_s: float
+
+    @property
+    def slots(self):
+        """Sum of the slots of all upstreams."""
+        return sum(site.slots for site in self.sites)
+
+    def list_zones(self):
+        """Returns the zones in order."""
+        return sorted({site.zone for site in self.sites})
+
+    def compute_delay(self, source_zone, target_zone):
+        """Returns the one-way delay between two zones in seconds."""
+        if source_zone == target_zone:
+            return 0.0
+        regions = {site.zone: site.region for site in self.sites}
+        if regions[source_zone] == regions[target_zone]:
+            return self.zone_delay_s
+        return self.region_delay_s
+
+
+class Simulator:
+    """Runs scheduled calls in the order of virtual time."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._calls = []
+        self._order = itertools.count()
+
+    def schedule(self, delay_s, function, *arguments):
+        """Calls ``function(*arguments)`` after ``delay_s`` seconds of virtual time."""
+        heapq.heappush(self._calls, (self.now + delay_s, next(self._order), function, arguments))
+
+    def run(self, end):
+        """Runs until no call is left or virtual time ``end`` is reached."""
+        while self._calls and self._calls[0][0] <= end:
+            self.now, _, function, arguments = heapq.heappop(self._calls)
+            function(*arguments)
+
+
+class ModelUpstream:
+    """An upstream that runs ``slots`` jobs at once and queues the rest in order of arrival.
+
+    Attributes:
+      peak: Greatest number of jobs that were at the upstream at one time.
+    """
+
+    def __init__(self, simulator, site):
+        self.site = site
+        self.speed = 1.0
+        self.is_dead = False
+        self.peak = 0
+        self._simulator = simulator
+        self._running = {}
+        self._waiting = []
+        self._tokens = itertools.count(1)
+
+    @property
+    def count(self):
+        """Number of jobs at the upstream, running or waiting."""
+        return len(self._running) + len(self._waiting)
+
+    def submit(self, work_s, on_end):
+        """Takes a job.
+
+        Args:
+          work_s: Service time at full speed in seconds.
+          on_end: Called without arguments when the job has finished.
+        Returns:
+          A token for ``cancel``.
+        """
+        token = next(self._tokens)
+        self._waiting.append((token, work_s, on_end))
+        self.peak = max(self.peak, self.count)
+        self._start_waiting()
+        return token
+
+    def cancel(self, token):
+        """Removes a job; its ``on_end`` is not called."""
+        self._running.pop(token, None)
+        self._waiting = [item for item in self._waiting if item[0] != token]
+        self._start_waiting()
+
+    def set_speed(self, speed):
+        """Changes the speed of all running jobs; 0.1 is ten times slower."""
+        for run in self._running.values():
+            self._settle(run)
+        self.speed = speed
+        for token, run in self._running.items():
+            self._schedule_end(token, run)
+
+    def _start_waiting(self):
+        while self._waiting and len(self._running) < self.site.slots:
+            token, work_s, on_end = self._waiting.pop(0)
+            run = {"left": work_s, "since": self._simulator.now, "on_end": on_end, "epoch": 0}
+            self._running[token] = run
+            self._schedule_end(token, run)
+
+    def _settle(self, run):
+        run["left"] -= (self._simulator.now - run["since"]) * self.speed
+        run["since"] = self._simulator.now
+        run["epoch"] += 1
+
+    def _schedule_end(self, token, run):
+        delay_s = max(0.0, run["left"]) / self.speed
+        self._simulator.schedule(delay_s, self._end, token, run, run["epoch"])
+
+    def _end(self, token, run, epoch):
+        if self._running.get(token) is not run or run["epoch"] != epoch:
+            return
+        del self._running[token]
+        self._start_waiting()
+        run["on_end"]()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """The offered load of a run.
+
+    ``load`` is the share of all slots that is busy on average; ``long_share`` of the jobs need
+    ``long_factor`` times the mean service time.
+    """
+
+    load: float
+    count: int
+    mean_s: float = 0.05
+    long_share: float = 0.0
+    long_factor: float = 50.0
+    seed: int = 1
+
+
+def make_jobs(place, load):
+    """Draws jobs with exponential service times and Poisson arrivals.
+
+    Zones get arrivals in proportion to their slots.
+
+    Args:
+      place: The deployment.
+      load: The offered load.
+    Returns:
+      A list of jobs in order of arrival.
+    """
+    generator = random.Random(load.seed)
+    zones = [site.zone for site in place.sites]
+    weights = [site.slots for site in place.sites]
+    mean_work_s = load.mean_s * (1 + load.long_share * (load.long_factor - 1))
+    rate = place.slots * load.load / mean_work_s
+    now = 0.0
+    jobs = []
+    for job_id in range(load.count):
+        now += generator.expovariate(rate)
+        is_long = generator.random() < load.long_share
+        work_s = generator.expovariate(1 / load.mean_s) * (load.long_factor if is_long else 1)
+        zone = generator.choices(zones, weights)[0]
+        jobs.append(Job(job_id, now, zone, work_s, is_long))
+    return jobs
+
+
+def slow_in_turns(simulator, upstreams, end, count=3, factor=0.1, turn_s=2.0, seed=7):
+    """Slows ``count`` upstreams at a time, others after each turn."""
+    generator = random.Random(seed)
+
+    def change():
+        for upstream in upstreams:
+            upstream.set_speed(1.0)
+        if simulator.now >= end:
+            return
+        for upstream in generator.sample(upstreams, count):
+            upstream.set_speed(factor)
+        simulator.schedule(turn_s, change)
+
+    simulator.schedule(0.0, change)
+
+
+def run_model(place, jobs, make_policy, disturb=None):
+    """Runs jobs under a policy.
+
+    Args:
+      place: The deployment.
+      jobs: Jobs from ``make_jobs``.
+      make_policy: Function of (simulator, place, upstreams) that returns an object with
+        ``submit(job)``; it sets ``finished`` or ``refused`` of each job.
+      disturb: Function of (simulator, upstreams, end) that schedules disturbances, or None.
+    Returns:
+      The policy and the upstreams after the run.
+    """
+    simulator = Simulator()
+    upstreams = [ModelUpstream(simulator, site) for site in place.sites]
+    policy = make_policy(simulator, place, upstreams)
+    end = jobs[-1].arrival
+    if disturb:
+        disturb(simulator, upstreams, end)
+    for job in jobs:
+        simulator.schedule(job.arrival, policy.submit, job)
+    simulator.run(end + 300.0)
+    return policy, upstreams
+
+
+def compute_percentile(values, percent):
+    """Returns the nearest-rank percentile of ``values``.
+
+    Raises:
+      ValueError: If there are no values.
+    """
+    if not values:
+        raise ValueError("no values")
+    ordered = sorted(values)
+    rank = max(0, -(-len(ordered) * percent // 100) - 1)
+    return ordered[int(rank)]
