Add the viewer of the agent's state for the other daemons

The lookup, entry and dispatch daemons need one place that polls the host's agent, keeps the last view with its age and joins the configuration. The view carries peers as changes, because 2,000 peers in each answer would take a large share of a core; shards are fetched apart, because together they may exceed a frame. ZoneLoad and two fields with defaults of ViewResult are new in messages. Interface only: it is not yet run against an agent.

--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -90,6 +90,19 @@
     age_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneLoad:
+    """Load of one service summed over the dispatchers of a zone; sent between regions."""
+
+    zone: records.ZoneId
+    service: records.ServiceId
+    slots: int
+    free: int
+    queued: int
+    in_flight: int
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEntry:
     """State of an upstream as its home dispatcher sees it."""
@@ -163,6 +176,9 @@
 class ViewResult:
     """The agent's view; ``shards`` is filled only if the configuration is new to the daemon.
 
+    If ``version`` equals the call's, nothing but ``store_age_ms`` is filled. With ``is_delta``,
+    ``peers`` holds only what changed since the call's version; viewer.Viewer completes it. Shards
+    that are not in ``shards`` are fetched with ``shards``, since they may exceed a frame together.
     ``head`` is None while the agent has no configuration. ``leaving_upstreams`` comes from the
     platform's host list. ``store_age_ms`` is the age of the last answer of the platform's store,
     or -1 if there was none.
@@ -176,6 +192,8 @@
     suspects: tuple[SuspectEntry, ...]
     leaving_upstreams: tuple[records.UpstreamId, ...]
     store_age_ms: int
+    zone_loads: tuple[ZoneLoad, ...] = ()
+    is_delta: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/skylarksill/viewer.py
@@ -0,0 +1,226 @@
+"""Keeps a daemon's copy of its host's agent's view up to date.
+
+Lookup, entry and dispatch daemons report their load through it and read peers, loads, suspects
+and the configuration from it. Without an answer of the agent the last view stays, with its age.
+"""
+
+import dataclasses
+
+import eventlet
+from eventlet import event
+
+from skylarksill import logs, messages, records, rpc
+
+POLL_INTERVAL_S = 0.2
+CALL_TIMEOUT_S = 1.0
+STALE_AFTER_S = 2.0
+SHARDS_PER_CALL = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reports:
+    """Functions that a daemon supplies; each returns a tuple of entries when a poll asks for it."""
+
+    loads: object = tuple
+    upstreams: object = tuple
+    suspects: object = tuple
+
+
+class Viewer:
+    """Polls the host's agent from a green thread of its own.
+
+    Args:
+      settings: The host's Settings.
+      clock: A clock with ``monotonic()``.
+      part: Name of the daemon, for example "entry".
+      incarnation: Incarnation of the daemon.
+      configuration_callback: Function of (Configuration, ConfigurationHead) that is called once for
+        each generation, in rising order, before ``configuration`` changes. May be None.
+      reports: Reports with the functions that give the daemon's loads, upstreams and suspects.
+      client: An rpc.RpcClient of the agent, or an object with the same ``call`` and ``peer``.
+
+    Attributes:
+      state: The daemon's LifeState, reported with each poll.
+      view: The last messages.ViewResult with all peers, or None before the first answer.
+      configuration: The joined records.Configuration in force, or None.
+      head: The ConfigurationHead of ``configuration``, or None.
+    """
+
+    def __init__(
+        self,
+        settings,
+        clock,
+        part,
+        incarnation,
+        configuration_callback=None,
+        reports=None,
+        client=None,
+    ):
+        self.state = records.LifeState.SERVING
+        self.view = None
+        self.configuration = None
+        self.head = None
+        self._clock = clock
+        self._part = part
+        self._incarnation = incarnation
+        self._callback = configuration_callback
+        self._reports = reports or Reports()
+        self._client = client or rpc.RpcClient(
+            (settings.address, settings.agent_port),
+            settings.shared_key,
+            rpc.Identity(part, settings.host, incarnation),
+        )
+        self._log = logs.make_logger(part)
+        self._agent = None
+        self._version = 0
+        self._answered_at = None
+        self._changed_at = None
+        self._texts = {}
+        self._refused_head = None
+        self._is_failing = False
+        self._wake = event.Event()
+        self._thread = None
+
+    @property
+    def age_s(self):
+        """Seconds since the agent last answered, or infinity if it never did."""
+        if self._answered_at is None:
+            return float("inf")
+        return self._clock.monotonic() - self._answered_at
+
+    @property
+    def is_stale(self):
+        """True if the agent has not answered for STALE_AFTER_S."""
+        return self.age_s > STALE_AFTER_S
+
+    @property
+    def load_offset_ms(self):
+        """Milliseconds to add to the ``age_ms`` of the view's entries."""
+        if self._changed_at is None:
+            return 0
+        return int(1000 * (self._clock.monotonic() - self._changed_at))
+
+    def start(self):
+        """Starts polling."""
+        self._thread = eventlet.spawn(self._run)
+
+    def stop(self):
+        """Stops polling; the last view stays."""
+        if self._thread:
+            self._thread.kill()
+            self._thread = None
+        if hasattr(self._client, "close"):
+            self._client.close()
+
+    def poll_soon(self):
+        """Makes the next poll happen at once, for example after a death or when leaving."""
+        if not self._wake.ready():
+            self._wake.send()
+
+    def poll(self):
+        """Reports to the agent once and takes over what it answers.
+
+        Raises:
+          rpc.RpcError, records.SkylarksillError: If the agent gave no valid answer.
+        """
+        if self._client.peer != self._agent:
+            self._version = 0
+        call = messages.ViewCall(
+            self._part,
+            self._incarnation,
+            self.state,
+            self._version,
+            tuple(self._reports.loads()),
+            tuple(self._reports.upstreams()),
+            tuple(self._reports.suspects()),
+        )
+        result = self._call("view", call, messages.ViewResult)
+        # An agent that was replaced counts its versions anew, so its answer to the old number
+        # may leave out changes; the next poll asks for the whole view.
+        is_new_agent = self._client.peer != self._agent
+        self._agent = self._client.peer
+        if is_new_agent and call.version:
+            return
+        self._take_result(result, call.version)
+        self._take_configuration(result)
+
+    def _run(self):
+        while True:
+            try:
+                self.poll()
+                self._note_success()
+            except records.SkylarksillError as error:
+                self._note_failure(error)
+            except Exception:
+                self._log.exception("poll of the agent failed")
+            self._pause()
+
+    def _pause(self):
+        self._wake.wait(POLL_INTERVAL_S)
+        if self._wake.ready():
+            self._wake = event.Event()
+
+    def _call(self, method, message, result_type):
+        body = self._client.call(method, messages.encode_message(message), CALL_TIMEOUT_S)
+        return messages.decode_message(result_type, body)
+
+    def _take_result(self, result, asked_version):
+        now = self._clock.monotonic()
+        self._answered_at = now
+        if self.view is not None and asked_version and result.version == asked_version:
+            self.view = dataclasses.replace(self.view, store_age_ms=result.store_age_ms)
+            return
+        if result.is_delta and self.view is not None:
+            peers = {peer.entry.host: peer for peer in self.view.peers}
+            peers.update((peer.entry.host, peer) for peer in result.peers)
+            result = dataclasses.replace(result, peers=tuple(peers.values()), is_delta=False)
+        self.view = result
+        self._version = result.version
+        self._changed_at = now
+
+    def _take_configuration(self, result):
+        head = result.head
+        if head is None or head == self._refused_head or not self._is_newer(head):
+            return
+        texts = self._fetch_texts(head, dict(result.shards))
+        joined, problems = _join_shards(head, texts)
+        if problems:
+            self._refused_head = head
+            self._log.error("refused generation {}: {}", head.generation, problems[0])
+            return
+        if self._callback:
+            self._callback(joined, head)
+        self._texts = texts
+        self.configuration = joined
+        self.head = head
+
+    def _is_newer(self, head):
+        if self.head is None or head.generation != self.head.generation:
+            return self.head is None or head.generation > self.head.generation
+        # The agent corrects a head that the store did not keep, without a new generation.
+        return head.write_id != self.head.write_id
+
+    def _fetch_texts(self, head, received):
+        digests = [digest for _, digest in head.shards]
+        known = {**self._texts, **received}
+        missing = [digest for digest in digests if digest not in known]
+        for start in range(0, len(missing), SHARDS_PER_CALL):
+            call = messages.ShardsCall(tuple(missing[start : start + SHARDS_PER_CALL]))
+            known.update(self._call("shards", call, messages.ShardsResult).shards)
+        return {digest: known[digest] for digest in digests if digest in known}
+
+    def _note_success(self):
+        if self._is_failing:
+            self._log.info("agent answers again")
+        self._is_failing = False
+
+    def _note_failure(self, error):
+        if not self._is_failing:
+            self._log.warning("no answer of the agent, the last view stays: {}", error)
+        self._is_failing = True
+
+
+def _join_shards(head, texts):
+    from skylarksill import configuration
+
+    return configuration.join_shards(head, texts)
