--- /dev/null
+++ b/skylarksill/objectstore.py
@@ -0,0 +1,212 @@
+"""Client of the platform's object API over HTTP.
+
+Each write of the platform gets the next number of one rising counter as its version. A write is
+never repeated here: after a lost reply the caller reads back what it wrote before it tries again.
+"""
+
+import collections
+import dataclasses
+import json
+import urllib.parse
+
+import urllib3
+
+from skylarksill import records
+
+MAX_VALUE_BYTES = 1_000_000
+MUST_NOT_EXIST = 0
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+WATCH_GRACE_S = 2.0
+
+_CONNECT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
+class StoreError(records.SkylarksillError):
+    """A call of the store failed.
+
+    Attributes:
+      verdict: NOT_RUN if the call certainly had no effect; MAY_HAVE_RUN if a write may have taken
+        effect, because its reply was lost.
+    """
+
+    def __init__(self, verdict, detail):
+        super().__init__(f"{detail} ({verdict.value})")
+        self.verdict = verdict
+
+
+class ConflictError(StoreError):
+    """A conditional update found another version; nothing was written.
+
+    Attributes:
+      version: The object's present version; 0 if it does not exist.
+    """
+
+    def __init__(self, key, version):
+        super().__init__(records.Verdict.NOT_RUN, f"object {key!r} has version {version}")
+        self.version = version
+
+
+class MissingError(StoreError):
+    """The object does not exist."""
+
+    def __init__(self, key):
+        super().__init__(records.Verdict.NOT_RUN, f"object {key!r} does not exist")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """An object's key with the version of its last write."""
+
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchResult:
+    """Objects changed since the watch's version, and the version to watch after next."""
+
+    version: int
+    changes: tuple[Change, ...]
+
+
+class ObjectStore:
+    """Calls the platform's object API; each call is one HTTP request and is counted.
+
+    Args:
+      address: IP address and port of the platform.
+      client: Name of this host, which the platform counts calls by.
+      pool: A urllib3 pool or an object with the same ``urlopen``.
+
+    Attributes:
+      calls: Counter of calls by kind: "get", "put", "list" and "watch".
+    """
+
+    def __init__(self, address, client, pool=None):
+        self._pool = pool or urllib3.HTTPConnectionPool(*address, maxsize=2, block=False)
+        self._headers = {"Platform-Client": client}
+        self.calls = collections.Counter()
+
+    def get(self, key):
+        """Reads an object.
+
+        Returns:
+          A pair of version and value, as bytes.
+        Raises:
+          MissingError: If the object does not exist.
+          StoreError: If the store gave no answer.
+        """
+        response = self._read("get", _make_path(key), CALL_TIMEOUT_S)
+        if response.status == 404:
+            raise MissingError(key)
+        _check_status(response, records.Verdict.NOT_RUN)
+        return _read_version(response, records.Verdict.NOT_RUN), response.data
+
+    def put(self, key, value, expected_version):
+        """Writes an object if its version is ``expected_version``.
+
+        Args:
+          key: Name of the object.
+          value: Bytes, at most MAX_VALUE_BYTES.
+          expected_version: Version that the object must have; MUST_NOT_EXIST for a new object.
+        Returns:
+          The object's new version.
+        Raises:
+          ConflictError: If the object has another version.
+          StoreError: With NOT_RUN if nothing was written, with MAY_HAVE_RUN if that is unknown.
+        """
+        if len(value) > MAX_VALUE_BYTES:
+            detail = f"value of {len(value)} bytes exceeds {MAX_VALUE_BYTES} bytes"
+            raise StoreError(records.Verdict.NOT_RUN, detail)
+        headers = {"Expected-Version": str(expected_version)}
+        lost = records.Verdict.MAY_HAVE_RUN
+        response = self._send("put", "PUT", _make_path(key), CALL_TIMEOUT_S, lost, headers, value)
+        if response.status == 409:
+            raise ConflictError(key, _read_version(response, records.Verdict.NOT_RUN))
+        _check_status(response, lost)
+        return _read_version(response, lost)
+
+    def list(self, prefix):
+        """Lists the objects whose keys begin with ``prefix``.
+
+        Returns:
+          A tuple of Change, sorted by key.
+        Raises:
+          StoreError: If the store gave no answer.
+        """
+        query = urllib.parse.urlencode({"prefix": prefix})
+        response = self._read("list", f"/v1/objects?{query}", CALL_TIMEOUT_S)
+        _check_status(response, records.Verdict.NOT_RUN)
+        return _read_changes(response)[1]
+
+    def watch(self, prefixes, after_version, timeout_s):
+        """Waits until an object is written after a version; a waiting watch is one call.
+
+        Args:
+          prefixes: Prefix of the keys, or a tuple of prefixes.
+          after_version: Version of the last write that the caller knows.
+          timeout_s: Longest wait in seconds.
+        Returns:
+          A WatchResult, without changes if the wait has ended.
+        Raises:
+          StoreError: If the store gave no answer.
+        """
+        prefixes = (prefixes,) if isinstance(prefixes, str) else prefixes
+        fields = [("prefix", prefix) for prefix in prefixes]
+        fields += [("after", after_version), ("timeout_ms", int(timeout_s * 1000))]
+        path = f"/v1/watch?{urllib.parse.urlencode(fields)}"
+        response = self._read("watch", path, timeout_s + WATCH_GRACE_S)
+        _check_status(response, records.Verdict.NOT_RUN)
+        return WatchResult(*_read_changes(response))
+
+    def _read(self, kind, path, timeout_s):
+        return self._send(kind, "GET", path, timeout_s, records.Verdict.NOT_RUN, {}, None)
+
+    def _send(self, kind, method, path, timeout_s, lost_verdict, headers, body):
+        self.calls[kind] += 1
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        try:
+            return self._pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers={**self._headers, **headers},
+                retries=False,
+                redirect=False,
+                timeout=timeout,
+            )
+        except _CONNECT_ERRORS as error:
+            raise StoreError(records.Verdict.NOT_RUN, f"cannot connect: {error}") from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise StoreError(lost_verdict, f"no answer to {kind}: {error}") from error
+
+
+def _make_path(key):
+    return "/v1/objects/" + urllib.parse.quote(key)
+
+
+def _check_status(response, lost_verdict):
+    if response.status == 200:
+        return
+    # A 4xx answer refuses the call; after a 5xx answer a write may still take effect.
+    verdict = records.Verdict.NOT_RUN if response.status < 500 else lost_verdict
+    raise StoreError(verdict, f"store answered with status {response.status}")
+
+
+def _read_version(response, lost_verdict):
+    try:
+        return int(response.headers["Object-Version"])
+    except (KeyError, ValueError) as error:
+        raise StoreError(lost_verdict, "answer has no valid version") from error
+
+
+def _read_changes(response):
+    try:
+        answer = json.loads(response.data)
+        changes = tuple(Change(item["key"], int(item["version"])) for item in answer["changes"])
+        return int(answer["version"]), changes
+    except (ValueError, KeyError, TypeError) as error:
+        raise StoreError(records.Verdict.NOT_RUN, f"malformed answer: {error}") from error
