Add the text format of the configuration head

Cause: agents and the command line read and write the same object of the platform store and need one format for it.

Change: format_head and parse_head convert a head to INI text and back; HEAD_KEY and SHARD_PREFIX name the objects.

Ruled out: msgpack for stored objects, because operators read the store's objects when something is wrong.

Conclusion: agent and command line can use the same four names.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -36,6 +36,21 @@
       | changed | text does not match the digest |
       | long    | shard is too long              |
 
+  Scenario: A head survives the way to text
+    Given a configuration with 9000 client blocks and 1 hosts per zone
+    Then the text of its head gives the same head back
+
+  Scenario Outline: A head with a fault is refused
+    Given the head text "<text>"
+    Then the head is refused with "<problem>"
+
+    Examples:
+      | text                                             | problem                            |
+      | [head];generation = 3;[shards];core = 1          | [head] write_id: is missing        |
+      | [head];generation = 3;write_id = a               | [shards] core: is missing          |
+      | [head];generation = x;write_id = a;[shards];core = 1 | [head] generation: must be a whole |
+      | nothing                                          | [text] : File contains no section  |
+
   Scenario Outline: Text with a fault is refused by section and key
     Given the text of a small configuration
     When "<old>" is replaced by "<new>"
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -159,3 +159,21 @@
 def step_check_nothing(context):
     parsed, _ = configuration.parse_configuration(context.ini_text)
     assert configuration.check_configuration(parsed) == ()
+
+
+@given('the head text "{text}"')
+def step_head_text(context, text):
+    context.head_text = text.replace(";", "\n")
+
+
+@then("the text of its head gives the same head back")
+def step_head_text_same(context):
+    head = dataclasses.replace(split(context)[0], write_id="w-1")
+    assert configuration.parse_head(configuration.format_head(head)) == (head, ())
+
+
+@then('the head is refused with "{problem}"')
+def step_head_refused(context, problem):
+    head, problems = configuration.parse_head(context.head_text)
+    assert head is None
+    assert str(problems[0]).startswith(problem), problems
--- a/skylarksill/_configtext.py
+++ b/skylarksill/_configtext.py
@@ -89,6 +89,40 @@
     return "".join([f"{block.prefix} = {block.zone_id}\n" for block in blocks])
 
 
+def format_head(head):
+    """Formats a ConfigurationHead as INI text, as the platform store holds it."""
+    shards = "".join([f"{name} = {digest}\n" for name, digest in head.shards])
+    return (
+        f"[head]\ngeneration = {head.generation}\nwrite_id = {head.write_id}\n\n[shards]\n{shards}"
+    )
+
+
+def parse_head(text):
+    """Parses the text of ``format_head``.
+
+    Args:
+      text: INI text.
+    Returns:
+      A pair of ConfigurationHead, or None if there are problems, and a tuple of Problems.
+    """
+    parser, problems = _read_sections(text)
+    if parser is None:
+        return None, tuple(problems)
+    problems = [
+        records.Problem(section, key, "is missing")
+        for section, key in (("head", "generation"), ("head", "write_id"), ("shards", "core"))
+        if not parser.get(section, key, fallback="")
+    ]
+    if problems:
+        return None, tuple(problems)
+    try:
+        generation = records.Generation(_parse_integer(parser["head"]["generation"]))
+    except ValueError as error:
+        return None, (records.Problem("head", "generation", str(error)),)
+    shards = tuple(parser["shards"].items())
+    return records.ConfigurationHead(generation, parser["head"]["write_id"], shards), ()
+
+
 def name_section(kind, record):
     """Returns the name of the section that holds a record."""
     return " ".join([kind.name, *[getattr(record, field) for field in kind.id_fields]])
--- a/skylarksill/configuration.py
+++ b/skylarksill/configuration.py
@@ -8,9 +8,15 @@
 
 MAX_SHARD_BYTES = _configshards.MAX_SHARD_BYTES
 
+# Keys of the platform store; a shard's key ends in its digest.
+HEAD_KEY = "config/head"
+SHARD_PREFIX = "config/shards/"
+
 format_configuration = _configtext.format_configuration
 parse_configuration = _configtext.parse_configuration
 check_configuration = _configcheck.check_configuration
 split_shards = _configshards.split_shards
 join_shards = _configshards.join_shards
+format_head = _configtext.format_head
+parse_head = _configtext.parse_head
 compute_digest = _configshards.compute_digest
