--- a/skylarksill/_configcheck.py
+++ b/skylarksill/_configcheck.py
@@ -48,8 +48,8 @@
 
 def _check_deployment(configuration):
     problems = []
-    if not _is_name(configuration.deployment):
-        problems.append(records.Problem("deployment", "name", _describe_name_rule()))
+    if not is_name(configuration.deployment):
+        problems.append(records.Problem("deployment", "name", describe_name_rule()))
     if configuration.generation < 0:
         problems.append(records.Problem("deployment", "generation", "must not be negative"))
     for field in ("regions", "zones", "hosts", "services", "upstreams"):
@@ -66,15 +66,16 @@
             section = _configtext.name_section(kind, record)
             sections[section] += 1
             for field in _NAME_FIELDS.get(kind.name, ()):
-                if not _is_name(getattr(record, field)):
-                    problems.append(records.Problem(section, "name", _describe_name_rule()))
+                if not is_name(getattr(record, field)):
+                    problems.append(records.Problem(section, "name", describe_name_rule()))
         for section, count in sections.items():
             if count > 1:
                 problems.append(records.Problem(section, "name", f"is there {count} times"))
     return problems
 
 
-def _is_name(text):
+def is_name(text):
+    """Says whether a text can name a record."""
     return (
         0 < len(text) <= MAX_NAME_CHARACTERS
         and text.isascii()
@@ -82,7 +83,8 @@
     )
 
 
-def _describe_name_rule():
+def describe_name_rule():
+    """Returns the rule that ``is_name`` checks."""
     return f"must be 1 to {MAX_NAME_CHARACTERS} letters, digits, '-', '_' or '.'"
 
 
