Draft the topology and exchange messages of agents

Heartbeats of 2,000 hosts each second would take 16 KB/s, above the 9 KB/s of a host. So heartbeats stay within a zone once there are more than 64 hosts, entries within a region, and zones send summaries. Digests hold 16 bits a host.

--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -196,16 +196,113 @@
     is_delta: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadMark:
+    """Orders configuration heads: by generation, then by the version of the store's object.
+
+    Two heads of one generation exist only if the store has replaced one, so the higher version
+    is the one that the store holds.
+    """
+
+    generation: records.Generation
+    store_version: int
+    write_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instances:
+    """The platform's list of leaving hosts and upstreams with the version of its object."""
+
+    version: int
+    leaving_hosts: tuple[records.HostId, ...]
+    leaving_upstreams: tuple[records.UpstreamId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDigest:
+    """What an agent knows of its peers, as numbers by position in the sorted names.
+
+    ``check`` is a CRC of all names. ``beats`` holds the low 16 bits of the heartbeat of each near
+    host, ``entries`` a 16-bit CRC of each entry in scope, and ``zones`` the low 16 bits of the
+    version of each zone's summary. A part that the two agents don't share is empty.
+    """
+
+    check: int
+    beats: bytes
+    entries: bytes
+    zones: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostBeat:
+    """A heartbeat with loads; ``loads`` has 5 numbers a service: position, slots to in_flight.
+
+    ``beat`` holds the low 16 bits of the heartbeat and ``entry`` the CRC of the entry it is for.
+    """
+
+    position: int
+    entry: int
+    beat: int
+    generation: records.Generation
+    age_ms: int
+    loads: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRecord:
+    """A host's whole entry with its loads."""
+
+    entry: PeerEntry
+    loads: tuple[LoadEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneSummary:
+    """A zone as its own hosts judge it; hosts are positions, loads are as in HostBeat."""
+
+    position: int
+    version: int
+    generation: records.Generation
+    down: tuple[int, ...]
+    leaving: tuple[int, ...]
+    age_ms: int
+    loads: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDelta:
+    """What the other agent lacks, and the positions of what the sender lacks.
+
+    Without the same ``check``, only ``records`` are filled.
+    """
+
+    check: int
+    beats: tuple[HostBeat, ...] = ()
+    records: tuple[PeerRecord, ...] = ()
+    zones: tuple[ZoneSummary, ...] = ()
+    wanted_hosts: tuple[int, ...] = ()
+    wanted_zones: tuple[int, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExchangeMessage:
-    """Both the question and the answer of an exchange between two agents."""
+    """Question, answer and completion of an exchange between two agents.
+
+    The question carries a digest, the answer a delta against it, and the completion the delta
+    that the answer asked for. ``head``, ``suspects`` and ``instances`` are filled only if the
+    other agent's ``mark``, ``suspects_check`` or ``instances_version`` shows that it lacks them.
+    """
 
     sender: records.HostId
-    head: records.ConfigurationHead | None
-    peers: tuple[PeerEntry, ...]
-    loads: tuple[LoadEntry, ...]
-    suspects: tuple[SuspectEntry, ...]
-    leaving_upstreams: tuple[records.UpstreamId, ...]
+    zone: records.ZoneId
+    mark: HeadMark | None = None
+    suspects_check: int = 0
+    instances_version: int = 0
+    digest: PeerDigest | None = None
+    delta: PeerDelta | None = None
+    head: records.ConfigurationHead | None = None
+    suspects: tuple[SuspectEntry, ...] = ()
+    instances: Instances | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
