--- a/skylarksill/_topology.py
+++ b/skylarksill/_topology.py
@@ -6,7 +6,7 @@
 from skylarksill import records
 
 # Up to this number of hosts, all of them are near. Beyond it, heartbeats stay within a zone.
-NEAR_LIMIT = 64
+NEAR_LIMIT = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -283,7 +283,8 @@
     beats: tuple[HostBeat, ...] = ()
     records: tuple[PeerRecord, ...] = ()
     zones: tuple[ZoneSummary, ...] = ()
-    wanted_hosts: tuple[int, ...] = ()
+    wanted_beats: tuple[int, ...] = ()
+    wanted_records: tuple[int, ...] = ()
     wanted_zones: tuple[int, ...] = ()
 
 
