Add the block table and the ranking of entry hosts

Cause: look-ups need the zone of a client among 330,000 blocks and an order of entry hosts that leaves out or puts last what cannot serve.

Rankings are kept until the view changes. Planned shifts and spill pick networks by a stable hash from opposite ends; spill moves in damped steps bounded by the headroom of the targets less what was moved lately.

--- /dev/null
+++ b/skylarksill/_steering.py
@@ -0,0 +1,183 @@
+"""State of hosts and regions as one look-up process knows it."""
+
+import collections
+import dataclasses
+import enum
+
+from skylarksill import _shares, records
+
+STALE_AFTER_S = 10.0
+SHIFT_WINDOW_S = 1.0
+
+
+class HostGrade(enum.IntEnum):
+    """Usability of an entry host; lower is better and LEAVING hosts are never named."""
+
+    USABLE = 0
+    STALE = 1
+    DEAD = 2
+    LEAVING = 3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class SteeringView:
+    """State that ``rank_hosts`` reads: what the agent reported and the damped shares.
+
+    ``dispatchers`` maps hosts with a live, serving dispatcher to its incarnation; ``windows``
+    holds the times of the latest answers that sent a client to a region other than its own.
+    """
+
+    grades: dict = dataclasses.field(default_factory=dict)
+    dispatchers: dict = dataclasses.field(default_factory=dict)
+    shares: dict = dataclasses.field(default_factory=dict)
+    rankings: dict = dataclasses.field(default_factory=dict)
+    windows: dict = dataclasses.field(default_factory=dict)
+    behind_since: dict = dataclasses.field(default_factory=dict)
+    table: object = None
+    lookups: int = 1
+
+    def observe(self, table, peers, loads, now, zone_loads=()):
+        """Takes over the agent's latest report.
+
+        Args:
+          table: The RoutingTable in force.
+          peers: PeerView records.
+          loads: LoadEntry records, with ages as of now.
+          zone_loads: ZoneLoad records, used for zones without a LoadEntry.
+          now: Monotonic time in seconds.
+        """
+        by_host = {peer.entry.host: peer for peer in peers}
+        grades = {host: self._grade_host(table, host, by_host, now) for host in table.hosts}
+        dispatchers = _find_dispatchers(table, by_host)
+        is_same = grades == self.grades and dispatchers == self.dispatchers
+        if not is_same or table is not self.table:
+            self.rankings = {}
+        self.table = table
+        self.grades = grades
+        self.dispatchers = dispatchers
+        self.lookups = max(1, sum(_is_serving(peer, "lookup") for peer in peers))
+        self._resize_windows(table)
+        self._advance_shares(table, loads, zone_loads, now)
+
+    def find_share(self, service, region):
+        """Returns the Share of a service and region; a fresh one if it is unknown."""
+        return self.shares.get((service, region)) or _shares.Share()
+
+    def take_shift(self, region, now):
+        """Counts one answer that sends a client to a foreign region.
+
+        Returns:
+          False if this process has used its part of the region's shift cap in the last second.
+        """
+        window = self.windows.get(region)
+        if window is None or window.maxlen == 0:
+            return False
+        if len(window) == window.maxlen and now - window[0] < SHIFT_WINDOW_S:
+            return False
+        window.append(now)
+        return True
+
+    def _grade_host(self, table, host_id, by_host, now):
+        peer = by_host.get(host_id)
+        if table.hosts[host_id].state is not records.LifeState.SERVING:
+            return HostGrade.LEAVING
+        if peer is None:
+            return HostGrade.DEAD
+        if peer.entry.state is not records.LifeState.SERVING:
+            return HostGrade.LEAVING
+        entry = _find_part(peer, "entry")
+        if entry is not None and entry.state is not records.LifeState.SERVING:
+            return HostGrade.LEAVING
+        if entry is None or not peer.is_alive:
+            return HostGrade.DEAD
+        return HostGrade.STALE if self._is_behind(table, peer, now) else HostGrade.USABLE
+
+    def _is_behind(self, table, peer, now):
+        # Every host is behind for a moment after each new generation, so only a host that stays
+        # behind for longer than a generation takes to spread is stale.
+        if peer.entry.generation >= table.generation:
+            self.behind_since.pop(peer.entry.host, None)
+            return False
+        since = self.behind_since.setdefault(peer.entry.host, now)
+        return now - since > STALE_AFTER_S
+
+    def _resize_windows(self, table):
+        for region_id, region in table.regions.items():
+            limit = 0
+            if region.shift_cap_per_s > 0:
+                limit = max(1, region.shift_cap_per_s // self.lookups)
+            window = self.windows.get(region_id)
+            if window is None or window.maxlen != limit:
+                self.windows[region_id] = collections.deque(window or (), maxlen=limit)
+
+    def _advance_shares(self, table, loads, zone_loads, now):
+        entries = collections.defaultdict(list)
+        in_flight = collections.Counter()
+        for zone, load in self._locate_loads(table, loads, zone_loads):
+            region = table.regions_by_zone[zone]
+            entries[load.service, region].append(load)
+            in_flight[region] += load.in_flight
+        for service in table.services:
+            self._advance_service(table, service, entries, in_flight, now)
+
+    def _locate_loads(self, table, loads, zone_loads):
+        located = [
+            (table.hosts[load.host].zone_id, load)
+            for load in loads
+            if load.host in table.hosts and load.host in self.dispatchers
+        ]
+        covered = {zone for zone, _ in located}
+        located += [
+            (load.zone, load)
+            for load in zone_loads
+            if load.zone in table.regions_by_zone and load.zone not in covered
+        ]
+        return located
+
+    def _advance_service(self, table, service, entries, in_flight, now):
+        measured = {
+            region: _shares.measure_region(
+                self._count_capacity(table, service, region),
+                entries[service, region],
+                in_flight[region],
+                table.regions[region].max_in_flight,
+            )
+            for region in table.regions
+        }
+        for region, load in measured.items():
+            target_headroom = sum(
+                other.headroom for name, other in measured.items() if name != region
+            )
+            share = self.shares.setdefault((service, region), _shares.Share())
+            _shares.advance_share(share, load, target_headroom, now)
+
+    def _count_capacity(self, table, service, region):
+        return sum(
+            owner.slots
+            for owner in table.list_owners(service, region)
+            if owner.host_id in self.dispatchers
+        )
+
+
+def _find_dispatchers(table, by_host):
+    return {
+        host_id: _find_part(by_host[host_id], "dispatch").incarnation
+        for host_id, host in table.hosts.items()
+        if host.state is records.LifeState.SERVING
+        and host_id in by_host
+        and _is_serving(by_host[host_id], "dispatch")
+    }
+
+
+def _find_part(peer, name):
+    return next((part for part in peer.entry.parts if part.part == name), None)
+
+
+def _is_serving(peer, part_name):
+    part = _find_part(peer, part_name)
+    return (
+        peer.is_alive
+        and peer.entry.state is records.LifeState.SERVING
+        and part is not None
+        and part.state is records.LifeState.SERVING
+    )
--- /dev/null
+++ b/skylarksill/routing.py
@@ -0,0 +1,15 @@
+"""Choice of entry hosts: block table, routing table and ranking."""
+
+from skylarksill import _blocktable, _ranking, _routingtable, _steering
+
+BlockTable = _blocktable.BlockTable
+pack_address = _blocktable.pack_address
+RoutingTable = _routingtable.RoutingTable
+HostGrade = _steering.HostGrade
+SteeringView = _steering.SteeringView
+Cause = _ranking.Cause
+Query = _ranking.Query
+Ranking = _ranking.Ranking
+TicketHosts = _ranking.TicketHosts
+UnknownServiceError = _ranking.UnknownServiceError
+rank_hosts = _ranking.rank_hosts
