--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -35,6 +35,7 @@
     """Asks the arbiter for the right to run a ticket; sent by the ticket's home."""
 
     ticket: records.Ticket
+    fingerprint: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +44,7 @@
 
     ticket: records.Ticket
     answer: records.Answer | None
+    verdict: records.Verdict = records.Verdict.RAN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
     """Asks the arbiter to forbid a ticket that has not been claimed."""
 
     ticket: records.Ticket
+    fingerprint: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +93,19 @@
     age_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneLoad:
+    """Load of one service summed over the dispatchers of a zone; sent between regions."""
+
+    zone: records.ZoneId
+    service: records.ServiceId
+    slots: int
+    free: int
+    queued: int
+    in_flight: int
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEntry:
     """State of an upstream as its home dispatcher sees it."""
@@ -163,6 +179,9 @@
 class ViewResult:
     """The agent's view; ``shards`` is filled only if the configuration is new to the daemon.
 
+    If ``version`` equals the call's, nothing but ``store_age_ms`` is filled. With ``is_delta``,
+    ``peers`` holds only what changed since the call's version; viewer.Viewer completes it. Shards
+    that are not in ``shards`` are fetched with ``shards``, since they may exceed a frame together.
     ``head`` is None while the agent has no configuration. ``leaving_upstreams`` comes from the
     platform's host list. ``store_age_ms`` is the age of the last answer of the platform's store,
     or -1 if there was none.
@@ -176,6 +195,8 @@
     suspects: tuple[SuspectEntry, ...]
     leaving_upstreams: tuple[records.UpstreamId, ...]
     store_age_ms: int
+    zone_loads: tuple[ZoneLoad, ...] = ()
+    is_delta: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,6 +288,7 @@
         return _make_record_decoder(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return functools.partial(_decode_enum, hint)
+    # "NewType | None" is a typing.Union, "str | None" a types.UnionType.
     if typing.get_origin(hint) in (typing.Union, types.UnionType):
         return _make_optional_decoder(hint)
     if typing.get_origin(hint) is tuple:
