--- a/features/steering_builders.py
+++ b/features/steering_builders.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
-from skylarksill import messages, records
+from eventlet.green.http import client
+
+from features import builders
+from skylarksill import messages, records, settings
 
 PARTS = ("lookup", "entry", "dispatch")
 
@@ -54,3 +57,71 @@
     """Returns the configuration with some fields of all its hosts replaced."""
     hosts = tuple(dataclasses.replace(host, **addresses) for host in configuration.hosts)
     return dataclasses.replace(configuration, hosts=hosts)
+
+
+class FakeViewer:
+    """Stands in for viewer.Viewer with a view that the test sets.
+
+    Args:
+      configuration: The configuration whose hosts the view shows.
+      states: As for ``build_peers``.
+    """
+
+    load_offset_ms = 0
+    is_stale = False
+
+    def __init__(self, configuration, **states):
+        self.state = records.LifeState.SERVING
+        self.configuration = configuration
+        self.polls = 0
+        self.show(**states)
+
+    def show(self, loads=(), **states):
+        """Replaces the view."""
+        peers = build_peers(self.configuration, **states)
+        self.view = messages.ViewResult(1, None, (), peers, tuple(loads), (), (), -1)
+
+    def start(self):
+        """Does nothing."""
+
+    def stop(self):
+        """Does nothing."""
+
+    def poll_soon(self):
+        """Counts the polls that were asked for."""
+        self.polls += 1
+
+
+def build_settings(address, **fields):
+    """Builds settings of host-0 with ports that the system chooses."""
+    values = {
+        "host": "host-0",
+        "zone": "north-a",
+        "address": address,
+        "lookup_port": 0,
+        "entry_port": 0,
+        "dispatch_port": 0,
+        "agent_port": 0,
+        "shared_key": builders.SHARED_KEY,
+        "platform": None,
+        "peers": (),
+        "statsd": None,
+        "log_level": "INFO",
+    }
+    return settings.Settings(**{**values, **fields})
+
+
+def send_http(address, method, path, body=None, headers=None):
+    """Sends one HTTP request from a green thread.
+
+    Returns:
+      Status, headers with lower-case names, and body.
+    """
+    connection = client.HTTPConnection(*address, timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        data = response.read()
+        return response.status, {k.lower(): v for k, v in response.getheaders()}, data
+    finally:
+        connection.close()
--- /dev/null
+++ b/skylarksill/_steeringsource.py
@@ -0,0 +1,93 @@
+"""Keeps the routing table and the steering view of a daemon up to date from its agent's view."""
+
+import dataclasses
+
+import eventlet
+
+from skylarksill import logs, routing
+
+OBSERVE_INTERVAL_S = 0.2
+
+
+class SteeringSource:
+    """The routing table in force and the view that rankings read.
+
+    Args:
+      clock: A clock with ``monotonic()``.
+      part: Name of the daemon, for its log.
+      on_change: Function that is called after rankings were renewed, or None.
+
+    Attributes:
+      table: The RoutingTable in force, or None.
+      view: The SteeringView.
+    """
+
+    def __init__(self, clock, part, on_change=None):
+        self.table = None
+        self.view = routing.SteeringView()
+        self._clock = clock
+        self._log = logs.make_logger(part)
+        self._on_change = on_change or (lambda: None)
+        self._viewer = None
+
+    def accept_configuration(self, configuration, head):
+        """Builds the table of a new configuration and puts it in force as a whole.
+
+        The build gives way between its steps, so that requests are served meanwhile.
+        """
+        try:
+            table = _build_table(configuration)
+        except ValueError as error:
+            self._log.error("generation {} refused: {}", configuration.generation, error)
+            return
+        self.table = table
+        self.refresh()
+        self._log.info("generation {} in force", configuration.generation)
+
+    def attach(self, viewer):
+        """Takes peers and loads from this Viewer."""
+        self._viewer = viewer
+
+    def run(self):
+        """Refreshes the view for ever."""
+        while True:
+            try:
+                self.refresh()
+            except Exception:
+                self._log.exception("view was not refreshed")
+            eventlet.sleep(OBSERVE_INTERVAL_S)
+
+    def refresh(self):
+        """Takes over the present view of the agent."""
+        view = self._viewer.view if self._viewer else None
+        if self.table is None or view is None:
+            return
+        before = self.view.rankings
+        offset_ms = self._viewer.load_offset_ms
+        self.view.observe(
+            self.table,
+            view.peers,
+            _age_entries(view.loads, offset_ms),
+            self._clock.monotonic(),
+            _age_entries(view.zone_loads, offset_ms),
+        )
+        if self.view.rankings is not before:
+            self._on_change()
+
+
+def _build_table(configuration):
+    steps = routing.BlockTable.build_in_steps(configuration)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            # The blocks take far more memory as records than in the table.
+            rest = dataclasses.replace(configuration, blocks=())
+            return routing.RoutingTable.build(rest, end.value)
+        eventlet.sleep(0)
+
+
+def _age_entries(entries, offset_ms):
+    if not offset_ms:
+        return entries
+    return [dataclasses.replace(entry, age_ms=entry.age_ms + offset_ms) for entry in entries]
