Test that a full ticket table and a late grant refuse for good

Change: one scenario makes room in the table before it sends the refused ticket again, the other delays the grant instead of the claim.

--- a/features/steps/tickets_steps.py
+++ b/features/steps/tickets_steps.py
@@ -13,8 +13,9 @@
 LOST = records.Refusal(records.Verdict.MAY_HAVE_RUN, "lost", "")
 
 
-def make_ticket(ticket_id="t-1"):
-    return tickets.new_ticket(ticket_id, "deposits", ("h", "h1"), ("a", "a1"), START_MS)
+def make_ticket(ticket_id="t-1", lifetime_ms=tickets.TICKET_LIFETIME_MS):
+    home, arbiter = ("h", "h1"), ("a", "a1")
+    return tickets.new_ticket(ticket_id, "deposits", home, arbiter, START_MS, lifetime_ms)
 
 
 class TicketWorld:
@@ -142,10 +143,20 @@
     context.world.now -= seconds * 1_000
 
 
-@when("{count:d} tickets are opened")
-def step_open_many(context, count):
-    for index in range(count):
+@when("the arbiter grants the claim, but the home is paused for {seconds:d} s")
+def step_granted_late(context, seconds):
+    world = context.world
+    result = world.arbiter.claim(world.ticket, world.now)
+    world.now += seconds * 1_000
+    world.apply(world.home.apply_claim(world.ticket.ticket_id, result, world.now))
+
+
+@when("{count:d} tickets are opened, the last with a life of {minutes:d} minutes")
+def step_open_many(context, count, minutes):
+    for index in range(count - 1):
         context.world.open(str(index), make_ticket(f"t-{index}"))
+    context.long_ticket = make_ticket("long", minutes * 60_000)
+    context.world.open("long", context.long_ticket)
 
 
 @when("{count:d} tickets run with answers of {size:d} bytes")
@@ -184,13 +195,23 @@
     assert result.state is records.ClaimState.RAN and result.answer.body == b"paid", result
 
 
-@then("the third is refused as NOT_RUN, also after the table has room")
+@then("only the last is refused, as NOT_RUN")
 def step_full(context):
+    told = context.world.told
+    assert set(told) == {"long"} and told["long"].limit == "tickets", told
+
+
+@then("it is still refused after {minutes:d} minutes, when a later ticket is accepted")
+def step_refused_for_good(context, minutes):
     world = context.world
-    assert set(world.told) == {"2"} and world.told["2"].limit == "tickets", world.told
-    assert len(world.home) == 2
-    world.open("later", make_ticket("t-2"))
-    assert world.told["later"].verdict is records.Verdict.NOT_RUN and len(world.home) == 2
+    for ticket_id in ("t-0", "t-1"):
+        world.home.complete(ticket_id, NOT_RUN, world.now)
+    world.now += minutes * 60_000
+    world.home.expire(world.now)
+    world.open("again", context.long_ticket)
+    world.open("later", make_ticket("later", 2 * minutes * 60_000))
+    assert world.told["again"].verdict is records.Verdict.NOT_RUN, world.told
+    assert "later" not in world.told and len(world.home) == 1, world.told
 
 
 @then("the newest {count:d} answers are kept and the others are reported as RAN")
--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -49,8 +49,7 @@
   Scenario: A paused home does not run a ticket that expired meanwhile
     Given a home and an arbiter
     When request "a" opens the ticket
-    And the home is paused for 70 s
-    And the arbiter answers the claim
+    And the arbiter grants the claim, but the home is paused for 70 s
     Then the ticket ran 0 times
     And requests "a" got the verdict NOT_RUN
 
@@ -77,8 +76,9 @@
 
   Scenario: A full table refuses for good and drops nothing
     Given a home that holds at most 2 tickets
-    When 3 tickets are opened
-    Then the third is refused as NOT_RUN, also after the table has room
+    When 3 tickets are opened, the last with a life of 20 minutes
+    Then only the last is refused, as NOT_RUN
+    And it is still refused after 17 minutes, when a later ticket is accepted
 
   Scenario: Kept answers stay within their bytes
     Given a home that keeps at most 1000 bytes
