Add the configuration head to the status answer

Cause: the status and explain commands need the regions and zones that the agent has in force, also while the platform store is down.

Ruled out: the view method, because the agent takes its caller for a daemon of the host.

Change: StatusResult has an optional head, whose shards the caller fetches with the shards method.

Conclusion: an agent that does not fill it answers as before; the commands then report that it has no configuration yet.

--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -330,7 +330,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusResult:
-    """State of the deployment as one agent sees it."""
+    """State of the deployment as one agent sees it.
+
+    ``head`` names the shards of ``generation``, so that the caller can fetch them with ``shards``.
+    """
 
     host: records.HostId
     generation: records.Generation
@@ -338,6 +341,7 @@
     peers: tuple[PeerView, ...]
     loads: tuple[LoadEntry, ...]
     upstreams: tuple[UpstreamEntry, ...]
+    head: records.ConfigurationHead | None = None
 
 
 def encode_message(message):
