Add the operators' commands, drains and publishing to the store

Cause: operators need to check, publish, drain and shift without editing objects of the store, and two of them must not undo each other's change.

Ruled out: difflib for the differences, because its time is not linear in hundreds of thousands of blocks; moving a drained host's upstreams to another home, because both dispatchers would use the same slots while the change spreads.

Conclusion: status and explain have not met a running agent yet.

--- a/skylarksill/_configshards.py
+++ b/skylarksill/_configshards.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import dataclasses
 import hashlib
 import zlib
 
@@ -71,6 +72,12 @@
     return records.Configuration(deployment, head.generation, blocks=tuple(blocks), **values), ()
 
 
+def select_core(head):
+    """Returns the head without the shards of client blocks."""
+    shards = tuple(pair for pair in head.shards if not _is_blocks(pair[0]))
+    return dataclasses.replace(head, shards=shards)
+
+
 def _is_blocks(name):
     return name.startswith("blocks-")
 
--- a/skylarksill/configuration.py
+++ b/skylarksill/configuration.py
@@ -4,7 +4,7 @@
 force.
 """
 
-from skylarksill import _configcheck, _configshards, _configtext
+from skylarksill import _configcheck, _configdiff, _configshards, _configtext
 
 MAX_SHARD_BYTES = _configshards.MAX_SHARD_BYTES
 
@@ -19,4 +19,6 @@
 join_shards = _configshards.join_shards
 format_head = _configtext.format_head
 parse_head = _configtext.parse_head
+select_core = _configshards.select_core
 compute_digest = _configshards.compute_digest
+diff_configurations = _configdiff.diff_configurations
--- /dev/null
+++ b/skylarksill/console/_drains.py
@@ -0,0 +1,175 @@
+"""Commands that drain and shift, with what remains afterwards."""
+
+import dataclasses
+
+from cleo import helpers
+
+from skylarksill import drains, records
+from skylarksill.console import _command
+
+CHANGE_OPTIONS = [
+    *_command.SETTINGS_OPTIONS,
+    helpers.option("yes", "y", "Does not ask before the change."),
+    helpers.option("force", None, "Makes the change although the rest cannot carry the load."),
+    helpers.option("dry-run", None, "Prints the preview only."),
+]
+KIND_NAMES = ", ".join(kind.value for kind in drains.TargetKind)
+
+
+class _ChangeCommand(_command.ConsoleCommand):
+    """Base of commands that change the configuration in the store after a preview."""
+
+    def confirm_change(self, faults):
+        """Decides whether the change is made.
+
+        Returns:
+          False for a dry run or if the operator declines.
+        Raises:
+          CommandError: If the rest cannot carry the load and ``--force`` is not given.
+        """
+        for fault in faults:
+            self.write_error(f"headroom: {fault}")
+        if self.option("dry-run"):
+            return False
+        if faults and not self.option("force"):
+            reason = "nothing was changed; --force makes the change all the same"
+            raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
+        return self.option("yes") or self.confirm("Make this change?", False)
+
+    def read_loads(self):
+        """Returns the loads that the agent knows; none if it does not answer."""
+        try:
+            return self.ask_status()[0].loads
+        except _command.CommandError as error:
+            self.write_error(f"load is unknown: {error}")
+            return ()
+
+    def show_headrooms(self, headrooms):
+        """Prints the table of the slots before and after."""
+        rows = [
+            [
+                row.region,
+                row.service,
+                str(row.slots_before),
+                str(row.slots_after),
+                "-" if row.in_flight is None else str(row.in_flight),
+                "-" if row.free_after is None else str(row.free_after),
+                "-" if row.age_ms is None else f"{row.age_ms / 1000:.1f} s",
+            ]
+            for row in headrooms
+        ]
+        headers = ["region", "service", "slots now", "slots after", "in use", "headroom", "age"]
+        self.render_table(headers, rows, style="compact")
+
+
+class DrainCommand(_ChangeCommand):
+    """Drains something, or returns it to service."""
+
+    name = "drain"
+    description = "Takes an upstream, host, zone or region out of service, or back with --undo."
+    arguments = [
+        helpers.argument("kind", f"One of {KIND_NAMES}."),
+        helpers.argument("name", "Its name in the configuration."),
+    ]
+    options = [*CHANGE_OPTIONS, helpers.option("undo", None, "Returns it to service.")]
+
+    def run_command(self):
+        """Shows the headroom that remains and publishes the changed states."""
+        target = self._read_target()
+        state = records.LifeState.SERVING if self.option("undo") else records.LifeState.LEAVING
+        store = self.open_store()
+        base = self.read_present(store)
+        try:
+            preview = drains.preview_drain(base.configuration, target, self.read_loads(), state)
+        except drains.UnknownTargetError as error:
+            raise _command.CommandError(_command.EXIT_PROBLEMS, str(error)) from error
+        if not preview.changed:
+            self.write_text(f"{target.kind.value} {target.name} is {state.value} already")
+            return
+        self.write_text(f"{state.value}: {', '.join(preview.changed)}")
+        self.show_headrooms(preview.headrooms)
+        # A return adds slots, so that a lack that remains is no reason against it.
+        if not self.confirm_change(() if self.option("undo") else preview.faults):
+            self.write_text("nothing was changed")
+            return
+        subject = f"{state.value} {target.kind.value} {target.name}"
+        generation = self.publish(store, base, preview.configuration, subject)
+        self.write_text(f"generation {generation} is in the store")
+
+    def _read_target(self):
+        try:
+            kind = drains.TargetKind(self.argument("kind"))
+        except ValueError:
+            reason = f"{self.argument('kind')!r} is none of {KIND_NAMES}"
+            raise _command.CommandError(_command.EXIT_PROBLEMS, reason) from None
+        return drains.Target(kind, self.argument("name"))
+
+
+class ShiftCommand(_ChangeCommand):
+    """Plans a shift of clients, or ends it."""
+
+    name = "shift"
+    description = "Sends a share of a region's clients to another region, or ends that."
+    arguments = [
+        helpers.argument("name", "Name of the shift."),
+        helpers.argument("source", "Region whose clients move.", optional=True),
+        helpers.argument("target", "Region that they move to.", optional=True),
+        helpers.argument("percent", "Share of the clients in percent.", optional=True),
+    ]
+    options = [*CHANGE_OPTIONS, helpers.option("undo", None, "Ends the shift.")]
+
+    def run_command(self):
+        """Shows the target's cap and headroom and publishes the changed shifts."""
+        store = self.open_store()
+        base = self.read_present(store)
+        present = base.configuration
+        others = tuple(item for item in present.shifts if item.name != self.argument("name"))
+        if self.option("undo"):
+            self._check_present(present, others)
+            shifts, faults = others, ()
+        else:
+            planned = self._read_shift()
+            shifts = (*others, planned)
+            faults = self._show_target(present, planned)
+        if not self.confirm_change(faults):
+            self.write_text("nothing was changed")
+            return
+        changed = dataclasses.replace(present, shifts=shifts)
+        verb = "end shift" if self.option("undo") else "shift"
+        generation = self.publish(store, base, changed, f"{verb} {self.argument('name')}")
+        self.write_text(f"generation {generation} is in the store")
+
+    def _check_present(self, present, others):
+        if len(others) == len(present.shifts):
+            reason = f"shift {self.argument('name')!r} is not configured"
+            raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
+
+    def _read_shift(self):
+        values = [self.argument(key) for key in ("name", "source", "target", "percent")]
+        if None in values or not values[3].isdecimal():
+            reason = "name a source, a target and a percentage"
+            raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
+        return records.Shift(*values[:3], int(values[3]))
+
+    def _show_target(self, present, planned):
+        """Prints cap and headroom; returns the services that the target cannot carry as well."""
+        caps = {region.region_id: region.shift_cap_per_s for region in present.regions}
+        self.write_text(
+            f"{planned.target} takes at most {caps.get(planned.target, 0)} requests/s of clients "
+            "of other regions, planned shifts and failover together"
+        )
+        rows = drains.compare_headroom(present, present, self.read_loads())
+        self.show_headrooms([row for row in rows if row.region in (planned.source, planned.target)])
+        moving = {
+            row.service: (row.in_flight or 0) * planned.percent / 100
+            for row in rows
+            if row.region == planned.source
+        }
+        return [
+            f"{row.service} has {row.free_after} slots left in {row.region}, "
+            f"about {moving[row.service]:.0f} are needed"
+            for row in rows
+            if row.region == planned.target
+            and row.free_after is not None
+            and row.free_after < moving.get(row.service, 0)
+        ]
--- /dev/null
+++ b/skylarksill/console/_generating.py
@@ -0,0 +1,134 @@
+"""Commands from the questionnaire to a checked configuration file."""
+
+import pathlib
+
+from cleo import helpers
+
+from skylarksill import configuration, questionnaire
+from skylarksill.console import _command
+
+FORCE_OPTION = helpers.option("force", None, "Writes over a file that is there.")
+
+
+class QuestionnaireCommand(_command.ConsoleCommand):
+    """Asks the questions and writes the answers."""
+
+    name = "questionnaire"
+    description = "Asks for the sizes of a deployment and writes the answers to a file."
+    arguments = [helpers.argument("answers", "INI file to write.")]
+    options = [FORCE_OPTION]
+
+    def run_command(self):
+        """Asks all questions and writes the answers if they fit together."""
+        path = check_new_file(self.argument("answers"), self.option("force"))
+        text = questionnaire.ask_answers(self._ask, self.write_text)
+        write_file(path, text)
+        _, problems = questionnaire.parse_answers(text)
+        report_problems(problems)
+        self.write_text(f"wrote {path}; next: skylarksill generate {path}")
+
+    def _ask(self, prompt, default):
+        shown = f"{prompt} [{default}]:" if default else f"{prompt}:"
+        try:
+            return self.ask(shown, default)
+        except EOFError:
+            raise _command.CommandError(_command.EXIT_PROBLEMS, "the answers end early") from None
+
+
+class GenerateCommand(_command.ConsoleCommand):
+    """Generates a configuration from answers."""
+
+    name = "generate"
+    description = "Generates a configuration from answers."
+    arguments = [
+        helpers.argument("answers", "INI file of the questionnaire."),
+        helpers.argument("configuration", "INI file to write; standard output without.", True),
+    ]
+    options = [FORCE_OPTION]
+
+    def run_command(self):
+        """Reads answers and writes the configuration."""
+        answers, problems = questionnaire.load_answers(self.argument("answers"))
+        report_problems(problems)
+        generated, problems = questionnaire.generate_configuration(answers)
+        report_problems(problems)
+        text = configuration.format_configuration(generated)
+        if self.argument("configuration") is None:
+            self.write_text(text.rstrip())
+            return
+        path = check_new_file(self.argument("configuration"), self.option("force"))
+        write_file(path, text)
+        self.write_text(
+            f"wrote {path}: {len(generated.hosts)} hosts, {len(generated.upstreams)} upstreams"
+        )
+
+
+class CheckCommand(_command.ConsoleCommand):
+    """Checks a file of answers or a configuration."""
+
+    name = "check"
+    description = "Checks a configuration or a file of answers; prints one line per problem."
+    arguments = [helpers.argument("file", "INI file.")]
+    options = [helpers.option("answers", None, "The file holds answers.")]
+
+    def run_command(self):
+        """Checks the file."""
+        path = self.argument("file")
+        if self.option("answers"):
+            answers, problems = questionnaire.load_answers(path)
+            report_problems(problems)
+            report_problems(questionnaire.generate_configuration(answers)[1])
+        else:
+            load_configuration(path)
+        self.write_text(f"{path}: no problems")
+
+
+def load_configuration(path):
+    """Reads a configuration file and checks it.
+
+    Raises:
+      CommandError: If it cannot be read or has problems.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise _command.CommandError(_command.EXIT_PROBLEMS, f"{path}: {error}") from error
+    loaded, problems = configuration.parse_configuration(text)
+    report_problems(problems)
+    report_problems(configuration.check_configuration(loaded))
+    return loaded
+
+
+def report_problems(problems):
+    """Ends the command with one line per problem, if there are any.
+
+    Raises:
+      CommandError: If there is a problem.
+    """
+    if problems:
+        lines = [str(problem) for problem in problems]
+        raise _command.CommandError(_command.EXIT_PROBLEMS, *lines)
+
+
+def check_new_file(path, may_exist):
+    """Returns the path of a file that is about to be written.
+
+    Raises:
+      CommandError: If the file exists and must not.
+    """
+    if pathlib.Path(path).exists() and not may_exist:
+        reason = f"{path} exists; --force writes over it"
+        raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
+    return pathlib.Path(path)
+
+
+def write_file(path, text):
+    """Writes a text file.
+
+    Raises:
+      CommandError: If it cannot be written.
+    """
+    try:
+        pathlib.Path(path).write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise _command.CommandError(_command.EXIT_PROBLEMS, f"{path}: {error}") from error
--- /dev/null
+++ b/skylarksill/console/_statusrows.py
@@ -0,0 +1,153 @@
+"""Rows of the status table, from the configuration and an agent's answer."""
+
+import collections
+import dataclasses
+
+from skylarksill import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusRow:
+    """One region, zone, host or upstream.
+
+    Figures are None if nothing was reported. ``generations`` lists those in force at its hosts, in
+    rising order. ``age_ms`` is the age of the oldest figure of the row.
+    """
+
+    kind: str
+    name: str
+    within: str
+    state: str
+    slots: int
+    in_use: int | None
+    headroom: int | None
+    generations: list[int]
+    age_ms: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Facts:
+    """Everything that the rows are made of, by id."""
+
+    configuration: records.Configuration
+    peers: dict
+    loads: dict
+    upstreams: dict
+    regions: dict
+
+
+def build_rows(configuration, status):
+    """Builds the rows of the table.
+
+    Args:
+      configuration: The Configuration in force at the agent.
+      status: Its messages.StatusResult.
+    Returns:
+      A tuple of StatusRow: regions, zones, hosts and upstreams in the order of the configuration.
+    """
+    loads = collections.defaultdict(list)
+    for load in status.loads:
+        loads[load.host].append(load)
+    facts = _Facts(
+        configuration,
+        {peer.entry.host: peer for peer in status.peers},
+        loads,
+        {entry.upstream: entry for entry in status.upstreams},
+        {zone.zone_id: zone.region_id for zone in configuration.zones},
+    )
+    return (
+        *[_build_region(facts, region) for region in configuration.regions],
+        *[_build_zone(facts, zone) for zone in configuration.zones],
+        *[_build_host(facts, host) for host in configuration.hosts],
+        *[_build_upstream(facts, upstream) for upstream in configuration.upstreams],
+    )
+
+
+def _build_region(facts, region):
+    hosts = [h for h in facts.configuration.hosts if facts.regions[h.zone_id] == region.region_id]
+    upstreams = [
+        upstream
+        for upstream in facts.configuration.upstreams
+        if facts.regions[upstream.zone_id] == region.region_id
+    ]
+    row = _build_place(facts, "region", region.region_id, "", hosts, upstreams)
+    if row.in_use is None:
+        return row
+    return dataclasses.replace(row, headroom=min(row.headroom, region.max_in_flight - row.in_use))
+
+
+def _build_zone(facts, zone):
+    hosts = [host for host in facts.configuration.hosts if host.zone_id == zone.zone_id]
+    upstreams = [up for up in facts.configuration.upstreams if up.zone_id == zone.zone_id]
+    return _build_place(facts, "zone", zone.zone_id, zone.region_id, hosts, upstreams)
+
+
+def _build_place(facts, kind, name, within, hosts, upstreams):
+    loads = [load for host in hosts for load in facts.loads[host.host_id]]
+    peers = [facts.peers[host.host_id] for host in hosts if host.host_id in facts.peers]
+    return StatusRow(
+        kind,
+        name,
+        within,
+        _join_states([_find_host_state(facts, host) for host in hosts]),
+        sum(upstream.slots for upstream in upstreams),
+        *_sum_loads(loads),
+        sorted({peer.entry.generation for peer in peers}),
+        max([*[load.age_ms for load in loads], *[peer.age_ms for peer in peers]], default=None),
+    )
+
+
+def _build_host(facts, host):
+    slots = sum(up.slots for up in facts.configuration.upstreams if up.home == host.host_id)
+    state = _find_host_state(facts, host)
+    row = _build_place(facts, "host", host.host_id, host.zone_id, [host], ())
+    return dataclasses.replace(row, state=state, slots=slots)
+
+
+def _build_upstream(facts, upstream):
+    entry = facts.upstreams.get(upstream.upstream_id)
+    peer = facts.peers.get(upstream.home)
+    return StatusRow(
+        "upstream",
+        upstream.upstream_id,
+        upstream.home,
+        _find_upstream_state(upstream, entry),
+        upstream.slots,
+        entry.in_flight if entry else None,
+        entry.free if entry else None,
+        [peer.entry.generation] if peer else [],
+        entry.age_ms if entry else None,
+    )
+
+
+def _find_host_state(facts, host):
+    peer = facts.peers.get(host.host_id)
+    if peer is None:
+        return "unknown"
+    if not peer.is_alive:
+        return "down"
+    states = {host.state, peer.entry.state} - {records.LifeState.SERVING}
+    return min((state.value for state in states), default=records.LifeState.SERVING.value)
+
+
+def _find_upstream_state(upstream, entry):
+    if entry is None:
+        return "unknown"
+    if entry.state is not records.LifeState.SERVING:
+        return entry.state.value
+    if upstream.state is not records.LifeState.SERVING:
+        return upstream.state.value
+    return "ejected" if entry.is_ejected else entry.state.value
+
+
+def _join_states(states):
+    counts = collections.Counter(states)
+    if len(counts) <= 1:
+        return "".join(counts) or "empty"
+    return ", ".join(f"{count} {state}" for state, count in sorted(counts.items()))
+
+
+def _sum_loads(loads):
+    if not loads:
+        return None, None
+    return sum(load.in_flight for load in loads), sum(load.free for load in loads)
--- /dev/null
+++ b/skylarksill/publication.py
@@ -0,0 +1,211 @@
+"""Publishing a configuration through the platform store.
+
+Shards are written first and the head last, by a conditional update. Every write here can be
+repeated without harm: a shard is named by its digest, and the head's condition admits one write.
+"""
+
+import dataclasses
+
+from skylarksill import configuration, objectstore, records
+
+ATTEMPTS = 5
+FIRST_PAUSE_S = 0.2
+
+
+class ConflictError(records.SkylarksillError):
+    """Another operator's configuration is in the store.
+
+    Attributes:
+      present: What is Published now.
+      verdict: MAY_HAVE_RUN if an own write whose reply was lost may have been in force before it.
+    """
+
+    def __init__(self, present, verdict):
+        generation = present.head.generation if present.head else 0
+        super().__init__(f"generation {generation} of another write is in the store")
+        self.present = present
+        self.verdict = verdict
+
+
+class FaultyError(records.SkylarksillError):
+    """The configuration in the store is damaged.
+
+    Attributes:
+      problems: Problems that were found.
+      version: The head object's version, with which it can be replaced.
+      head: The head, or None if it is damaged itself.
+    """
+
+    def __init__(self, problems, version, head=None):
+        super().__init__(f"the configuration in the store is damaged: {problems[0]}")
+        self.problems = problems
+        self.version = version
+        self.head = head
+
+
+class PublishError(records.SkylarksillError):
+    """The store did not confirm the write.
+
+    Attributes:
+      verdict: NOT_RUN if nothing changed, MAY_HAVE_RUN if the write may still take effect.
+    """
+
+    def __init__(self, verdict, detail):
+        super().__init__(f"{detail} ({verdict.value})")
+        self.verdict = verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """A configuration as it was read; head and configuration are None before the first one.
+
+    The configuration alone is None if it is damaged. ``version`` is the head object's version, the
+    condition of the next update.
+    """
+
+    version: int
+    head: records.ConfigurationHead | None
+    configuration: records.Configuration | None
+
+    @property
+    def generation(self):
+        """Generation in the store; 0 before the first one."""
+        return self.head.generation if self.head else records.Generation(0)
+
+
+def read_published(store):
+    """Reads the configuration that is in the store.
+
+    Args:
+      store: An objectstore.ObjectStore.
+    Returns:
+      A Published.
+    Raises:
+      FaultyError: If the store's objects are damaged or missing.
+      objectstore.StoreError: If the store gave no answer.
+    """
+    version, head = _read_head(store)
+    if head is None:
+        return Published(version, None, None)
+    texts = {}
+    for _, digest in head.shards:
+        try:
+            texts[digest] = _decode(store.get(configuration.SHARD_PREFIX + digest)[1])
+        except objectstore.MissingError:
+            continue
+    joined, problems = configuration.join_shards(head, texts)
+    if problems:
+        raise FaultyError(problems, version, head)
+    return Published(version, head, joined)
+
+
+def publish_configuration(store, base, changed, write_id, clock):
+    """Publishes a configuration as the generation after the one it is based on.
+
+    Args:
+      store: An objectstore.ObjectStore.
+      base: The Published that the change was made from.
+      changed: The Configuration to publish; its generation is replaced.
+      write_id: Text that identifies this write and no other.
+      clock: A clock whose ``sleep`` separates attempts.
+    Returns:
+      The ConfigurationHead that is in the store.
+    Raises:
+      ConflictError: If the store holds another head than ``base``.
+      PublishError: If the store did not confirm the write.
+      FaultyError: If the store's head cannot be read back.
+    """
+    generation = records.Generation(base.generation + 1)
+    head, texts = configuration.split_shards(dataclasses.replace(changed, generation=generation))
+    head = dataclasses.replace(head, write_id=write_id)
+    # The shards of a configuration that was read whole need not be written again.
+    known = {digest for _, digest in base.head.shards} if base.configuration else set()
+    for digest, text in texts.items():
+        if digest not in known:
+            _write_shard(store, digest, text.encode(), clock)
+    _write_head(store, base, head, clock)
+    return head
+
+
+def _write_shard(store, digest, value, clock):
+    key = configuration.SHARD_PREFIX + digest
+    version = objectstore.MUST_NOT_EXIST
+    last_error = "its object keeps changing"
+    for pause_s in _list_pauses():
+        try:
+            store.put(key, value, version)
+            return
+        except objectstore.ConflictError:
+            version = _find_wrong_shard(store, key, value)
+            if version is None:
+                return
+        except objectstore.StoreError as error:
+            last_error = error
+        clock.sleep(pause_s)
+    # Without the head, shards are of no effect.
+    raise PublishError(records.Verdict.NOT_RUN, f"shard {digest} was not stored: {last_error}")
+
+
+def _find_wrong_shard(store, key, value):
+    """Returns the version of an object that must be written over, or None if it is right."""
+    try:
+        version, present = store.get(key)
+    except objectstore.StoreError:
+        return objectstore.MUST_NOT_EXIST
+    return None if present == value else version
+
+
+def _write_head(store, base, head, clock):
+    value = configuration.format_head(head).encode()
+    verdict = records.Verdict.NOT_RUN
+    last_error = None
+    for pause_s in _list_pauses():
+        try:
+            store.put(configuration.HEAD_KEY, value, base.version)
+            return
+        except objectstore.ConflictError as error:
+            # A write whose reply was lost has changed the version as well.
+            if _is_in_store(store, head):
+                return
+            raise _make_conflict(store, verdict) from error
+        except objectstore.StoreError as error:
+            last_error = error
+            if error.verdict is records.Verdict.MAY_HAVE_RUN:
+                verdict = error.verdict
+                if _is_in_store(store, head):
+                    return
+        clock.sleep(pause_s)
+    raise PublishError(verdict, f"the head was not confirmed: {last_error}")
+
+
+def _is_in_store(store, head):
+    try:
+        return _read_head(store)[1] == head
+    except (objectstore.StoreError, FaultyError):
+        return False
+
+
+def _make_conflict(store, verdict):
+    try:
+        return ConflictError(read_published(store), verdict)
+    except objectstore.StoreError as error:
+        return PublishError(verdict, f"another head is in the store and cannot be read: {error}")
+
+
+def _read_head(store):
+    try:
+        version, value = store.get(configuration.HEAD_KEY)
+    except objectstore.MissingError:
+        return objectstore.MUST_NOT_EXIST, None
+    head, problems = configuration.parse_head(_decode(value))
+    if problems:
+        raise FaultyError(problems, version)
+    return version, head
+
+
+def _decode(value):
+    return value.decode("utf-8", errors="replace")
+
+
+def _list_pauses():
+    return [FIRST_PAUSE_S * 2**attempt for attempt in range(ATTEMPTS)]
