Test the command line with a fake store and a stub agent

Cause: a command must not hide a failure behind exit code 0 nor undo another operator's change.

Change: console.feature runs every command; the store is the fake of features/stores.py and the agent is an RPC server that answers status and shards. The error of an unconfirmed write names its verdict once.

--- /dev/null
+++ b/features/console.feature
@@ -0,0 +1,179 @@
+Feature: Operators' command line
+  Guards against a command that changes something else than it shows, that hides a failure behind
+  exit code 0, or that undoes another operator's change.
+
+  Scenario: From answers to a checked configuration
+    Given a console
+    When "generate ANSWERS FILE" runs
+    And "check FILE" runs
+    Then it exits with 0 and prints "no problems"
+
+  Scenario: A generated file is not written over by accident
+    Given a console
+    When "generate ANSWERS FILE" runs
+    And "generate ANSWERS FILE" runs
+    Then it exits with 1 and prints "exists; --force writes over it"
+
+  Scenario: The questionnaire asks at the terminal
+    Given a console
+    When "questionnaire FILE" runs with the example answers typed in
+    And "check FILE --answers" runs
+    Then it exits with 0 and prints "no problems"
+
+  Scenario: Each problem of a file is one line
+    Given a console with a configuration file of generation 0
+    And "slots = 3" in the file becomes "slots = 0"
+    And "zone = south-a" in the file becomes "zone = west"
+    When "check FILE" runs
+    Then it exits with 1
+    And each line it prints names section, key and reason
+
+  Scenario: Applying a file to an empty store
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    Then it exits with 0 and prints "generation 1 is in the store"
+    And the store and the file have generation 1
+
+  Scenario: Applying again changes nothing
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And "apply FILE" runs
+    Then it exits with 0 and prints "generation 1 in the store has the same content"
+    And the store and the file have generation 1
+
+  Scenario: Two operators change the same thing
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And another operator drains host host-1
+    And "mean_ms = 50" in the file becomes "mean_ms = 60"
+    And "apply FILE" runs
+    Then it exits with 3 and prints "- [host host-1] state = leaving"
+    And the store has generation 2
+
+  Scenario: A conflict between reading and writing
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And another operator writes during the next command
+    And "drain host host-0 --yes" runs
+    Then it exits with 3 and prints "conflict: generation 2 of another write is in the store"
+
+  Scenario Outline: What the store does not confirm is reported
+    Given a console with a configuration file of generation 0
+    And the store has the faults "<faults>"
+    When "apply FILE" runs
+    Then it exits with <code> and prints "<text>"
+
+    Examples:
+      | faults                                      | code | text                         |
+      | lost, ok, lost                              | 0    | generation 1 is in the store |
+      | ok, ok, dropped, down, down, down, down     | 4    | verdict MAY_HAVE_RUN         |
+      | ok, ok, down, down, down, down, down        | 5    | verdict NOT_RUN              |
+      | down, down, down, down, down                | 5    | verdict NOT_RUN              |
+
+  Scenario: A damaged configuration stops a change, and can be replaced
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And the store loses a shard
+    And "drain host host-0 --yes" runs
+    Then it exits with 1 and prints "shard is missing"
+    When "apply FILE --replace" runs
+    Then it exits with 0 and prints "generation 2 is in the store"
+
+  Scenario: A dry run changes nothing
+    Given a console with a configuration file of generation 0
+    When "apply FILE --dry-run" runs
+    Then it exits with 0
+    And the store has generation 0
+
+  Scenario Outline: Draining and returning
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And "drain <target> --yes" runs
+    Then it exits with 0 and prints "leaving: <changed>"
+    And the store has generation 2
+    When "drain <target> --yes" runs
+    Then it exits with 0 and prints "is leaving already"
+    When "drain <target> --undo --yes" runs
+    Then it exits with 0 and prints "serving: <changed>"
+    And the store has generation 3
+
+    Examples:
+      | target                     | changed                                                                    |
+      | upstream catalogue-north-a | upstream catalogue-north-a                                                 |
+      | host host-0                | host host-0                                                                |
+      | zone north-a               | host host-0, upstream catalogue-north-a, upstream deposits-north-a         |
+
+  Scenario Outline: A drain that leaves too little needs force
+    Given a console with a configuration file of generation 0
+    And an agent that reports 4 requests of catalogue in flight in each region, 700 ms ago
+    When "apply FILE" runs
+    And "drain region north --yes <more>" runs
+    Then it exits with <code> and prints "catalogue has 8 requests for 6 slots"
+    And the output names "0.7 s"
+    And the store has generation <generation>
+
+    Examples:
+      | more    | code | generation |
+      |         | 1    | 1          |
+      | --force | 0    | 2          |
+
+  Scenario: A shift is shown with its cap, and ended
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And "shift move north south 30 --yes" runs
+    Then it exits with 0 and prints "south takes at most 20 requests/s"
+    When "shift rest north south 80 --yes" runs
+    Then it exits with 1 and prints "[shift rest] percent: shifts of north sum to 110 percent"
+    When "shift move --undo --yes" runs
+    Then it exits with 0
+    And the store has generation 3
+
+  Scenario: Status shows every figure with its age
+    Given a console with a configuration file of generation 0
+    And an agent that reports 4 requests of catalogue in flight in each region, 700 ms ago
+    When "status" runs
+    Then it exits with 0
+    And the table has these rows
+      | row                                                                  |
+      | region north 1 serving, 1 unknown 12 4 2 7 0.7 s                         |
+      | zone north-a north serving 6 4 2 7 0.7 s                             |
+      | host host-0 north-a serving 6 4 2 7 0.7 s                            |
+      | host host-1 north-b unknown 6 - - - -                                |
+      | host host-2 south-a down 6 4 2 6 5.0 s                               |
+      | upstream catalogue-north-a host-0 ejected 3 2 1 7 0.2 s              |
+      | upstream deposits-north-a host-0 unknown 3 - - 7 -                   |
+    When "status --json" runs
+    Then the JSON has a row for each of 2 regions, 4 zones, 4 hosts and 8 upstreams
+
+  Scenario: Explain shows block, region, cause and hosts
+    Given a console with a configuration file of generation 0
+    And an agent that reports 0 requests of catalogue in flight in each region, 700 ms ago
+    When "explain catalogue 10.0.3.4" runs
+    Then it exits with 0 and prints "client 10.0.3.4: 10.0.0.0/16, zone north-a, region north"
+    And the output names "1. host-0 in north-a (north): usable"
+    And the output names "its heartbeat or its entry program is missing"
+    When "explain catalogue 10.0.3.4 --json" runs
+    Then the JSON names host-0 first
+    When "explain nothing 10.0.3.4" runs
+    Then it exits with 1 and prints "service 'nothing' does not exist"
+
+  Scenario: Without an agent, a command says so
+    Given a console
+    When "status" runs
+    Then it exits with 5 and prints "agent: cannot connect"
+
+  Scenario: Without settings, a command says which it needs
+    Given a console without settings
+    When "status" runs
+    Then it exits with 2 and prints "name a settings file with --settings or SKYLARKSILL_SETTINGS"
+
+  Scenario Outline: Shell completion knows the commands
+    Given a console
+    When "completions <shell>" runs
+    Then it exits with 0 and prints "drain"
+
+    Examples:
+      | shell |
+      | bash  |
+      | zsh   |
+      | fish  |
--- /dev/null
+++ b/features/steps/console_steps.py
@@ -0,0 +1,237 @@
+"""Steps of console.feature."""
+
+import contextlib
+import json
+import os
+import pathlib
+import tempfile
+from unittest import mock
+
+import eventlet
+from behave import given, then, when
+from cleo.testers import command_tester
+
+from features import builders, stores
+from skylarksill import clock, configuration, drains, messages, publication, records, rpc
+from skylarksill.console import application
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+SETTINGS = """[host]
+name = host-0
+zone = north-a
+address = 127.0.0.1
+[ports]
+agent = {port}
+[security]
+shared_key = {key}
+[platform]
+address = 127.0.0.1:1
+"""
+
+
+def write_settings(context, port):
+    text = SETTINGS.format(port=port, key=builders.SHARED_KEY.hex())
+    (context.directory / "settings.ini").write_text(text, encoding="utf-8")
+
+
+def patch(context, *arguments, **named):
+    patcher = mock.patch(*arguments, **named)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@given("a console")
+def step_console(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.directory = pathlib.Path(directory.name)
+    context.file = context.directory / "file.ini"
+    context.store = stores.FakeStore()
+    patch(context, "skylarksill.objectstore.ObjectStore", lambda address, client: context.store)
+    patch(context, "skylarksill.clock.SystemClock", clock.FakeClock)
+    settings_path = str(context.directory / "settings.ini")
+    patch(context, "os.environ", {**os.environ, "SKYLARKSILL_SETTINGS": settings_path})
+    write_settings(context, 1)
+
+
+@given("a console without settings")
+def step_console_bare(context):
+    step_console(context)
+    del os.environ["SKYLARKSILL_SETTINGS"]
+
+
+@given("a console with a configuration file of generation {generation:d}")
+def step_console_file(context, generation):
+    step_console(context)
+    text = configuration.format_configuration(builders.build_configuration(generation))
+    context.file.write_text(text, encoding="utf-8")
+
+
+@given('"{old}" in the file becomes "{new}"')
+@when('"{old}" in the file becomes "{new}"')
+def step_edit(context, old, new):
+    text = context.file.read_text(encoding="utf-8")
+    assert old in text
+    context.file.write_text(text.replace(old, new, 1), encoding="utf-8")
+
+
+@given('the store has the faults "{faults}"')
+def step_faults(context, faults):
+    context.store.faults = faults.split(", ")
+
+
+@given(
+    "an agent that reports {load:d} requests of catalogue in flight in each region, {age:d} ms ago"
+)
+def step_agent(context, load, age):
+    head, texts = configuration.split_shards(builders.build_configuration(7))
+    status = build_status(head, load, age)
+
+    def answer_status(body, call_context):
+        return messages.encode_message(status)
+
+    def answer_shards(body, call_context):
+        digests = messages.decode_message(messages.ShardsCall, body).digests
+        pairs = tuple((digest, texts[digest]) for digest in digests)
+        return messages.encode_message(messages.ShardsResult(pairs))
+
+    server = rpc.RpcServer(
+        ("127.0.0.1", 0),
+        builders.SHARED_KEY,
+        rpc.Identity("agent", "host-0", "a-1"),
+        {"status": answer_status, "shards": answer_shards},
+    )
+    context.add_cleanup(server.close)
+    eventlet.spawn(server.serve)
+    write_settings(context, server.port)
+
+
+def build_status(head, load, age):
+    serving = records.LifeState.SERVING
+    parts = tuple(messages.PartEntry(part, "i-1", serving) for part in ("entry", "dispatch"))
+    peers = (
+        messages.PeerView(
+            messages.PeerEntry("host-0", "north-a", "a-1", 1, 7, serving, parts), True, 100
+        ),
+        messages.PeerView(
+            messages.PeerEntry("host-2", "south-a", "a-1", 1, 6, serving, parts), False, 5_000
+        ),
+    )
+    return messages.StatusResult(
+        host="host-0",
+        generation=7,
+        store_age_ms=300,
+        peers=peers,
+        loads=tuple(
+            messages.LoadEntry(host, "catalogue", 6, 6 - load, 0, load, age)
+            for host in ("host-0", "host-2")
+        ),
+        upstreams=(messages.UpstreamEntry("catalogue-north-a", serving, True, 1, 2, 200),),
+        head=head,
+    )
+
+
+@when("another operator drains host {host}")
+def step_rival(context, host):
+    base = publication.read_published(context.store)
+    target = drains.Target(drains.TargetKind.HOST, host)
+    changed, _ = drains.change_state(base.configuration, target, records.LifeState.LEAVING)
+    publication.publish_configuration(context.store, base, changed, "rival", clock.FakeClock())
+
+
+@when("another operator writes during the next command")
+def step_rival_later(context):
+    context.store.faults = ["ok", "rival"]
+
+
+@when("the store loses a shard")
+def step_lose(context):
+    (key,) = [key for key, _ in context.store.history if key != configuration.HEAD_KEY][:1]
+    context.store.remove(key)
+
+
+def run_command(context, line, inputs=None):
+    line = line.replace("FILE", str(context.file))
+    line = line.replace("ANSWERS", str(EXAMPLES / "cedarwake-answers.ini"))
+    name, _, arguments = line.partition(" ")
+    command = application.make_application().find(name)
+    tester = command_tester.CommandTester(command)
+    with contextlib.suppress(SystemExit):
+        tester.execute(arguments, inputs=inputs)
+    context.exit_code = tester.status_code
+    context.output = tester.io.fetch_output()
+    context.errors = tester.io.fetch_error()
+
+
+@when('"{line}" runs')
+def step_run(context, line):
+    run_command(context, line)
+
+
+@when('"{line}" runs with the example answers typed in')
+def step_run_typed(context, line):
+    text = (EXAMPLES / "cedarwake-answers.ini").read_text(encoding="utf-8")
+    answers = [item.partition("=")[2].strip() for item in text.splitlines() if "=" in item]
+    run_command(context, line, "\n".join(answers) + "\n")
+
+
+@then("it exits with {code:d}")
+def step_exit(context, code):
+    assert context.exit_code == code, (context.exit_code, context.output, context.errors)
+
+
+@then('it exits with {code:d} and prints "{text}"')
+def step_exit_prints(context, code, text):
+    step_exit(context, code)
+    assert text in context.output + context.errors, (context.output, context.errors)
+
+
+@then('the output names "{text}"')
+def step_names(context, text):
+    assert text in context.output, context.output
+
+
+@then("each line it prints names section, key and reason")
+def step_problem_lines(context):
+    lines = context.errors.splitlines()
+    assert "[upstream catalogue-north-a] slots: must be 1 or more, is 0" in lines, lines
+    assert "[host host-2] zone: west is not configured" in lines, lines
+    assert all(line.startswith("[") and "] " in line for line in lines), lines
+
+
+@then("the store has generation {generation:d}")
+def step_store_generation(context, generation):
+    published = publication.read_published(context.store)
+    assert published.generation == generation, published.generation
+
+
+@then("the store and the file have generation {generation:d}")
+def step_both_generations(context, generation):
+    published = publication.read_published(context.store)
+    loaded, problems = configuration.parse_configuration(context.file.read_text(encoding="utf-8"))
+    assert loaded == published.configuration, problems
+    assert loaded.generation == generation
+
+
+@then("the table has these rows")
+def step_table(context):
+    lines = [" ".join(line.split()) for line in context.output.splitlines()]
+    for row in context.table:
+        assert row["row"] in lines, (row["row"], context.output)
+
+
+@then(
+    "the JSON has a row for each of {regions:d} regions, {zones:d} zones, {hosts:d} hosts and "
+    "{upstreams:d} upstreams"
+)
+def step_json_rows(context, regions, zones, hosts, upstreams):
+    document = json.loads(context.output)
+    kinds = [row["kind"] for row in document["rows"]]
+    expected = {"region": regions, "zone": zones, "host": hosts, "upstream": upstreams}
+    assert {kind: kinds.count(kind) for kind in kinds} == expected
+    assert document["store_age_ms"] == 300
+
+
+@then("the JSON names {host} first")
+def step_json_host(context, host):
+    assert json.loads(context.output)["hosts"][0]["host"] == host
--- a/skylarksill/publication.py
+++ b/skylarksill/publication.py
@@ -51,7 +51,7 @@
     """
 
     def __init__(self, verdict, detail):
-        super().__init__(f"{detail} ({verdict.value})")
+        super().__init__(f"{detail}; verdict {verdict.value}")
         self.verdict = verdict
 
 
