Add the dispatcher's core with its limits, loans, queue, health and suspects

Cause: a request may bind to an upstream only where its limits hold, whatever else fails, and other parts need the decisions as a pure state machine.

Ruled out: judging slowness by the age of work in flight alone.

A gain of slots waits for its former holders and then for the longest deadline.

--- /dev/null
+++ b/skylarksill/_admission.py
@@ -0,0 +1,202 @@
+"""Admission of requests: fingerprints, forwarding, deadlines and limits of the region."""
+
+import dataclasses
+
+from skylarksill import (
+    _dispatchevents,
+    _dispatchstate,
+    _endings,
+    _placement,
+    queueing,
+    records,
+    suspects,
+)
+
+SUSPECT_RETRY_MS = 1_000
+NO_UPSTREAM_RETRY_MS = 500
+REGION_RETRY_MS = 200
+# With the p95 alone as margin, 2% of the requests started at 150% load passed their deadline.
+MARGIN_FACTOR = 2
+
+
+def admit_request(state, request, now, out):
+    """Handles the arrival of a request: refuses, forwards, starts or queues it.
+
+    Raises:
+      ValueError: If a request with this id is still being handled.
+    """
+    if request.request_id in state.works:
+        raise ValueError(f"request {request.request_id} is already being handled")
+    service = state.services.get(request.service_id)
+    if service is None:
+        _refuse_unknown(state, request, out)
+        return
+    work = _make_work(state, service, request, now)
+    state.works[request.request_id] = work
+    service.hedge_budget.note_request()
+    service.retry_budget.note_request()
+    if state.is_stopping:
+        _endings.refuse_work(state, work, "leaving", "this dispatcher is stopping", out, now)
+        return
+    state.add_timer(work.deadline, _dispatchstate.TimerKind.WORK_DEADLINE, request.request_id)
+    enter_work(state, work, now, out)
+
+
+def enter_ready(state, now, out):
+    """Lets the copies go on whose first run has ended."""
+    while state.ready:
+        work = state.ready.pop(0)
+        if state.works.get(work.request.request_id) is work:
+            enter_work(state, work, now, out)
+
+
+def enter_work(state, work, now, out):
+    """Takes work past the checks of its fingerprint and of the limits, and places it."""
+    if state.suspects.is_suspect(work.fingerprint, now):
+        _handle_suspect(state, work, now, out)
+        return
+    if _must_hold(state, work):
+        work.state = _dispatchstate.WorkState.HELD
+        state.held.setdefault(work.fingerprint, []).append(work)
+        return
+    service = work.service
+    service.judge(now)
+    if not work.is_admitted and (
+        _forward_work(state, work, now, out) or not _check_limits(state, work, now, out)
+    ):
+        return
+    work.state = _dispatchstate.WorkState.QUEUED
+    service.queue.push(work.request.request_id, work, work.is_long, now)
+    _placement.place_queued(state, service, now, out)
+
+
+def _make_work(state, service, request, now):
+    return _dispatchstate.Work(
+        request=request,
+        service=service,
+        fingerprint=suspects.fingerprint_request(request),
+        arrived=now,
+        deadline=now + min(request.deadline_ms / 1000, service.max_deadline_s),
+        is_long=service.routes.is_long(request.path, service.mean_s),
+        is_foreign=request.home_region != state.region,
+    )
+
+
+def _refuse_unknown(state, request, out):
+    reason = "no_configuration" if state.configuration is None else "unknown_service"
+    refusal = records.Refusal(
+        records.Verdict.NOT_RUN, reason, f"service {request.service_id} is not served here"
+    )
+    out.append(_dispatchevents.Refuse(request.request_id, refusal))
+
+
+def _must_hold(state, work):
+    # Copies of a request that no upstream has answered yet could each take one upstream down.
+    if state.suspects.is_proven(work.fingerprint):
+        return False
+    return state.leaders.setdefault(work.fingerprint, work) is not work
+
+
+def _handle_suspect(state, work, now, out):
+    if state.suspects.is_blocked(work.fingerprint, now):
+        detail = "the request took down the upstreams that ran it"
+        _endings.refuse_work(state, work, "blocked_request", detail, out, now)
+    elif not state.suspects.is_own(work.fingerprint, now):
+        # Only the dispatcher that saw the death runs a suspect, else two could run it at once.
+        detail = "another dispatcher examines whether the request takes upstreams down"
+        _endings.refuse_work(
+            state, work, "suspect_request", detail, out, now, retry_after_ms=SUSPECT_RETRY_MS
+        )
+    elif work.is_admitted or _check_limits(state, work, now, out):
+        work.state = _dispatchstate.WorkState.ALONE
+        work.service.alone[work.request.request_id] = work
+        _placement.place_alone(state, work.service, now, out)
+
+
+def _forward_work(state, work, now, out):
+    service = work.service
+    if not service.siblings or not service.is_idempotent:
+        return False
+    if work.was_forwarded or work.request.hops:
+        return False
+    if not len(service.queue) and _placement.pick_upstream(service, now) is not None:
+        return False
+    sibling = max(service.siblings, key=lambda entry: entry[1])
+    if sibling[1] <= 0:
+        return False
+    sibling[1] -= 1
+    work.was_forwarded = True
+    work.state = _dispatchstate.WorkState.FORWARDED
+    remaining_ms = int((work.deadline - now) * 1000)
+    request = dataclasses.replace(work.request, hops=1, deadline_ms=remaining_ms)
+    out.append(_dispatchevents.Forward(request, sibling[0], work.deadline))
+    _endings.log_decision(work, "forward", sibling[0], now, out)
+    return True
+
+
+def _check_limits(state, work, now, out):
+    """Admits work, or refuses it if it cannot start in time or exceeds a limit."""
+    fields = _find_obstacle(state, work, now)
+    if fields is None:
+        work.is_admitted = True
+        return True
+    _endings.refuse_work(state, work, out=out, now=now, **fields)
+    return False
+
+
+def _find_obstacle(state, work, now):
+    service = work.service
+    capacity = service.count_capacity(now)
+    if capacity == 0:
+        return {
+            "reason": "no_upstream",
+            "detail": "no upstream of the service has a usable slot",
+            "retry_after_ms": NO_UPSTREAM_RETRY_MS,
+        }
+    if _is_hopeless(service, work, capacity, now):
+        return {
+            "reason": "queue_full",
+            "detail": "the queue is too long for the request's deadline",
+            "limit": "queue",
+            "retry_after_ms": int(_estimate_wait_s(service, work, capacity) * 1000),
+        }
+    if _is_region_full(state, now):
+        return {
+            "reason": "region_full",
+            "detail": "this dispatcher's share of the region's headroom is used up",
+            "limit": "max_in_flight",
+            "retry_after_ms": REGION_RETRY_MS,
+        }
+    if work.is_foreign and not state.take_shift(now):
+        wait_s = state.shift_window.compute_wait_s(now)
+        return {
+            "reason": "shift_cap",
+            "detail": "the cap on work of other regions is reached",
+            "limit": "shift_cap_per_s",
+            "retry_after_ms": None if wait_s is None else int(wait_s * 1000) + 1,
+        }
+    return None
+
+
+def _is_region_full(state, now):
+    share = state.count_share(now)
+    if len(state.sends) < share:
+        return False
+    return sum(len(service.queue) for service in state.services.values()) >= share
+
+
+def _is_hopeless(service, work, capacity, now):
+    if not len(service.queue):
+        return False
+    margin_s = MARGIN_FACTOR * service.latency.find_quantile(_placement.LATE_PERCENT)
+    margin_s = min(margin_s, (work.deadline - work.arrived) / 2)
+    return now + _estimate_wait_s(service, work, capacity) + margin_s > work.deadline
+
+
+def _estimate_wait_s(service, work, capacity):
+    wait_s = (len(service.queue) + 1) * service.latency.mean_s / capacity
+    if not work.is_long:
+        return wait_s
+    long_s = queueing.LONG_FACTOR * service.mean_s
+    long_slots = queueing.count_long_slots(capacity)
+    return max(wait_s, service.queue.long_count * long_s / long_slots)
--- /dev/null
+++ b/skylarksill/_adoption.py
@@ -0,0 +1,216 @@
+"""Takes configurations, peers' views and loans into the dispatcher's state."""
+
+from skylarksill import _dispatchevents, _dispatchstate, _holdings, loans, records
+
+CONFIGURATION_SOURCE = "configuration"
+
+
+def adopt_configuration(state, configuration, now):
+    """Puts a configuration in force; an older or equal generation changes nothing."""
+    old = state.configuration
+    if old is not None and configuration.generation <= old.generation:
+        return
+    region = _find_region(configuration, state.host)
+    if region is None:
+        # A host that was removed owns nothing; its work in flight ends under the old records.
+        _adopt_services(state, configuration)
+        _adopt_upstreams(state, old, configuration, now)
+        state.share = state.shift_share = None
+    else:
+        state.region = region.region_id
+        _adopt_services(state, configuration)
+        _adopt_upstreams(state, old, configuration, now)
+        _adopt_shares(state, configuration, region, now)
+    state.configuration = configuration
+    _note_accepted(state, now)
+
+
+def adopt_peers(state, peers, now):
+    """Takes over accepted generations, siblings' free slots and suspects of the peers."""
+    for host, generation in peers.accepted:
+        state.accepted[host] = max(generation, state.accepted.get(host, -1))
+    _note_accepted(state, now)
+    for service in state.services.values():
+        service.siblings = []
+    for sibling in peers.siblings:
+        service = state.services.get(sibling.service)
+        if service is not None and sibling.free > 0:
+            service.siblings.append([sibling.host, sibling.free])
+    for entry in peers.suspects:
+        state.suspects.merge(entry, now)
+
+
+def grant_loans(state, upstreams, borrower, now):
+    """Lends the standby slots that are free to their home.
+
+    Returns:
+      A GrantLoan with the upstreams whose slot is lent.
+    """
+    lent = tuple(upstream for upstream in upstreams if _grant_loan(state, upstream, borrower, now))
+    return _dispatchevents.GrantLoan(lent, loans.LOAN_S)
+
+
+def accept_loans(state, granted):
+    """Records the loans of a LoanGranted for upstreams whose home is this dispatcher."""
+    own = [
+        upstream
+        for upstream in granted.upstreams
+        if upstream in state.upstreams and state.upstreams[upstream].is_home
+    ]
+    state.borrower.accept(own, granted.asked_at, granted.duration_s)
+
+
+def _grant_loan(state, upstream_id, borrower, now):
+    upstream = state.upstreams.get(upstream_id)
+    if upstream is None or upstream.record.home != borrower or not upstream.can_lend(now):
+        return False
+    return state.lender.grant(upstream_id, borrower, now)
+
+
+def _find_region(configuration, host_id):
+    zones = {zone.zone_id: zone.region_id for zone in configuration.zones}
+    regions = {region.region_id: region for region in configuration.regions}
+    for host in configuration.hosts:
+        if host.host_id == host_id:
+            return regions[zones[host.zone_id]]
+    return None
+
+
+def _adopt_services(state, configuration):
+    for record in configuration.services:
+        service = state.services.get(record.service_id)
+        if service is None:
+            state.services[record.service_id] = _dispatchstate.ServiceState(record)
+            continue
+        service.record = record
+        service.queue.change_mean(service.mean_s)
+    for service in state.services.values():
+        service.upstreams = []
+
+
+def _adopt_upstreams(state, old, configuration, now):
+    old_records = {record.upstream_id: record for record in old.upstreams} if old else {}
+    present = state.upstreams
+    state.upstreams = {}
+    for record in configuration.upstreams:
+        owned = _holdings.count_owned_slots(record, state.host)
+        known = present.pop(record.upstream_id, None)
+        if owned or (known and known.sends):
+            holding = _make_holding(state, old, old_records, record, known, configuration, now)
+            _place_upstream(state, record, known, holding, old is not None, now)
+    for known in present.values():
+        if known.sends:
+            known.holding = _holdings.make_holding(0, 0, configuration.generation, (), 0.0, now)
+            _list_upstream(state, known)
+        else:
+            _forget_upstream(state, known)
+
+
+def _make_holding(state, old, old_records, record, known, configuration, now):
+    is_gapless = old is not None and configuration.generation == old.generation + 1
+    candidates = () if is_gapless else _list_candidates(configuration, record, state.host)
+    return _holdings.change_slots(
+        known.holding if known else None,
+        old_records.get(record.upstream_id),
+        record,
+        state.host,
+        candidates,
+        configuration.generation,
+        _find_hold_s(state, record),
+        now,
+    )
+
+
+def _find_hold_s(state, record):
+    """Returns how long work of a former holder of the slots may run on, in seconds."""
+    work_s = state.services[record.service_id].max_deadline_s + records.CLOCK_SKEW_S
+    if record.home == state.host:
+        return work_s
+    # A former incarnation may have lent the standby slot just before it ended.
+    return max(work_s, loans.LOAN_S + loans.LENDER_WAIT_S)
+
+
+def _list_candidates(configuration, record, host_id):
+    """Lists the hosts that an earlier generation may have made holders of this host's slots.
+
+    A home is always a host of the upstream's zone, a standby one of its region.
+    """
+    if record.home == host_id:
+        return [host.host_id for host in configuration.hosts if host.zone_id == record.zone_id]
+    region = _find_region(configuration, host_id)
+    return _holdings.list_region_hosts(configuration, region.region_id) if region else ()
+
+
+def _place_upstream(state, record, known, holding, is_cold, now):
+    upstream = known or _dispatchstate.UpstreamState(
+        record, holding, state.lender, state.borrower, state.host
+    )
+    if upstream.record.standby != record.standby or record.home != state.host:
+        state.borrower.drop(record.upstream_id)
+    upstream.record = record
+    upstream.holding = holding
+    mark_leaving(upstream, CONFIGURATION_SOURCE, record.state is not records.LifeState.SERVING, now)
+    _list_upstream(state, upstream)
+    service = state.services[record.service_id]
+    service.health.add(record.upstream_id, now, is_cold=is_cold and known is None)
+
+
+def _list_upstream(state, upstream):
+    state.upstreams[upstream.record.upstream_id] = upstream
+    state.services[upstream.record.service_id].upstreams.append(upstream)
+
+
+def _forget_upstream(state, upstream):
+    state.borrower.drop(upstream.record.upstream_id)
+    service = state.services.get(upstream.record.service_id)
+    if service is not None:
+        service.health.remove(upstream.record.upstream_id)
+
+
+def note_leaving(state, event, now):
+    """Takes over an UpstreamLeaving of the host list or of a health probe."""
+    upstream = state.upstreams.get(event.upstream)
+    if upstream is not None:
+        mark_leaving(upstream, event.source, event.is_leaving, now)
+
+
+def list_loans_to_ask(state):
+    """Returns a map from a standby's host to the upstreams whose slot this home may borrow."""
+    asked = {}
+    for upstream in state.upstreams.values():
+        record = upstream.record
+        if upstream.is_home and record.standby is not None and record.slots > 1:
+            asked.setdefault(record.standby, []).append(record.upstream_id)
+    return asked
+
+
+def mark_leaving(upstream, source, is_leaving, now):
+    """Records what one source says about an upstream's planned stop."""
+    if is_leaving:
+        upstream.leaving_sources.add(source)
+    else:
+        upstream.leaving_sources.discard(source)
+
+
+def _adopt_shares(state, configuration, region, now):
+    hold_s = records.CLOCK_SKEW_S + max(
+        (service.max_deadline_s for service in state.services.values()), default=0.0
+    )
+    # The wait after a restart covers the former incarnation, which had a share of its own.
+    is_restart = state.configuration is None
+    hosts = _holdings.list_region_hosts(configuration, region.region_id)
+    hosts = set() if is_restart else set(hosts) - {state.host}
+    for field, limit in (("share", region.max_in_flight), ("shift_share", region.shift_cap_per_s)):
+        amount = _holdings.split_region(configuration, region.region_id, limit)[state.host]
+        changed = _holdings.change_share(
+            getattr(state, field), amount, configuration.generation, hosts, hold_s, now
+        )
+        setattr(state, field, changed)
+
+
+def _note_accepted(state, now):
+    for upstream in state.upstreams.values():
+        upstream.holding.note_accepted(state.accepted, now)
+    for share in (state.share, state.shift_share):
+        if share is not None:
+            share.note_accepted(state.accepted, now)
--- /dev/null
+++ b/skylarksill/_dispatchevents.py
@@ -0,0 +1,205 @@
+"""Events that the dispatcher's core handles and actions that it returns."""
+
+import dataclasses
+
+from skylarksill import messages, records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A request arrived; its ticket, if it needs one, has been claimed."""
+
+    request: records.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """An upstream answered a send with a whole answer."""
+
+    send_id: int
+    answer: records.Answer
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendFailed:
+    """A send ended without a usable answer.
+
+    ``has_died`` says that the upstream closed the connection while it ran the request. ``is_over``
+    says that the upstream cannot be running it any more; else its slot stays occupied until the
+    deadline has passed. Each Send ends with one Answered or SendFailed, also after CancelSend.
+    """
+
+    send_id: int
+    verdict: records.Verdict
+    reason: str
+    has_died: bool = False
+    is_over: bool = True
+    is_shed: bool = False
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardEnded:
+    """The sibling dispatcher ended a forwarded request; one of the two fields is present."""
+
+    request_id: records.RequestId
+    answer: records.Answer | None
+    refusal: records.Refusal | None
+    upstream: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The caller gave a request up; non-idempotent work in flight still runs to its end."""
+
+    request_id: records.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationAccepted:
+    """A configuration is in force at this host from now on."""
+
+    configuration: records.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoanGranted:
+    """A standby lent slots; ``asked_at`` is the time of the question in seconds."""
+
+    upstreams: tuple[records.UpstreamId, ...]
+    asked_at: float
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoanAsked:
+    """A home dispatcher asks for the slots that this dispatcher owns as standby."""
+
+    upstreams: tuple[records.UpstreamId, ...]
+    borrower: records.HostId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiblingLoad:
+    """Free slots of a service at a dispatcher of another zone in the region."""
+
+    host: records.HostId
+    service: records.ServiceId
+    free: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSeen:
+    """What the agent knows of the peers; ``accepted`` pairs hosts with their generations.
+
+    A host that has drained for good is listed with the newest generation.
+    """
+
+    accepted: tuple[tuple[records.HostId, records.Generation], ...] = ()
+    siblings: tuple[SiblingLoad, ...] = ()
+    suspects: tuple[messages.SuspectEntry, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """A source, for example the host list, says whether an upstream is leaving."""
+
+    upstream: records.UpstreamId
+    source: str
+    is_leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamProbed:
+    """A health probe of an upstream ended."""
+
+    upstream: records.UpstreamId
+    is_healthy: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAsked:
+    """A planned stop refuses new work from now on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Sends a request to an upstream; ``deadline`` is a monotonic time in seconds."""
+
+    send_id: int
+    request: records.Request
+    upstream: records.Upstream
+    deadline: float
+    is_hedge: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelSend:
+    """Cancels a send; its slot is free only after Answered or SendFailed."""
+
+    send_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Answers a request; its verdict is RAN."""
+
+    request_id: records.RequestId
+    answer: records.Answer
+    upstream: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Ends a request without an answer."""
+
+    request_id: records.RequestId
+    refusal: records.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Sends a request to a dispatcher of another zone in the region."""
+
+    request: records.Request
+    host: records.HostId
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelForward:
+    """Cancels a forwarded request."""
+
+    request_id: records.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportSuspect:
+    """Passes a suspect, a block or, with 0 deaths, a clearance on to the peers at once."""
+
+    entry: messages.SuspectEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantLoan:
+    """Answers LoanAsked with the upstreams whose slot is lent."""
+
+    upstreams: tuple[records.UpstreamId, ...]
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogDecision:
+    """A placement decision for the log; ``waited_ms`` counts from the arrival."""
+
+    request_id: records.RequestId
+    decision: str
+    service: records.ServiceId
+    target: str
+    waited_ms: int
--- /dev/null
+++ b/skylarksill/_endings.py
@@ -0,0 +1,94 @@
+"""Ends of requests and sends in the dispatcher's core."""
+
+from skylarksill import _dispatchevents, _dispatchstate, records
+
+
+def close_work(state, work, out):
+    """Forgets finished work and cancels its sends; held copies of it are then ready to go on."""
+    state.works.pop(work.request.request_id, None)
+    work.service.queue.remove(work.request.request_id)
+    leave_alone(work)
+    for send in work.sends:
+        cancel_send(state, send, out)
+    if state.leaders.get(work.fingerprint) is work:
+        del state.leaders[work.fingerprint]
+        state.ready.extend(state.held.pop(work.fingerprint, ()))
+
+
+def cancel_send(state, send, out):
+    """Cancels a send; its slot stays occupied until the upstream has confirmed the end."""
+    if send.is_cancelled or send.send_id not in state.sends:
+        return
+    send.is_cancelled = True
+    hold_slot(state, send)
+    out.append(_dispatchevents.CancelSend(send.send_id))
+
+
+def hold_slot(state, send):
+    """Keeps a send's slot occupied until the upstream must have stopped by its deadline."""
+    release_at = send.deadline + records.CLOCK_SKEW_S
+    state.add_timer(release_at, _dispatchstate.TimerKind.RELEASE, send.send_id)
+
+
+def release_send(state, send):
+    """Frees the slot of a send that is over."""
+    state.sends.pop(send.send_id, None)
+    upstream = send.upstream
+    if upstream.sends.pop(send.send_id, None) is not None:
+        upstream.loan_sends -= send.is_on_loan
+    if upstream.alone_send is send:
+        upstream.alone_send = None
+
+
+def leave_alone(work):
+    """Takes work off the list of suspects that run alone."""
+    if work.service.alone.pop(work.request.request_id, None) is not None:
+        release_reservation(work.service)
+
+
+def release_reservation(service):
+    """Gives the upstream that was reserved for a suspect back to other work."""
+    for upstream in service.upstreams:
+        upstream.is_reserved = False
+
+
+def refuse_work(state, work, reason, detail, out, now, **fields):
+    """Ends work with a refusal whose verdict says whether it may have run.
+
+    Args:
+      state: The DispatchState.
+      work: The Work that ends.
+      reason: Short name of the reason.
+      detail: Sentence for people.
+      out: List that receives the actions.
+      now: Time in seconds.
+      **fields: Further fields of the Refusal.
+    """
+    refusal = make_refusal(work, reason, detail, **fields)
+    end_with_refusal(state, work, refusal, out, now)
+
+
+def make_refusal(work, reason, detail, **fields):
+    """Makes the Refusal of a request from what is known of its sends."""
+    verdict = records.Verdict.MAY_HAVE_RUN if work.may_have_run else records.Verdict.NOT_RUN
+    return records.Refusal(verdict, reason, detail, **fields)
+
+
+def end_with_refusal(state, work, refusal, out, now):
+    """Ends work with a given Refusal."""
+    out.append(_dispatchevents.Refuse(work.request.request_id, refusal))
+    log_decision(work, "refuse", refusal.reason, now, out)
+    close_work(state, work, out)
+
+
+def log_decision(work, decision, target, now, out):
+    """Emits the log line of a placement decision."""
+    out.append(
+        _dispatchevents.LogDecision(
+            work.request.request_id,
+            decision,
+            work.request.service_id,
+            target,
+            int((now - work.arrived) * 1000),
+        )
+    )
--- /dev/null
+++ b/skylarksill/_holdings.py
@@ -0,0 +1,134 @@
+"""Ownership of slots and shares across restarts and changes of the configuration.
+
+A limit is only exact if the old holder of a slot has stopped before the new one starts. A gain
+therefore waits until all hosts that may hold it have accepted the generation that moved it, and
+then for the longest deadline of the work that they may have started.
+"""
+
+import dataclasses
+
+from skylarksill import limits, records
+
+
+@dataclasses.dataclass(slots=True)
+class Holding:
+    """An amount of slots, or a share, that may still wait for its former holders.
+
+    Attributes:
+      amount: The amount once the wait is over.
+      kept: The amount that may be used during the wait.
+      generation: The generation that ``waits_for`` must have accepted.
+      waits_for: Hosts that have not shown this generation yet.
+      hold_s: Longest time in seconds for which work of a former holder may run on.
+      usable_at: Time in seconds at which the wait ends; infinite while hosts are waited for.
+    """
+
+    amount: int
+    kept: int
+    generation: records.Generation
+    waits_for: frozenset[records.HostId]
+    hold_s: float
+    usable_at: float
+
+    def count(self, now):
+        """Returns the amount that may be used at ``now``."""
+        return self.amount if now >= self.usable_at else self.kept
+
+    def note_accepted(self, accepted, now):
+        """Strikes off the hosts that have accepted the generation.
+
+        Args:
+          accepted: Maps a host to its accepted generation.
+          now: Time in seconds.
+        """
+        if not self.waits_for:
+            return
+        waits_for = {host for host in self.waits_for if accepted.get(host, -1) < self.generation}
+        self.waits_for = frozenset(waits_for)
+        if not self.waits_for:
+            self.usable_at = now + self.hold_s
+
+
+def make_holding(amount, kept, generation, waits_for, hold_s, now):
+    """Makes a holding whose gain waits for hosts and then for ``hold_s``."""
+    usable_at = float("inf") if waits_for else now + hold_s
+    return Holding(amount, kept, generation, frozenset(waits_for), hold_s, usable_at)
+
+
+def change_share(holding, amount, generation, hosts, hold_s, now):
+    """Changes a share of a region's limit; a raise waits for all ``hosts`` of the region."""
+    if holding is None:
+        return make_holding(amount, 0, generation, hosts, hold_s, now)
+    usable = holding.count(now)
+    if amount <= usable:
+        return make_holding(amount, amount, generation, (), 0.0, now)
+    if amount == holding.amount and now < holding.usable_at:
+        return holding
+    return make_holding(amount, usable, generation, hosts, hold_s, now)
+
+
+def count_owned_slots(upstream, host):
+    """Returns how many slots of an upstream a host owns by the configuration."""
+    has_standby_slot = upstream.standby is not None and upstream.slots > 1
+    if upstream.home == host:
+        return upstream.slots - 1 if has_standby_slot else upstream.slots
+    return 1 if upstream.standby == host and has_standby_slot else 0
+
+
+def change_slots(holding, old, new, host, candidates, generation, hold_s, now):
+    """Makes the holding of an upstream's slots under a new configuration.
+
+    Args:
+      holding: The present Holding, or None.
+      old: The Upstream in the configuration in force until now, or None.
+      new: The Upstream in the new configuration.
+      host: The id of this host.
+      candidates: Hosts that may hold the slots although this process never saw it, because it has
+        just started or has skipped a generation.
+      generation: The new generation.
+      hold_s: Longest deadline of the service plus the clock skew, in seconds.
+      now: Time in seconds.
+    """
+    amount = count_owned_slots(new, host)
+    if holding is None:
+        former = _list_holders(old) | set(candidates)
+        is_new = old is None and not candidates
+        return make_holding(amount, 0, generation, former - {host}, 0.0 if is_new else hold_s, now)
+    if old is not None and (old.home, old.standby) == (new.home, new.standby) and not candidates:
+        return _resize(holding, amount, now)
+    # A slot owned as standby may be lent, so a change of role keeps none of them.
+    has_role_changed = old is None or (old.home == host) != (new.home == host)
+    kept = 0 if has_role_changed and new.home == host else min(holding.count(now), amount)
+    if amount <= kept:
+        return make_holding(amount, amount, generation, (), 0.0, now)
+    former = _list_holders(old) | set(candidates) | holding.waits_for
+    return make_holding(amount, kept, generation, former - {host}, hold_s, now)
+
+
+def split_region(configuration, region, total):
+    """Splits a region's limit over its hosts in proportion to the slots of their upstreams."""
+    weights = dict.fromkeys(list_region_hosts(configuration, region), 0)
+    for upstream in configuration.upstreams:
+        if upstream.home in weights:
+            weights[upstream.home] += upstream.slots
+    return limits.split_share(total, weights)
+
+
+def list_region_hosts(configuration, region):
+    """Returns the ids of the hosts of a region in the order of the configuration."""
+    zones = {zone.zone_id for zone in configuration.zones if zone.region_id == region}
+    return [host.host_id for host in configuration.hosts if host.zone_id in zones]
+
+
+def _resize(holding, amount, now):
+    if now >= holding.usable_at:
+        holding.kept = amount
+    holding.amount = amount
+    holding.kept = min(holding.kept, amount)
+    return holding
+
+
+def _list_holders(upstream):
+    if upstream is None:
+        return set()
+    return {host for host in (upstream.home, upstream.standby) if host is not None}
--- /dev/null
+++ b/skylarksill/_loadreport.py
@@ -0,0 +1,53 @@
+"""Reports of the dispatcher's load for its agent and peers."""
+
+from skylarksill import health, messages, records
+
+
+def describe_load(state, now):
+    """Returns a messages.LoadEntry for each service with upstreams here."""
+    room = max(0, state.count_share(now) - len(state.sends))
+    return tuple(
+        _describe_service(state.host, service, room, now)
+        for service in state.services.values()
+        if service.upstreams
+    )
+
+
+def describe_upstreams(state, now):
+    """Returns a messages.UpstreamEntry for each upstream whose home is this host."""
+    return tuple(
+        _describe_upstream(state, upstream, now)
+        for upstream in state.upstreams.values()
+        if upstream.is_home
+    )
+
+
+def _describe_service(host, service, room, now):
+    open_upstreams = [
+        upstream
+        for upstream in service.upstreams
+        if service.find_state(upstream) is health.HealthState.GOOD
+    ]
+    free = sum(upstream.count_free(now) for upstream in open_upstreams)
+    return messages.LoadEntry(
+        host,
+        service.record.service_id,
+        sum(upstream.count_usable(now) for upstream in service.upstreams),
+        0 if len(service.queue) else min(free, room),
+        len(service.queue) + len(service.alone),
+        sum(len(upstream.sends) for upstream in service.upstreams),
+    )
+
+
+def _describe_upstream(state, upstream, now):
+    service = state.services[upstream.record.service_id]
+    life = records.LifeState.SERVING
+    if upstream.is_leaving:
+        life = records.LifeState.LEAVING if upstream.sends else records.LifeState.DRAINED
+    return messages.UpstreamEntry(
+        upstream.record.upstream_id,
+        life,
+        service.find_state(upstream) in (health.HealthState.EJECTED, health.HealthState.DOWN),
+        upstream.count_free(now),
+        len(upstream.sends),
+    )
--- /dev/null
+++ b/skylarksill/_outcomes.py
@@ -0,0 +1,263 @@
+"""Outcomes of sends: answers, failures, deaths of upstreams, cancellations and deadlines."""
+
+from skylarksill import (
+    _admission,
+    _adoption,
+    _dispatchevents,
+    _dispatchstate,
+    _endings,
+    _placement,
+    health,
+    queueing,
+    records,
+)
+
+# Time in which a suspect reaches the peers before the client can send the request again elsewhere.
+SUSPECT_NOTICE_S = 0.3
+MAX_ATTEMPTS = 3
+
+_LEAVING_HEADER_SOURCE = "answer"
+
+
+def handle_answer(state, event, now, out):
+    """Handles a whole answer; a late one only frees its slot."""
+    send = state.sends.get(event.send_id)
+    if send is None:
+        return
+    _endings.release_send(state, send)
+    _note_leaving(send, event.is_leaving, now)
+    work, service = send.work, send.work.service
+    _note_latency(service, send, now)
+    cleared = state.suspects.note_answer(work.fingerprint, now)
+    if cleared is not None:
+        out.append(_dispatchevents.ReportSuspect(cleared))
+    if state.works.get(work.request.request_id) is not work or send.is_cancelled:
+        return
+    upstream_id = send.upstream.record.upstream_id
+    out.append(_dispatchevents.Reply(work.request.request_id, event.answer, upstream_id))
+    _endings.close_work(state, work, out)
+
+
+def handle_failure(state, event, now, out):
+    """Handles the end of a send without an answer."""
+    send = state.sends.get(event.send_id)
+    if send is None:
+        return
+    if event.is_over:
+        _endings.release_send(state, send)
+    else:
+        _endings.hold_slot(state, send)
+    _note_leaving(send, event.is_leaving, now)
+    was_cancelled, send.is_cancelled = send.is_cancelled, True
+    if event.has_died and not was_cancelled:
+        _note_death(state, send, now, out)
+    _note_failed_health(send, event, was_cancelled, now)
+    work = send.work
+    if was_cancelled or state.works.get(work.request.request_id) is not work:
+        return
+    if event.verdict is records.Verdict.RAN:
+        refusal = records.Refusal(event.verdict, event.reason, "the answer cannot be passed on")
+        _endings.end_with_refusal(state, work, refusal, out, now)
+        return
+    work.may_have_run |= event.verdict is records.Verdict.MAY_HAVE_RUN
+    if any(not other.is_cancelled for other in work.sends):
+        return
+    _retry_work(state, send, event, now, out)
+
+
+def handle_forward_end(state, event, now, out):
+    """Handles the sibling's outcome; work that was not run there is placed here."""
+    work = state.works.get(event.request_id)
+    if work is None or work.state is not _dispatchstate.WorkState.FORWARDED:
+        return
+    if event.answer is not None:
+        state.suspects.note_answer(work.fingerprint, now)
+        out.append(_dispatchevents.Reply(event.request_id, event.answer, event.upstream))
+        _endings.close_work(state, work, out)
+    elif event.refusal.verdict is records.Verdict.NOT_RUN:
+        _admission.enter_work(state, work, now, out)
+    else:
+        _endings.end_with_refusal(state, work, event.refusal, out, now)
+
+
+def handle_cancellation(state, event, now, out):
+    """Ends a request that its caller gave up, unless non-idempotent work is in flight."""
+    work = state.works.get(event.request_id)
+    if work is None:
+        return
+    is_running = work.state is _dispatchstate.WorkState.RUNNING
+    if is_running and not work.service.is_idempotent:
+        return
+    if work.state is _dispatchstate.WorkState.FORWARDED:
+        out.append(_dispatchevents.CancelForward(event.request_id))
+        work.may_have_run = True
+    work.may_have_run |= is_running
+    _endings.refuse_work(state, work, "cancelled", "the caller gave the request up", out, now)
+
+
+def handle_probe(state, event, now):
+    """Takes over the result of a health probe."""
+    upstream = state.upstreams.get(event.upstream)
+    if upstream is None:
+        return
+    table = state.services[upstream.record.service_id].health
+    if event.is_healthy:
+        table.note_recovery(event.upstream, now)
+    else:
+        table.note_down(event.upstream, now)
+
+
+def run_timers(state, now, out):
+    """Runs all timers that are due."""
+    timer = state.pop_timer(now)
+    while timer is not None:
+        kind, key = timer
+        _TIMER_HANDLERS[kind](state, key, now, out)
+        timer = state.pop_timer(now)
+
+
+def _note_leaving(send, is_leaving, now):
+    if is_leaving:
+        _adoption.mark_leaving(send.upstream, _LEAVING_HEADER_SOURCE, True, now)
+
+
+def _note_latency(service, send, now):
+    latency_s = now - send.started
+    service.latency.note(latency_s)
+    service.routes.note(send.work.request.path, latency_s)
+    upstream_id = send.upstream.record.upstream_id
+    service.health.note_answer(upstream_id, send.start, service.median_s, now)
+
+
+def _note_failed_health(send, event, was_cancelled, now):
+    service = send.work.service
+    upstream_id = send.upstream.record.upstream_id
+    if was_cancelled:
+        service.health.note_end(send.start, service.median_s, now)
+    elif event.has_died:
+        service.health.note_down(upstream_id, now)
+    elif event.is_shed:
+        service.health.note_shed(upstream_id, now)
+    elif event.verdict is records.Verdict.NOT_RUN and not event.is_leaving:
+        service.health.note_down(upstream_id, now)
+
+
+def _note_death(state, send, now, out):
+    """Counts one death for each request that the upstream was running."""
+    if send.is_death_counted:
+        return
+    involved = [send, *send.upstream.sends.values()]
+    fingerprints = set()
+    for other in involved:
+        if not other.is_death_counted:
+            other.is_death_counted = True
+            fingerprints.add(other.work.fingerprint)
+    for fingerprint in sorted(fingerprints):
+        out.append(_dispatchevents.ReportSuspect(state.suspects.note_death(fingerprint, now)))
+
+
+def _retry_work(state, send, event, now, out):
+    """Runs work again if that is safe and within the budget, else refuses it."""
+    work = send.work
+    service = work.service
+    is_safe = service.is_idempotent or not work.may_have_run
+    _endings.leave_alone(work)
+    is_blocked = state.suspects.is_blocked(work.fingerprint, now)
+    may_retry = (
+        is_safe and not is_blocked and len(work.sends) < MAX_ATTEMPTS and now < work.deadline
+    )
+    if may_retry and service.retry_budget.take():
+        work.avoid = work.avoid | {send.upstream.record.upstream_id}
+        _admission.enter_work(state, work, now, out)
+        return
+    reason = "blocked_request" if is_blocked else event.reason
+    upstream_id = send.upstream.record.upstream_id
+    refusal = _endings.make_refusal(work, reason, f"the send to {upstream_id} failed")
+    if not event.has_died:
+        _endings.end_with_refusal(state, work, refusal, out, now)
+        return
+    work.state = _dispatchstate.WorkState.REFUSING
+    work.refusal = refusal
+    request_id = work.request.request_id
+    state.add_timer(now + SUSPECT_NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
+
+
+def _end_refusing(state, request_id, now, out):
+    work = state.works.get(request_id)
+    if work is not None and work.state is _dispatchstate.WorkState.REFUSING:
+        _endings.end_with_refusal(state, work, work.refusal, out, now)
+
+
+def _end_work_deadline(state, request_id, now, out):
+    work = state.works.get(request_id)
+    if work is None or now < work.deadline or work.state is _dispatchstate.WorkState.REFUSING:
+        return
+    if work.state is _dispatchstate.WorkState.FORWARDED:
+        out.append(_dispatchevents.CancelForward(request_id))
+    in_progress = (_dispatchstate.WorkState.FORWARDED, _dispatchstate.WorkState.RUNNING)
+    work.may_have_run |= work.state in in_progress
+    _endings.refuse_work(
+        state, work, "deadline_passed", "the deadline passed before an answer", out, now
+    )
+
+
+def _end_send_deadline(state, send_id, now, out):
+    send = state.sends.get(send_id)
+    if send is None or send.is_cancelled:
+        return
+    _endings.cancel_send(state, send, out)
+    work = send.work
+    work.may_have_run = True
+    if any(not other.is_cancelled for other in work.sends):
+        return
+    _endings.refuse_work(
+        state, work, "loan_ended", "the loan of the slot ended before an answer", out, now
+    )
+
+
+def _end_slot(state, send_id, now, out):
+    send = state.sends.get(send_id)
+    if send is not None:
+        _endings.release_send(state, send)
+
+
+def _hedge_send(state, send_id, now, out):
+    """Sends late work to a second upstream if its own one is slow.
+
+    Work that is late on a healthy upstream is long work, which a second send would not speed up.
+    """
+    send = state.sends.get(send_id)
+    if send is None or send.is_cancelled:
+        return
+    work, service = send.work, send.work.service
+    if state.suspects.is_suspect(work.fingerprint, now) or len(work.sends) > 1:
+        return
+    service.judge(now)
+    if service.find_state(send.upstream) is health.HealthState.GOOD:
+        if now - send.started < queueing.LONG_FACTOR * service.mean_s:
+            state.add_timer(now + service.median_s, _dispatchstate.TimerKind.HEDGE, send_id)
+        return
+    upstream = _find_hedge_slot(state, send, now)
+    if upstream is None:
+        state.add_timer(now + service.median_s, _dispatchstate.TimerKind.HEDGE, send_id)
+    elif service.hedge_budget.take():
+        _placement.start_send(state, work, upstream, now, out, False, is_hedge=True)
+
+
+def _find_hedge_slot(state, send, now):
+    service = send.work.service
+    if len(service.queue) or len(state.sends) >= state.count_share(now):
+        return None
+    avoid = {send.upstream.record.upstream_id}
+    upstream = _placement.pick_upstream(service, now, avoid, is_hedge=True)
+    # A borrowed slot is left to first sends.
+    return upstream if upstream is not None and upstream.count_owned_free(now) > 0 else None
+
+
+_TIMER_HANDLERS = {
+    _dispatchstate.TimerKind.WORK_DEADLINE: _end_work_deadline,
+    _dispatchstate.TimerKind.SEND_DEADLINE: _end_send_deadline,
+    _dispatchstate.TimerKind.RELEASE: _end_slot,
+    _dispatchstate.TimerKind.HEDGE: _hedge_send,
+    _dispatchstate.TimerKind.REFUSE: _end_refusing,
+}
--- /dev/null
+++ b/skylarksill/_placement.py
@@ -0,0 +1,178 @@
+"""Placement of queued requests on upstreams with free slots."""
+
+from skylarksill import _dispatchevents, _dispatchstate, _endings, health, queueing
+
+LATE_PERCENT = 95
+
+_AVOIDED_STATES = (health.HealthState.SLOWED, health.HealthState.EJECTED)
+
+
+def place_all(state, now, out):
+    """Starts waiting work of all services while slots are free."""
+    for service in state.services.values():
+        if service.alone:
+            place_alone(state, service, now, out)
+        if len(service.queue):
+            service.judge(now)
+            place_queued(state, service, now, out)
+
+
+def place_queued(state, service, now, out):
+    """Starts queued work of one service while slots are free."""
+    while len(service.queue) and len(state.sends) < state.count_share(now):
+        upstream = pick_upstream(service, now)
+        if upstream is None:
+            return
+        entry = service.queue.pop(_may_start_long(service, now), now)
+        if entry is None:
+            return
+        if not _start_entry(state, service, upstream, entry, now, out):
+            return
+
+
+def place_alone(state, service, now, out):
+    """Runs the first waiting suspect on an upstream that is wholly owned and idle.
+
+    If no such upstream is idle, one is reserved, so that its work runs out.
+    """
+    if any(upstream.alone_send for upstream in service.upstreams):
+        return
+    candidates = [up for up in service.upstreams if _may_run_alone(service, up, now)]
+    reserved = next((up for up in candidates if up.is_reserved), None)
+    _endings.release_reservation(service)
+    if not candidates:
+        return
+    upstream = reserved or min(candidates, key=lambda up: len(up.sends))
+    upstream.is_reserved = True
+    if upstream.sends or len(state.sends) >= state.count_share(now):
+        return
+    work = next(iter(service.alone.values()))
+    start_send(state, work, upstream, now, out, upstream.count_loan(now) > 0)
+    upstream.alone_send = work.sends[-1]
+
+
+def pick_upstream(service, now, avoid=frozenset(), is_hedge=False):
+    """Picks the upstream that is used least in proportion to its slots; slow ones come last.
+
+    A slow upstream is chosen if a trial is due, or if it is not ejected and waiting for another
+    one would take longer than its latency.
+
+    Returns:
+      An UpstreamState with a free slot, or None.
+    """
+    best = slow = None
+    best_load = 2.0
+    for upstream in service.upstreams:
+        free = upstream.count_free(now)
+        if free <= 0 or upstream.record.upstream_id in avoid:
+            continue
+        state = service.find_state(upstream)
+        if state is health.HealthState.DOWN:
+            continue
+        if state in _AVOIDED_STATES:
+            if not is_hedge and _is_trial_due(service, upstream, now):
+                return upstream
+            if state is health.HealthState.SLOWED:
+                slow = upstream
+            continue
+        in_use = len(upstream.sends)
+        usable = in_use + free
+        load = in_use / usable
+        if load < best_load and in_use < _limit_warm(service, upstream, usable, now):
+            best, best_load = upstream, load
+    if best is None and slow is not None and not is_hedge and _is_wait_longer(service, slow, now):
+        return slow
+    return best
+
+
+def start_send(state, work, upstream, now, out, is_on_loan, is_hedge=False):
+    """Binds work to an upstream and emits the Send."""
+    deadline = work.deadline
+    if is_on_loan:
+        deadline = min(deadline, upstream.bound_loan_deadline())
+    send_id = next(state.send_ids)
+    start = work.service.health.note_start(upstream.record.upstream_id, now)
+    send = _dispatchstate.Sending(
+        send_id, work, upstream, start, now, deadline, is_on_loan, is_hedge
+    )
+    state.sends[send_id] = upstream.sends[send_id] = send
+    upstream.loan_sends += is_on_loan
+    work.sends.append(send)
+    work.state = _dispatchstate.WorkState.RUNNING
+    _add_send_timers(state, send, now)
+    out.append(_dispatchevents.Send(send_id, work.request, upstream.record, deadline, is_hedge))
+    decision = "hedge" if is_hedge else "loan" if is_on_loan else "send"
+    _endings.log_decision(work, decision, upstream.record.upstream_id, now, out)
+
+
+def may_use_loan(work, upstream, now):
+    """Returns True if work can end before the lender may use the slot itself.
+
+    A deadline is shortened to this bound only if it leaves the time in which short work ends.
+    """
+    bound = upstream.bound_loan_deadline()
+    if work.deadline <= bound:
+        return True
+    return not work.is_long and bound - now >= queueing.LONG_FACTOR * work.service.mean_s
+
+
+def _limit_warm(service, upstream, usable, now):
+    return service.health.limit_slots(upstream.record.upstream_id, usable, now)
+
+
+def _may_start_long(service, now):
+    if not service.queue.long_count:
+        return False
+    slots = sum(upstream.count_usable(now) for upstream in service.upstreams)
+    return service.count_long(now) < queueing.count_long_slots(slots)
+
+
+def _start_entry(state, service, upstream, entry, now, out):
+    """Starts a popped queue entry; returns False if it was put back."""
+    work = entry.item
+    if work.deadline - now < min(service.median_s, (work.deadline - work.arrived) / 2):
+        _endings.refuse_work(
+            state, work, "deadline_too_near", "waited too long for a slot", out, now
+        )
+        return True
+    if upstream.record.upstream_id in work.avoid:
+        upstream = pick_upstream(service, now, work.avoid) or upstream
+    is_on_loan = upstream.count_owned_free(now) <= 0
+    if is_on_loan and not may_use_loan(work, upstream, now):
+        others = {upstream.record.upstream_id, *work.avoid}
+        upstream = pick_upstream(service, now, others)
+        if upstream is None or upstream.count_owned_free(now) <= 0:
+            service.queue.put_back(entry, work.is_long)
+            return False
+        is_on_loan = False
+    start_send(state, work, upstream, now, out, is_on_loan)
+    return True
+
+
+def _may_run_alone(service, upstream, now):
+    return (
+        not upstream.is_leaving
+        and upstream.holds_all(now)
+        and service.find_state(upstream) is not health.HealthState.DOWN
+    )
+
+
+def _is_trial_due(service, upstream, now):
+    upstream_id = upstream.record.upstream_id
+    return not upstream.sends and service.health.is_trial_due(upstream_id, now)
+
+
+def _is_wait_longer(service, upstream, now):
+    slots = service.count_good(now)
+    wait_s = len(service.queue) * service.latency.mean_s / slots if slots else float("inf")
+    return wait_s > service.health.find_latency_s(upstream.record.upstream_id)
+
+
+def _add_send_timers(state, send, now):
+    work = send.work
+    if send.deadline < work.deadline:
+        state.add_timer(send.deadline, _dispatchstate.TimerKind.SEND_DEADLINE, send.send_id)
+    service = work.service
+    if service.is_idempotent and not work.is_long and not send.is_hedge:
+        hedge_at = now + service.latency.find_quantile(LATE_PERCENT)
+        state.add_timer(hedge_at, _dispatchstate.TimerKind.HEDGE, send.send_id)
