--- a/skylarksill/_adoption.py
+++ b/skylarksill/_adoption.py
@@ -6,9 +6,12 @@
 
 
 def adopt_configuration(state, configuration, now):
-    """Puts a configuration in force; an older or equal generation changes nothing."""
+    """Puts a configuration in force; an older generation changes nothing.
+
+    Another configuration of the same generation replaces one that the store did not keep.
+    """
     old = state.configuration
-    if old is not None and configuration.generation <= old.generation:
+    if old is not None and (configuration == old or configuration.generation < old.generation):
         return
     region = _find_region(configuration, state.host)
     if region is None:
--- a/skylarksill/_dispatchevents.py
+++ b/skylarksill/_dispatchevents.py
@@ -27,7 +27,7 @@
 
     ``has_died`` says that the upstream closed the connection while it ran the request. ``is_over``
     says that the upstream cannot be running it any more; else its slot stays occupied until the
-    deadline has passed. Each Send ends with one Answered or SendFailed, also after CancelSend.
+    deadline has passed. ``is_unreachable`` says that no connection could be opened. Each Send ends with one Answered or SendFailed, also after CancelSend.
     """
 
     send_id: int
@@ -35,6 +35,7 @@
     reason: str
     has_died: bool = False
     is_over: bool = True
+    is_unreachable: bool = False
     is_shed: bool = False
     is_leaving: bool = False
 
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -138,7 +138,7 @@
         service.health.note_down(upstream_id, now)
     elif event.is_shed:
         service.health.note_shed(upstream_id, now)
-    elif event.verdict is records.Verdict.NOT_RUN and not event.is_leaving:
+    elif event.is_unreachable:
         service.health.note_down(upstream_id, now)
 
 
--- /dev/null
+++ b/skylarksill/upstreams.py
@@ -0,0 +1,289 @@
+"""HTTP client to upstreams with verdicts that say whether a request may have run.
+
+There are no retries and no redirects. A send is cancelled by closing the writing side of its
+connection: the upstream's end of the stream then confirms that its slot is free.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import http.client
+
+import eventlet
+import urllib3.connection
+import urllib3.exceptions
+from eventlet.green import socket
+
+from skylarksill import records
+
+CONNECT_TIMEOUT_S = 1.0
+DEADLINE_HEADER = "Skylarksill-Deadline-Unix-Ms"
+REQUEST_ID_HEADER = "Skylarksill-Request-Id"
+NOT_RUN_HEADER = "Skylarksill-Not-Run"
+LEAVING_HEADER = "Skylarksill-Leaving"
+
+_HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "skylarksill-route",
+        "skylarksill-ticket",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_BROKEN = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
+_BODILESS_STATUSES = (204, 304)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer."""
+
+    answer: records.Answer
+    is_leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """No usable answer; see dispatching.SendFailed for the fields."""
+
+    verdict: records.Verdict
+    reason: str
+    has_died: bool = False
+    is_over: bool = True
+    is_unreachable: bool = False
+    is_shed: bool = False
+    is_leaving: bool = False
+
+
+class Sending:
+    """One send, which may be cancelled from another green thread."""
+
+    def __init__(self):
+        self.is_cancelled = False
+        self._connection = None
+
+    def attach(self, connection):
+        """Names the connection that carries the request."""
+        self._connection = connection
+
+    def detach(self):
+        """Forgets the connection, which may carry another request from now on."""
+        self._connection = None
+
+    def cancel(self):
+        """Closes the writing side of the connection."""
+        self.is_cancelled = True
+        if self._connection is not None and self._connection.sock is not None:
+            with contextlib.suppress(OSError):
+                self._connection.sock.shutdown(socket.SHUT_WR)
+
+
+class _Connection(urllib3.connection.HTTPConnection):
+    """Knows whether any byte of the present request may have left."""
+
+    has_sent = False
+
+    def _new_conn(self):
+        connection = socket.create_connection((self.host, self.port), CONNECT_TIMEOUT_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(None)
+        return connection
+
+    def send(self, data):
+        self.has_sent = True
+        super().send(data)
+
+
+class _TooLongError(Exception):
+    pass
+
+
+class UpstreamClient:
+    """Sends requests to upstreams over at most ``slots`` idle connections each."""
+
+    def __init__(self):
+        self._idle = collections.defaultdict(collections.deque)
+
+    def send(self, upstream, request, deadline_unix_ms, timeout_s, may_send, sending=None):
+        """Sends a request and waits for its outcome.
+
+        Args:
+          upstream: The records.Upstream.
+          request: The records.Request.
+          deadline_unix_ms: Deadline that the upstream checks, in wall-clock milliseconds.
+          timeout_s: Bound of the whole send in seconds.
+          may_send: Function without arguments that is called immediately before the first byte;
+            nothing is sent if it returns False.
+          sending: A Sending by which the send can be cancelled.
+        Returns:
+          Answered or Failed.
+        """
+        sending = sending or Sending()
+        connection = None
+        timeout = eventlet.Timeout(timeout_s)
+        try:
+            connection = self._open(upstream)
+            sending.attach(connection)
+            if sending.is_cancelled or not may_send():
+                self._keep(upstream, connection)
+                connection = None
+                return Failed(records.Verdict.NOT_RUN, "not_allowed")
+            response = _exchange(connection, request, deadline_unix_ms)
+            outcome, is_reusable = _read_response(response, request.method)
+            if is_reusable and not sending.is_cancelled:
+                self._keep(upstream, connection)
+                connection = None
+            return outcome
+        except eventlet.Timeout as error:
+            if error is not timeout:
+                raise
+            return _describe_timeout(connection)
+        except (*_BROKEN, ValueError) as error:
+            return _describe_error(error, connection, sending)
+        finally:
+            timeout.cancel()
+            sending.detach()
+            if connection is not None:
+                connection.close()
+
+    def count_idle(self, upstream_id):
+        """Returns the number of idle connections of an upstream."""
+        return len(self._idle[upstream_id])
+
+    def close(self):
+        """Closes all idle connections."""
+        for connections in self._idle.values():
+            while connections:
+                connections.pop().close()
+
+    def _open(self, upstream):
+        idle = self._idle[upstream.upstream_id]
+        while idle:
+            connection = idle.pop()
+            is_same_address = (connection.host, connection.port) == (
+                upstream.address,
+                upstream.port,
+            )
+            if is_same_address and connection.is_connected:
+                connection.has_sent = False
+                return connection
+            connection.close()
+        connection = _Connection(upstream.address, upstream.port)
+        connection.connect()
+        return connection
+
+    def _keep(self, upstream, connection):
+        idle = self._idle[upstream.upstream_id]
+        if len(idle) < upstream.slots:
+            idle.append(connection)
+        else:
+            connection.close()
+
+
+def _exchange(connection, request, deadline_unix_ms):
+    headers = urllib3.HTTPHeaderDict(
+        [(name, value) for name, value in request.headers if name.lower() not in _HOP_HEADERS]
+    )
+    headers[DEADLINE_HEADER] = str(int(deadline_unix_ms))
+    headers[REQUEST_ID_HEADER] = request.request_id
+    has_body = bool(request.body) or request.method not in ("GET", "HEAD", "OPTIONS")
+    if has_body:
+        headers["Content-Length"] = str(len(request.body))
+    connection.request(
+        request.method,
+        request.path,
+        body=request.body if has_body else None,
+        headers=headers,
+        preload_content=False,
+        decode_content=False,
+        enforce_content_length=True,
+    )
+    return connection.getresponse()
+
+
+def _read_response(response, method):
+    is_leaving = response.headers.get(LEAVING_HEADER) == "1"
+    is_kept_open = response.headers.get("Connection", "").lower() != "close"
+    if response.headers.get(NOT_RUN_HEADER) == "1":
+        is_whole = _drop_body(response)
+        failed = Failed(
+            records.Verdict.NOT_RUN, "not_run_by_upstream", is_shed=True, is_leaving=is_leaving
+        )
+        return failed, is_whole and is_kept_open
+    if not _has_length(response, method):
+        # The end of such a body can't be told from a broken connection.
+        return Failed(records.Verdict.MAY_HAVE_RUN, "answer_without_length"), False
+    try:
+        body = _read_body(response)
+    except _TooLongError:
+        failed = Failed(
+            records.Verdict.RAN, "answer_too_long", is_over=False, is_leaving=is_leaving
+        )
+        return failed, False
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in _HOP_HEADERS
+    )
+    return Answered(records.Answer(response.status, headers, body), is_leaving), is_kept_open
+
+
+def _has_length(response, method):
+    if method == "HEAD" or response.status in _BODILESS_STATUSES:
+        return True
+    is_chunked = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+    return is_chunked or "Content-Length" in response.headers
+
+
+def _read_body(response):
+    chunks = []
+    size = 0
+    for chunk in response.stream(65536, decode_content=False):
+        size += len(chunk)
+        if size > records.MAX_BODY_BYTES:
+            raise _TooLongError
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _drop_body(response):
+    try:
+        return len(response.read(65536)) < 65536
+    except _BROKEN:
+        return False
+
+
+def _describe_timeout(connection):
+    if connection is None or not connection.has_sent:
+        return Failed(records.Verdict.NOT_RUN, "connect_timeout", is_unreachable=True)
+    return Failed(records.Verdict.MAY_HAVE_RUN, "timeout", is_over=False)
+
+
+def _describe_error(error, connection, sending):
+    if connection is None:
+        return Failed(records.Verdict.NOT_RUN, "connect_failed", is_unreachable=True)
+    if not connection.has_sent:
+        is_invalid = isinstance(error, (ValueError, http.client.InvalidURL))
+        reason = "invalid_request" if is_invalid else "connection_lost"
+        return Failed(records.Verdict.NOT_RUN, reason)
+    if sending.is_cancelled:
+        return Failed(records.Verdict.MAY_HAVE_RUN, "cancelled", is_over=_is_end(error))
+    if _is_end(error):
+        return Failed(records.Verdict.MAY_HAVE_RUN, "connection_died", has_died=True)
+    return Failed(records.Verdict.MAY_HAVE_RUN, "malformed_answer", is_over=False)
+
+
+def _is_end(error):
+    """Returns True if the upstream closed its side of the connection."""
+    ends = (OSError, http.client.RemoteDisconnected, http.client.IncompleteRead)
+    if isinstance(error, urllib3.exceptions.ProtocolError):
+        return True
+    return isinstance(error, ends) and not isinstance(error, TimeoutError)
