--- /dev/null
+++ b/skylarksill/_agentpeers.py
@@ -0,0 +1,269 @@
+"""Exchanges of an agent with the agents of other hosts."""
+
+import collections
+import random
+
+import eventlet
+from eventlet import event
+
+from skylarksill import logs, membership, messages, propagation, records, rpc
+
+EXCHANGE_INTERVAL_S = 1.0
+EXCHANGE_TIMEOUT_S = 1.0
+# A push waits until the other agent has fetched the shards that it lacks.
+PUSH_TIMEOUT_S = 2.0
+SHARDS_TIMEOUT_S = 1.5
+SHARDS_PER_CALL = 4
+PUSH_TARGETS = 3
+MAX_CLIENTS = 64
+
+
+class Peers:
+    """Carries an agent's state to and from other agents.
+
+    Args:
+      settings: The host's Settings.
+      clock: A clock.
+      state: The AgentState.
+      identity: rpc.Identity of this agent.
+      make_client: Function of an address that returns an rpc.RpcClient or a fake of it.
+    """
+
+    def __init__(self, settings, clock, state, identity, make_client=None):
+        self._settings = settings
+        self._clock = clock
+        self._state = state
+        self._log = logs.make_logger("agent")
+        self._make_client = make_client or (
+            lambda address: rpc.RpcClient(address, settings.shared_key, identity)
+        )
+        self._choice = membership.PeerChoice(random.SystemRandom())
+        self._clients = collections.OrderedDict()
+        self._addresses = {}
+        self._busy = set()
+        self._fetching = {}
+        self.is_joining = True
+
+    @property
+    def in_flight(self):
+        """Number of exchanges that wait for an answer."""
+        return len(self._busy)
+
+    def run(self):
+        """Exchanges each EXCHANGE_INTERVAL_S until the thread is killed."""
+        next_tick = self._clock.monotonic()
+        while True:
+            try:
+                self.exchange_once()
+            except Exception:
+                self._log.exception("exchange failed")
+            next_tick = max(next_tick + EXCHANGE_INTERVAL_S, self._clock.monotonic())
+            eventlet.sleep(next_tick - self._clock.monotonic())
+
+    def exchange_once(self):
+        """Raises the heartbeat and starts an exchange with each chosen peer."""
+        now = self._clock.monotonic()
+        for host in self._state.beat(now, self._clock.unix()):
+            self._log.warning("host={} is down: no higher heartbeat", host)
+        for address in self._choose_addresses(now):
+            if address not in self._busy:
+                eventlet.spawn_n(self._exchange, address)
+
+    def ask_joining(self):
+        """Asks the agents named in the settings for their news.
+
+        Returns:
+          A list of pairs of address and the head and mark that the agent holds.
+        """
+        pool = eventlet.GreenPool()
+        answers = pool.imap(self._ask_news, self._list_joining())
+        return [answer for answer in answers if answer is not None]
+
+    def fetch(self, address, mark, head):
+        """Fetches a generation from another agent and offers it.
+
+        Returns:
+          The propagation.Offer.
+        """
+        accepted = self._state.accepted
+        texts = {}
+        missing = accepted.list_missing(head)
+        while missing:
+            call = messages.ShardsCall(missing[:SHARDS_PER_CALL])
+            result = self._call(address, "shards", call, messages.ShardsResult, SHARDS_TIMEOUT_S)
+            if not result.shards:
+                break
+            texts.update(result.shards)
+            missing = tuple(digest for digest in missing if digest not in texts)
+        outcome = accepted.offer(mark, head, texts, propagation.Source.PEER)
+        self.note_offer(outcome, mark, f"{address[0]}:{address[1]}")
+        return outcome
+
+    def note_offer(self, outcome, mark, source):
+        """Logs an offer's outcome and, once in force, pushes the generation on."""
+        if outcome is propagation.Offer.IN_FORCE:
+            self._state.note_configuration()
+            self._log.info("generation={} in force, from={}", mark.generation, source)
+            eventlet.spawn_n(self.push)
+        elif outcome is propagation.Offer.INVALID:
+            problem = self._state.accepted.problems[0]
+            self._log.error("refused generation={} from={}: {}", mark.generation, source, problem)
+
+    def pass_on(self, mark, source):
+        """Pushes the held generation and puts it in force once a peer holds it.
+
+        Without a reachable peer it comes in force as well, since no peer could keep it then.
+        """
+        is_held = self.push(mark)
+        if self._state.accepted.put_in_force(mark):
+            self._state.note_configuration()
+            held = "passed on" if is_held else "no peer reachable"
+            self._log.info("generation={} in force, from={}, {}", mark.generation, source, held)
+
+    def push(self, mark=None, count=PUSH_TARGETS):
+        """Sends all news to some peers at once.
+
+        Args:
+          mark: Returns as soon as one peer holds this mark; None waits for all peers.
+          count: Number of peers.
+        Returns:
+          True if a peer holds the mark.
+        """
+        targets = self._list_push_targets(count)
+        done = event.Event()
+        waiting = [len(targets)]
+
+        def run(address):
+            answer_mark = self._push_to(address)
+            waiting[0] -= 1
+            is_held = mark is not None and answer_mark is not None
+            is_held = is_held and not propagation.is_higher(mark, answer_mark)
+            if not done.ready() and (is_held or not waiting[0]):
+                done.send(is_held)
+
+        for address in targets:
+            eventlet.spawn_n(run, address)
+        return done.wait() if targets else False
+
+    def serve_exchange(self, body, context):
+        """Handles the method ``exchange``."""
+        message = messages.decode_message(messages.ExchangeMessage, body)
+        now = self._clock.monotonic()
+        address = self._find_address(message.sender)
+        self._take(message, address)
+        return messages.encode_message(self._state.make_answer(message, now))
+
+    def close(self):
+        """Closes all connections to other agents."""
+        for client in self._clients.values():
+            client.close()
+
+    def _exchange(self, address):
+        self._busy.add(address)
+        try:
+            zone = self._find_zone(address)
+            question = self._state.make_question(zone, self._clock.monotonic())
+            answer = self._ask(address, question, EXCHANGE_TIMEOUT_S)
+            self._addresses[answer.sender] = address
+            self._take(answer, address)
+            completion = self._state.make_completion(answer, self._clock.monotonic())
+            if completion is not None:
+                self._ask(address, completion, PUSH_TIMEOUT_S)
+        except records.SkylarksillError as error:
+            self._log.debug("exchange with {}:{} failed: {}", *address, error)
+        finally:
+            self._busy.discard(address)
+
+    def _take(self, message, address):
+        has_new_suspects = self._state.take_message(message, self._clock.monotonic())
+        if has_new_suspects:
+            eventlet.spawn_n(self.push)
+        if message.head is None or address is None or self.is_joining:
+            return
+        accepted = self._state.accepted
+        head = accepted.complete_head(message.head, message.head_base)
+        if head is None or not accepted.is_wanted(message.mark):
+            return
+        # Several peers push a generation at the same time; its shards are fetched from one.
+        if message.mark in self._fetching:
+            self._fetching[message.mark].wait()
+            return
+        self._fetching[message.mark] = event.Event()
+        try:
+            self.fetch(address, message.mark, head)
+        except records.SkylarksillError as error:
+            self._log.debug("no shards from {}:{}: {}", *address, error)
+        finally:
+            self._fetching.pop(message.mark).send()
+
+    def _push_to(self, address):
+        now = self._clock.monotonic()
+        try:
+            answer = self._ask(address, self._state.make_push(now), PUSH_TIMEOUT_S)
+            self._take(answer, address)
+            completion = self._state.make_completion(answer, now)
+            if completion is not None:
+                answer = self._ask(address, completion, PUSH_TIMEOUT_S)
+            return answer.mark
+        except records.SkylarksillError as error:
+            self._log.debug("push to {}:{} failed: {}", *address, error)
+            return None
+
+    def _ask_news(self, address):
+        message = messages.ExchangeMessage(self._settings.host, self._settings.zone)
+        try:
+            answer = self._ask(address, message, EXCHANGE_TIMEOUT_S)
+        except records.SkylarksillError as error:
+            self._log.debug("no answer of {}:{}: {}", *address, error)
+            return None
+        self._addresses[answer.sender] = address
+        self._state.take_message(answer, self._clock.monotonic())
+        return address, answer.mark, answer.head
+
+    def _ask(self, address, message, timeout_s):
+        return self._call(address, "exchange", message, messages.ExchangeMessage, timeout_s)
+
+    def _call(self, address, method, message, result_type, timeout_s):
+        body = messages.encode_message(message)
+        answer = self._get_client(address).call(method, body, timeout_s)
+        return messages.decode_message(result_type, answer)
+
+    def _get_client(self, address):
+        if address not in self._clients:
+            self._clients[address] = self._make_client(address)
+        self._clients.move_to_end(address)
+        while len(self._clients) > MAX_CLIENTS:
+            _, client = self._clients.popitem(last=False)
+            client.close()
+        return self._clients[address]
+
+    def _list_joining(self):
+        own = (self._settings.address, self._settings.agent_port)
+        return [address for address in self._settings.peers if address != own]
+
+    def _choose_addresses(self, now):
+        hosts = self._choice.choose_peers(self._state.table, now)
+        addresses = [self._find_address(host) for host in hosts]
+        addresses = [address for address in addresses if address is not None]
+        return addresses if self._state.accepted.in_force else [*addresses, *self._list_joining()]
+
+    def _list_push_targets(self, count):
+        hosts = self._choice.choose_targets(self._state.table, count)
+        addresses = [self._find_address(host) for host in hosts]
+        return [a for a in addresses if a is not None] or self._list_joining()[:count]
+
+    def _find_address(self, host):
+        in_force = self._state.accepted.in_force
+        hosts = in_force.configuration.hosts if in_force else ()
+        for other in hosts:
+            if other.host_id == host:
+                return other.address, other.agent_port
+        return self._addresses.get(host)
+
+    def _find_zone(self, address):
+        in_force = self._state.accepted.in_force
+        hosts = in_force.configuration.hosts if in_force else ()
+        for other in hosts:
+            if (other.address, other.agent_port) == address:
+                return other.zone_id
+        return records.ZoneId("")
--- a/skylarksill/_gossip.py
+++ b/skylarksill/_gossip.py
@@ -93,6 +93,12 @@
     return messages.PeerDelta(check, records=tuple(_make_record(table, h, now) for h in known))
 
 
+def make_own_delta(table, now):
+    """Makes a delta with the own record alone."""
+    check = table.topology.check if table.topology else 0
+    return messages.PeerDelta(check, records=(_make_record(table, table.host, now),))
+
+
 def merge_delta(table, delta, now):
     """Takes over what is newer in a delta.
 
--- /dev/null
+++ b/skylarksill/agent.py
@@ -0,0 +1,156 @@
+"""The agent: one per host, it keeps configuration, membership, loads and suspects up to date."""
+
+import os
+
+import eventlet
+
+from skylarksill import (
+    _agentpeers,
+    _agentstate,
+    _agentwatch,
+    logs,
+    messages,
+    objectstore,
+    propagation,
+    records,
+    rpc,
+)
+
+INCARNATION_BYTES = 8
+# Time for the host's daemons to see that they are to leave, and for peers to hear of it.
+LEAVE_NOTICE_S = 1.0
+LEAVE_POLL_S = 0.1
+PART_GONE_S = 0.7
+LEAVE_PUSH_TARGETS = 64
+
+
+class AgentDaemon:
+    """The agent's process.
+
+    Args:
+      settings: The host's Settings.
+      clock: A clock.
+    """
+
+    def __init__(self, settings, clock):
+        self._settings = settings
+        self._clock = clock
+        self._log = logs.make_logger("agent")
+        incarnation = records.Incarnation(os.urandom(INCARNATION_BYTES).hex())
+        entry = messages.PeerEntry(
+            host=settings.host,
+            zone=settings.zone,
+            incarnation=incarnation,
+            heartbeat=int(clock.unix() * 1000),
+            generation=records.Generation(0),
+            state=records.LifeState.SERVING,
+            parts=(),
+        )
+        identity = rpc.Identity("agent", settings.host, incarnation)
+        store = None
+        if settings.platform is not None:
+            store = objectstore.ObjectStore(settings.platform, settings.host)
+        self._state = _agentstate.AgentState(entry, clock.monotonic())
+        self._peers = _agentpeers.Peers(settings, clock, self._state, identity)
+        self._watcher = _agentwatch.StoreWatcher(store, clock, self._state, self._peers)
+        self._store = store
+        self._identity = identity
+        self._server = None
+        self._threads = []
+
+    def start(self):
+        """Starts serving and joins the other agents.
+
+        Returns:
+          IP address and port that the agent listens on.
+        """
+        handlers = {
+            "view": self._serve_view,
+            "exchange": self._peers.serve_exchange,
+            "shards": self._serve_shards,
+            "status": self._serve_status,
+        }
+        address = (self._settings.address, self._settings.agent_port)
+        self._server = rpc.RpcServer(address, self._settings.shared_key, self._identity, handlers)
+        self._threads = [eventlet.spawn(self._server.serve), eventlet.spawn(self._run)]
+        return self._settings.address, self._server.port
+
+    def leave(self):
+        """Publishes that the host is leaving, serves its daemons until they are gone, and ends."""
+        self._publish(records.LifeState.LEAVING)
+        eventlet.sleep(LEAVE_NOTICE_S)
+        while self._state.has_leaving_parts(self._clock.monotonic(), PART_GONE_S):
+            eventlet.sleep(LEAVE_POLL_S)
+        self._publish(records.LifeState.DRAINED)
+        for thread in self._threads:
+            thread.kill()
+        self._server.close()
+        self._peers.close()
+
+    def describe_in_flight(self):
+        """Says what a second signal cuts off."""
+        return f"{self._peers.in_flight} exchanges"
+
+    def _publish(self, life):
+        self._state.life = life
+        self._state.beat(self._clock.monotonic(), self._clock.unix())
+        self._log.info("host={} is {}", self._settings.host, life.value)
+        self._peers.push(count=LEAVE_PUSH_TARGETS)
+
+    def _run(self):
+        self._join()
+        self._peers.is_joining = False
+        self._threads.append(eventlet.spawn(self._peers.run))
+        self._threads.append(eventlet.spawn(self._watcher.run))
+
+    def _join(self):
+        """Asks store and peers and takes the highest generation that can be fetched."""
+        read = eventlet.spawn(self._read_store)
+        offers = [
+            (mark, head, address)
+            for address, mark, head in self._peers.ask_joining()
+            if head is not None
+        ]
+        mark, head = read.wait()
+        if head is not None:
+            offers.append((mark, head, None))
+        while offers:
+            highest = propagation.find_highest([mark for mark, _, _ in offers])
+            for offer in [offer for offer in offers if offer[0] == highest]:
+                offers.remove(offer)
+                if self._take_offer(*offer):
+                    return
+        self._log.warning("no configuration from the store or {} peers", len(self._settings.peers))
+
+    def _read_store(self):
+        try:
+            return self._watcher.read_head() if self._store is not None else (None, None)
+        except objectstore.StoreError as error:
+            self._log.warning("store does not answer at the start: {}", error)
+            return None, None
+
+    def _take_offer(self, mark, head, address):
+        try:
+            if address is None:
+                self._watcher.fetch(mark, head)
+            else:
+                self._peers.fetch(address, mark, head)
+        except records.SkylarksillError as error:
+            self._log.warning("generation={} could not be fetched: {}", mark.generation, error)
+        return self._state.accepted.in_force is not None
+
+    def _serve_view(self, body, context):
+        call = messages.decode_message(messages.ViewCall, body)
+        now = self._clock.monotonic()
+        if self._state.take_report(call, now):
+            eventlet.spawn_n(self._peers.push)
+        return messages.encode_message(self._state.make_view(call, now))
+
+    def _serve_shards(self, body, context):
+        call = messages.decode_message(messages.ShardsCall, body)
+        shards = self._state.pick_shards(call.digests)
+        return messages.encode_message(messages.ShardsResult(shards))
+
+    def _serve_status(self, body, context):
+        status = self._state.make_status(self._clock.monotonic())
+        return messages.encode_message(status)
--- a/skylarksill/membership.py
+++ b/skylarksill/membership.py
@@ -21,6 +21,7 @@
 make_digest = _gossip.make_digest
 answer_digest = _gossip.answer_digest
 make_delta = _gossip.make_delta
+make_own_delta = _gossip.make_own_delta
 merge_delta = _gossip.merge_delta
 PeerChoice = _peerchoice.PeerChoice
 
@@ -83,6 +84,7 @@
         self.zones = {}
         self._far_changed = {}
         self._summarised_at = float("-inf")
+        self._checked_at = now
 
     @property
     def own(self):
@@ -97,7 +99,7 @@
                 del self.peers[host]
         self.zones = {zone: state for zone, state in self.zones.items() if zone in topology.zones}
         self._far_changed = {h: v for h, v in self._far_changed.items() if h in topology.zone_of}
-        self._require_whole_views()
+        self.require_whole_views()
 
     def beat(self, now, loads=(), **fields):
         """Raises the own heartbeat.
@@ -170,6 +172,7 @@
         Returns:
           A list of the hosts that are now down.
         """
+        self._excuse_pause(now)
         down = []
         for host, peer in list(self.peers.items()):
             if host == self.host or not self.is_near(host):
@@ -181,13 +184,17 @@
                 down.append(host)
             elif self.topology is None and age > FORGET_AFTER_S:
                 del self.peers[host]
-                self._require_whole_views()
+                self.require_whole_views()
         for zone, state in self.zones.items():
             if state.is_alive and now - state.heard_at > ZONE_DOWN_AFTER_S:
                 state.is_alive = False
                 self._mark_zone(zone)
         return down
 
+    def touch(self):
+        """Raises the version after a change outside the table that a view shows."""
+        self.version += 1
+
     def is_near(self, host):
         """Says whether a host's heartbeats come to this agent."""
         return self.topology is None or host in self.topology.near_set
@@ -289,10 +296,19 @@
         if entry.incarnation != own.entry.incarnation and entry.heartbeat >= own.entry.heartbeat:
             own.entry = dataclasses.replace(own.entry, heartbeat=entry.heartbeat + 1)
 
-    def _require_whole_views(self):
+    def require_whole_views(self):
+        """Makes all views be sent anew."""
         self.version += 1
         self.whole_version = self.version
 
+    def _excuse_pause(self, now):
+        # While this process is paused no peer can be heard, which says nothing about the peers.
+        pause = now - self._checked_at
+        self._checked_at = now
+        if pause > DOWN_AFTER_S / 2:
+            for record in (*self.peers.values(), *self.zones.values()):
+                record.heard_at += pause
+
     def _mark_changed(self, peer):
         self.version += 1
         peer.changed = self.version
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -179,7 +179,8 @@
 class ViewResult:
     """The agent's view; ``shards`` is filled only if the configuration is new to the daemon.
 
-    If ``version`` equals the call's, nothing but ``store_age_ms`` is filled. With ``is_delta``,
+    If ``version`` equals the call's, nothing but ``store_age_ms`` is filled; ``head`` is filled
+    only if it is newer than the call's version. With ``is_delta``,
     ``peers`` holds only what changed since the call's version; viewer.Viewer completes it. Shards
     that are not in ``shards`` are fetched with ``shards``, since they may exceed a frame together.
     ``head`` is None while the agent has no configuration. ``leaving_upstreams`` comes from the
@@ -295,6 +296,7 @@
     The question carries a digest, the answer a delta against it, and the completion the delta
     that the answer asked for. ``head``, ``suspects`` and ``instances`` are filled only if the
     other agent's ``mark``, ``suspects_check`` or ``instances_version`` shows that it lacks them.
+    With ``head_base``, ``head`` names only the shards that differ from the head with that mark.
     """
 
     sender: records.HostId
@@ -305,6 +307,7 @@
     digest: PeerDigest | None = None
     delta: PeerDelta | None = None
     head: records.ConfigurationHead | None = None
+    head_base: HeadMark | None = None
     suspects: tuple[SuspectEntry, ...] = ()
     instances: Instances | None = None
 
--- a/skylarksill/objectstore.py
+++ b/skylarksill/objectstore.py
@@ -129,16 +129,18 @@
         _check_status(response, lost)
         return _read_version(response, lost)
 
-    def list(self, prefix):
-        """Lists the objects whose keys begin with ``prefix``.
+    def list(self, prefixes):
+        """Lists the objects whose keys begin with a prefix.
 
+        Args:
+          prefixes: Prefix of the keys, or a tuple of prefixes.
         Returns:
           A tuple of Change, sorted by key.
         Raises:
           StoreError: If the store gave no answer.
         """
-        query = urllib.parse.urlencode({"prefix": prefix})
-        response = self._read("list", f"/v1/objects?{query}", CALL_TIMEOUT_S)
+        path = f"/v1/objects?{urllib.parse.urlencode(_make_fields(prefixes))}"
+        response = self._read("list", path, CALL_TIMEOUT_S)
         _check_status(response, records.Verdict.NOT_RUN)
         return _read_changes(response)[1]
 
@@ -154,8 +156,7 @@
         Raises:
           StoreError: If the store gave no answer.
         """
-        prefixes = (prefixes,) if isinstance(prefixes, str) else prefixes
-        fields = [("prefix", prefix) for prefix in prefixes]
+        fields = _make_fields(prefixes)
         fields += [("after", after_version), ("timeout_ms", int(timeout_s * 1000))]
         path = f"/v1/watch?{urllib.parse.urlencode(fields)}"
         response = self._read("watch", path, timeout_s + WATCH_GRACE_S)
@@ -188,6 +189,11 @@
     return "/v1/objects/" + urllib.parse.quote(key)
 
 
+def _make_fields(prefixes):
+    prefixes = (prefixes,) if isinstance(prefixes, str) else prefixes
+    return [("prefix", prefix) for prefix in prefixes]
+
+
 def _check_status(response, lost_verdict):
     if response.status == 200:
         return
--- a/skylarksill/viewer.py
+++ b/skylarksill/viewer.py
@@ -9,7 +9,7 @@
 import eventlet
 from eventlet import event
 
-from skylarksill import logs, messages, records, rpc
+from skylarksill import configuration, logs, messages, records, rpc
 
 POLL_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = 1.0
@@ -142,7 +142,12 @@
         if is_new_agent and call.version:
             return
         self._take_result(result, call.version)
-        self._take_configuration(result)
+        try:
+            self._take_configuration(result)
+        except records.SkylarksillError:
+            # The agent names a head only once; the whole view names it again.
+            self._version = 0
+            raise
 
     def _run(self):
         while True:
@@ -170,6 +175,8 @@
         if self.view is not None and asked_version and result.version == asked_version:
             self.view = dataclasses.replace(self.view, store_age_ms=result.store_age_ms)
             return
+        if self.view is not None and result.head is None:
+            result = dataclasses.replace(result, head=self.view.head)
         if result.is_delta and self.view is not None:
             peers = {peer.entry.host: peer for peer in self.view.peers}
             peers.update((peer.entry.host, peer) for peer in result.peers)
@@ -183,7 +190,7 @@
         if head is None or head == self._refused_head or not self._is_newer(head):
             return
         texts = self._fetch_texts(head, dict(result.shards))
-        joined, problems = _join_shards(head, texts)
+        joined, problems = configuration.join_shards(head, texts)
         if problems:
             self._refused_head = head
             self._log.error("refused generation {}: {}", head.generation, problems[0])
@@ -218,9 +225,3 @@
         if not self._is_failing:
             self._log.warning("no answer of the agent, the last view stays: {}", error)
         self._is_failing = True
-
-
-def _join_shards(head, texts):
-    from skylarksill import configuration
-
-    return configuration.join_shards(head, texts)
