--- /dev/null
+++ b/features/steering_builders.py
@@ -0,0 +1,127 @@
+"""Builders of agents' reports for the features of routing, look-up and entry."""
+
+import dataclasses
+
+from eventlet.green.http import client
+
+from features import builders
+from skylarksill import messages, records, settings
+
+PARTS = ("lookup", "entry", "dispatch")
+
+
+def build_peers(configuration, dead=(), leaving=(), behind=(), generation=None):
+    """Builds the peer view of all hosts of a configuration.
+
+    Args:
+      configuration: The configuration.
+      dead: Hosts that are not alive.
+      leaving: Hosts whose state is LEAVING.
+      behind: Hosts that have accepted only the generation before.
+      generation: Accepted generation of the others; the configuration's if None.
+    Returns:
+      A tuple of PeerView records.
+    """
+    generation = configuration.generation if generation is None else generation
+    return tuple(
+        build_peer(
+            host,
+            is_alive=host.host_id not in dead,
+            is_leaving=host.host_id in leaving,
+            generation=generation - (host.host_id in behind),
+        )
+        for host in configuration.hosts
+    )
+
+
+def build_peer(host, is_alive=True, is_leaving=False, generation=1):
+    """Builds the peer view of one host with all its programs."""
+    state = records.LifeState.LEAVING if is_leaving else records.LifeState.SERVING
+    parts = tuple(
+        messages.PartEntry(part, f"{part}-{host.host_id}", records.LifeState.SERVING)
+        for part in PARTS
+    )
+    entry = messages.PeerEntry(host.host_id, host.zone_id, "agent", 1, generation, state, parts)
+    return messages.PeerView(entry, is_alive, 0)
+
+
+def build_load(host, service, slots, work, age_ms=0):
+    """Builds the load of one dispatcher that has ``work`` requests running or waiting."""
+    in_flight = min(slots, work)
+    return messages.LoadEntry(
+        host, service, slots, slots - in_flight, work - in_flight, in_flight, age_ms
+    )
+
+
+def replace_hosts(configuration, **addresses):
+    """Returns the configuration with some fields of all its hosts replaced."""
+    hosts = tuple(dataclasses.replace(host, **addresses) for host in configuration.hosts)
+    return dataclasses.replace(configuration, hosts=hosts)
+
+
+class FakeViewer:
+    """Stands in for viewer.Viewer with a view that the test sets.
+
+    Args:
+      configuration: The configuration whose hosts the view shows.
+      states: As for ``build_peers``.
+    """
+
+    load_offset_ms = 0
+    is_stale = False
+
+    def __init__(self, configuration, **states):
+        self.state = records.LifeState.SERVING
+        self.configuration = configuration
+        self.polls = 0
+        self.show(**states)
+
+    def show(self, loads=(), **states):
+        """Replaces the view."""
+        peers = build_peers(self.configuration, **states)
+        self.view = messages.ViewResult(1, None, (), peers, tuple(loads), (), (), -1)
+
+    def start(self):
+        """Does nothing."""
+
+    def stop(self):
+        """Does nothing."""
+
+    def poll_soon(self):
+        """Counts the polls that were asked for."""
+        self.polls += 1
+
+
+def build_settings(address, **fields):
+    """Builds settings of host-0 with ports that the system chooses."""
+    values = {
+        "host": "host-0",
+        "zone": "north-a",
+        "address": address,
+        "lookup_port": 0,
+        "entry_port": 0,
+        "dispatch_port": 0,
+        "agent_port": 0,
+        "shared_key": builders.SHARED_KEY,
+        "platform": None,
+        "peers": (),
+        "statsd": None,
+        "log_level": "INFO",
+    }
+    return settings.Settings(**{**values, **fields})
+
+
+def send_http(address, method, path, body=None, headers=None):
+    """Sends one HTTP request from a green thread.
+
+    Returns:
+      Status, headers with lower-case names, and body.
+    """
+    connection = client.HTTPConnection(*address, timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        data = response.read()
+        return response.status, {k.lower(): v for k, v in response.getheaders()}, data
+    finally:
+        connection.close()
