--- a/skylarksill/_agentpeers.py
+++ b/skylarksill/_agentpeers.py
@@ -65,9 +65,9 @@
         now = self._clock.monotonic()
         for host in self._state.beat(now, self._clock.unix()):
             self._log.warning("host={} is down: no higher heartbeat", host)
-        for address in self._choose_addresses(now):
-            if address not in self._busy:
-                eventlet.spawn_n(self._exchange, address)
+        for address in set(self._choose_addresses(now)) - self._busy:
+            self._busy.add(address)
+            eventlet.spawn_n(self._exchange, address)
 
     def ask_joining(self):
         """Asks the agents named in the settings for their news.
@@ -159,7 +159,6 @@
             client.close()
 
     def _exchange(self, address):
-        self._busy.add(address)
         try:
             zone = self._find_zone(address)
             question = self._state.make_question(zone, self._clock.monotonic())
