--- a/bench/client.py
+++ b/bench/client.py
@@ -48,7 +48,7 @@
         self._pool = urllib3.PoolManager(num_pools=32, maxsize=4, retries=False)
         self._steering = {}
 
-    def send(self, service, method, path, body, is_idempotent):
+    def send(self, service, method, path, body, is_idempotent, headers=None):
         """Sends one piece of work and retries as its verdicts allow.
 
         Non-idempotent work keeps its ticket through all tries unless a verdict NOT_RUN came with a
@@ -71,7 +71,8 @@
                 continue
             address = steering.hosts[tries % len(steering.hosts)]
             tries += 1
-            last = self._try(address, service, method, path, body, steering.route, ticket)
+            sent_headers = self._make_headers(headers, steering.route, ticket)
+            last = self._try(address, service, method, path, body, sent_headers)
             status, verdict, answer_body = last
             if verdict == "RAN":
                 break
@@ -114,10 +115,13 @@
         expiry = time.monotonic() + answer["lifetime_ms"] / 1000
         return Steering(hosts, answer["route"], answer["ticket"], expiry)
 
-    def _try(self, address, service, method, path, body, route, ticket):
-        headers = {"Skylarksill-Route": route, "X-Client-Address": self._address}
+    def _make_headers(self, headers, route, ticket):
+        sent = {**(headers or {}), "Skylarksill-Route": route}
         if ticket:
-            headers["Skylarksill-Ticket"] = ticket
+            sent["Skylarksill-Ticket"] = ticket
+        return sent
+
+    def _try(self, address, service, method, path, body, headers):
         url = f"http://{address[0]}:{address[1]}/v1/{service}{path}"
         timeout = urllib3.Timeout(connect=1.0, read=REQUEST_TIMEOUT_S)
         try:
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,345 @@
+"""Brings up a whole deployment, sends work while an upstream drains and a host is killed.
+
+The closing line is counted from the clients' answers and from the stand-ins' own records.
+"""
+
+import argparse
+import collections
+import dataclasses
+import hashlib
+import itertools
+import json
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import urllib3
+
+from bench import client, deployment, queue_model
+from skylarksill import configuration, records
+
+LOAD_S = 20.0
+DRAIN_AT_S = 6.0
+KILL_AT_S = 12.0
+SETTLE_S = 5.0
+CLIENTS_PER_ZONE = 4
+PAUSE_S = 0.06
+MIN_ANSWERED_SHARE = 0.99
+SEED = 20261204
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """One piece of work and its outcome."""
+
+    work_id: str
+    path: str
+    body: bytes
+    is_idempotent: bool
+    outcome: client.Outcome
+
+
+class UpstreamControl:
+    """Reads the records of the upstream stand-ins."""
+
+    def __init__(self, addresses):
+        self._addresses = addresses
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def read_records(self):
+        """Returns the records of all workers by name."""
+        workers = {}
+        for address, port in self._addresses:
+            response = self._pool.request("GET", f"http://{address}:{port}/control/record")
+            workers.update(json.loads(response.data))
+        return workers
+
+
+def start_upstreams(running, loaded):
+    """Starts one stand-in process for each zone.
+
+    Returns:
+      The control addresses.
+    """
+    means = {service.service_id: service.mean_ms for service in loaded.services}
+    controls = []
+    started = []
+    for index, zone in enumerate(loaded.zones):
+        controls.append((f"127.0.4.{index + 1}", 7200))
+        lines = ["[control]", f"address = {controls[-1][0]}", f"port = {controls[-1][1]}"]
+        for upstream in loaded.upstreams:
+            if upstream.zone_id == zone.zone_id:
+                lines += [
+                    f"[worker {upstream.upstream_id}]",
+                    f"address = {upstream.address}",
+                    f"port = {upstream.port}",
+                    f"service = {upstream.service_id}",
+                    f"slots = {upstream.slots}",
+                    f"mean_ms = {means[upstream.service_id]}",
+                    "distribution = exponential",
+                ]
+        path = running.directory / f"upstreams-{zone.zone_id}.ini"
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        name = f"upstreams-{zone.zone_id}"
+        started.append(running.start_module(name, "standins.upstream", "--settings", str(path)))
+    for process in started:
+        process.wait_until_ready()
+    return controls
+
+
+def run_console(running, *arguments):
+    """Runs the operators' command line against the first host and returns its output.
+
+    Raises:
+      RuntimeError: If the command fails.
+    """
+    settings_path = running.find_settings(running.configuration.hosts[0].host_id)
+    command = [sys.executable, "-c", "from skylarksill import programs; programs.run_console()"]
+    command += [*arguments, f"--settings={settings_path}", "--no-interaction"]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+    if result.returncode:
+        raise RuntimeError(f"{' '.join(arguments)}: {result.stdout}{result.stderr}")
+    return result.stdout
+
+
+def wait_for_service(loaded):
+    """Waits until every look-up process answers for every service.
+
+    Raises:
+      RuntimeError: If one does not within 20 s.
+    """
+    pool = urllib3.PoolManager(retries=False)
+    deadline = time.monotonic() + 20.0
+    for host, service in itertools.product(loaded.hosts, loaded.services):
+        url = f"http://{host.address}:{host.lookup_port}/v1/lookup?service={service.service_id}"
+        while pool.request("GET", url, timeout=2.0).status != 200:
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"no look-up of {service.service_id} at {host.host_id}")
+            time.sleep(0.1)
+
+
+def make_clients(loaded):
+    """Returns clients in all zones, each with the look-ups of its own zone first."""
+    prefixes = {block.zone_id: block.prefix for block in reversed(loaded.blocks)}
+    regions = {zone.zone_id: zone.region_id for zone in loaded.zones}
+    clients = []
+    for zone_id, prefix in sorted(prefixes.items()):
+        hosts = sorted(
+            loaded.hosts,
+            key=lambda host: (host.zone_id != zone_id, regions[host.zone_id] != regions[zone_id]),
+        )
+        lookups = [(host.address, host.lookup_port) for host in hosts]
+        network = prefix.split("/")[0].rpartition(".")[0]
+        clients += [
+            client.Client(lookups, f"{network}.{number + 1}") for number in range(CLIENTS_PER_ZONE)
+        ]
+    return clients
+
+
+def send_work(sender, services, seed, end, results):
+    """Sends work to the services in random order until ``end``."""
+    generator = random.Random(seed)
+    for number in itertools.count():
+        if time.monotonic() > end:
+            return
+        service = generator.choice(services)
+        is_idempotent = service.kind is records.WorkKind.IDEMPOTENT
+        work_id = f"w-{seed}-{number}"
+        path = f"/items/{work_id}"
+        body = b"" if is_idempotent else json.dumps({"work_id": work_id}).encode()
+        method = "GET" if is_idempotent else "POST"
+        headers = {"Work-Id": work_id}
+        outcome = sender.send(service.service_id, method, path, body, is_idempotent, headers)
+        results.append(Sent(work_id, path, body, is_idempotent, outcome))
+        time.sleep(generator.uniform(0, 2 * PAUSE_S))
+
+
+def is_own_answer(sent):
+    """Tells whether an answer belongs to its request."""
+    try:
+        echo = json.loads(sent.outcome.body)
+    except ValueError:
+        return False
+    digest = hashlib.sha256(sent.body).hexdigest()
+    own = (sent.work_id, digest)
+    return (echo.get("work_id"), echo.get("body_sha256")) == own and sent.path in echo["path"]
+
+
+def is_answered(sent):
+    """Tells whether the client got the upstream's answer."""
+    return sent.outcome.verdict == "RAN" and sent.outcome.status == 200
+
+
+def count_totals(results, workers, loaded, killed_host):
+    """Counts the figures of the closing line from answers and from the workers' records."""
+    runs = collections.Counter()
+    for worker in workers.values():
+        runs.update(worker["work"])
+    verdicts = collections.Counter(sent.outcome.verdict for sent in results)
+    wrong = sum(is_answered(sent) and not is_own_answer(sent) for sent in results)
+    false_not_run = sum(
+        sent.outcome.verdict == "NOT_RUN" and not sent.is_idempotent and runs[sent.work_id] > 0
+        for sent in results
+    )
+    kinds = {service.service_id: service.kind for service in loaded.services}
+    cut_off = sum(
+        workers[upstream.upstream_id]["counts"].get("begun", 0)
+        - workers[upstream.upstream_id]["counts"].get("ended", 0)
+        for upstream in loaded.upstreams
+        if kinds[upstream.service_id] is records.WorkKind.NON_IDEMPOTENT
+        and killed_host not in (upstream.home, upstream.standby)
+    )
+    return {
+        "sent": len(results),
+        "answered": sum(is_answered(sent) for sent in results),
+        "not_run": verdicts["NOT_RUN"],
+        "may_have_run": verdicts["MAY_HAVE_RUN"],
+        "wrong": wrong + false_not_run,
+        "repeated": sum(not sent.is_idempotent and runs[sent.work_id] > 1 for sent in results),
+        "over_limit": sum(
+            workers[upstream.upstream_id]["over_slots"]
+            + (workers[upstream.upstream_id]["max_connections"] > upstream.max_connections)
+            for upstream in loaded.upstreams
+        ),
+        "cut_off": cut_off,
+    }
+
+
+def sample_headroom(control, loaded, end, samples):
+    """Samples the share of free slots of each service from the workers' records until ``end``."""
+    while time.monotonic() < end:
+        workers = control.read_records()
+        for service in loaded.services:
+            own = [item for item in loaded.upstreams if item.service_id == service.service_id]
+            slots = sum(upstream.slots for upstream in own)
+            busy = sum(workers[upstream.upstream_id]["in_flight"] for upstream in own)
+            samples[service.service_id].append(1 - busy / slots)
+        time.sleep(0.25)
+
+
+def print_table(results, samples, loaded):
+    """Prints one line for each service."""
+    print(f"{'service':<12}{'sent':>7}{'answered':>10}{'p50 ms':>9}{'p99 ms':>9}{'headroom':>10}")
+    for service in loaded.services:
+        own = [sent for sent in results if sent.outcome.service == service.service_id]
+        times = [1000 * sent.outcome.latency_s for sent in own if is_answered(sent)]
+        headroom = min(samples[service.service_id], default=1.0)
+        print(
+            f"{service.service_id:<12}{len(own):>7}{len(times):>10}"
+            f"{queue_model.compute_percentile(times, 50):>9.0f}"
+            f"{queue_model.compute_percentile(times, 99):>9.0f}{headroom:>10.0%}"
+        )
+
+
+def print_failures(results):
+    """Prints how often each kind of failure was the last word to a client."""
+    reasons = collections.Counter()
+    for sent in results:
+        if not is_answered(sent):
+            reasons[(sent.outcome.service, sent.outcome.verdict, read_reason(sent))] += 1
+    for (service, verdict, reason), count in sorted(reasons.items(), key=str):
+        print(f"not answered: {service} {verdict} {reason} {count}")
+
+
+def read_reason(sent):
+    """Returns the reason of an error answer, or its status."""
+    try:
+        return json.loads(sent.outcome.body).get("reason", sent.outcome.status)
+    except (ValueError, AttributeError):
+        return sent.outcome.status
+
+
+def choose_targets(loaded):
+    """Returns the upstream to drain and the host to kill; they share no host."""
+    kinds = {service.service_id: service.kind for service in loaded.services}
+    zones = [host.zone_id for host in loaded.hosts]
+    killed = next(host for host in reversed(loaded.hosts) if zones.count(host.zone_id) == 1)
+    drained = next(
+        upstream
+        for upstream in loaded.upstreams
+        if kinds[upstream.service_id] is records.WorkKind.NON_IDEMPOTENT
+        and killed.host_id not in (upstream.home, upstream.standby)
+    )
+    return drained.upstream_id, killed.host_id
+
+
+def apply_load(running, loaded, control, drained, killed):
+    """Sends work from all clients while the upstream drains and the host is killed.
+
+    Returns:
+      The Sent records and the samples of headroom by service.
+    """
+    results = []
+    samples = collections.defaultdict(list)
+    start = time.monotonic()
+    end = start + LOAD_S
+    threads = [
+        threading.Thread(
+            target=send_work, args=(sender, loaded.services, SEED + index, end, results)
+        )
+        for index, sender in enumerate(make_clients(loaded))
+    ]
+    threads.append(threading.Thread(target=sample_headroom, args=(control, loaded, end, samples)))
+    for thread in threads:
+        thread.start()
+    time.sleep(max(0.0, start + DRAIN_AT_S - time.monotonic()))
+    run_console(running, "drain", "upstream", drained, "--yes")
+    print(f"{time.monotonic() - start:4.1f} s: drain of {drained} accepted")
+    time.sleep(max(0.0, start + KILL_AT_S - time.monotonic()))
+    running.signal_host(killed, signal.SIGKILL)
+    print(f"{time.monotonic() - start:4.1f} s: all programs of {killed} killed")
+    for thread in threads:
+        thread.join()
+    return results, samples
+
+
+def run_demo(name, directory):
+    """Runs the demo of one deployment.
+
+    Returns:
+      True if nothing was wrong, repeated, over a limit or cut off, and enough was answered.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    path = directory / "configuration.ini"
+    shutil.copy(f"examples/{name}-configuration.ini", path)
+    loaded, problems = configuration.parse_configuration(path.read_text(encoding="utf-8"))
+    if problems:
+        raise ValueError(str(problems[0]))
+    drained, killed = choose_targets(loaded)
+    with deployment.Deployment(loaded, directory) as running:
+        address = ":".join(map(str, deployment.PLATFORM_ADDRESS))
+        platform = running.start_module("platform", "standins.platform", "--address", address)
+        platform.wait_until_ready()
+        control = UpstreamControl(start_upstreams(running, loaded))
+        running.start_all_hosts()
+        run_console(running, "apply", str(path))
+        wait_for_service(loaded)
+        print(f"{len(running.list_processes())} processes serve {name}")
+        results, samples = apply_load(running, loaded, control, drained, killed)
+        time.sleep(SETTLE_S)
+        workers = control.read_records()
+    print_table(results, samples, loaded)
+    print_failures(results)
+    totals = count_totals(results, workers, loaded, killed)
+    print("demo: " + " ".join(f"{key}={value}" for key, value in totals.items()))
+    idempotent = [sent for sent in results if sent.is_idempotent]
+    answered = sum(is_answered(sent) for sent in idempotent)
+    is_clean = not any(totals[key] for key in ("wrong", "repeated", "over_limit", "cut_off"))
+    return is_clean and answered >= MIN_ANSWERED_SHARE * len(idempotent)
+
+
+def main():
+    """Runs the demo; exits with 1 if it failed."""
+    parser = argparse.ArgumentParser(prog="bench.demo")
+    parser.add_argument("--deployment", choices=("cedarwake", "riunita"), default="cedarwake")
+    name = parser.parse_args().deployment
+    sys.exit(0 if run_demo(name, pathlib.Path("out") / f"demo-{name}") else 1)
+
+
+if __name__ == "__main__":
+    main()
