Read successive generations without parsing unchanged shards again

Change: ShardReader keeps the parts of the last generation and checks only the new shards and the order of the ranges; without blocks it keeps none of them. Block shards are named by their first address. Shards are in order when sorted by name, as agents sort them.

Ruled out: parsing core shards together as before, because one changed host would have cost the parsing of all sections.

Conclusion: agent and viewer should use ShardReader in place of join_shards.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -108,3 +108,38 @@
       | south  | 0        | [shift s-0] percent: must be 1 to 100, is 0                |
       | north  | 10       | [shift s-0] target: must be another region                 |
       | east   | 10       | [shift s-0] target: east is not configured                 |
+
+  Scenario Outline: A reader of successive generations needs only the shards that are new
+    Given a configuration with 9000 client blocks and <hosts> hosts per zone
+    When a reader has read it
+    And <change>
+    Then the reader needs one text to read the same configuration as a whole join
+
+    Examples:
+      | hosts | change                 |
+      | 1     | a block goes to a zone |
+      | 1     | a block is added       |
+      | 250   | an upstream is leaving |
+
+  Scenario Outline: A reader finds what the whole check finds
+    Given a configuration with 30 client blocks and 1 hosts per zone
+    When a reader has read it
+    And its shards are changed: <change>
+    Then the reader and the whole check refuse them
+
+    Examples:
+      | change                                        |
+      | blocks "= north-a" becomes "= west"           |
+      | blocks "0.0/24" becomes "0.1/24"              |
+      | blocks a line stands twice                    |
+      | core "home = host-0" becomes "home = host-1"  |
+      | core "[deployment]" becomes "[region middle]" |
+
+  Scenario: A reader without blocks checks them all the same
+    Given a configuration with 9000 client blocks and 1 hosts per zone
+    Then a reader without blocks reads it without them, and refuses an unknown zone in them
+
+  Scenario: Shards whose ranges overlap are refused
+    Given a configuration with 30 client blocks and 1 hosts per zone
+    When a second shard holds one of its blocks again
+    Then the reader refuses it with "overlaps the shard before it"
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -177,3 +177,78 @@
     head, problems = configuration.parse_head(context.head_text)
     assert head is None
     assert str(problems[0]).startswith(problem), problems
+
+
+def rename(head, texts, name, text):
+    """Replaces or adds a shard."""
+    digest = configuration.compute_digest(text)
+    shards = {**dict(head.shards), name: digest}
+    return dataclasses.replace(head, shards=tuple(shards.items())), {**texts, digest: text}
+
+
+def change_shard(context, kind, change):
+    head, texts = split(context)
+    name, digest = next(pair for pair in head.shards if pair[0].startswith(kind))
+    return rename(head, texts, name, change(texts[digest]))
+
+
+@when("a reader has read it")
+def step_reader(context):
+    context.reader = configuration.ShardReader()
+    assert context.reader.read(*split(context)) == (context.configuration, ())
+
+
+@when('its shards are changed: {kind} "{old}" becomes "{new}"')
+def step_change_shard(context, kind, old, new):
+    context.head, context.texts = change_shard(
+        context, kind, lambda text: text.replace(old, new, 1)
+    )
+
+
+@when("its shards are changed: {kind} a line stands twice")
+def step_repeat_line(context, kind):
+    context.head, context.texts = change_shard(
+        context, kind, lambda text: text + text.splitlines(keepends=True)[-1]
+    )
+
+
+@when("a second shard holds one of its blocks again")
+def step_overlap(context):
+    head, texts = split(context)
+    line = next(text for text in texts.values() if "[" not in text).splitlines()[0]
+    context.head, context.texts = rename(head, texts, "blocks-4-ff", line + "\n")
+    context.reader = configuration.ShardReader()
+
+
+@then("the reader needs one text to read the same configuration as a whole join")
+def step_reader_same(context):
+    before = context.before[1]
+    head, texts = split(context)
+    new = {digest: text for digest, text in texts.items() if digest not in before}
+    assert len(new) == 1
+    joined = configuration.join_shards(head, texts)
+    assert context.reader.read(head, new) == joined and not joined[1]
+
+
+@then("the reader and the whole check refuse them")
+def step_both_refuse(context):
+    joined, problems = configuration.join_shards(context.head, context.texts)
+    assert problems or configuration.check_configuration(joined)
+    joined, problems = context.reader.read(context.head, context.texts)
+    assert joined is None and problems
+
+
+@then("a reader without blocks reads it without them, and refuses an unknown zone in them")
+def step_reader_without(context):
+    reader = configuration.ShardReader(has_blocks=False)
+    expected = dataclasses.replace(context.configuration, blocks=())
+    assert reader.read(*split(context)) == (expected, ())
+    head, texts = change_shard(context, "blocks", lambda text: text.replace("north-a", "west"))
+    joined, problems = reader.read(head, texts)
+    assert joined is None and "west is not configured" in problems[0].reason, problems
+
+
+@then('the reader refuses it with "{reason}"')
+def step_reader_refuses(context, reason):
+    joined, problems = context.reader.read(context.head, context.texts)
+    assert joined is None and problems[0].reason == reason, problems
--- a/skylarksill/_configcheck.py
+++ b/skylarksill/_configcheck.py
@@ -33,6 +33,11 @@
     Returns:
       A tuple of Problems; empty if the configuration is usable.
     """
+    return check_records(configuration) + tuple(_check_blocks(configuration))
+
+
+def check_records(configuration):
+    """Does the same as ``check_configuration``, except for the client blocks."""
     checks = (
         _check_deployment,
         _check_names,
@@ -41,7 +46,6 @@
         _check_addresses,
         _check_owners,
         _check_shifts,
-        _check_blocks,
     )
     return tuple(problem for check in checks for problem in check(configuration))
 
--- a/skylarksill/_configshards.py
+++ b/skylarksill/_configshards.py
@@ -1,8 +1,9 @@
 """Splitting a configuration into shards and joining them.
 
-Sections are cut into shards ``core`` (and ``core-NNN`` past 64 KiB) and blocks into
-``blocks-NNN``. Each cut depends only on what is near it, so that a change of one record changes
-one shard, whose digest alone has to be fetched by the hosts.
+Sections are cut into shards ``core`` (and ``core-NNN`` past 64 KiB) and blocks into ``blocks-F-X``,
+where F is 4 or 6 and X the first address of the shard's range in hexadecimal without trailing
+zeros. Each cut depends only on what is near it, so that a change of one record changes one shard,
+which alone has to be fetched by the hosts. Shards are in order when sorted by name.
 """
 
 import bisect
@@ -19,6 +20,7 @@
 MAX_SINGLE_CORE_BYTES = 64 * 1024
 # A section whose name hashes to zero ends a shard; one in 64 does, for about 12 KiB per shard.
 SECTIONS_PER_CORE_SHARD = 64
+BLOCKS_PREFIX = "blocks-"
 
 
 def compute_digest(text):
@@ -37,8 +39,7 @@
     Raises:
       ValueError: If a section is longer than a shard, or a block has no valid prefix.
     """
-    texts = _name_texts("core", _split_core(configuration))
-    texts += _name_texts("blocks", _split_blocks(configuration.blocks))
+    texts = _split_core(configuration) + _split_blocks(configuration.blocks)
     named = [(name, compute_digest(text), text) for name, text in texts]
     head = records.ConfigurationHead(
         configuration.generation, "", tuple((name, digest) for name, digest, _ in named)
@@ -56,14 +57,15 @@
       A pair of Configuration, or None if there are problems, and a tuple of Problems. Blocks are
       in order of address.
     """
-    problems = _find_wrong_shards(head, texts)
+    problems = find_wrong_shards(head, texts)
     if problems:
         return None, tuple(problems)
-    core = "".join([texts[digest] for name, digest in head.shards if not _is_blocks(name)])
+    shards = sorted(head.shards)
+    core = "".join([texts[digest] for name, digest in shards if not is_blocks(name)])
     deployment, values, problems = _configtext.parse_core(core)
     blocks = []
-    for name, digest in head.shards:
-        if _is_blocks(name):
+    for name, digest in shards:
+        if is_blocks(name):
             more_blocks, more_problems = _configtext.parse_blocks(texts[digest])
             blocks += more_blocks
             problems += more_problems
@@ -74,21 +76,17 @@
 
 def select_core(head):
     """Returns the head without the shards of client blocks."""
-    shards = tuple(pair for pair in head.shards if not _is_blocks(pair[0]))
+    shards = tuple(pair for pair in head.shards if not is_blocks(pair[0]))
     return dataclasses.replace(head, shards=shards)
 
 
-def _is_blocks(name):
-    return name.startswith("blocks-")
-
-
-def _name_texts(kind, texts):
-    if kind == "core":
-        return [("core" if not index else f"core-{index:03}", t) for index, t in enumerate(texts)]
-    return [(f"{kind}-{index:03}", text) for index, text in enumerate(texts)]
+def is_blocks(name):
+    """Says whether a shard of this name holds client blocks."""
+    return name.startswith(BLOCKS_PREFIX)
 
 
-def _find_wrong_shards(head, texts):
+def find_wrong_shards(head, texts):
+    """Finds shards of a head that are missing, too long or do not match their digest."""
     problems = []
     for name, digest in head.shards:
         text = texts.get(digest)
@@ -106,8 +104,9 @@
     head = f"[deployment]\nname = {configuration.deployment}\n"
     whole = head + "".join([text for _, text in sections])
     if len(whole.encode()) <= MAX_SINGLE_CORE_BYTES:
-        return [whole]
-    return _cut_sections(head, sections)
+        return [("core", whole)]
+    cuts = _cut_sections(head, sections)
+    return [(f"core-{index:03}" if index else "core", text) for index, text in enumerate(cuts)]
 
 
 def _cut_sections(head, sections):
@@ -138,7 +137,15 @@
         start = bisect.bisect_left(keys, (bits, 0, 0))
         end = bisect.bisect_left(keys, (bits + 1, 0, 0))
         _cut_range(keys, start, end, bits, 0, bits, cuts)
-    return [_configtext.format_blocks(lines[start:end]) for start, end in cuts]
+    return [
+        (_name_blocks(bits, address), _configtext.format_blocks(lines[start:end]))
+        for bits, address, start, end in cuts
+    ]
+
+
+def _name_blocks(bits, address):
+    digits = f"{address:0{bits // 4}x}".rstrip("0")
+    return f"{BLOCKS_PREFIX}{4 if bits == 32 else 6}-{digits or '0'}"
 
 
 def _key(item):
@@ -154,7 +161,7 @@
     if start == end:
         return
     if end - start <= MAX_BLOCKS_PER_SHARD or not free_bits:
-        cuts.append((start, end))
+        cuts.append((bits, first_address, start, end))
         return
     middle_address = first_address + (1 << (free_bits - 1))
     middle = bisect.bisect_left(keys, (bits, middle_address, 0), start, end)
--- a/skylarksill/_configtext.py
+++ b/skylarksill/_configtext.py
@@ -149,18 +149,22 @@
     return records.Configuration(deployment, generation, blocks=blocks, **values), ()
 
 
-def parse_core(text):
+def parse_core(text, is_whole=True):
     """Parses sections without generation and blocks, as shards hold them.
 
     Args:
       text: Text of the sections.
+      is_whole: False if the section of the deployment may stand in another text.
     Returns:
       A tuple of deployment, record tuples by field of Configuration and a list of Problems.
     """
     parser, problems = _read_sections(text)
     if parser is None:
         return "", {}, problems
-    deployment, _, problems = _parse_deployment(parser)
+    problems = []
+    deployment = ""
+    if is_whole or parser.has_section("deployment"):
+        deployment, _, problems = _parse_deployment(parser)
     values, more_problems = _parse_sections(parser)
     return deployment, values, problems + more_problems
 
--- a/skylarksill/configuration.py
+++ b/skylarksill/configuration.py
@@ -4,7 +4,7 @@
 force.
 """
 
-from skylarksill import _configcheck, _configdiff, _configshards, _configtext
+from skylarksill import _configcheck, _configdiff, _configshards, _configtext, _shardreader
 
 MAX_SHARD_BYTES = _configshards.MAX_SHARD_BYTES
 
@@ -16,6 +16,7 @@
 parse_configuration = _configtext.parse_configuration
 check_configuration = _configcheck.check_configuration
 split_shards = _configshards.split_shards
+ShardReader = _shardreader.ShardReader
 join_shards = _configshards.join_shards
 format_head = _configtext.format_head
 parse_head = _configtext.parse_head
