Add the dispatch daemon

Cause: entry processes need a process that owns the slots of an upstream, and non-idempotent requests need a home and an arbiter for their tickets.

Ruled out: passing the generation that an agent shows as accepted straight to new work after a pause. A process that was stopped may hold slots that have moved since, so it sends nothing until its agent has answered again, or for 1 s.

Change: DispatchDaemon serves dispatch, claim, record, revoke, lend and load. Only a refused connection counts as a failed probe.

--- a/skylarksill/_dispatchevents.py
+++ b/skylarksill/_dispatchevents.py
@@ -27,7 +27,8 @@
 
     ``has_died`` says that the upstream closed the connection while it ran the request. ``is_over``
     says that the upstream cannot be running it any more; else its slot stays occupied until the
-    deadline has passed. ``is_unreachable`` says that no connection could be opened. Each Send ends with one Answered or SendFailed, also after CancelSend.
+    deadline has passed. ``is_unreachable`` says that no connection could be opened. Each Send ends
+    with one Answered or SendFailed, also after CancelSend.
     """
 
     send_id: int
@@ -204,3 +205,4 @@
     service: records.ServiceId
     target: str
     waited_ms: int
+    is_long: bool
--- /dev/null
+++ b/skylarksill/_dispatchpeers.py
@@ -0,0 +1,223 @@
+"""What a dispatcher exchanges with its agent, other dispatchers and the health of upstreams."""
+
+import collections
+
+import eventlet
+
+from skylarksill import dispatching, loans, messages, records, rpc, suspects, upstreams
+
+VIEW_INTERVAL_S = 0.2
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+LOAN_TIMEOUT_S = 0.45
+MAX_LOAD_AGE_MS = 2_000
+HEALTH_PATH = "/health"
+HOST_LIST_SOURCE = "host list"
+PROBE_SOURCE = "answer"
+
+_GONE = records.Generation(2**62)
+
+
+class PeerLinks:
+    """Connections to other dispatchers and loops that keep the core informed.
+
+    Args:
+      settings: The host's Settings.
+      identity: The rpc.Identity of this dispatcher.
+      clock: A clock with ``monotonic()``.
+      runner: The Runner that drives the core.
+      view_source: The viewer.Viewer or an object with its attributes.
+    """
+
+    def __init__(self, settings, identity, clock, runner, view_source):
+        self._settings = settings
+        self._identity = identity
+        self._clock = clock
+        self._runner = runner
+        self._viewer = view_source
+        self._clients = {}
+        self._threads = []
+        self._leaving = set()
+        self._cleared = collections.OrderedDict()
+        self._probe_client = upstreams.UpstreamClient()
+        self._probing = set()
+
+    def start(self):
+        """Starts the loops."""
+        loops = (
+            (self._pass_view, VIEW_INTERVAL_S),
+            (self._ask_loans, loans.LOAN_RENEWAL_S),
+            (self._probe_upstreams, PROBE_INTERVAL_S),
+        )
+        self._threads = [eventlet.spawn(_repeat, step, pause_s) for step, pause_s in loops]
+
+    def stop(self):
+        """Stops the loops and closes the connections."""
+        for thread in self._threads:
+            thread.kill()
+        for client in self._clients.values():
+            client.close()
+        self._probe_client.close()
+
+    def call_host(self, host_id, method, message, timeout_s):
+        """Calls a method of the dispatcher of another host.
+
+        Returns:
+          The body of the answer.
+        Raises:
+          rpc.RpcError: If the call failed.
+        """
+        client = self._find_client(host_id)
+        if client is None:
+            raise rpc.CallNotSentError(f"host {host_id} is not in the configuration")
+        return client.call(method, messages.encode_message(message), timeout_s)
+
+    def forward(self, action):
+        """Runs a Forward at the sibling dispatcher and returns a ForwardEnded."""
+        request = action.request
+        timeout_s = max(0.001, action.deadline - self._clock.monotonic())
+        try:
+            body = self.call_host(
+                action.host, "dispatch", messages.DispatchCall(request), timeout_s
+            )
+            result = messages.decode_message(messages.DispatchResult, body)
+        except records.SkylarksillError as error:
+            refusal = records.Refusal(error.verdict, "sibling_lost", str(error))
+            return dispatching.ForwardEnded(request.request_id, None, refusal)
+        return dispatching.ForwardEnded(
+            request.request_id, result.answer, result.refusal, result.upstream
+        )
+
+    def report_suspect(self, entry):
+        """Passes a suspect or its clearance to the agent at once."""
+        self._cleared.pop(entry.fingerprint, None)
+        if entry.deaths == 0:
+            self._cleared[entry.fingerprint] = self._clock.monotonic() + suspects.SUSPECT_S
+        self._viewer.poll_soon()
+
+    def list_suspects(self):
+        """Returns the SuspectEntry records to report, with clearances as 0 deaths."""
+        now = self._clock.monotonic()
+        while self._cleared and next(iter(self._cleared.values())) <= now:
+            self._cleared.popitem(last=False)
+        cleared = tuple(
+            messages.SuspectEntry(fingerprint, 0, int(1000 * (until - now)))
+            for fingerprint, until in self._cleared.items()
+        )
+        return self._runner.core.list_suspects(now) + cleared
+
+    def _find_client(self, host_id):
+        configuration = self._viewer.configuration
+        host = None
+        if configuration is not None:
+            host = next((item for item in configuration.hosts if item.host_id == host_id), None)
+        if host is None:
+            return None
+        address = (host.address, host.dispatch_port)
+        client = self._clients.get(host_id)
+        if client is None or client.address != address:
+            if client is not None:
+                client.close()
+            client = rpc.RpcClient(address, self._settings.shared_key, self._identity)
+            self._clients[host_id] = client
+        return client
+
+    def _pass_view(self):
+        view, configuration = self._viewer.view, self._viewer.configuration
+        if view is None or configuration is None:
+            return
+        accepted = tuple((peer.entry.host, _read_generation(peer.entry)) for peer in view.peers)
+        siblings = _find_siblings(
+            configuration, view, self._viewer.load_offset_ms, self._settings.host
+        )
+        self._runner.apply(dispatching.PeersSeen(accepted, siblings, view.suspects))
+        leaving = set(view.leaving_upstreams)
+        for upstream in leaving ^ self._leaving:
+            self._runner.apply(
+                dispatching.UpstreamLeaving(upstream, HOST_LIST_SOURCE, upstream in leaving)
+            )
+        self._leaving = leaving
+
+    def _ask_loans(self):
+        for host_id, upstream_ids in self._runner.core.list_loans_to_ask().items():
+            eventlet.spawn_n(self._ask_loan, host_id, tuple(upstream_ids))
+
+    def _ask_loan(self, host_id, upstream_ids):
+        asked_at = self._clock.monotonic()
+        call = messages.LendCall(upstream_ids, self._settings.host, self._identity.incarnation)
+        try:
+            body = self.call_host(host_id, "lend", call, LOAN_TIMEOUT_S)
+            result = messages.decode_message(messages.LendResult, body)
+        except records.SkylarksillError:
+            return
+        self._runner.apply(
+            dispatching.LoanGranted(result.upstreams, asked_at, result.duration_ms / 1000)
+        )
+
+    def _probe_upstreams(self):
+        configuration = self._viewer.configuration
+        for upstream in configuration.upstreams if configuration else ():
+            is_own = self._settings.host in (upstream.home, upstream.standby)
+            if is_own and upstream.upstream_id not in self._probing:
+                self._probing.add(upstream.upstream_id)
+                eventlet.spawn_n(self._probe, upstream)
+
+    def _probe(self, upstream):
+        request = records.Request(
+            "probe", upstream.service_id, "GET", HEALTH_PATH, (), b"", "", None, "", 0
+        )
+        deadline_ms = 1000 * (self._clock.unix() + PROBE_TIMEOUT_S)
+        try:
+            outcome = self._probe_client.send(
+                upstream, request, deadline_ms, PROBE_TIMEOUT_S, lambda: True
+            )
+        finally:
+            self._probing.discard(upstream.upstream_id)
+        for core_event in _judge_probe(upstream.upstream_id, outcome):
+            self._runner.apply(core_event)
+
+
+def _judge_probe(upstream_id, outcome):
+    """Returns the events of a probe; only a refused connection counts as a failure.
+
+    Health endpoints mislead, so that a bad status or a late answer says nothing.
+    """
+    match outcome:
+        case upstreams.Answered(answer=answer, is_leaving=is_leaving) if answer.status < 500:
+            yield dispatching.UpstreamLeaving(upstream_id, PROBE_SOURCE, is_leaving)
+            yield dispatching.UpstreamProbed(upstream_id, True)
+        case upstreams.Answered(is_leaving=True) | upstreams.Failed(is_leaving=True):
+            yield dispatching.UpstreamLeaving(upstream_id, PROBE_SOURCE, True)
+        case upstreams.Failed(reason="connect_failed"):
+            yield dispatching.UpstreamProbed(upstream_id, False)
+
+
+def _read_generation(entry):
+    is_gone = entry.state is records.LifeState.DRAINED
+    return _GONE if is_gone else entry.generation
+
+
+def _find_siblings(configuration, view, offset_ms, own_host):
+    """Returns the free slots of the other live dispatchers of the region."""
+    regions = {zone.zone_id: zone.region_id for zone in configuration.zones}
+    hosts = {host.host_id: regions.get(host.zone_id) for host in configuration.hosts}
+    serving = {
+        peer.entry.host
+        for peer in view.peers
+        if peer.is_alive and peer.entry.state is records.LifeState.SERVING
+    }
+    own_region = hosts.get(own_host)
+    return tuple(
+        dispatching.SiblingLoad(load.host, load.service, load.free)
+        for load in view.loads
+        if load.host != own_host
+        and load.host in serving
+        and hosts.get(load.host) == own_region
+        and load.age_ms + offset_ms <= MAX_LOAD_AGE_MS
+    )
+
+
+def _repeat(step, pause_s):
+    while True:
+        step()
+        eventlet.sleep(pause_s)
--- /dev/null
+++ b/skylarksill/_dispatchrunner.py
@@ -0,0 +1,232 @@
+"""Drives the dispatcher's core: carries out its actions and passes the outcomes back."""
+
+import dataclasses
+import itertools
+
+import eventlet
+from eventlet import event
+
+from skylarksill import dispatching, logs, messages, records, upstreams
+
+TICK_S = 0.01
+# A longer gap between two ticks means that the process was paused.
+MAX_TICK_GAP_S = 0.5
+METRIC_INTERVAL_S = 1.0
+
+
+class Runner:
+    """Owns the Dispatcher and the sends that are in progress.
+
+    Args:
+      core: The dispatching.Dispatcher.
+      clock: A clock with ``monotonic()`` and ``unix()``.
+      metrics: A metrics.Metrics.
+      log_level: Lowest level that is logged.
+
+    Attributes:
+      core: The Dispatcher.
+      client: The UpstreamClient.
+      forward: Function of a Forward that returns a ForwardEnded; set by the owner.
+      report_suspect: Function of a messages.SuspectEntry; set by the owner.
+      is_confirmed: Function of a time that returns True if the host's view is newer than it.
+    """
+
+    def __init__(self, core, clock, metrics, log_level="INFO"):
+        self.core = core
+        self.client = upstreams.UpstreamClient()
+        self.forward = None
+        self.report_suspect = lambda entry: None
+        self.is_confirmed = lambda since: True
+        self._clock = clock
+        self._metrics = metrics
+        self._log = logs.make_logger("dispatch")
+        self._logs_decisions = log_level in ("DEBUG", "INFO")
+        self._call_ids = itertools.count(1)
+        self._waiting = {}
+        self._sendings = {}
+        self._forwards = {}
+        self._last_tick = clock.monotonic()
+        self._paused_until = None
+        self._ticker = None
+
+    def start(self):
+        """Starts the timer of the core."""
+        self._last_tick = self._clock.monotonic()
+        self._ticker = eventlet.spawn(self._tick)
+
+    def stop(self):
+        """Stops the timer and closes idle connections."""
+        self._ticker.kill()
+        self.client.close()
+
+    @property
+    def request_count(self):
+        """Number of requests that wait for their outcome."""
+        return len(self._waiting)
+
+    def list_requests(self):
+        """Returns the ids of the requests that wait for their outcome."""
+        return tuple(self._waiting)
+
+    def run(self, request, context=None):
+        """Runs a request and waits for its outcome.
+
+        Args:
+          request: The records.Request.
+          context: The rpc.CallContext whose cancellation cancels the request, or None.
+        Returns:
+          A messages.DispatchResult.
+        """
+        if request.request_id in self._waiting:
+            # The same request may arrive twice, for example from two entry processes.
+            request_id = f"{request.request_id}.{next(self._call_ids)}"
+            request = dataclasses.replace(request, request_id=request_id)
+        result = event.Event()
+        self._waiting[request.request_id] = result
+        started = self._clock.monotonic()
+        self.apply(dispatching.Arrived(request))
+        if context is not None:
+            context.on_cancel(lambda: self.apply(dispatching.Cancelled(request.request_id)))
+        outcome = result.wait()
+        self._metrics.time("latency", 1000 * (self._clock.monotonic() - started))
+        self._metrics.count(f"verdict.{outcome.verdict.value}")
+        return outcome
+
+    def apply(self, core_event):
+        """Passes an event to the core and carries out the actions.
+
+        Returns:
+          The GrantLoan of a LoanAsked, else None.
+        """
+        granted = None
+        for action in self.core.handle(core_event, self._clock.monotonic()):
+            if isinstance(action, dispatching.GrantLoan):
+                granted = action
+            else:
+                self._carry_out(action)
+        return granted
+
+    def _carry_out(self, action):
+        match action:
+            case dispatching.Send():
+                sending = self._sendings[action.send_id] = upstreams.Sending()
+                eventlet.spawn_n(self._send, action, sending)
+            case dispatching.CancelSend():
+                if action.send_id in self._sendings:
+                    self._sendings[action.send_id].cancel()
+            case dispatching.Reply():
+                self._finish(
+                    action.request_id,
+                    messages.DispatchResult(
+                        records.Verdict.RAN, action.answer, None, action.upstream
+                    ),
+                )
+            case dispatching.Refuse():
+                refusal = action.refusal
+                self._finish(
+                    action.request_id, messages.DispatchResult(refusal.verdict, None, refusal)
+                )
+            case dispatching.Forward():
+                self._forwards[action.request.request_id] = eventlet.spawn(
+                    self._run_forward, action
+                )
+            case dispatching.CancelForward():
+                thread = self._forwards.pop(action.request_id, None)
+                if thread is not None:
+                    thread.kill()
+            case dispatching.ReportSuspect():
+                self.report_suspect(action.entry)
+            case dispatching.LogDecision():
+                self._log_decision(action)
+
+    def _finish(self, request_id, result):
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            waiting.send(result)
+
+    def _send(self, action, sending):
+        now = self._clock.monotonic()
+        deadline_unix_ms = 1000 * (self._clock.unix() + action.deadline - now)
+        timeout_s = max(0.0, action.deadline - now) + records.CLOCK_SKEW_S
+        try:
+            outcome = self.client.send(
+                action.upstream,
+                action.request,
+                deadline_unix_ms,
+                timeout_s,
+                lambda: self._may_send(action.send_id),
+                sending,
+            )
+        except Exception:
+            self._log.exception("send {} failed", action.send_id)
+            verdict = records.Verdict.MAY_HAVE_RUN
+            outcome = upstreams.Failed(verdict, "internal_error", is_over=False)
+        self._sendings.pop(action.send_id, None)
+        self.apply(_make_event(action.send_id, outcome))
+
+    def _may_send(self, send_id):
+        now = self._clock.monotonic()
+        self._note_pause(now)
+        if self._paused_until is not None:
+            if not self.is_confirmed(self._paused_until):
+                return False
+            self._paused_until = None
+        return self.core.is_send_allowed(send_id, now)
+
+    def _note_pause(self, now):
+        # After a pause, the configuration may have given this dispatcher's slots to another one.
+        if now - self._last_tick > MAX_TICK_GAP_S:
+            self._paused_until = now
+            self._last_tick = now
+
+    def _run_forward(self, action):
+        ended = self.forward(action)
+        self._forwards.pop(action.request.request_id, None)
+        self.apply(ended)
+
+    def _tick(self):
+        measured_at = self._clock.monotonic()
+        while True:
+            eventlet.sleep(TICK_S)
+            now = self._clock.monotonic()
+            self._note_pause(now)
+            self._last_tick = now
+            self.apply(dispatching.Ticked())
+            if now - measured_at >= METRIC_INTERVAL_S:
+                measured_at = now
+                self._report_load(now)
+
+    def _report_load(self, now):
+        for load in self.core.describe_load(now):
+            self._metrics.gauge(f"headroom.{load.service}", load.free)
+            self._metrics.gauge(f"queued.{load.service}", load.queued)
+
+    def _log_decision(self, action):
+        if action.decision in ("send", "loan") and not action.is_long:
+            self._metrics.time(f"queueing.short.{action.service}", action.waited_ms)
+        if self._logs_decisions:
+            self._log.info(
+                "request={} service={} decision={} target={} waited_ms={}",
+                action.request_id,
+                action.service,
+                action.decision,
+                action.target,
+                action.waited_ms,
+            )
+
+
+def _make_event(send_id, outcome):
+    match outcome:
+        case upstreams.Answered():
+            return dispatching.Answered(send_id, outcome.answer, outcome.is_leaving)
+        case upstreams.Failed():
+            return dispatching.SendFailed(
+                send_id,
+                outcome.verdict,
+                outcome.reason,
+                outcome.has_died,
+                outcome.is_over,
+                outcome.is_unreachable,
+                outcome.is_shed,
+                outcome.is_leaving,
+            )
--- a/skylarksill/_endings.py
+++ b/skylarksill/_endings.py
@@ -90,5 +90,6 @@
             work.request.service_id,
             target,
             int((now - work.arrived) * 1000),
+            work.is_long,
         )
     )
--- /dev/null
+++ b/skylarksill/dispatch.py
@@ -0,0 +1,248 @@
+"""The dispatch daemon, which runs requests on the upstreams of its zone."""
+
+import contextlib
+import os
+
+import eventlet
+
+from skylarksill import (
+    _dispatchpeers,
+    _dispatchrunner,
+    _dispatchtickets,
+    dispatching,
+    limits,
+    logs,
+    messages,
+    metrics,
+    records,
+    rpc,
+    viewer,
+)
+
+LEAVE_S = 1.0
+END_CHECK_S = 0.02
+DRAIN_CHECK_S = 0.2
+EXPIRE_INTERVAL_S = 1.0
+AGENT_WAIT_S = 1.0
+
+
+class DispatchDaemon:
+    """Serves the dispatcher's methods to entry processes and other dispatchers.
+
+    Args:
+      settings: The host's Settings.
+      clock: A clock with ``monotonic()``, ``unix()`` and ``sleep(s)``.
+      view_source: Object in place of the Viewer of the host's agent, for tests.
+
+    Attributes:
+      core: The dispatching.Dispatcher.
+    """
+
+    def __init__(self, settings, clock, view_source=None):
+        self._settings = settings
+        self._clock = clock
+        self._log = logs.make_logger("dispatch")
+        self._metrics = metrics.Metrics("dispatch", settings.statsd)
+        incarnation = os.urandom(8).hex()
+        identity = rpc.Identity("dispatch", settings.host, incarnation)
+        self.core = dispatching.Dispatcher(settings.host, clock.monotonic())
+        self._runner = _dispatchrunner.Runner(self.core, clock, self._metrics, settings.log_level)
+        self._viewer = view_source or viewer.Viewer(
+            settings,
+            clock,
+            "dispatch",
+            incarnation,
+            self.accept_configuration,
+            viewer.Reports(self._describe_load, self._describe_upstreams, self._list_suspects),
+        )
+        self._links = _dispatchpeers.PeerLinks(
+            settings, identity, clock, self._runner, self._viewer
+        )
+        self._runner.forward = self._links.forward
+        self._runner.report_suspect = self._links.report_suspect
+        self._runner.is_confirmed = self._is_view_newer
+        self._desk = _dispatchtickets.TicketDesk(
+            settings, incarnation, clock, self._runner.run, self._links.call_host
+        )
+        self._identity = identity
+        self._server = None
+        self._threads = []
+        self._is_stopping = False
+        self._calls = 0
+        self._budgets = {}
+        self._drains = {}
+
+    def start(self):
+        """Starts serving.
+
+        Returns:
+          The IP address and port that the daemon listens on.
+        """
+        address = (self._settings.address, self._settings.dispatch_port)
+        handlers = {
+            "dispatch": self._handle_dispatch,
+            "claim": self._make_handler(messages.ClaimCall, self._desk.claim),
+            "record": self._make_handler(messages.RecordCall, self._desk.record),
+            "revoke": self._make_handler(messages.RevokeCall, self._desk.revoke),
+            "lend": self._handle_lend,
+            "load": self._handle_load,
+        }
+        self._server = rpc.RpcServer(address, self._settings.shared_key, self._identity, handlers)
+        self._runner.start()
+        self._viewer.start()
+        self._links.start()
+        self._threads = [eventlet.spawn(self._server.serve), eventlet.spawn(self._watch)]
+        return self._settings.address, self._server.port
+
+    def leave(self):
+        """Publishes the leaving state, refuses new work and stops after the last answer."""
+        self._log.info("leaving, in_flight={}", self.describe_in_flight())
+        started = self._clock.monotonic()
+        self._viewer.state = records.LifeState.LEAVING
+        self._viewer.poll_soon()
+        self._clock.sleep(LEAVE_S)
+        self._is_stopping = True
+        self._runner.apply(dispatching.StopAsked())
+        while self._calls or self._runner.request_count or self._desk.busy_count:
+            self._clock.sleep(END_CHECK_S)
+        self._viewer.state = records.LifeState.DRAINED
+        with contextlib.suppress(records.SkylarksillError):
+            self._viewer.poll()
+        self._metrics.time("stop", 1000 * (self._clock.monotonic() - started))
+        self._close()
+
+    def describe_in_flight(self):
+        """Returns a text that names the requests in flight."""
+        requests = self._runner.list_requests()
+        return f"{len(requests)} requests: {' '.join(requests[:100])}".rstrip(": ")
+
+    def accept_configuration(self, configuration, head):
+        """Puts a configuration in force; called by the viewer before it names it."""
+        self._runner.apply(dispatching.ConfigurationAccepted(configuration))
+        self._budgets = self._make_budgets(configuration)
+        self._log.info("generation={} in force", configuration.generation)
+
+    def _close(self):
+        for thread in self._threads:
+            thread.kill()
+        self._links.stop()
+        self._runner.stop()
+        self._viewer.stop()
+        self._server.close()
+
+    def _make_handler(self, message_type, handle):
+        def serve(body, context):
+            return messages.encode_message(handle(messages.decode_message(message_type, body)))
+
+        return serve
+
+    def _handle_dispatch(self, body, context):
+        request = messages.decode_message(messages.DispatchCall, body).request
+        self._calls += 1
+        try:
+            result = self._run_request(request, context)
+            result = self._wait_for_link(request, result)
+        finally:
+            self._calls -= 1
+        return messages.encode_message(result)
+
+    def _run_request(self, request, context):
+        service = self._find_service(request.service_id)
+        if service is None or service.kind is records.WorkKind.IDEMPOTENT:
+            return self._runner.run(request, context)
+        max_deadline_s = service.max_deadline_ms / 1000
+        return self._desk.handle(request, context, self._is_stopping, max_deadline_s)
+
+    def _handle_lend(self, body, context):
+        call = messages.decode_message(messages.LendCall, body)
+        if call.borrower != context.peer.host:
+            raise rpc.CallFailedError("wrong_borrower", "a host can borrow for itself only")
+        granted = self._runner.apply(dispatching.LoanAsked(call.upstreams, call.borrower))
+        duration_ms = int(1000 * granted.duration_s)
+        return messages.encode_message(messages.LendResult(granted.upstreams, duration_ms))
+
+    def _handle_load(self, body, context):
+        return [
+            messages.encode_message(self._describe_load()),
+            messages.encode_message(self._describe_upstreams()),
+        ]
+
+    def _find_service(self, service_id):
+        configuration = self._viewer.configuration
+        for service in configuration.services if configuration else ():
+            if service.service_id == service_id:
+                return service
+        return None
+
+    def _make_budgets(self, configuration):
+        """Splits each outgoing link over the region's hosts, half of it for answers."""
+        regions = {zone.zone_id: zone.region_id for zone in configuration.zones}
+        hosts = [host for host in configuration.hosts if host.zone_id in regions]
+        own = next((host for host in hosts if host.host_id == self._settings.host), None)
+        if own is None:
+            return {}
+        region = regions[own.zone_id]
+        count = sum(regions[host.zone_id] == region for host in hosts)
+        return {
+            link.target: limits.ByteBudget(link.bytes_per_s / (2 * count))
+            for link in configuration.links
+            if link.source == region
+        }
+
+    def _wait_for_link(self, request, result):
+        budget = self._budgets.get(request.source_region)
+        if budget is None or result.answer is None:
+            return result
+        now = self._clock.monotonic()
+        send_at = budget.reserve(_measure_answer(result.answer), now)
+        if send_at is None:
+            refusal = records.Refusal(
+                records.Verdict.RAN,
+                "answer_over_link_budget",
+                "the answer exceeds this host's share of the link for 100 ms",
+                "link",
+            )
+            return messages.DispatchResult(refusal.verdict, None, refusal, result.upstream)
+        if send_at > now:
+            self._clock.sleep(send_at - now)
+        return result
+
+    def _watch(self):
+        expired_at = self._clock.monotonic()
+        while True:
+            eventlet.sleep(DRAIN_CHECK_S)
+            now = self._clock.monotonic()
+            self._watch_drains(now)
+            if now - expired_at >= EXPIRE_INTERVAL_S:
+                expired_at = now
+                self._desk.expire()
+
+    def _watch_drains(self, now):
+        for entry in self.core.describe_upstreams(now):
+            if entry.state is records.LifeState.SERVING:
+                self._drains.pop(entry.upstream, None)
+                continue
+            started = self._drains.setdefault(entry.upstream, now)
+            if entry.state is records.LifeState.DRAINED and started is not None:
+                self._drains[entry.upstream] = None
+                self._metrics.time("drain", 1000 * (now - started))
+                self._log.info("upstream={} drained in {:.1f} s", entry.upstream, now - started)
+
+    def _is_view_newer(self, since):
+        # Without an agent the last configuration stays in force.
+        now = self._clock.monotonic()
+        return now - self._viewer.age_s > since or now - since > AGENT_WAIT_S
+
+    def _describe_load(self):
+        return self.core.describe_load(self._clock.monotonic())
+
+    def _describe_upstreams(self):
+        return self.core.describe_upstreams(self._clock.monotonic())
+
+    def _list_suspects(self):
+        return self._links.list_suspects()
+
+
+def _measure_answer(answer):
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
