Add the entry daemon with its forwarding decisions and retry budget

Cause: clients' requests have to reach a dispatcher, and a lost home has to end in a verdict that is true.

Change: forwarding decides each next step without I/O; EntryDaemon reads the whole body, checks the ticket, calls dispatchers and asks the arbiter when the home gives no answer. Links have byte budgets; a call that was not sent is tried elsewhere without using the retry budget. RpcClient.call takes a cancellation, so that the end of a client's connection reaches the dispatcher.

Ruled out: trying NOT_RUN of a home again with a fresh ticket at another home. The client may have sent the first ticket to another entry host too, which would report it as not run while the fresh one runs. The fresh ticket goes to the client instead. Interrupting a call by an exception could leave half a frame on the stream, so cancellation acts only on the waiting call.

--- /dev/null
+++ b/features/fake_dispatchers.py
@@ -0,0 +1,73 @@
+"""Dispatchers at the rpc interface whose behaviour a test chooses."""
+
+import eventlet
+
+from features import builders
+from skylarksill import messages, records, rpc
+
+
+class FakeDispatcher:
+    """Serves ``dispatch`` and ``revoke`` for one host.
+
+    Args:
+      host_id: The host.
+      address: IP address to listen on; the port is chosen by the system.
+
+    Attributes:
+      behave: Function of a Request that returns a DispatchResult; may wait, die or raise.
+      claim_states: ClaimResults that ``revoke`` gives in turn, the last one for ever.
+      requests: Requests that arrived.
+      cancelled: Ids of requests whose call was cancelled.
+      revoked: Ids of tickets that ``revoke`` was called with.
+    """
+
+    def __init__(self, host_id, address):
+        self.behave = answer_plainly
+        self.claim_states = [messages.ClaimResult(records.ClaimState.UNKNOWN)]
+        self.requests = []
+        self.cancelled = []
+        self.revoked = []
+        identity = rpc.Identity("dispatch", host_id, f"dispatch-{host_id}")
+        handlers = {"dispatch": self._dispatch, "revoke": self._revoke}
+        self._server = rpc.RpcServer((address, 0), builders.SHARED_KEY, identity, handlers)
+        self.port = self._server.port
+        eventlet.spawn(self._server.serve)
+
+    def die(self):
+        """Ends all connections and stops listening."""
+        self._server.close()
+
+    def _dispatch(self, body, context):
+        request = messages.decode_message(messages.DispatchCall, body).request
+        self.requests.append(request)
+        context.on_cancel(lambda: self.cancelled.append(request.request_id))
+        return messages.encode_message(self.behave(request))
+
+    def _revoke(self, body, context):
+        self.revoked.append(messages.decode_message(messages.RevokeCall, body).ticket.ticket_id)
+        states = self.claim_states
+        return messages.encode_message(states.pop(0) if len(states) > 1 else states[0])
+
+
+def answer_plainly(request):
+    """Answers with the request's path and body, so that a mixed-up answer is noticed."""
+    body = request.path.encode() + b"|" + request.body
+    headers = (("X-Upstream", "u-1"), ("Connection", "X-Hop"), ("X-Hop", "1"))
+    answer = records.Answer(200, headers, body)
+    return messages.DispatchResult(records.Verdict.RAN, answer, None, "u-1")
+
+
+def refuse_with(reason, verdict):
+    """Returns a behaviour that refuses."""
+    refusal = records.Refusal(records.Verdict(verdict), reason, "test refusal", None, 20)
+    return lambda request: messages.DispatchResult(refusal.verdict, None, refusal)
+
+
+def answer_after(seconds):
+    """Returns a behaviour that answers late."""
+
+    def behave(request):
+        eventlet.sleep(seconds)
+        return answer_plainly(request)
+
+    return behave
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,428 @@
+"""Steps of entry.feature."""
+
+import dataclasses
+import json
+import random
+import time
+
+import eventlet
+from behave import given, then, when
+from eventlet.green import socket
+from eventlet.green.http import client as http_client
+
+from features import builders, fake_dispatchers, steering_builders
+from skylarksill import clock, entry, messages, records, routes, tickets
+
+ADDRESS = "127.0.12.2"
+FAKE_ADDRESS = "127.0.12.3"
+WAIT_STEPS = 500
+LONGEST_WAIT_S = 30
+MIB = 1024 * 1024
+TOO_LONG_CHUNKED = b"100001\r\n" + b"x" * (MIB + 1) + b"\r\n0\r\n\r\n"
+
+CLAIMS = {
+    "revoked": (records.ClaimState.REVOKED,),
+    "ran with answer": ("answer",),
+    "ran without answer": (records.ClaimState.RAN,),
+    "claimed": (records.ClaimState.CLAIMED,),
+    "claimed, then ran": (records.ClaimState.CLAIMED, "answer"),
+    "unknown": (records.ClaimState.UNKNOWN,),
+}
+COPIED = records.Answer(200, (), b"copied answer")
+
+
+def start_daemon(context, **link_fields):
+    plain = builders.build_configuration()
+    context.fakes = {
+        host.host_id: fake_dispatchers.FakeDispatcher(host.host_id, FAKE_ADDRESS)
+        for host in plain.hosts
+    }
+    hosts = tuple(
+        dataclasses.replace(
+            host, address=FAKE_ADDRESS, dispatch_port=context.fakes[host.host_id].port
+        )
+        for host in plain.hosts
+    )
+    links = tuple(dataclasses.replace(link, **link_fields) for link in plain.links)
+    context.configuration = dataclasses.replace(plain, hosts=hosts, links=links)
+    context.viewer = steering_builders.FakeViewer(context.configuration)
+    context.daemon = entry.EntryDaemon(
+        steering_builders.build_settings(ADDRESS), clock.SystemClock(), context.viewer
+    )
+    context.address = context.daemon.start()
+    context.add_cleanup(stop_daemon, context)
+
+
+def stop_daemon(context):
+    context.daemon._server.stop()
+    context.daemon._refresher.kill()
+    context.daemon._calls.close()
+    for fake in context.fakes.values():
+        fake.die()
+
+
+def wait_until(condition):
+    for _ in range(WAIT_STEPS):
+        if condition():
+            return
+        eventlet.sleep(0.01)
+    raise AssertionError("the awaited condition did not come true")
+
+
+@given("an entry daemon without a configuration")
+def step_no_configuration(context):
+    start_daemon(context)
+
+
+@given("an entry daemon with four dispatchers")
+def step_daemon(context):
+    start_daemon(context)
+    context.daemon.accept_configuration(context.configuration, None)
+
+
+@given("an entry daemon with four dispatchers and a link of {rate:d} bytes per second")
+def step_daemon_link(context, rate):
+    start_daemon(context, bytes_per_s=rate)
+    context.daemon.accept_configuration(context.configuration, None)
+
+
+@given("the dispatchers of north are dead")
+def step_north_dead(context):
+    context.viewer.show(dead={"host-0", "host-1"})
+    context.daemon.source.refresh()
+
+
+@given("the entry daemon sees all dispatchers as dead")
+def step_all_dead(context):
+    context.viewer.show(dead=set(context.fakes))
+    context.daemon.source.refresh()
+
+
+@given("the entry daemon has served {count:d} requests")
+def step_served(context, count):
+    for _ in range(count):
+        send(context, "GET", "/v1/catalogue/before")
+        assert context.status == 200
+
+
+@given("the dispatcher of {host} is dead")
+def step_dispatcher_dead(context, host):
+    context.fakes[host].die()
+    eventlet.sleep(0.01)
+
+
+@given("the dispatcher of {host} dies when it gets a request")
+def step_dispatcher_dies(context, host):
+    def die(request):
+        context.fakes[host].die()
+        eventlet.sleep(0.01)
+
+    context.fakes[host].behave = die
+
+
+@given("the dispatcher of {host} never answers")
+def step_never(context, host):
+    context.fakes[host].behave = fake_dispatchers.answer_after(LONGEST_WAIT_S)
+
+
+@given("the dispatcher of {host} is another incarnation")
+def step_other_incarnation(context, host):
+    context.fakes[host].behave = fake_dispatchers.refuse_with("other_home", "MAY_HAVE_RUN")
+
+
+@given("the dispatcher of {host} fails inside")
+def step_fails(context, host):
+    def fail(request):
+        raise RuntimeError("test failure")
+
+    context.fakes[host].behave = fail
+
+
+@given("the dispatcher of {host} refuses with {reason} and {verdict}")
+def step_refuses(context, host, reason, verdict):
+    context.fakes[host].behave = fake_dispatchers.refuse_with(reason, verdict)
+
+
+@given("the dispatcher of {host} answers after {seconds:g} s")
+def step_late(context, host, seconds):
+    context.fakes[host].behave = fake_dispatchers.answer_after(seconds)
+
+
+@given("the dispatchers answer in random order")
+def step_random_order(context):
+    chance = random.Random(3)
+
+    def behave(request):
+        eventlet.sleep(chance.random() / 20)
+        return fake_dispatchers.answer_plainly(request)
+
+    for fake in context.fakes.values():
+        fake.behave = behave
+
+
+@given("the arbiter on {host} says nothing, it is dead")
+def step_arbiter_dead(context, host):
+    context.fakes[host].die()
+
+
+@given("the arbiter on {host} says {claim}")
+def step_arbiter(context, host, claim):
+    context.fakes[host].claim_states = [
+        (
+            messages.ClaimResult(records.ClaimState.RAN, COPIED)
+            if state == "answer"
+            else messages.ClaimResult(state)
+        )
+        for state in CLAIMS[claim]
+    ]
+
+
+def send(context, method, path, body=None, **headers):
+    route = routes.mint_route(builders.SHARED_KEY, "north", int(time.time()) + 100)
+    named = {"Skylarksill-Route": route, "X-Client": "c"}
+    named.update({name.replace("_", "-"): str(value) for name, value in headers.items()})
+    keep_answer(context, steering_builders.send_http(context.address, method, path, body, named))
+
+
+def keep_answer(context, answer):
+    context.status, context.headers, context.body = answer
+    assert context.headers["skylarksill-request-id"]
+    context.verdict = context.headers["skylarksill-verdict"]
+    context.refusal = {}
+    if context.headers.get("content-type") == "application/json":
+        context.refusal = json.loads(context.body)
+        assert context.refusal["verdict"] == context.verdict
+
+
+def mint_ticket(service="deposits", key=builders.SHARED_KEY, arbiter="host-1", age_ms=0):
+    ticket = tickets.new_ticket(
+        f"ticket-{service}-{age_ms}",
+        service,
+        ("host-0", "dispatch-host-0"),
+        arbiter and (arbiter, f"dispatch-{arbiter}"),
+        1000 * time.time() - age_ms,
+    )
+    return tickets.mint_ticket(key, ticket)
+
+
+@when("a client sends {method} {path} with body {body:w}")
+def step_send(context, method, path, body):
+    send(context, method, path, body)
+
+
+@when("a client sends {method} {path} with body of {size:d} bytes")
+def step_send_size(context, method, path, size):
+    send(context, method, path, b"x" * size)
+
+
+@when("a client sends {method} {path} with timeout header {timeout}")
+def step_send_timeout(context, method, path, timeout):
+    headers = {} if timeout == "none" else {"Skylarksill_Timeout_Ms": timeout}
+    send(context, method, path, **headers)
+
+
+@when("a client sends a deposit with a valid ticket and a timeout of {timeout:d} ms")
+def step_deposit_timeout(context, timeout):
+    headers = {"Skylarksill_Ticket": mint_ticket(), "Skylarksill_Timeout_Ms": timeout}
+    send(context, "POST", "/v1/deposits/boats/1", "amount=1", **headers)
+
+
+@when("a client sends a deposit with {ticket}")
+def step_deposit(context, ticket):
+    headers = {
+        "no ticket": {},
+        "only an Idempotency-Key": {"Idempotency_Key": "k1"},
+        "a forged ticket": {"Skylarksill_Ticket": mint_ticket(key=b"another key")},
+        "a ticket of another service": {"Skylarksill_Ticket": mint_ticket("catalogue")},
+        "a ticket of no format": {"Skylarksill_Ticket": "x/y"},
+        "an expired ticket": {"Skylarksill_Ticket": mint_ticket(age_ms=120_000)},
+        "a ticket without arbiter": {"Skylarksill_Ticket": mint_ticket(arbiter=None)},
+        "a valid ticket": {"Skylarksill_Ticket": mint_ticket()},
+    }[ticket]
+    send(context, "POST", "/v1/deposits/boats/1", "amount=1", **headers)
+
+
+@when("a client sends a {kind} body")
+def step_send_broken(context, kind):
+    announced = f"Content-Length: {MIB + 1}"
+    head, body = {
+        "truncated": ("Content-Length: 100", b"ten bytes."),
+        "truncated chunked": ("Transfer-Encoding: chunked", b"64\r\nten bytes."),
+        "malformed chunked": ("Transfer-Encoding: chunked", b"zz\r\nten bytes.\r\n0\r\n\r\n"),
+        "announced 1 MiB + 1": (announced, b""),
+        "chunked 1 MiB + 1": ("Transfer-Encoding: chunked", TOO_LONG_CHUNKED),
+    }[kind]
+    connection = socket.create_connection(context.address)
+    context.add_cleanup(connection.close)
+    request = f"POST /v1/catalogue/x HTTP/1.1\r\nHost: entry\r\n{head}\r\n\r\n"
+    connection.sendall(request.encode() + body)
+    if not kind.startswith("announced"):
+        connection.shutdown(socket.SHUT_WR)
+    response = http_client.HTTPResponse(connection)
+    response.begin()
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    assert headers["connection"] == "close"
+    keep_answer(context, (response.status, headers, response.read()))
+
+
+@when("a client sends a body of 1 MiB to the catalogue")
+def step_send_mib(context):
+    context.sent = random.Random(5).randbytes(MIB - 3)
+    send(context, "PUT", "/v1/catalogue/x", context.sent)
+
+
+@when("a client sends {count:d} requests to the catalogue")
+def step_send_many(context, count):
+    context.outcomes = []
+    for _ in range(count):
+        send(context, "GET", "/v1/catalogue/x")
+        context.outcomes.append((context.status, context.refusal.get("limit")))
+
+
+@when("{count:d} clients send different requests at once")
+def step_send_at_once(context, count):
+    def ask(number):
+        path = f"/v1/catalogue/{number}"
+        body = str(number) * 100
+        answer = steering_builders.send_http(context.address, "POST", path, body)
+        return answer[2] == f"/{number}|{body}".encode()
+
+    threads = [eventlet.spawn(ask, number) for number in range(count)]
+    context.outcomes = [thread.wait() for thread in threads]
+
+
+@when("a client closes its connection before the answer")
+def step_close(context):
+    connection = socket.create_connection(context.address)
+    connection.sendall(b"GET /v1/catalogue/x HTTP/1.1\r\nHost: entry\r\n\r\n")
+    wait_until(lambda: context.fakes["host-0"].requests)
+    connection.close()
+
+
+@when("the entry daemon leaves while a request is in flight")
+def step_leave(context):
+    path = "/v1/catalogue/long"
+    flying = eventlet.spawn(steering_builders.send_http, context.address, "GET", path)
+    wait_until(lambda: context.fakes["host-0"].requests)
+    leaving = eventlet.spawn(context.daemon.leave)
+    wait_until(lambda: context.daemon._is_refusing)
+    context.state = context.viewer.state
+    send(context, "GET", "/v1/catalogue/new")
+    context.flying = flying.wait()
+    leaving.wait()
+
+
+@then("the entry answers {status:d} with verdict {verdict} and body {body}")
+def step_answer(context, status, verdict, body):
+    assert (context.status, context.verdict) == (status, verdict), context.body
+    assert context.body == body.encode(), context.body
+
+
+@then("the entry answers {status:d} with verdict {verdict} and reason {reason}")
+def step_refused(context, status, verdict, reason):
+    seen = (context.status, context.verdict, context.refusal.get("reason", "none"))
+    assert seen == (status, verdict, reason), (seen, context.body)
+    assert b"Traceback" not in context.body
+
+
+@then("the entry answers {status:d} with the limit {limit}")
+def step_limit(context, status, limit):
+    assert (context.status, context.refusal["limit"]) == (status, limit), context.body
+
+
+@then("the entry answers 200 with the same body")
+def step_same_body(context):
+    assert context.body == b"/x|" + context.sent
+
+
+@then("only {host} got the request, as POST with the client's headers and home region {region}")
+def step_got(context, host, region):
+    assert [len(fake.requests) for fake in context.fakes.values()] == [1, 0, 0, 0]
+    request = context.fakes[host].requests[0]
+    names = {name.lower() for name, _ in request.headers}
+    assert "x-client" in names and not names & {"host", "skylarksill-route", "content-length"}
+    assert (request.method, request.home_region, request.ticket) == ("POST", region, None)
+    assert request.client.startswith("127.") and request.hops == 0
+
+
+@then("the answer has the upstream's headers without those of its connection")
+def step_headers(context):
+    assert context.headers["x-upstream"] == "u-1"
+    assert "x-hop" not in context.headers
+    assert int(context.headers["content-length"]) == len(context.body)
+
+
+@then("no dispatcher got the request")
+def step_none_got(context):
+    assert not any(fake.requests for fake in context.fakes.values())
+
+
+@then("no other dispatcher ran the deposit")
+def step_no_other(context):
+    others = [fake for host, fake in context.fakes.items() if host != "host-0"]
+    assert not any(fake.requests for fake in others)
+    assert len(context.fakes["host-0"].requests) <= 1
+
+
+@then("the answer holds a fresh ticket")
+def step_fresh(context):
+    ticket, problem = tickets.verify_ticket(builders.SHARED_KEY, context.refusal["ticket"])
+    assert problem is None and ticket.service_id == "deposits"
+    assert ticket.expiry_unix_ms > 1000 * time.time()
+
+
+@then("the fresh ticket of the answer runs the deposit once")
+def step_fresh_runs(context):
+    step_fresh(context)
+    ticket = context.refusal["ticket"]
+    send(context, "POST", "/v1/deposits/boats/1", "amount=1", Skylarksill_Ticket=ticket)
+    step_answer(context, 200, "RAN", "/boats/1|amount=1")
+    assert [fake.requests[0].ticket for fake in context.fakes.values() if fake.requests] == [ticket]
+
+
+@then("{first} got {count:d} request and {second} got {other:d}")
+@then("{first} got {count:d} requests and {second} got {other:d}")
+def step_counts(context, first, count, second, other):
+    seen = len(context.fakes[first].requests), len(context.fakes[second].requests)
+    assert seen == (count, other), seen
+
+
+@then("the dispatcher's deadline was between {low:d} and {high:d} ms")
+def step_deadline(context, low, high):
+    assert low <= context.fakes["host-0"].requests[0].deadline_ms <= high
+
+
+@then("{count:d} of them ran and the others were refused by the limit {limit}")
+def step_budget(context, count, limit):
+    assert context.outcomes.count((200, None)) == count, context.outcomes
+    assert context.outcomes.count((503, limit)) == len(context.outcomes) - count
+
+
+@then("each of them got the answer to its own request")
+def step_own_answers(context):
+    assert all(context.outcomes)
+
+
+@then("the call at {host} is cancelled and nothing is in flight")
+def step_cancelled(context, host):
+    wait_until(lambda: context.fakes[host].cancelled)
+    wait_until(lambda: not context.daemon._in_flight)
+    assert context.daemon.describe_in_flight() == "0 requests: none"
+
+
+@then("the request in flight was answered whole")
+def step_flying(context):
+    status, headers, body = context.flying
+    assert (status, body) == (200, b"/long|")
+    assert headers["skylarksill-verdict"] == "RAN"
+
+
+@then("new work was refused as leaving before the daemon stopped")
+def step_left(context):
+    step_refused(context, 503, "NOT_RUN", "leaving")
+    assert context.state is records.LifeState.LEAVING and context.viewer.polls == 1
+    probe = socket.socket()
+    try:
+        assert probe.connect_ex(context.address) != 0
+    finally:
+        probe.close()
--- a/skylarksill/_httpserver.py
+++ b/skylarksill/_httpserver.py
@@ -17,10 +17,12 @@
 STATUS_LINES = {
     200: "200 OK",
     400: "400 Bad Request",
+    403: "403 Forbidden",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
     408: "408 Request Timeout",
     413: "413 Content Too Large",
+    422: "422 Unprocessable Content",
     428: "428 Precondition Required",
     429: "429 Too Many Requests",
     500: "500 Internal Server Error",
--- /dev/null
+++ b/skylarksill/_linkbudgets.py
@@ -0,0 +1,64 @@
+"""This host's static share of the links to other regions, for requests."""
+
+from skylarksill import limits
+
+# Requests of entry hosts and answers of dispatchers share a link, each with an equal part.
+USERS_PER_HOST = 2
+OVERHEAD_BYTES = 512
+
+
+class LinkBudgets:
+    """Byte budgets of the links that leave the region of this host.
+
+    Args:
+      region: Region of this host.
+    """
+
+    def __init__(self, region):
+        self._region = region
+        self._shares = {}
+        self._budgets = {}
+
+    def update(self, configuration):
+        """Takes over the links of a configuration; budgets with an equal share go on."""
+        shares = _split_links(configuration, self._region)
+        self._budgets = {
+            target: (
+                self._budgets[target]
+                if self._shares.get(target) == share
+                else limits.ByteBudget(share)
+            )
+            for target, share in shares.items()
+        }
+        self._shares = shares
+
+    def reserve(self, target, request, now):
+        """Reserves the sending of a request on the link to a region.
+
+        Args:
+          target: Region of the dispatcher.
+          request: The Request.
+          now: Monotonic time in seconds.
+        Returns:
+          The earliest time at which the request may be sent, or None if it never may.
+        """
+        budget = self._budgets.get(target)
+        return now if budget is None else budget.reserve(measure_request(request), now)
+
+
+def _split_links(configuration, region):
+    zones = {zone.zone_id for zone in configuration.zones if zone.region_id == region}
+    hosts = sum(host.zone_id in zones for host in configuration.hosts)
+    users = max(1, hosts) * USERS_PER_HOST
+    return {
+        link.target: link.bytes_per_s / users
+        for link in configuration.links
+        if link.source == region
+    }
+
+
+def measure_request(request):
+    """Returns the bytes that a request takes on a link, with its framing."""
+    headers = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    ticket = len(request.ticket or "")
+    return OVERHEAD_BYTES + len(request.body) + len(request.path) + headers + ticket
--- a/skylarksill/_ranking.py
+++ b/skylarksill/_ranking.py
@@ -190,6 +190,23 @@
     return sorted(hosts, key=lambda host: view.grades[host.host_id])[:MAX_HOSTS_PER_ZONE]
 
 
+def choose_ticket_hosts(table, view, service, zone, rotation):
+    """Chooses home and arbiter of a ticket for a client of a zone.
+
+    Args:
+      table: The RoutingTable in force.
+      view: The SteeringView.
+      service: The service's id.
+      zone: Zone of the client.
+      rotation: Number that spreads tickets over hosts that are equally near.
+    Returns:
+      TicketHosts, or None if no dispatcher of the service is alive.
+    """
+    home = table.regions_by_zone[zone]
+    zones = _order_zones(table, zone, home, home, rotation)
+    return _choose_ticket_hosts(table, view, service, zones, rotation)
+
+
 def _choose_ticket_hosts(table, view, service, zones, rotation):
     for zone in zones:
         owners = [
--- a/skylarksill/_rpcclient.py
+++ b/skylarksill/_rpcclient.py
@@ -36,13 +36,14 @@
         """Identity of the connected process, or None without a connection."""
         return self._stream.peer if self._stream else None
 
-    def call(self, method, body, timeout_s):
+    def call(self, method, body, timeout_s, cancellation=None):
         """Calls a method and waits for its answer.
 
         Args:
           method: Name of the method.
           body: Value that msgpack can encode.
           timeout_s: Bound of the whole call in seconds; the call is cancelled past it.
+          cancellation: CallContext whose cancellation also cancels this call, or None.
         Returns:
           The answer's body.
         Raises:
@@ -57,6 +58,8 @@
         try:
             stream = self._connect()
             self._send_call(stream, call_id, method, body, result)
+            if cancellation is not None:
+                cancellation.on_cancel(lambda: self._cancel_call(stream, call_id, result))
             answer = result.wait()
         except eventlet.Timeout as error:
             if error is not timeout:
@@ -115,6 +118,11 @@
             return
         eventlet.spawn_n(self._send_cancel, stream, call_id)
 
+    def _cancel_call(self, stream, call_id, result):
+        if call_id in self._pending:
+            self._abandon_call(stream, call_id)
+            result.send_exception(_rpcstream.CallLostError("the call was cancelled"))
+
     def _send_cancel(self, stream, call_id):
         try:
             stream.send({"id": call_id, "cancel": True})
--- a/skylarksill/lookup.py
+++ b/skylarksill/lookup.py
@@ -38,11 +38,13 @@
         self._clock = clock
         self._log = logs.make_logger("lookup")
         self._logs_decisions = settings.log_level in ("DEBUG", "INFO")
-        self._metrics = metrics.Metrics("lookup", settings.statsd)
+        self._metrics = metrics.MetricBuffer(metrics.Metrics("lookup", settings.statsd))
         self._answers = _lookupanswers.AnswerMaker(
             settings.shared_key, settings.zone, lambda: os.urandom(16).hex()
         )
-        self.source = _steeringsource.SteeringSource(clock, "lookup", self._answers.forget_rankings)
+        self.source = _steeringsource.SteeringSource(
+            clock, "lookup", self._answers.forget_rankings, self._metrics.flush
+        )
         self._viewer = view_source or viewer.Viewer(
             settings, clock, "lookup", os.urandom(8).hex(), self.source.accept_configuration
         )
@@ -73,6 +75,7 @@
         self._server.stop()
         self._refresher.kill()
         self._viewer.stop()
+        self._metrics.flush()
 
     def describe_in_flight(self):
         """Returns a text that tells how many look-ups are being answered."""
--- a/skylarksill/routing.py
+++ b/skylarksill/routing.py
@@ -1,6 +1,6 @@
 """Choice of entry hosts: block table, routing table and ranking."""
 
-from skylarksill import _blocktable, _ranking, _routingtable, _steering
+from skylarksill import _blocktable, _dispatchranking, _ranking, _routingtable, _steering
 
 BlockTable = _blocktable.BlockTable
 pack_address = _blocktable.pack_address
@@ -13,3 +13,5 @@
 TicketHosts = _ranking.TicketHosts
 UnknownServiceError = _ranking.UnknownServiceError
 rank_hosts = _ranking.rank_hosts
+choose_ticket_hosts = _ranking.choose_ticket_hosts
+rank_dispatchers = _dispatchranking.rank_dispatchers
