--- /dev/null
+++ b/features/agent.feature
@@ -0,0 +1,132 @@
+Feature: Agents and the platform store
+  Guards against a configuration that is lost, reverts or differs between hosts while the store or
+  the network fails, and against hosts that keep getting work while they leave or are down.
+
+  Scenario: A lost reply of a write does not split the hosts
+    Given 8 agents with generation 1
+    When generation 2 is written and the reply is lost
+    Then the writer is told MAY_HAVE_RUN
+    And all agents have generation 2 after 3 rounds
+
+  Scenario: A watch that reports nothing does not hide a new generation
+    Given 8 agents with generation 1
+    When watches are stale
+    And generation 2 is written
+    Then all agents have generation 2 after 3 rounds
+
+  Scenario: An outage changes nothing, and what was written before it arrives after it
+    Given 8 agents with generation 1
+    When generation 2 is written
+    And the store has an outage
+    And 5 rounds pass
+    Then all agents have generation 1 after 0 rounds
+    When the store's outage ends
+    Then all agents have generation 2 after 3 rounds
+
+  Scenario: Hosts that cannot reach the store take a generation from peers
+    Given 8 agents with generation 1
+    When all agents but host-0 are cut off from the store
+    And generation 2 is written
+    Then all agents have generation 2 after 3 rounds
+
+  Scenario: Of two writers one gets a conflict, and its generation is in force nowhere
+    Given 8 agents with generation 1
+    When two operators write generation 2 from the same version
+    Then the second writer gets a conflict
+    And all agents have the first writer's generation 2 after 3 rounds
+
+  Scenario: A head that the store replaced gives way to the store's head on every host
+    Given 8 agents with generation 1
+    When generation 2 is written by "lost"
+    And 2 rounds pass
+    And generation 2 is written by "kept"
+    Then all agents have generation 2 by "kept" after 4 rounds
+
+  Scenario: A partition during a change heals to the higher generation
+    Given 8 agents with generation 1
+    When the network is split and only the first half reaches the store
+    And generation 2 is written
+    And 5 rounds pass
+    Then the first half has generation 2 and the second half generation 1
+    When the network is whole again
+    Then all agents have generation 2 after 8 rounds
+    And no agent ever went back to a lower generation
+
+  Scenario: A host that starts in an outage has the generation of its peers
+    Given 8 agents with generation 3
+    When the store has an outage
+    And host-5 is restarted
+    Then host-5 has generation 3 at once
+
+  Scenario: A host that starts while peers lag takes the store's generation
+    Given 8 agents with generation 1
+    When all agents but host-5 are cut off from the store
+    And host-5 is stopped
+    And generation 2 is written
+    And host-5 is restarted
+    Then host-5 has generation 2 at once
+
+  Scenario Outline: An unacceptable configuration changes nothing
+    Given 8 agents with generation 1
+    When a head of generation 2 names <fault>
+    And 5 rounds pass
+    Then all agents have generation 1 after 0 rounds
+    And a host makes fewer than 2 store calls a second
+    When generation 3 is written
+    Then all agents have generation 3 after 3 rounds
+
+    Examples:
+      | fault               |
+      | a missing shard     |
+      | a shard that is not INI |
+      | an unknown zone     |
+
+  Scenario: At rest a host makes fewer than 2 store calls a second
+    Given 8 agents with generation 1
+    When 10 rounds pass
+    Then a host makes fewer than 2 store calls a second
+
+  Scenario: A generation is with a peer before it is in force
+    Given 8 agents with generation 1
+    When host-0 reads generation 2 and is stopped as soon as it is in force
+    And the store has an outage
+    Then all agents have generation 2 after 4 rounds
+
+  Scenario: A leaving host is known to all peers before its next heartbeat
+    Given 8 agents with generation 1
+    When host-3 publishes that it is leaving
+    Then all other agents show host-3 as leaving and alive
+
+  Scenario: The platform's list of leaving hosts reaches hosts cut off from the store
+    Given 8 agents with generation 1
+    When all agents but host-0 are cut off from the store
+    And the platform lists host-6 as leaving
+    And 5 rounds pass
+    Then all other agents show host-6 as leaving and alive
+
+  Scenario: A host that ended without a word is down and its restart is seen
+    Given 8 agents with generation 1
+    When host-3 is stopped
+    And 5 rounds pass
+    Then all other agents show host-3 as down
+    When host-3 is restarted
+    And 3 rounds pass
+    Then all other agents show host-3 as serving and alive
+
+  Scenario: A suspect reported by one daemon is known to all agents at once
+    Given 8 agents with generation 1
+    When a daemon of host-2 reports a suspect with 2 deaths
+    Then the view of each agent holds the suspect
+
+  Scenario: A daemon's viewer follows peers and configuration through a restart of its agent
+    Given 8 agents with generation 1
+    And a viewer of host-1
+    When generation 2 is written
+    And 3 rounds pass
+    And host-4 is stopped
+    And 5 rounds pass
+    Then the viewer has generation 2 and shows host-4 as down
+    When host-1 is restarted
+    And generation 3 is written
+    And 3 rounds pass
+    Then the viewer has generation 3 and shows 7 living hosts
--- /dev/null
+++ b/features/steps/agent_steps.py
@@ -0,0 +1,266 @@
+"""Steps of agent.feature."""
+
+import eventlet
+from behave import given, then, when
+
+from features import platforms
+from skylarksill import _agentwatch, messages, objectstore, records, viewer
+from standins import platform
+
+LEAVING = records.LifeState.LEAVING
+
+
+def step_rounds(context, count):
+    for _ in range(count):
+        context.cluster.step()
+        context.rounds += 1
+        for host, generation in context.cluster.list_generations().items():
+            context.highest[host] = max(context.highest.get(host, 0), generation)
+            context.reverted |= generation < context.highest[host]
+        if context.viewer:
+            context.viewer.poll()
+
+
+def list_shown(context, host_id):
+    shown = []
+    for other, running in context.cluster.agents.items():
+        if other != host_id:
+            status = running.state.make_status(context.cluster.clock.monotonic())
+            peer = next(peer for peer in status.peers if peer.entry.host == host_id)
+            shown.append((peer.entry.state, peer.is_alive))
+    return set(shown)
+
+
+@given("{count:d} agents with generation {generation:d}")
+def step_agents(context, count, generation):
+    context.cluster = platforms.Cluster()
+    context.highest, context.reverted, context.viewer, context.rounds = {}, False, None, 0
+    context.cluster.write(generation)
+    context.cluster.start()
+    step_rounds(context, 3)
+    context.cluster.platform.client_counts.clear()
+    context.rounds = 0
+    assert context.cluster.list_generations() == {f"host-{n}": generation for n in range(count)}
+
+
+@given("a viewer of {host}")
+def step_viewer(context, host):
+    address = next(h for h in context.cluster.configuration.hosts if h.host_id == host)
+    client = platforms.Client(context.cluster, host, (address.address, address.agent_port))
+    context.viewer = viewer.Viewer(None, context.cluster.clock, "entry", "1", client=client)
+    context.viewer.poll()
+
+
+@when("generation {generation:d} is written")
+def step_write(context, generation):
+    context.cluster.write(generation)
+
+
+@when('generation {generation:d} is written by "{write_id}"')
+def step_write_by(context, generation, write_id):
+    context.cluster.write(generation, write_id)
+
+
+@when("generation 2 is written and the reply is lost")
+def step_write_lost(context):
+    context.cluster.platform.faults.lost_replies = 1
+    try:
+        context.cluster.write(2)
+    except objectstore.StoreError as error:
+        context.verdict = error.verdict
+
+
+@then("the writer is told MAY_HAVE_RUN")
+def step_told(context):
+    assert context.verdict is records.Verdict.MAY_HAVE_RUN
+
+
+@when("watches are stale")
+def step_stale(context):
+    context.cluster.platform.faults.stale_watches = True
+
+
+@when("the store has an outage")
+def step_outage(context):
+    context.cluster.platform.faults.outage = True
+
+
+@when("the store's outage ends")
+def step_outage_ends(context):
+    context.cluster.platform.faults.outage = False
+
+
+@when("{count:d} rounds pass")
+def step_pass(context, count):
+    step_rounds(context, count)
+
+
+@when("all agents but {host} are cut off from the store")
+def step_cut_off(context, host):
+    context.cluster.platform.faults.cut_off = [h for h in context.cluster.agents if h != host]
+
+
+@when("two operators write generation 2 from the same version")
+def step_two_writers(context):
+    version = context.cluster.read_version()
+    context.cluster.write(2, "first")
+    context.cluster.read_version = lambda: version
+    try:
+        context.cluster.write(2, "second")
+    except objectstore.ConflictError as error:
+        context.conflict = error
+
+
+@then("the second writer gets a conflict")
+def step_conflict(context):
+    assert context.conflict.verdict is records.Verdict.NOT_RUN
+
+
+@then("all agents have the first writer's generation 2 after {count:d} rounds")
+def step_first(context, count):
+    step_all_by(context, 2, "first", count)
+
+
+@then('all agents have generation {generation:d} by "{write_id}" after {count:d} rounds')
+def step_all_by(context, generation, write_id, count):
+    step_rounds(context, count)
+    marks = [running.state.accepted.in_force.mark for running in context.cluster.agents.values()]
+    assert {(mark.generation, mark.write_id) for mark in marks} == {(generation, write_id)}, marks
+
+
+@then("all agents have generation {generation:d} after {count:d} rounds")
+def step_all(context, generation, count):
+    step_rounds(context, count)
+    generations = context.cluster.list_generations()
+    assert set(generations.values()) == {generation}, generations
+
+
+@when("the network is split and only the first half reaches the store")
+def step_split(context):
+    second = list(context.cluster.agents)[4:]
+    context.cluster.groups = dict.fromkeys(second, 1)
+    context.cluster.platform.faults.cut_off = second
+
+
+@when("the network is whole again")
+def step_whole(context):
+    context.cluster.groups = {}
+
+
+@then("the first half has generation 2 and the second half generation 1")
+def step_halves(context):
+    generations = list(context.cluster.list_generations().values())
+    assert generations == [2] * 4 + [1] * 4, generations
+
+
+@then("no agent ever went back to a lower generation")
+def step_no_revert(context):
+    assert not context.reverted
+
+
+@when("{host} is stopped")
+def step_stop(context, host):
+    context.cluster.stop(host)
+
+
+@when("{host} is restarted")
+def step_restart(context, host):
+    context.cluster.clock.advance(0.5)
+    context.cluster.start(host)
+
+
+@then("{host} has generation {generation:d} at once")
+def step_at_once(context, host, generation):
+    assert context.cluster.agents[host].state.generation == generation
+
+
+@when("a head of generation 2 names {fault}")
+def step_bad_head(context, fault):
+    texts = {
+        "a missing shard": "not written",
+        "a shard that is not INI": "no section",
+        "an unknown zone": "[deployment]\nname = test\n[host x]\nzone = nowhere\n",
+    }
+    context.cluster.write(2, text=texts[fault], has_shards=fault != "a missing shard")
+    context.cluster.platform.client_counts.clear()
+    context.rounds = 0
+
+
+@then("a host makes fewer than 2 store calls a second")
+def step_calls(context):
+    # A round of a watcher takes one of these waits, which the fake platform leaves out.
+    seconds = context.rounds * min(_agentwatch.WATCH_TIMEOUT_S, _agentwatch.RETRY_S)
+    counts = context.cluster.platform.client_counts
+    rates = {client: sum(calls.values()) / seconds for client, calls in counts.items()}
+    rates.pop("operator", None)
+    assert rates and max(rates.values()) < 2, rates
+
+
+@when("host-0 reads generation 2 and is stopped as soon as it is in force")
+def step_read_and_stop(context):
+    context.cluster.write(2)
+    running = context.cluster.agents["host-0"]
+    running.step()
+    assert running.state.generation == 2
+    context.cluster.stop("host-0")
+
+
+@when("{host} publishes that it is leaving")
+def step_leave(context, host):
+    context.cluster.agents[host].publish_state(LEAVING)
+
+
+@then("all other agents show {host} as leaving and alive")
+def step_shown_leaving(context, host):
+    assert list_shown(context, host) == {(LEAVING, True)}, list_shown(context, host)
+
+
+@then("all other agents show {host} as down")
+def step_shown_down(context, host):
+    assert {is_alive for _, is_alive in list_shown(context, host)} == {False}
+
+
+@then("all other agents show {host} as serving and alive")
+def step_shown_serving(context, host):
+    assert list_shown(context, host) == {(records.LifeState.SERVING, True)}
+
+
+@when("the platform lists {host} as leaving")
+def step_platform_lists(context, host):
+    text = f'{{"hosts": {{"{host}": "leaving"}}, "upstreams": {{}}}}'
+    context.cluster.platform.write(platform.INSTANCES_KEY, text.encode())
+
+
+@when("a daemon of host-2 reports a suspect with 2 deaths")
+def step_suspect(context):
+    suspect = messages.SuspectEntry("f" * 64, 2, 600_000)
+    call = make_call(0, (suspect,))
+    context.cluster.agents["host-2"].handlers["view"](messages.encode_message(call), None)
+    for _ in range(60):
+        eventlet.sleep(0)
+
+
+def make_call(version, suspects=()):
+    return messages.ViewCall("entry", "1", records.LifeState.SERVING, version, (), (), suspects)
+
+
+@then("the view of each agent holds the suspect")
+def step_has_suspect(context):
+    for host, running in context.cluster.agents.items():
+        body = running.handlers["view"](messages.encode_message(make_call(0)), None)
+        result = messages.decode_message(messages.ViewResult, body)
+        assert [suspect.deaths for suspect in result.suspects] == [2], host
+
+
+@then("the viewer has generation {generation:d} and shows {host} as down")
+def step_viewer_down(context, generation, host):
+    peers = {peer.entry.host: peer.is_alive for peer in context.viewer.view.peers}
+    assert context.viewer.configuration.generation == generation
+    assert not peers.pop(host) and all(peers.values()) and len(peers) == 7, peers
+
+
+@then("the viewer has generation {generation:d} and shows {count:d} living hosts")
+def step_viewer_living(context, generation, count):
+    assert context.viewer.configuration.generation == generation
+    living = [peer for peer in context.viewer.view.peers if peer.is_alive]
+    assert len(living) == count, living
--- a/skylarksill/_agentpeers.py
+++ b/skylarksill/_agentpeers.py
@@ -27,9 +27,10 @@
       state: The AgentState.
       identity: rpc.Identity of this agent.
       make_client: Function of an address that returns an rpc.RpcClient or a fake of it.
+      chooser: The random.Random that peers are chosen with.
     """
 
-    def __init__(self, settings, clock, state, identity, make_client=None):
+    def __init__(self, settings, clock, state, identity, make_client=None, chooser=None):
         self._settings = settings
         self._clock = clock
         self._state = state
@@ -37,7 +38,7 @@
         self._make_client = make_client or (
             lambda address: rpc.RpcClient(address, settings.shared_key, identity)
         )
-        self._choice = membership.PeerChoice(random.SystemRandom())
+        self._choice = membership.PeerChoice(chooser or random.SystemRandom())
         self._clients = collections.OrderedDict()
         self._addresses = {}
         self._busy = set()
--- a/skylarksill/agent.py
+++ b/skylarksill/agent.py
@@ -30,9 +30,11 @@
     Args:
       settings: The host's Settings.
       clock: A clock.
+      store: An ObjectStore; made of the settings if None.
+      make_client, chooser: See _agentpeers.Peers.
     """
 
-    def __init__(self, settings, clock):
+    def __init__(self, settings, clock, store=None, make_client=None, chooser=None):
         self._settings = settings
         self._clock = clock
         self._log = logs.make_logger("agent")
@@ -47,64 +49,85 @@
             parts=(),
         )
         identity = rpc.Identity("agent", settings.host, incarnation)
-        store = None
-        if settings.platform is not None:
+        if store is None and settings.platform is not None:
             store = objectstore.ObjectStore(settings.platform, settings.host)
         self._state = _agentstate.AgentState(entry, clock.monotonic())
-        self._peers = _agentpeers.Peers(settings, clock, self._state, identity)
+        self._peers = _agentpeers.Peers(
+            settings, clock, self._state, identity, make_client, chooser
+        )
         self._watcher = _agentwatch.StoreWatcher(store, clock, self._state, self._peers)
         self._store = store
         self._identity = identity
         self._server = None
         self._threads = []
 
+    @property
+    def handlers(self):
+        """The functions that serve the agent's methods, by name."""
+        return {
+            "view": self._serve_view,
+            "exchange": self._peers.serve_exchange,
+            "shards": self._serve_shards,
+            "status": self._serve_status,
+        }
+
+    @property
+    def state(self):
+        """The AgentState."""
+        return self._state
+
+    def join(self):
+        """Asks store and peers and takes the highest generation that can be fetched."""
+        self._join()
+        self._peers.is_joining = False
+
+    def step(self):
+        """Does one round of exchanges and of watching, which ``start`` repeats in threads."""
+        self._peers.exchange_once()
+        self._watcher.step()
+
     def start(self):
         """Starts serving and joins the other agents.
 
         Returns:
           IP address and port that the agent listens on.
         """
-        handlers = {
-            "view": self._serve_view,
-            "exchange": self._peers.serve_exchange,
-            "shards": self._serve_shards,
-            "status": self._serve_status,
-        }
         address = (self._settings.address, self._settings.agent_port)
-        self._server = rpc.RpcServer(address, self._settings.shared_key, self._identity, handlers)
+        self._server = rpc.RpcServer(
+            address, self._settings.shared_key, self._identity, self.handlers
+        )
         self._threads = [eventlet.spawn(self._server.serve), eventlet.spawn(self._run)]
         return self._settings.address, self._server.port
 
     def leave(self):
         """Publishes that the host is leaving, serves its daemons until they are gone, and ends."""
-        self._publish(records.LifeState.LEAVING)
+        self.publish_state(records.LifeState.LEAVING)
         eventlet.sleep(LEAVE_NOTICE_S)
         while self._state.has_leaving_parts(self._clock.monotonic(), PART_GONE_S):
             eventlet.sleep(LEAVE_POLL_S)
-        self._publish(records.LifeState.DRAINED)
+        self.publish_state(records.LifeState.DRAINED)
         for thread in self._threads:
             thread.kill()
         self._server.close()
         self._peers.close()
 
-    def describe_in_flight(self):
-        """Says what a second signal cuts off."""
-        return f"{self._peers.in_flight} exchanges"
-
-    def _publish(self, life):
+    def publish_state(self, life):
+        """Takes over a LifeState of the host and pushes it to the peers at once."""
         self._state.life = life
         self._state.beat(self._clock.monotonic(), self._clock.unix())
         self._log.info("host={} is {}", self._settings.host, life.value)
         self._peers.push(count=LEAVE_PUSH_TARGETS)
 
+    def describe_in_flight(self):
+        """Says what a second signal cuts off."""
+        return f"{self._peers.in_flight} exchanges"
+
     def _run(self):
-        self._join()
-        self._peers.is_joining = False
+        self.join()
         self._threads.append(eventlet.spawn(self._peers.run))
         self._threads.append(eventlet.spawn(self._watcher.run))
 
     def _join(self):
-        """Asks store and peers and takes the highest generation that can be fetched."""
         read = eventlet.spawn(self._read_store)
         offers = [
             (mark, head, address)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -39,9 +39,14 @@
 
 
 class Platform:
-    """Objects with versions, served as a WSGI application."""
+    """Objects with versions, served as a WSGI application.
 
-    def __init__(self):
+    Args:
+      max_wait_s: Longest wait of a watch in seconds; 0 for tests on a fake clock.
+    """
+
+    def __init__(self, max_wait_s=60.0):
+        self._max_wait_s = max_wait_s
         self.faults = Faults()
         self.counts = collections.Counter()
         self.client_counts = collections.defaultdict(collections.Counter)
@@ -120,7 +125,8 @@
 
     def _watch(self, client, fields):
         after = int(fields["after"][0])
-        deadline = time.monotonic() + int(fields["timeout_ms"][0]) / 1000
+        wait_s = min(int(fields["timeout_ms"][0]) / 1000, self._max_wait_s)
+        deadline = time.monotonic() + wait_s
         while True:
             if self._is_cut_off(client):
                 return None, [], b""
