Wait in the demo until every service answers

Cause: the first run of the demo answered 98.5% of the idempotent work. The rest was refused with no_upstream and shift_cap during the first 4.5 s, in which new dispatchers keep their slots unused because work of a predecessor may still run.

Ruled out: a shorter wait, which would pass the slots of the upstreams after a restart.

Change: the demo begins to count when each client has been answered by each service.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -123,6 +123,26 @@
             time.sleep(0.1)
 
 
+def wait_for_upstreams(loaded):
+    """Waits until each client gets an answer from each service.
+
+    New dispatchers keep their slots unused until work of a predecessor could no longer run.
+
+    Raises:
+      RuntimeError: If a service does not answer within 20 s.
+    """
+    deadline = time.monotonic() + 20.0
+    for sender, service in itertools.product(make_clients(loaded), loaded.services):
+        is_idempotent = service.kind is records.WorkKind.IDEMPOTENT
+        method = "GET" if is_idempotent else "POST"
+        while True:
+            outcome = sender.send(service.service_id, method, "/ready", b"", is_idempotent)
+            if outcome.status == 200:
+                break
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{service.service_id} does not answer: {outcome}")
+
+
 def make_clients(loaded):
     """Returns clients in all zones, each with the look-ups of its own zone first."""
     prefixes = {block.zone_id: block.prefix for block in reversed(loaded.blocks)}
@@ -319,6 +339,7 @@
         running.start_all_hosts()
         run_console(running, "apply", str(path))
         wait_for_service(loaded)
+        wait_for_upstreams(loaded)
         print(f"{len(running.list_processes())} processes serve {name}")
         results, samples = apply_load(running, loaded, control, drained, killed)
         time.sleep(SETTLE_S)
