Show the upstreams of all hosts in the status table

Cause: each agent knows the upstreams of its own host only, so that the table of one agent left all others unknown.

An agent that does not name its head makes the command read the configuration from the store. An upstream without figures shows the state that the configuration gives it.

Ruled out: exchanging the states of all upstreams between agents, because they would be sent all the time for a table that is rarely looked at.

Conclusion: figures of upstreams have not been seen from running dispatchers yet.

--- a/skylarksill/console/_command.py
+++ b/skylarksill/console/_command.py
@@ -178,21 +178,31 @@
         Raises:
           CommandError: If the agent gave no answer.
         """
-        agent = self._open_agent()
+        loaded = self.load_settings()
+        agent = open_agent(loaded, (loaded.address, loaded.agent_port))
         try:
             status = call_agent(agent, "status", messages.StatusCall(), messages.StatusResult)
-            if status.head is None:
-                raise CommandError(EXIT_UNAVAILABLE, f"{status.host} has no configuration yet")
-            return status, fetch_configuration(agent, status.head, has_blocks)
+            if status.head is not None:
+                return status, fetch_configuration(agent, status.head, has_blocks)
         except rpc.RpcError as error:
             raise CommandError(EXIT_UNAVAILABLE, f"agent: {error}") from error
         finally:
             agent.close()
+        if not status.generation:
+            raise CommandError(EXIT_UNAVAILABLE, f"{status.host} has no configuration yet")
+        # An agent that does not name its head has the configuration that is in the store.
+        return status, self.read_present(self.open_store()).configuration
 
-    def _open_agent(self):
-        loaded = self.load_settings()
-        identity = rpc.Identity("cli", loaded.host, uuid.uuid4().hex)
-        return rpc.RpcClient((loaded.address, loaded.agent_port), loaded.shared_key, identity)
+
+def open_agent(loaded, address):
+    """Returns a client of an agent.
+
+    Args:
+      loaded: Settings with the deployment's key.
+      address: IP address and port of the agent.
+    """
+    identity = rpc.Identity("cli", loaded.host, uuid.uuid4().hex)
+    return rpc.RpcClient(address, loaded.shared_key, identity)
 
 
 def make_conflict(present, changed, verdict):
--- a/skylarksill/console/_statusrows.py
+++ b/skylarksill/console/_statusrows.py
@@ -131,12 +131,12 @@
 
 
 def _find_upstream_state(upstream, entry):
-    if entry is None:
-        return "unknown"
-    if entry.state is not records.LifeState.SERVING:
+    if entry is not None and entry.state is not records.LifeState.SERVING:
         return entry.state.value
     if upstream.state is not records.LifeState.SERVING:
         return upstream.state.value
+    if entry is None:
+        return "unknown"
     return "ejected" if entry.is_ejected else entry.state.value
 
 
