--- a/skylarksill/_dispatchevents.py
+++ b/skylarksill/_dispatchevents.py
@@ -205,3 +205,4 @@
     service: records.ServiceId
     target: str
     waited_ms: int
+    is_long: bool
