--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -8,11 +8,14 @@
 import heapq
 import random
 import time
-import tracemalloc
+
+import psutil
 
 from skylarksill import frames, membership, messages, records
 
 FRAME_BYTES = 28
+# Zone summaries have reached all hosts by then.
+WARM_UP_S = 8
 # One segment's headers and the other side's acknowledgement.
 PACKET_BYTES = 2 * 52
 SEGMENT_BYTES = 1448
@@ -151,11 +154,11 @@
 def measure(count, seconds, seed):
     """Returns a line with the cost per host of a fleet of ``count`` hosts."""
     configuration = build_fleet(count)
-    tracemalloc.start()
+    process = psutil.Process()
+    before = process.memory_info().rss
     fleet = Fleet(configuration, seed)
-    fleet.run(6)
-    memory = tracemalloc.get_traced_memory()[0] / count
-    tracemalloc.stop()
+    fleet.run(WARM_UP_S)
+    memory = (process.memory_info().rss - before) / count
     for counts in (fleet.sent, fleet.received, fleet.packets):
         counts.update(dict.fromkeys(counts, 0))
     fleet.busy_s = 0.0
--- a/skylarksill/propagation.py
+++ b/skylarksill/propagation.py
@@ -40,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Generation:
-    """A complete and valid generation."""
+    """A complete and valid generation; its configuration leaves out the client blocks."""
 
     mark: messages.HeadMark
     head: records.ConfigurationHead
@@ -61,6 +61,7 @@
         self.in_force = None
         self.held = None
         self.problems = ()
+        self._reader = configuration.ShardReader(has_blocks=False)
         self._refused = {}
         self._recent = {}
 
@@ -167,8 +168,7 @@
         return True
 
     def _check(self, mark, head, texts):
-        joined, problems = configuration.join_shards(head, texts)
-        problems = problems or configuration.check_configuration(joined)
+        joined, problems = self._reader.read(head, texts)
         if not problems:
             return joined
         self.problems = problems
--- a/skylarksill/viewer.py
+++ b/skylarksill/viewer.py
@@ -37,6 +37,7 @@
       configuration_callback: Function of (Configuration, ConfigurationHead) that is called once for
         each generation, in rising order, before ``configuration`` changes. May be None.
       reports: Reports with the functions that give the daemon's loads, upstreams and suspects.
+      has_blocks: False leaves client blocks out of the configuration and does not fetch them.
       client: An rpc.RpcClient of the agent, or an object with the same ``call`` and ``peer``.
 
     Attributes:
@@ -54,6 +55,7 @@
         incarnation,
         configuration_callback=None,
         reports=None,
+        has_blocks=True,
         client=None,
     ):
         self.state = records.LifeState.SERVING
@@ -75,7 +77,8 @@
         self._version = 0
         self._answered_at = None
         self._changed_at = None
-        self._texts = {}
+        self._has_blocks = has_blocks
+        self._reader = configuration.ShardReader(has_blocks)
         self._refused_head = None
         self._is_failing = False
         self._wake = event.Event()
@@ -186,18 +189,18 @@
         self._changed_at = now
 
     def _take_configuration(self, result):
-        head = result.head
-        if head is None or head == self._refused_head or not self._is_newer(head):
+        if result.head is None:
             return
-        texts = self._fetch_texts(head, dict(result.shards))
-        joined, problems = configuration.join_shards(head, texts)
+        head = result.head if self._has_blocks else configuration.select_core(result.head)
+        if head == self._refused_head or not self._is_newer(head):
+            return
+        joined, problems = self._reader.read(head, self._fetch_texts(head, result.shards))
         if problems:
             self._refused_head = head
             self._log.error("refused generation {}: {}", head.generation, problems[0])
             return
         if self._callback:
             self._callback(joined, head)
-        self._texts = texts
         self.configuration = joined
         self.head = head
 
@@ -208,13 +211,14 @@
         return head.write_id != self.head.write_id
 
     def _fetch_texts(self, head, received):
-        digests = [digest for _, digest in head.shards]
-        known = {**self._texts, **received}
-        missing = [digest for digest in digests if digest not in known]
+        """Fetches the shards that differ from those of the last head, which the reader holds."""
+        held = {digest for _, digest in self.head.shards} if self.head else set()
+        texts = dict(received)
+        missing = [d for _, d in head.shards if d not in held and d not in texts]
         for start in range(0, len(missing), SHARDS_PER_CALL):
             call = messages.ShardsCall(tuple(missing[start : start + SHARDS_PER_CALL]))
-            known.update(self._call("shards", call, messages.ShardsResult).shards)
-        return {digest: known[digest] for digest in digests if digest in known}
+            texts.update(self._call("shards", call, messages.ShardsResult).shards)
+        return texts
 
     def _note_success(self):
         if self._is_failing:
