Send work over a shift cap back to the client's home region

Change: after a refusal by shift_cap_per_s idempotent work is tried in its home region first, and a fresh ticket names a home there.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -153,6 +153,17 @@
       | blocked_request | NOT_RUN | 422    |
       | answer_too_long | RAN     | 502    |
 
+  Scenario: Work over the shift cap goes back to its client's home region
+    Given an entry daemon with four dispatchers
+    And the entry daemon has served 40 requests
+    And all dispatchers of north refuse with the limit shift_cap_per_s
+    When a client of south sends a GET to the catalogue
+    Then the entry answers 200 with verdict RAN and body /x|
+    And host-1 got 0 requests and host-3 got 0
+    When a client of south sends a deposit with a valid ticket
+    Then the entry answers 503 with the limit shift_cap_per_s
+    And the home of the fresh ticket is in south
+
   Scenario: Retries stay within their budget
     Given an entry daemon with four dispatchers
     And the dispatcher of host-0 refuses with queue_full and NOT_RUN
--- a/features/fake_dispatchers.py
+++ b/features/fake_dispatchers.py
@@ -57,9 +57,9 @@
     return messages.DispatchResult(records.Verdict.RAN, answer, None, "u-1")
 
 
-def refuse_with(reason, verdict):
+def refuse_with(reason, verdict, limit=None):
     """Returns a behaviour that refuses."""
-    refusal = records.Refusal(records.Verdict(verdict), reason, "test refusal", None, 20)
+    refusal = records.Refusal(records.Verdict(verdict), reason, "test refusal", limit, 20)
     return lambda request: messages.DispatchResult(refusal.verdict, None, refusal)
 
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -143,6 +143,13 @@
     context.fakes[host].behave = fake_dispatchers.refuse_with(reason, verdict)
 
 
+@given("all dispatchers of north refuse with the limit {limit}")
+def step_refuse_limit(context, limit):
+    for host in ("host-0", "host-1"):
+        behave = fake_dispatchers.refuse_with("shift_cap", "NOT_RUN", limit)
+        context.fakes[host].behave = behave
+
+
 @given("the dispatcher of {host} answers after {seconds:g} s")
 def step_late(context, host, seconds):
     context.fakes[host].behave = fake_dispatchers.answer_after(seconds)
@@ -177,8 +184,8 @@
     ]
 
 
-def send(context, method, path, body=None, **headers):
-    route = routes.mint_route(builders.SHARED_KEY, "north", int(time.time()) + 100)
+def send(context, method, path, body=None, region="north", **headers):
+    route = routes.mint_route(builders.SHARED_KEY, region, int(time.time()) + 100)
     named = {"Skylarksill-Route": route, "X-Client": "c"}
     named.update({name.replace("_", "-"): str(value) for name, value in headers.items()})
     keep_answer(context, steering_builders.send_http(context.address, method, path, body, named))
@@ -242,6 +249,24 @@
     send(context, "POST", "/v1/deposits/boats/1", "amount=1", **headers)
 
 
+@when("a client of {region} sends a GET to the catalogue")
+def step_send_region(context, region):
+    send(context, "GET", "/v1/catalogue/x", region=region)
+
+
+@when("a client of {region} sends a deposit with a valid ticket")
+def step_deposit_region(context, region):
+    ticket = mint_ticket()
+    send(context, "POST", "/v1/deposits/x", "1", region=region, Skylarksill_Ticket=ticket)
+
+
+@then("the home of the fresh ticket is in {region}")
+def step_fresh_region(context, region):
+    ticket, _ = tickets.verify_ticket(builders.SHARED_KEY, context.refusal["ticket"])
+    homes = [host for host in context.configuration.hosts if host.host_id == ticket.home]
+    assert homes[0].zone_id.startswith(region), ticket
+
+
 @when("a client sends a {kind} body")
 def step_send_broken(context, kind):
     announced = f"Content-Length: {MIB + 1}"
--- a/skylarksill/entry.py
+++ b/skylarksill/entry.py
@@ -189,7 +189,8 @@
         fresh = None
         is_ticketed = service.kind is records.WorkKind.NON_IDEMPOTENT
         if is_ticketed and refusal.verdict is records.Verdict.NOT_RUN:
-            fresh = self._mint_ticket(service)
+            is_shifted = refusal.limit == forwarding.SHIFT_LIMIT
+            fresh = self._mint_ticket(service, request.home_region if is_shifted else None)
         status = _entryanswers.choose_status(refusal)
         answer = _entryanswers.format_refusal(status, refusal, request.request_id, fresh)
         return answer, refusal.verdict, refusal.reason
@@ -205,15 +206,16 @@
         )
         return answer, error.refusal.verdict, error.refusal.reason
 
-    def _mint_ticket(self, service):
-        """Returns the text of a fresh ticket, or None if no dispatcher is alive."""
-        hosts = routing.choose_ticket_hosts(
-            self.source.table,
-            self.source.view,
-            service.service_id,
-            self._settings.zone,
-            next(self._picks),
-        )
+    def _mint_ticket(self, service, region=None):
+        """Returns the text of a fresh ticket, or None if no dispatcher is alive.
+
+        Its home is near this host, or in ``region`` if the client's work was refused as shifted.
+        """
+        table = self.source.table
+        zones = table.zones_by_region.get(region, (self._settings.zone,))
+        pick = next(self._picks)
+        zone = zones[pick % len(zones)]
+        hosts = routing.choose_ticket_hosts(table, self.source.view, service.service_id, zone, pick)
         if hosts is None:
             return None
         arbiter = hosts.arbiter and (hosts.arbiter, hosts.arbiter_incarnation)
@@ -233,6 +235,7 @@
             self._choose_targets(table, request, ticket),
             start + request.deadline_ms / 1000,
             ticket,
+            request.home_region,
             progress.tried,
         )
         budget = self._budgets.setdefault(request.service_id, retries.RetryBudget())
--- a/skylarksill/forwarding.py
+++ b/skylarksill/forwarding.py
@@ -33,6 +33,7 @@
         "unknown_service",
     }
 )
+SHIFT_LIMIT = "shift_cap_per_s"
 # Reasons with which a dispatcher says that it is not the ticket's home.
 OTHER_HOME_REASONS = frozenset({"other_home"})
 
@@ -137,12 +138,14 @@
         and empty if the configuration does not name it.
       deadline: Monotonic time in seconds.
       ticket: The verified Ticket, or None for idempotent work.
+      home_region: Home region of the client, or None if it has no valid route.
       tried: Targets that were tried, in order.
     """
 
     targets: list
     deadline: float
     ticket: records.Ticket | None = None
+    home_region: records.RegionId | None = None
     tried: list = dataclasses.field(default_factory=list)
     arbiter_failures: int = 0
     is_revoking: bool = False
@@ -236,18 +239,7 @@
 
 def _try_next(work, refusal, now, budget):
     """Sends idempotent work to the next dispatcher of another zone, or gives up."""
-    failed_zones = {target.zone for target in work.tried}
-    failed_hosts = {target.host for target in work.tried}
-    is_unsent = budget is None
-    target = next(
-        (
-            candidate
-            for candidate in work.targets
-            if candidate.host not in failed_hosts
-            and (is_unsent or candidate.zone not in failed_zones)
-        ),
-        None,
-    )
+    target = next(iter(_list_untried(work, refusal, is_unsent=budget is None)), None)
     if target is None or len(work.tried) >= MAX_TRIES or work.deadline - now < MIN_TRY_S:
         return _deliver_refusal(work, refusal)
     if budget is not None and not budget.take_retry(now):
@@ -256,6 +248,20 @@
     return _dispatch(work, target, now)
 
 
+def _list_untried(work, refusal, is_unsent):
+    zones = {target.zone for target in work.tried}
+    hosts = {target.host for target in work.tried}
+    untried = [
+        target
+        for target in work.targets
+        if target.host not in hosts and (is_unsent or target.zone not in zones)
+    ]
+    if refusal.limit == SHIFT_LIMIT:
+        # In its home region the work does not count as shifted.
+        untried.sort(key=lambda target: target.region != work.home_region)
+    return untried
+
+
 def _deliver_refusal(work, refusal):
     """Delivers the last refusal; NOT_RUN of the last try does not cover an earlier lost one."""
     if work.may_have_run and refusal.verdict is records.Verdict.NOT_RUN:
