--- a/bench/client.py
+++ b/bench/client.py
@@ -88,6 +88,11 @@
         latency_s = time.monotonic() - start
         return Outcome(service, status, verdict, answer_body, latency_s, tries)
 
+    def look_up_route(self, service):
+        """Returns the signed route of this client for an idempotent service, or None."""
+        steering = self._find_steering(service, is_idempotent=True)
+        return steering.route if steering else None
+
     def _find_steering(self, service, is_idempotent):
         kept = self._steering.get(service)
         if is_idempotent and kept and kept.expiry > time.monotonic():
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -60,13 +60,25 @@
         return workers
 
 
-def start_upstreams(running, loaded):
+def start_platform(running):
+    """Starts the stand-in of the platform and waits until it is ready."""
+    address = ":".join(map(str, deployment.PLATFORM_ADDRESS))
+    platform = running.start_module("platform", "standins.platform", "--address", address)
+    platform.wait_until_ready()
+
+
+def start_upstreams(running, loaded, distribution="exponential", mean_ms=None):
     """Starts one stand-in process for each zone.
 
+    Args:
+      running: The Deployment.
+      loaded: The Configuration.
+      distribution: Distribution of the service times, "exponential" or "fixed".
+      mean_ms: Mean service time in milliseconds; that of each service if None.
     Returns:
       The control addresses.
     """
-    means = {service.service_id: service.mean_ms for service in loaded.services}
+    means = {service.service_id: mean_ms or service.mean_ms for service in loaded.services}
     controls = []
     started = []
     for index, zone in enumerate(loaded.zones):
@@ -81,7 +93,7 @@
                     f"service = {upstream.service_id}",
                     f"slots = {upstream.slots}",
                     f"mean_ms = {means[upstream.service_id]}",
-                    "distribution = exponential",
+                    f"distribution = {distribution}",
                 ]
         path = running.directory / f"upstreams-{zone.zone_id}.ini"
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
@@ -332,9 +344,7 @@
         raise ValueError(str(problems[0]))
     drained, killed = choose_targets(loaded)
     with deployment.Deployment(loaded, directory) as running:
-        address = ":".join(map(str, deployment.PLATFORM_ADDRESS))
-        platform = running.start_module("platform", "standins.platform", "--address", address)
-        platform.wait_until_ready()
+        start_platform(running)
         control = UpstreamControl(start_upstreams(running, loaded))
         running.start_all_hosts()
         run_console(running, "apply", str(path))
