--- a/skylarksill/console/_statusrows.py
+++ b/skylarksill/console/_statusrows.py
@@ -10,8 +10,9 @@
 class StatusRow:
     """One region, zone, host or upstream.
 
-    Figures are None if nothing was reported. ``generations`` lists those in force at its hosts, in
-    rising order. ``age_ms`` is the age of the oldest figure of the row.
+    ``slots`` counts upstreams that the configuration does not drain. Figures are None if nothing
+    was reported. ``generations`` lists those in force at its hosts, in rising order. ``age_ms`` is
+    the age of the oldest figure of the row.
     """
 
     kind: str
@@ -90,7 +91,7 @@
         name,
         within,
         _join_states([_find_host_state(facts, host) for host in hosts]),
-        sum(upstream.slots for upstream in upstreams),
+        _sum_slots(upstreams),
         *_sum_loads(loads),
         sorted({peer.entry.generation for peer in peers}),
         max([*[load.age_ms for load in loads], *[peer.age_ms for peer in peers]], default=None),
@@ -98,7 +99,7 @@
 
 
 def _build_host(facts, host):
-    slots = sum(up.slots for up in facts.configuration.upstreams if up.home == host.host_id)
+    slots = _sum_slots([up for up in facts.configuration.upstreams if up.home == host.host_id])
     state = _find_host_state(facts, host)
     row = _build_place(facts, "host", host.host_id, host.zone_id, [host], ())
     return dataclasses.replace(row, state=state, slots=slots)
@@ -147,6 +148,11 @@
     return ", ".join(f"{count} {state}" for state, count in sorted(counts.items()))
 
 
+def _sum_slots(upstreams):
+    serving = [up for up in upstreams if up.state is records.LifeState.SERVING]
+    return sum(upstream.slots for upstream in serving)
+
+
 def _sum_loads(loads):
     if not loads:
         return None, None
