Give up dispatchers that hang long before the deadline

Cause: a paused or cut-off host keeps its connections, so that each call to it waited for its whole deadline of up to 4 s and left no time for another zone.

Change: while calls wait and a dispatcher says nothing for 0.5 s, the entry daemon calls its cheap method load. Without an answer within 1 s it gives the connections up; waiting calls end as lost and follow the usual rules.

Ruled out: shorter timeouts of the calls themselves, since stragglers run as long as a hanging host stays silent.

Conclusion: features show that a hanging dispatcher is left in time and that one with long work is not.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -140,6 +140,21 @@
       | refuses with queue_full and NOT_RUN            |
       | refuses with connection_lost and MAY_HAVE_RUN  |
 
+  Scenario: A dispatcher that hangs is given up long before the deadline
+    Given an entry daemon with four dispatchers
+    And the entry daemon has served 40 requests
+    And the dispatcher of host-0 hangs
+    When a client sends GET /v1/catalogue/x with timeout header none
+    Then the entry answers 200 with verdict RAN and body /x|
+
+  Scenario: A dispatcher that runs long work is not given up
+    Given an entry daemon with four dispatchers
+    And the entry daemon has served 40 requests
+    And the dispatcher of host-0 answers after 2.5 s
+    When a client sends GET /v1/catalogue/x with timeout header none
+    Then the entry answers 200 with verdict RAN and body /x|
+    And host-0 got 41 requests and host-1 got 0
+
   Scenario Outline: Refusals that hold everywhere are not tried elsewhere
     Given an entry daemon with four dispatchers
     And the entry daemon has served 40 requests
--- a/features/fake_dispatchers.py
+++ b/features/fake_dispatchers.py
@@ -18,6 +18,7 @@
       claim_states: ClaimResults that ``revoke`` gives in turn, the last one for ever.
       requests: Requests that arrived.
       cancelled: Ids of requests whose call was cancelled.
+      hangs: If True, nothing is answered any more.
       revoked: Ids of tickets that ``revoke`` was called with.
     """
 
@@ -28,21 +29,32 @@
         self.cancelled = []
         self.revoked = []
         identity = rpc.Identity("dispatch", host_id, f"dispatch-{host_id}")
-        handlers = {"dispatch": self._dispatch, "revoke": self._revoke}
+        self.hangs = False
+        handlers = {"dispatch": self._dispatch, "revoke": self._revoke, "load": self._load}
         self._server = rpc.RpcServer((address, 0), builders.SHARED_KEY, identity, handlers)
         self.port = self._server.port
         eventlet.spawn(self._server.serve)
 
     def die(self):
         """Ends all connections and stops listening."""
+        self.hangs = False
         self._server.close()
 
     def _dispatch(self, body, context):
         request = messages.decode_message(messages.DispatchCall, body).request
         self.requests.append(request)
         context.on_cancel(lambda: self.cancelled.append(request.request_id))
+        self._hang()
         return messages.encode_message(self.behave(request))
 
+    def _load(self, body, context):
+        self._hang()
+        return []
+
+    def _hang(self):
+        while self.hangs:
+            eventlet.sleep(0.1)
+
     def _revoke(self, body, context):
         self.revoked.append(messages.decode_message(messages.RevokeCall, body).ticket.ticket_id)
         states = self.claim_states
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -125,6 +125,11 @@
     context.fakes[host].behave = fake_dispatchers.answer_after(LONGEST_WAIT_S)
 
 
+@given("the dispatcher of {host} hangs")
+def step_hangs(context, host):
+    context.fakes[host].hangs = True
+
+
 @given("the dispatcher of {host} is another incarnation")
 def step_other_incarnation(context, host):
     context.fakes[host].behave = fake_dispatchers.refuse_with("other_home", "MAY_HAVE_RUN")
--- a/skylarksill/entry.py
+++ b/skylarksill/entry.py
@@ -64,7 +64,7 @@
         self._logs_decisions = settings.log_level in ("DEBUG", "INFO")
         self._metrics = metrics.MetricBuffer(metrics.Metrics("entry", settings.statsd))
         self.source = _steeringsource.SteeringSource(
-            clock, "entry", self._keep_connections, self._metrics.flush
+            clock, "entry", self._keep_connections, self._tick
         )
         incarnation = os.urandom(8).hex()
         self._viewer = view_source or viewer.Viewer(
@@ -305,6 +305,10 @@
     def _keep_connections(self):
         self._calls.keep_hosts(self.source.table.hosts)
 
+    def _tick(self):
+        self._calls.check_silence()
+        self._metrics.flush()
+
     def _report(self, progress, status, verdict, reason):
         duration_ms = 1000 * (self._clock.monotonic() - progress.start)
         self._metrics.count(f"verdict.{verdict.value}")
