--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from bench import demo, deployment, queue_model
-from skylarksill import configuration, records
+from skylarksill import records
 
 BOUND_MS = 3.0
 REQUESTS = 2_000
@@ -44,11 +44,7 @@
       The latencies of the direct and of the steered requests, and the memory in bytes and processor
       seconds of the first host's programs by part.
     """
-    directory.mkdir(parents=True, exist_ok=True)
-    text = pathlib.Path(f"examples/{name}-configuration.ini").read_text(encoding="utf-8")
-    path = directory / "configuration.ini"
-    path.write_text(text, encoding="utf-8")
-    loaded, _ = configuration.parse_configuration(text)
+    loaded, path = demo.load_example(name, directory)
     host = loaded.hosts[0]
     service = next(
         item.service_id for item in loaded.services if item.kind is records.WorkKind.IDEMPOTENT
--- a/bench/client.py
+++ b/bench/client.py
@@ -80,7 +80,12 @@
                 break
             if status is None:
                 self._steering.pop(service, None)
-            ticket, pause_s = _read_refusal(verdict, answer_body, ticket)
+            fresh_ticket, pause_s = _read_refusal(answer_body)
+            if verdict == "NOT_RUN" and not is_idempotent:
+                # The old ticket is of no more use after NOT_RUN.
+                looked_up = None if fresh_ticket else self._find_steering(service, is_idempotent)
+                steering = looked_up or steering
+                ticket = fresh_ticket or (looked_up and looked_up.ticket)
             time.sleep(pause_s)
         status, verdict, answer_body = last
         if verdict is None and not is_idempotent:
@@ -136,15 +141,13 @@
         return response.status, response.headers.get("Skylarksill-Verdict"), response.data
 
 
-def _read_refusal(verdict, body, ticket):
-    """Returns the ticket and the pause in seconds for the next try."""
+def _read_refusal(body):
+    """Returns the fresh ticket of an error's body, if any, and the pause before the next try."""
     try:
         refusal = json.loads(body)
     except ValueError:
-        return ticket, 0.0
+        return None, 0.0
     if not isinstance(refusal, dict):
-        return ticket, 0.0
+        return None, 0.0
     pause_s = min(MAX_PAUSE_S, (refusal.get("retry_after_ms") or 0) / 1000)
-    if verdict == "NOT_RUN" and refusal.get("ticket"):
-        return refusal["ticket"], pause_s
-    return ticket, pause_s
+    return refusal.get("ticket"), pause_s
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -207,8 +207,11 @@
     return sent.outcome.verdict == "RAN" and sent.outcome.status == 200
 
 
-def count_totals(results, workers, loaded, killed_host):
-    """Counts the figures of the closing line from answers and from the workers' records."""
+def count_totals(results, workers, loaded, killed_host=None):
+    """Counts the figures of the closing line from answers and from the workers' records.
+
+    Work that a killed host had in flight is not counted as cut off.
+    """
     runs = collections.Counter()
     for worker in workers.values():
         runs.update(worker["work"])
@@ -300,16 +303,21 @@
     return drained.upstream_id, killed.host_id
 
 
-def apply_load(running, loaded, control, drained, killed):
-    """Sends work from all clients while the upstream drains and the host is killed.
+def apply_load(loaded, control, script, load_s):
+    """Sends work from all clients while a script of disturbances runs.
 
+    Args:
+      loaded: The Configuration.
+      control: The UpstreamControl.
+      script: Triples of time in seconds, text to print and function to call, in order of time.
+      load_s: Duration of the load in seconds.
     Returns:
       The Sent records and the samples of headroom by service.
     """
     results = []
     samples = collections.defaultdict(list)
     start = time.monotonic()
-    end = start + LOAD_S
+    end = start + load_s
     threads = [
         threading.Thread(
             target=send_work, args=(sender, loaded.services, SEED + index, end, results)
@@ -319,22 +327,22 @@
     threads.append(threading.Thread(target=sample_headroom, args=(control, loaded, end, samples)))
     for thread in threads:
         thread.start()
-    time.sleep(max(0.0, start + DRAIN_AT_S - time.monotonic()))
-    run_console(running, "drain", "upstream", drained, "--yes")
-    print(f"{time.monotonic() - start:4.1f} s: drain of {drained} accepted")
-    time.sleep(max(0.0, start + KILL_AT_S - time.monotonic()))
-    running.signal_host(killed, signal.SIGKILL)
-    print(f"{time.monotonic() - start:4.1f} s: all programs of {killed} killed")
+    for at_s, text, act in script:
+        time.sleep(max(0.0, start + at_s - time.monotonic()))
+        act()
+        print(f"{time.monotonic() - start:4.1f} s: {text}")
     for thread in threads:
         thread.join()
     return results, samples
 
 
-def run_demo(name, directory):
-    """Runs the demo of one deployment.
+def load_example(name, directory):
+    """Copies an example configuration into a directory and reads it.
 
     Returns:
-      True if nothing was wrong, repeated, over a limit or cut off, and enough was answered.
+      The Configuration and the path of the copy.
+    Raises:
+      ValueError: If the example is not valid.
     """
     directory.mkdir(parents=True, exist_ok=True)
     path = directory / "configuration.ini"
@@ -342,16 +350,48 @@
     loaded, problems = configuration.parse_configuration(path.read_text(encoding="utf-8"))
     if problems:
         raise ValueError(str(problems[0]))
+    return loaded, path
+
+
+def start_deployment(running, loaded, path):
+    """Starts all processes, puts the configuration in force and waits until all is served.
+
+    Returns:
+      The UpstreamControl.
+    """
+    start_platform(running)
+    control = UpstreamControl(start_upstreams(running, loaded))
+    running.start_all_hosts()
+    run_console(running, "apply", str(path))
+    wait_for_service(loaded)
+    wait_for_upstreams(loaded)
+    return control
+
+
+def run_demo(name, directory):
+    """Runs the demo of one deployment.
+
+    Returns:
+      True if nothing was wrong, repeated, over a limit or cut off, and enough was answered.
+    """
+    loaded, path = load_example(name, directory)
     drained, killed = choose_targets(loaded)
     with deployment.Deployment(loaded, directory) as running:
-        start_platform(running)
-        control = UpstreamControl(start_upstreams(running, loaded))
-        running.start_all_hosts()
-        run_console(running, "apply", str(path))
-        wait_for_service(loaded)
-        wait_for_upstreams(loaded)
+        control = start_deployment(running, loaded, path)
         print(f"{len(running.list_processes())} processes serve {name}")
-        results, samples = apply_load(running, loaded, control, drained, killed)
+        script = (
+            (
+                DRAIN_AT_S,
+                f"drain of {drained} accepted",
+                lambda: run_console(running, "drain", "upstream", drained, "--yes"),
+            ),
+            (
+                KILL_AT_S,
+                f"all programs of {killed} killed",
+                lambda: running.signal_host(killed, signal.SIGKILL),
+            ),
+        )
+        results, samples = apply_load(loaded, control, script, LOAD_S)
         time.sleep(SETTLE_S)
         workers = control.read_records()
     print_table(results, samples, loaded)
