Shorten exchanges: marks once, summaries each 4 s, shards compressed

Marks repeat within an exchange, summaries of far zones need not be 2 s fresh unless a host goes down or leaves, and shard texts compress. A viewer whose agent restarted during a poll kept asking for the old version number; it now asks for the whole view.

--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -19,6 +19,7 @@
 # One segment's headers and the other side's acknowledgement.
 PACKET_BYTES = 2 * 52
 SEGMENT_BYTES = 1448
+MARK = messages.HeadMark(1, 1_000_000, "0123456789abcdef")
 SERVICES = ("catalogue", "deposits", "yard")
 
 
@@ -126,21 +127,25 @@
     def _exchange(self, host, target):
         asking, answering = self.tables[host], self.tables[target]
         digest = membership.make_digest(asking, answering.zone)
-        question = self._carry(host, target, asking, digest=digest)
+        question = self._carry(host, target, asking, mark=MARK, digest=digest)
         delta = membership.answer_digest(answering, question.digest, question.zone, self.now)
-        answer = self._carry(target, host, answering, delta=delta)
+        answer = self._carry(target, host, answering, True, delta=delta)
         membership.merge_delta(asking, answer.delta, self.now)
         delta = membership.make_delta(asking, answer.delta, self.now)
         if delta is not None:
             completion = self._carry(host, target, asking, delta=delta)
             membership.merge_delta(answering, completion.delta, self.now)
-            self._carry(target, host, answering)
+            self._carry(target, host, answering, True)
 
-    def _carry(self, sender, receiver, table, **fields):
-        mark = messages.HeadMark(1, 1_000_000, "0123456789abcdef")
-        message = messages.ExchangeMessage(sender, table.zone, mark, 0, 1_000_000, **fields)
-        call = {"id": 70_000, "method": "exchange", "body": messages.encode_message(message)}
-        payload = frames.pack_payload(call)
+    def _carry(self, sender, receiver, table, is_answer=False, **fields):
+        fields.setdefault("is_same_mark", "mark" not in fields)
+        message = messages.ExchangeMessage(
+            sender, table.zone, suspects_check=0, instances_version=1_000_000, **fields
+        )
+        body = messages.encode_message(message)
+        call = {"id": 70_000, "method": "exchange", "body": body}
+        answer = {"id": 70_000, "ok": True, "body": body}
+        payload = frames.pack_payload(answer if is_answer else call)
         size = FRAME_BYTES + len(payload)
         self.sent[sender] += size
         self.received[receiver] += size
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -130,3 +130,14 @@
     And generation 3 is written
     And 3 rounds pass
     Then the viewer has generation 3 and shows 7 living hosts
+
+  Scenario: A viewer does not take the answer of a restarted agent for an unchanged one
+    Given a viewer whose agent restarts during its second poll and counts the same version
+    When it polls 3 times
+    Then it shows the peers of the restarted agent
+
+  Scenario: Without answers the last view stays and becomes stale
+    Given a viewer whose agent restarts during its second poll and counts the same version
+    When it polls 1 times
+    And its agent stops answering for 3 s
+    Then it shows the peers of the first agent and is stale
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -58,9 +58,13 @@
     When peers are chosen 6 times among 7 hosts of which host-3 is down
     Then each other host was chosen at least once
 
+  Scenario: A living peer that has not been heard for 2 s is asked next
+    Then in 20 random orders the one of 7 hosts that was last heard 2 s ago is asked next
+
   Scenario: A fleet of 70 hosts agrees on who is alive, in near zones and in far ones
     Given a fleet of 70 hosts that ran for 8 s
     Then no host is judged wrongly
+    And each host holds the entries of its region and no others
     When 3 hosts end and 16 s pass
     Then no host is judged wrongly
     And no living host was ever taken for down
--- a/features/platforms.py
+++ b/features/platforms.py
@@ -67,6 +67,9 @@
 
     def call(self, method, body, timeout_s):
         target = self._cluster.find_agent(self._address)
+        # Threads that a stopped agent left behind reach nobody.
+        if self._source not in self._cluster.agents:
+            raise rpc.CallNotSentError("stopped")
         if target is None or not self._cluster.can_reach(self._source, self._address):
             raise rpc.CallNotSentError("not reachable")
         eventlet.sleep(0)
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from features import platforms
-from skylarksill import _agentwatch, messages, objectstore, records, viewer
+from skylarksill import _agentwatch, clock, messages, objectstore, records, rpc, viewer
 from standins import platform
 
 LEAVING = records.LifeState.LEAVING
@@ -264,3 +264,62 @@
     assert context.viewer.configuration.generation == generation
     living = [peer for peer in context.viewer.view.peers if peer.is_alive]
     assert len(living) == count, living
+
+
+class RestartingClient:
+    """An agent that is replaced during the second call; both have version 5 and one peer."""
+
+    def __init__(self):
+        self.peer = None
+        self.has_failed = False
+        self._calls = 0
+
+    def call(self, method, body, timeout_s):
+        if self.has_failed:
+            raise rpc.CallNotSentError("refused")
+        self._calls += 1
+        self.peer = "first" if self._calls == 1 else "second"
+        call = messages.decode_message(messages.ViewCall, body)
+        peers = () if call.version == 5 else (self._make_peer(),)
+        return messages.encode_message(
+            messages.ViewResult(5, None, (), peers, (), (), (), -1, (), call.version == 5)
+        )
+
+    def _make_peer(self):
+        entry = messages.PeerEntry(self.peer, "north-a", "1", 1, 1, records.LifeState.SERVING, ())
+        return messages.PeerView(entry, True, 0)
+
+
+@given("a viewer whose agent restarts during its second poll and counts the same version")
+def step_restarting(context):
+    context.clock = clock.FakeClock()
+    context.client = RestartingClient()
+    context.viewer = viewer.Viewer(None, context.clock, "entry", "1", client=context.client)
+
+
+@when("it polls {count:d} times")
+def step_polls(context, count):
+    for _ in range(count):
+        context.viewer.poll()
+
+
+@when("its agent stops answering for 3 s")
+def step_stops_answering(context):
+    context.client.has_failed = True
+    context.clock.advance(3)
+    try:
+        context.viewer.poll()
+    except rpc.RpcError:
+        return
+    raise AssertionError("the poll did not fail")
+
+
+@then("it shows the peers of the restarted agent")
+def step_second(context):
+    assert [peer.entry.host for peer in context.viewer.view.peers] == ["second"]
+
+
+@then("it shows the peers of the first agent and is stale")
+def step_first_agent(context):
+    assert [peer.entry.host for peer in context.viewer.view.peers] == ["first"]
+    assert context.viewer.is_stale and context.viewer.age_s == 3
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -162,13 +162,18 @@
         assert {"host-1", "host-2"} <= set(table.peers), table.peers
 
 
-@when("peers are chosen {count:d} times among 7 hosts of which {down} is down")
-def step_choose(context, count, down):
+def make_small_table():
     table = make_table()
     set_topology(table)
     for index in range(1, 7):
         zone = table.topology.zone_of[f"host-{index}"]
         table.take_entry(make_entry(f"host-{index}", 5, zone=zone), NOW)
+    return table
+
+
+@when("peers are chosen {count:d} times among 7 hosts of which {down} is down")
+def step_choose(context, count, down):
+    table = make_small_table()
     table.peers[down].is_alive = False
     choice = membership.PeerChoice(random.Random(1))
     rounds = [choice.choose_peers(table, NOW) for _ in range(count)]
@@ -176,6 +181,20 @@
     context.chosen = {host for chosen in rounds for host in chosen}
 
 
+@then("in {count:d} random orders the one of 7 hosts that was last heard 2 s ago is asked next")
+def step_probe(context, count):
+    for seed in range(count):
+        table = make_small_table()
+        table.peers["host-4"].heard_at = NOW - 2.0
+        assert "host-4" in membership.PeerChoice(random.Random(seed)).choose_peers(table, NOW), seed
+
+
+@then("each host holds the entries of its region and no others")
+def step_region(context):
+    for table in context.fleet.tables.values():
+        assert set(table.peers) == set(table.topology.scope), table.host
+
+
 @then("each other host was chosen at least once")
 def step_each(context):
     assert context.chosen >= {f"host-{index}" for index in range(1, 7)}, context.chosen
--- a/skylarksill/_agentpeers.py
+++ b/skylarksill/_agentpeers.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet import event
 
-from skylarksill import logs, membership, messages, propagation, records, rpc
+from skylarksill import _agentstate, logs, membership, messages, propagation, records, rpc
 
 EXCHANGE_INTERVAL_S = 1.0
 EXCHANGE_TIMEOUT_S = 1.0
@@ -91,10 +91,11 @@
         missing = accepted.list_missing(head)
         while missing:
             call = messages.ShardsCall(missing[:SHARDS_PER_CALL])
-            result = self._call(address, "shards", call, messages.ShardsResult, SHARDS_TIMEOUT_S)
+            result_type = messages.PackedShardsResult
+            result = self._call(address, "packed_shards", call, result_type, SHARDS_TIMEOUT_S)
             if not result.shards:
                 break
-            texts.update(result.shards)
+            texts.update((digest, _agentstate.unpack_shard(data)) for digest, data in result.shards)
             missing = tuple(digest for digest in missing if digest not in texts)
         outcome = accepted.offer(mark, head, texts, propagation.Source.PEER)
         self.note_offer(outcome, mark, f"{address[0]}:{address[1]}")
@@ -198,13 +199,15 @@
 
     def _push_to(self, address):
         now = self._clock.monotonic()
+        sent = self._state.make_push(now)
         try:
-            answer = self._ask(address, self._state.make_push(now), PUSH_TIMEOUT_S)
+            answer = self._ask(address, sent, PUSH_TIMEOUT_S)
             self._take(answer, address)
             completion = self._state.make_completion(answer, now)
-            if completion is not None:
-                answer = self._ask(address, completion, PUSH_TIMEOUT_S)
-            return answer.mark
+            if completion is not None and completion.head is not None:
+                sent = completion
+                answer = self._ask(address, sent, PUSH_TIMEOUT_S)
+            return sent.mark if answer.is_same_mark else answer.mark
         except records.SkylarksillError as error:
             self._log.debug("push to {}:{} failed: {}", *address, error)
             return None
--- a/skylarksill/_agentstate.py
+++ b/skylarksill/_agentstate.py
@@ -3,7 +3,7 @@
 import dataclasses
 import zlib
 
-from skylarksill import membership, messages, propagation, records
+from skylarksill import configuration, membership, messages, propagation, records
 
 # A daemon that has not polled for this long is no longer a part of the host.
 PART_TIMEOUT_S = 2.0
@@ -140,7 +140,7 @@
         delta = None
         if message.digest is not None:
             delta = membership.answer_digest(self.table, message.digest, message.zone, now)
-        return self._make_message(delta=delta, **self._find_news(message, now))
+        return self._make_message(message, delta=delta, **self._find_news(message, now))
 
     def make_completion(self, answer, now):
         """Makes the ExchangeMessage that gives what an answer lacks, or None if nothing."""
@@ -148,7 +148,7 @@
         news = self._find_news(answer, now)
         if delta is None and not news:
             return None
-        return self._make_message(delta=delta, **news)
+        return self._make_message(answer, delta=delta, **news)
 
     def take_message(self, message, now):
         """Takes over peers, suspects and instances of another agent.
@@ -206,6 +206,11 @@
                 picked.append((digest, texts[digest]))
         return tuple(picked)
 
+    def pack_shards(self, digests):
+        """Returns pairs of digest and compressed text, as many as fit an answer."""
+        picked = self.pick_shards(digests)
+        return tuple((digest, zlib.compress(text.encode())) for digest, text in picked)
+
     def age_store(self, now):
         """Returns milliseconds since the store's last answer, or NO_STORE_AGE_MS."""
         if self.store_answered_at is None:
@@ -219,11 +224,16 @@
             for part in self.parts.values()
         )
 
-    def _make_message(self, **fields):
+    def _make_message(self, answered=None, **fields):
+        mark = self.accepted.mark
+        is_same = answered is not None and (
+            answered.is_same_mark or (mark is not None and answered.mark == mark)
+        )
         return messages.ExchangeMessage(
             sender=self.table.host,
             zone=self.table.zone,
-            mark=self.accepted.mark,
+            mark=None if is_same else mark,
+            is_same_mark=is_same,
             suspects_check=self._suspects_check,
             instances_version=self.instances.version,
             **fields,
@@ -231,7 +241,8 @@
 
     def _find_news(self, message, now):
         news = {}
-        if propagation.is_higher(self.accepted.mark, message.mark):
+        is_higher = propagation.is_higher(self.accepted.mark, message.mark)
+        if is_higher and not message.is_same_mark:
             news["head"], news["head_base"] = self.accepted.shorten_head(message.mark)
         if message.suspects_check != self._suspects_check and self._suspects:
             news["suspects"] = self._list_suspects(now)
@@ -269,6 +280,16 @@
         return zlib.crc32("\n".join(names).encode()) if names else 0
 
 
+def unpack_shard(data):
+    """Returns the text of a packed shard, or an empty text if it is damaged or too long."""
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(data, configuration.MAX_SHARD_BYTES).decode()
+    except (zlib.error, UnicodeDecodeError):
+        return ""
+    return text if unpacker.eof else ""
+
+
 def _set_leaving(peer):
     if peer.entry.state is not records.LifeState.SERVING:
         return peer
--- a/skylarksill/agent.py
+++ b/skylarksill/agent.py
@@ -68,6 +68,7 @@
             "view": self._serve_view,
             "exchange": self._peers.serve_exchange,
             "shards": self._serve_shards,
+            "packed_shards": self._serve_packed_shards,
             "status": self._serve_status,
         }
 
@@ -174,6 +175,11 @@
         shards = self._state.pick_shards(call.digests)
         return messages.encode_message(messages.ShardsResult(shards))
 
+    def _serve_packed_shards(self, body, context):
+        call = messages.decode_message(messages.ShardsCall, body)
+        shards = self._state.pack_shards(call.digests)
+        return messages.encode_message(messages.PackedShardsResult(shards))
+
     def _serve_status(self, body, context):
         status = self._state.make_status(self._clock.monotonic())
         return messages.encode_message(status)
--- a/skylarksill/membership.py
+++ b/skylarksill/membership.py
@@ -10,8 +10,9 @@
 from skylarksill import _gossip, _peerchoice, _topology, frames, messages, records
 
 DOWN_AFTER_S = 3.0
-ZONE_DOWN_AFTER_S = 10.0
-SUMMARY_INTERVAL_S = 2.0
+# Summaries are 4 s apart at rest and take some rounds to reach all zones.
+ZONE_DOWN_AFTER_S = 15.0
+SUMMARY_INTERVAL_S = 4.0
 FORGET_AFTER_S = 60.0
 # Bounds the table of an agent that has no configuration to name the hosts.
 MAX_PEERS = 4096
@@ -265,12 +266,13 @@
             return
         if self.list_living(self.zone)[:1] != [self.host]:
             return
-        if now - self._summarised_at < SUMMARY_INTERVAL_S:
-            return
-        self._summarised_at = now
         known = self.zones.get(self.zone)
         version = max(int(unix), known.summary.version + 1 if known else 0)
-        self.zones[self.zone] = ZoneState(_gossip.summarise_zone(self, version, now), now)
+        summary = _gossip.summarise_zone(self, version, now)
+        is_due = now - self._summarised_at >= SUMMARY_INTERVAL_S
+        if is_due or known is None or _list_absent(known) != _list_absent(summary):
+            self._summarised_at = now
+            self.zones[self.zone] = ZoneState(summary, now)
 
     def _add_peer(self, entry, now):
         is_unknown = self.topology is not None and entry.host not in self.topology.zone_of
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -297,6 +297,7 @@
     that the answer asked for. ``head``, ``suspects`` and ``instances`` are filled only if the
     other agent's ``mark``, ``suspects_check`` or ``instances_version`` shows that it lacks them.
     With ``head_base``, ``head`` names only the shards that differ from the head with that mark.
+    ``is_same_mark`` stands for the mark of the message that is answered, to save its bytes.
     """
 
     sender: records.HostId
@@ -308,6 +309,7 @@
     delta: PeerDelta | None = None
     head: records.ConfigurationHead | None = None
     head_base: HeadMark | None = None
+    is_same_mark: bool = False
     suspects: tuple[SuspectEntry, ...] = ()
     instances: Instances | None = None
 
@@ -326,6 +328,13 @@
     shards: tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PackedShardsResult:
+    """Pairs of digest and zlib-compressed text; agents use it between hosts."""
+
+    shards: tuple[tuple[str, bytes], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusCall:
     """Asks an agent for everything that the status command shows."""
--- a/skylarksill/viewer.py
+++ b/skylarksill/viewer.py
@@ -143,6 +143,7 @@
         is_new_agent = self._client.peer != self._agent
         self._agent = self._client.peer
         if is_new_agent and call.version:
+            self._version = 0
             return
         self._take_result(result, call.version)
         try:
