Keep shards compressed and reopen connections that gave no answer

Texts of 330,000 blocks take about 8 MB in each agent. After a partition TCP may wait a minute before it sends again, so a connection without an answer is closed and the next call opens a new one; a feature guards it.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -131,6 +131,13 @@
     And 3 rounds pass
     Then the viewer has generation 3 and shows 7 living hosts
 
+  Scenario: A connection on which no answer came is not used again
+    Given 8 agents with generation 1
+    When no call is answered for 1 rounds
+    Then each agent has closed connections
+    When 2 rounds pass
+    Then all other agents show host-3 as serving and alive
+
   Scenario: A viewer does not take the answer of a restarted agent for an unchanged one
     Given a viewer whose agent restarts during its second poll and counts the same version
     When it polls 3 times
--- a/features/platforms.py
+++ b/features/platforms.py
@@ -70,6 +70,8 @@
         # Threads that a stopped agent left behind reach nobody.
         if self._source not in self._cluster.agents:
             raise rpc.CallNotSentError("stopped")
+        if self._cluster.is_silent:
+            raise rpc.CallLostError("no answer")
         if target is None or not self._cluster.can_reach(self._source, self._address):
             raise rpc.CallNotSentError("not reachable")
         eventlet.sleep(0)
@@ -80,7 +82,7 @@
         return self._cluster.find_agent(self._address)
 
     def close(self):
-        pass
+        self._cluster.closed.append((self._source, self._address))
 
 
 class Cluster:
@@ -88,6 +90,8 @@
 
     Attributes:
       platform: The stand-in's application.
+      is_silent: True if calls are sent and no answers come.
+      closed: Pairs of host and address of the connections that agents closed.
       groups: Dict of group number by host; hosts of different groups cannot reach each other.
     """
 
@@ -96,6 +100,8 @@
         self.platform = platform.Platform(max_wait_s=0)
         self.store = self.make_store("operator")
         self.groups = {}
+        self.is_silent = False
+        self.closed = []
         self.agents = {}
         self.configuration = builders.build_configuration(1, hosts_per_zone=hosts_per_zone)
         self._random = random.Random(seed)
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -266,6 +266,18 @@
     assert len(living) == count, living
 
 
+@when("no call is answered for {count:d} rounds")
+def step_silent(context, count):
+    context.cluster.is_silent = True
+    step_rounds(context, count)
+    context.cluster.is_silent = False
+
+
+@then("each agent has closed connections")
+def step_closed(context):
+    assert {source for source, _ in context.cluster.closed} == set(context.cluster.agents)
+
+
 class RestartingClient:
     """An agent that is replaced during the second call; both have version 5 and one peer."""
 
--- a/features/steps/propagation_steps.py
+++ b/features/steps/propagation_steps.py
@@ -126,7 +126,7 @@
     shards = [pair for pair in head.shards if pair[0] == "core"] + [("blocks-007", digest)]
     head = dataclasses.replace(head, shards=tuple(shards))
     sender = context.accepted
-    sender.held = propagation.Generation(mark, head, texts, None)
+    sender.held = propagation.Generation(mark, head, None, None)
     short, base = sender.shorten_head(base)
     context.names = [name for name, _ in short.shards]
     context.whole, context.head = receiver.complete_head(short, base), head
--- a/skylarksill/_agentpeers.py
+++ b/skylarksill/_agentpeers.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet import event
 
-from skylarksill import _agentstate, logs, membership, messages, propagation, records, rpc
+from skylarksill import _packing, logs, membership, messages, propagation, records, rpc
 
 EXCHANGE_INTERVAL_S = 1.0
 EXCHANGE_TIMEOUT_S = 1.0
@@ -95,7 +95,7 @@
             result = self._call(address, "packed_shards", call, result_type, SHARDS_TIMEOUT_S)
             if not result.shards:
                 break
-            texts.update((digest, _agentstate.unpack_shard(data)) for digest, data in result.shards)
+            texts.update((digest, _packing.unpack_shard(data)) for digest, data in result.shards)
             missing = tuple(digest for digest in missing if digest not in texts)
         outcome = accepted.offer(mark, head, texts, propagation.Source.PEER)
         self.note_offer(outcome, mark, f"{address[0]}:{address[1]}")
@@ -228,7 +228,13 @@
 
     def _call(self, address, method, message, result_type, timeout_s):
         body = messages.encode_message(message)
-        answer = self._get_client(address).call(method, body, timeout_s)
+        client = self._get_client(address)
+        try:
+            answer = client.call(method, body, timeout_s)
+        except rpc.CallLostError:
+            # After a partition TCP may take a minute to send again on an old connection.
+            client.close()
+            raise
         return messages.decode_message(result_type, answer)
 
     def _get_client(self, address):
--- a/skylarksill/_agentstate.py
+++ b/skylarksill/_agentstate.py
@@ -3,7 +3,7 @@
 import dataclasses
 import zlib
 
-from skylarksill import configuration, membership, messages, propagation, records
+from skylarksill import membership, messages, propagation, records
 
 # A daemon that has not polled for this long is no longer a part of the host.
 PART_TIMEOUT_S = 2.0
@@ -198,18 +198,14 @@
 
     def pick_shards(self, digests):
         """Returns pairs of digest and text, as many as fit an answer."""
-        texts = self.accepted.list_texts()
-        picked, size = [], 0
-        for digest in digests:
-            size += len(texts.get(digest, ""))
-            if digest in texts and size <= MAX_SHARDS_BYTES:
-                picked.append((digest, texts[digest]))
-        return tuple(picked)
+        shards = self.accepted.list_shards()
+        texts = ((digest, shards[digest]) for digest in digests if digest in shards)
+        return tuple(_take_fitting(texts))
 
     def pack_shards(self, digests):
         """Returns pairs of digest and compressed text, as many as fit an answer."""
-        picked = self.pick_shards(digests)
-        return tuple((digest, zlib.compress(text.encode())) for digest, text in picked)
+        packed = self.accepted.list_shards().packed
+        return tuple(_take_fitting((d, packed[d]) for d in digests if d in packed))
 
     def age_store(self, now):
         """Returns milliseconds since the store's last answer, or NO_STORE_AGE_MS."""
@@ -280,14 +276,13 @@
         return zlib.crc32("\n".join(names).encode()) if names else 0
 
 
-def unpack_shard(data):
-    """Returns the text of a packed shard, or an empty text if it is damaged or too long."""
-    unpacker = zlib.decompressobj()
-    try:
-        text = unpacker.decompress(data, configuration.MAX_SHARD_BYTES).decode()
-    except (zlib.error, UnicodeDecodeError):
-        return ""
-    return text if unpacker.eof else ""
+def _take_fitting(pairs):
+    size = 0
+    for digest, data in pairs:
+        size += len(data)
+        if size > MAX_SHARDS_BYTES:
+            return
+        yield digest, data
 
 
 def _set_leaving(peer):
--- /dev/null
+++ b/skylarksill/_packing.py
@@ -0,0 +1,43 @@
+"""Compressed shard texts, as agents keep them and send them to each other."""
+
+import collections.abc
+import zlib
+
+from skylarksill import configuration
+
+
+class PackedShards(collections.abc.Mapping):
+    """Shard texts by digest, kept compressed; reading one unpacks it.
+
+    330,000 client blocks take about 8 MB as texts, of which an agent needs few at a time.
+    """
+
+    def __init__(self, packed=None):
+        self.packed = dict(packed or {})
+
+    def __getitem__(self, digest):
+        return unpack_shard(self.packed[digest])
+
+    def __iter__(self):
+        return iter(self.packed)
+
+    def __len__(self):
+        return len(self.packed)
+
+    def __contains__(self, digest):
+        return digest in self.packed
+
+
+def pack_shard(text):
+    """Returns the compressed text of a shard."""
+    return zlib.compress(text.encode())
+
+
+def unpack_shard(data):
+    """Returns the text of a packed shard, or an empty text if it is damaged or too long."""
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(data, configuration.MAX_SHARD_BYTES).decode()
+    except (zlib.error, UnicodeDecodeError):
+        return ""
+    return text if unpacker.eof else ""
--- a/skylarksill/propagation.py
+++ b/skylarksill/propagation.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 
-from skylarksill import configuration, messages, records
+from skylarksill import _packing, configuration, messages, records
 
 # A head that has been refused is remembered, so that it is not fetched and checked every second.
 MAX_REFUSED = 64
@@ -44,7 +44,7 @@
 
     mark: messages.HeadMark
     head: records.ConfigurationHead
-    texts: dict
+    shards: _packing.PackedShards
     configuration: records.Configuration
 
 
@@ -81,15 +81,16 @@
 
     def list_missing(self, head):
         """Returns the digests of a head's shards that this agent does not hold."""
-        known = self.list_texts()
+        known = self.list_shards()
         return tuple(digest for _, digest in head.shards if digest not in known)
 
-    def list_texts(self):
-        """Returns all shard texts that this agent holds, by digest."""
-        texts = dict(self.in_force.texts) if self.in_force else {}
-        if self.held:
-            texts.update(self.held.texts)
-        return texts
+    def list_shards(self):
+        """Returns all shards that this agent holds as PackedShards."""
+        shards = _packing.PackedShards()
+        for generation in (self.in_force, self.held):
+            if generation:
+                shards.packed.update(generation.shards.packed)
+        return shards
 
     def shorten_head(self, base):
         """Makes the newest head short for an agent that holds a former one.
@@ -139,14 +140,15 @@
         """
         if not self.is_wanted(mark) or not _fits_mark(mark, head):
             return Offer.OLD
-        known = {**self.list_texts(), **texts}
-        wanted = {digest: known[digest] for _, digest in head.shards if digest in known}
-        if len(wanted) < len({digest for _, digest in head.shards}):
+        known = self.list_shards().packed
+        known.update((digest, _packing.pack_shard(text)) for digest, text in texts.items())
+        if not all(digest in known for _, digest in head.shards):
             return Offer.INCOMPLETE
-        joined = self._check(mark, head, wanted)
+        shards = _packing.PackedShards({digest: known[digest] for _, digest in head.shards})
+        joined = self._check(mark, head, shards)
         if joined is None:
             return Offer.INVALID
-        self.held = Generation(mark, head, wanted, joined)
+        self.held = Generation(mark, head, shards, joined)
         if source is Source.PEER:
             self.put_in_force(mark)
             return Offer.IN_FORCE
@@ -167,8 +169,8 @@
             del self._recent[next(iter(self._recent))]
         return True
 
-    def _check(self, mark, head, texts):
-        joined, problems = self._reader.read(head, texts)
+    def _check(self, mark, head, shards):
+        joined, problems = self._reader.read(head, shards)
         if not problems:
             return joined
         self.problems = problems
