--- a/features/dispatching.feature
+++ b/features/dispatching.feature
@@ -5,7 +5,7 @@
   Scenario: Work of a predecessor that still runs counts against the slots
     Given dispatchers of the north region that have served for 10 s
     When host-0 gets 4 deposits of 3 s
-    And 0.1 s pass
+    And the dispatchers run on for 0.1 s
     And host-0 is killed and started again
     And host-0 gets 10 requests every 0.1 s for 6 s
     Then no upstream ran more requests than its slots
@@ -23,7 +23,7 @@
     Given dispatchers of the north region that have served for 10 s
     When host-0 gets 3 requests of 3 s
     And host-0 is paused before its requests are written
-    And 9 s pass
+    And the dispatchers run on for 9 s
     And host-0 resumes
     Then no upstream has run a request
     And each request has ended once
@@ -44,7 +44,7 @@
     Given dispatchers of the north region that have served for 10 s
     When host-0 is cut off
     And generation 2 gives the upstreams of host-0 to host-1
-    And 2 s pass
+    And the dispatchers run on for 2 s
     And host-0 skips to a generation 3 that gives them back, which host-1 does not get
     And host-0 and host-1 get 10 requests every 0.1 s for 12 s
     Then no upstream ran more requests than its slots
@@ -53,7 +53,7 @@
     Given dispatchers of the north region that have served for 10 s
     When host-0 is cut off
     And generation 2 gives the upstreams of host-0 to host-1
-    And 2 s pass
+    And the dispatchers run on for 2 s
     And host-0 skips to a generation 3 that gives them back, which host-1 does not get
     And host-1 skips to a generation 4 that takes them again
     And host-0 and host-1 get 10 requests every 0.1 s for 12 s
@@ -68,14 +68,14 @@
   Scenario: A new incarnation counts its shift allowance as used
     Given dispatchers of the north region that have served for 10 s
     When host-0 is killed and started again
-    And 6 s pass
+    And the dispatchers run on for 6 s
     And host-0 gets 30 requests of south in a moment
     Then host-0 admitted at most 10 foreign requests in any second
 
   Scenario: A poison request that is sent 100 times at once takes down at most 2 upstreams
     Given a dispatcher with 5 upstreams of its own
     When host-0 gets a poison request 100 times at once
-    And 5 s pass
+    And the dispatchers run on for 5 s
     Then at most 2 upstreams died
     And each request has ended once
 
@@ -89,22 +89,22 @@
     Given a dispatcher with 5 upstreams of its own
     When host-0 gets 200 requests in 2 s
     And host-0 gets 15 requests of 0.2 s and among them a poison request
-    And 6 s pass
+    And the dispatchers run on for 6 s
     Then at most 2 upstreams died
     And all requests but the poison request were answered
 
   Scenario: Non-idempotent work on an upstream that died may have run and is not repeated
     Given a dispatcher with 5 upstreams of its own
     When host-0 gets a deposit that takes its upstream down
-    And 2 s pass
+    And the dispatchers run on for 2 s
     Then the deposit was reported as may have run and ran once
 
   Scenario: A late answer reaches no other request and its slot waits for it
     Given a dispatcher with 1 upstream of its own that ignores cancellation
     When host-0 gets 3 requests of 1 s with a deadline of 0.5 s
-    And 0.7 s pass
+    And the dispatchers run on for 0.7 s
     And host-0 gets 3 requests
-    And 2 s pass
+    And the dispatchers run on for 2 s
     Then no upstream ran more requests than its slots
     And the first 3 requests were reported as may have run
     And each answer belongs to its request
@@ -136,7 +136,7 @@
     Given a dispatcher with 1 upstream of its own
     When host-0 gets 300 requests in 0.1 s with a deadline of 1 s
     Then requests were refused with the limit queue when they arrived
-    When 3 s pass
+    When the dispatchers run on for 3 s
     Then at least 45 requests were answered
     And at most 3 requests passed their deadline
 
@@ -167,7 +167,7 @@
     Given a dispatcher with 5 upstreams of its own
     When host-0 gets 200 requests in 2 s
     And host-0 gets 1 requests of 2 s
-    And 3 s pass
+    And the dispatchers run on for 3 s
     Then no hedges were sent
 
   Scenario: An upstream that was down warms up from half its slots
@@ -175,7 +175,7 @@
     When the first upstream was down and a probe finds it healthy
     And host-0 gets 10 requests of 1 s
     Then the first upstream runs 2 requests
-    When 6 s pass
+    When the dispatchers run on for 6 s
     And host-0 gets 10 requests of 1 s
     Then the first upstream runs 3 requests
 
--- a/features/steps/dispatching_steps.py
+++ b/features/steps/dispatching_steps.py
@@ -142,7 +142,7 @@
         context.world.advance(0.1)
 
 
-@when("{seconds:g} s pass")
+@when("the dispatchers run on for {seconds:g} s")
 def step_pass(context, seconds):
     context.world.advance(seconds)
 
--- a/skylarksill/dispatch.py
+++ b/skylarksill/dispatch.py
@@ -36,6 +36,7 @@
 
     Attributes:
       core: The dispatching.Dispatcher.
+      incarnation: Incarnation of this process.
     """
 
     def __init__(self, settings, clock, view_source=None):
@@ -43,7 +44,7 @@
         self._clock = clock
         self._log = logs.make_logger("dispatch")
         self._metrics = metrics.Metrics("dispatch", settings.statsd)
-        incarnation = os.urandom(8).hex()
+        incarnation = self.incarnation = os.urandom(8).hex()
         identity = rpc.Identity("dispatch", settings.host, incarnation)
         self.core = dispatching.Dispatcher(settings.host, clock.monotonic())
         self._runner = _dispatchrunner.Runner(self.core, clock, self._metrics, settings.log_level)
@@ -109,7 +110,7 @@
         with contextlib.suppress(records.SkylarksillError):
             self._viewer.poll()
         self._metrics.time("stop", 1000 * (self._clock.monotonic() - started))
-        self._close()
+        self.stop()
 
     def describe_in_flight(self):
         """Returns a text that names the requests in flight."""
@@ -122,7 +123,8 @@
         self._budgets = self._make_budgets(configuration)
         self._log.info("generation={} in force", configuration.generation)
 
-    def _close(self):
+    def stop(self):
+        """Stops at once, without regard to the requests in flight."""
         for thread in self._threads:
             thread.kill()
         self._links.stop()
