--- a/bench/queue_model.py
+++ b/bench/queue_model.py
@@ -5,8 +5,10 @@
 """
 
 import dataclasses
+import functools
 import heapq
 import itertools
+import math
 import random
 
 
@@ -19,9 +21,12 @@
     zone: str
     work_s: float
     is_long: bool = False
+    service: str = ""
     finished: float | None = None
     refused: float | None = None
-    started: float | None = None
+    reason: str = ""
+    verdict: str = ""
+    upstream: str = ""
     runs: int = 0
 
     @property
@@ -38,14 +43,14 @@
     zone: str
     region: str
     slots: int
+    service: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Place:
     """The modelled deployment: its upstreams and one-way delays in seconds."""
 
     deployment: str
-    service: str
     sites: tuple[Site, ...]
     zone_delay_s: float
     region_delay_s: float
@@ -59,15 +64,25 @@
         """Returns the zones in order."""
         return sorted({site.zone for site in self.sites})
 
+    @functools.cached_property
+    def regions_by_zone(self):
+        """Region of each zone."""
+        return {site.zone: site.region for site in self.sites}
+
     def compute_delay(self, source_zone, target_zone):
         """Returns the one-way delay between two zones in seconds."""
         if source_zone == target_zone:
             return 0.0
-        regions = {site.zone: site.region for site in self.sites}
+        regions = self.regions_by_zone
         if regions[source_zone] == regions[target_zone]:
             return self.zone_delay_s
         return self.region_delay_s
 
+    def select_service(self, service):
+        """Returns the part of the deployment that serves one service."""
+        sites = tuple(site for site in self.sites if site.service == service)
+        return dataclasses.replace(self, sites=sites)
+
 
 class Simulator:
     """Runs scheduled calls in the order of virtual time."""
@@ -98,7 +113,6 @@
     def __init__(self, simulator, site):
         self.site = site
         self.speed = 1.0
-        self.is_dead = False
         self.peak = 0
         self._simulator = simulator
         self._running = {}
@@ -126,10 +140,21 @@
         return token
 
     def cancel(self, token):
-        """Removes a job; its ``on_end`` is not called."""
+        """Removes a job; its ``on_end`` is not called.
+
+        Returns:
+          True if the job was here.
+        """
+        count = self.count
         self._running.pop(token, None)
         self._waiting = [item for item in self._waiting if item[0] != token]
         self._start_waiting()
+        return self.count < count
+
+    def cancel_all(self):
+        """Removes all jobs, as the loss of the upstream does."""
+        self._running = {}
+        self._waiting = []
 
     def set_speed(self, speed):
         """Changes the speed of all running jobs; 0.1 is ten times slower."""
@@ -177,12 +202,13 @@
     long_share: float = 0.0
     long_factor: float = 50.0
     seed: int = 1
+    start_s: float = 0.0
 
 
 def make_jobs(place, load):
-    """Draws jobs with exponential service times and Poisson arrivals.
+    """Draws jobs of one service with exponential service times and Poisson arrivals.
 
-    Zones get arrivals in proportion to their slots.
+    Zones get arrivals in proportion to their slots; the first job arrives after ``start_s``.
 
     Args:
       place: The deployment.
@@ -195,19 +221,36 @@
     weights = [site.slots for site in place.sites]
     mean_work_s = load.mean_s * (1 + load.long_share * (load.long_factor - 1))
     rate = place.slots * load.load / mean_work_s
-    now = 0.0
+    now = load.start_s
+    service = place.sites[0].service
     jobs = []
     for job_id in range(load.count):
         now += generator.expovariate(rate)
         is_long = generator.random() < load.long_share
         work_s = generator.expovariate(1 / load.mean_s) * (load.long_factor if is_long else 1)
         zone = generator.choices(zones, weights)[0]
-        jobs.append(Job(job_id, now, zone, work_s, is_long))
+        jobs.append(Job(job_id, now, zone, work_s, is_long, service))
     return jobs
 
 
+def merge_jobs(*lists):
+    """Returns fresh copies of jobs of several services in order of arrival, numbered anew."""
+    merged = heapq.merge(*lists, key=lambda job: job.arrival)
+    return [dataclasses.replace(job, job_id=index) for index, job in enumerate(merged)]
+
+
 def slow_in_turns(simulator, upstreams, end, count=3, factor=0.1, turn_s=2.0, seed=7):
-    """Slows ``count`` upstreams at a time, others after each turn."""
+    """Slows ``count`` upstreams at a time, others after each turn.
+
+    Args:
+      simulator: The Simulator.
+      upstreams: ModelUpstream objects to choose from.
+      end: Virtual time in seconds after which all run at full speed.
+      count: Number of slow upstreams.
+      factor: Their speed.
+      turn_s: Length of a turn in seconds.
+      seed: Seed of the choice, so that all policies meet the same turns.
+    """
     generator = random.Random(seed)
 
     def change():
@@ -253,7 +296,9 @@
       ValueError: If there are no values.
     """
     if not values:
-        raise ValueError("no values")
+        raise ValueError("a percentile needs at least one value")
     ordered = sorted(values)
-    rank = max(0, -(-len(ordered) * percent // 100) - 1)
-    return ordered[int(rank)]
+    # Decimal fractions such as 99.9 have no exact binary form; a rank that is off by less than
+    # this share of a value must not round up.
+    rank = math.ceil(len(ordered) * percent / 100 - 1e-9) - 1
+    return ordered[min(len(ordered) - 1, max(0, rank))]
