--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,52 @@
+"""Measures the policy against baselines and bounds: ``python -m bench.measure``."""
+
+import argparse
+import concurrent.futures
+import importlib
+import sys
+
+from bench import places
+
+CASES = ("latency", "slowed", "blocking", "overload", "headroom", "drain", "stale")
+MAX_PROCESSES = 3
+
+
+def run_case(case, deployment):
+    """Returns the figures of a case for one deployment."""
+    return importlib.import_module(f"bench._case{case}").measure(deployment)
+
+
+def measure_all(cases, deployments):
+    """Prints the figures of cases in their order.
+
+    Args:
+      cases: Names out of CASES.
+      deployments: Names out of places.DEPLOYMENTS.
+    Returns:
+      The numbers of cases that are ok and red; a case counts once for each deployment.
+    """
+    tasks = [(case, deployment) for case in cases for deployment in deployments]
+    counts = {True: 0, False: 0}
+    with concurrent.futures.ProcessPoolExecutor(MAX_PROCESSES) as pool:
+        futures = [pool.submit(run_case, *task) for task in tasks]
+        for future in futures:
+            figures = future.result()
+            for figure in figures:
+                print(figure, flush=True)
+            counts[all(figure.is_ok for figure in figures)] += 1
+    return counts[True], counts[False]
+
+
+def main(arguments=None):
+    """Runs the chosen cases; exits with 1 if one is red."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--case", choices=CASES, action="append")
+    parser.add_argument("--deployment", choices=places.DEPLOYMENTS, action="append")
+    options = parser.parse_args(arguments)
+    ok, red = measure_all(options.case or CASES, options.deployment or places.DEPLOYMENTS)
+    print(f"measure: cases={ok + red} ok={ok} red={red}")
+    sys.exit(1 if red else 0)
+
+
+if __name__ == "__main__":
+    main()
