--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,8 +5,6 @@
 
 import argparse
 import collections
-import dataclasses
-import hashlib
 import itertools
 import json
 import pathlib
@@ -20,7 +18,7 @@
 
 import urllib3
 
-from bench import client, deployment, queue_model
+from bench import client, deployment, worklog
 from skylarksill import configuration, records
 
 LOAD_S = 20.0
@@ -33,33 +31,6 @@
 SEED = 20261204
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sent:
-    """One piece of work and its outcome."""
-
-    work_id: str
-    path: str
-    body: bytes
-    is_idempotent: bool
-    outcome: client.Outcome
-
-
-class UpstreamControl:
-    """Reads the records of the upstream stand-ins."""
-
-    def __init__(self, addresses):
-        self._addresses = addresses
-        self._pool = urllib3.PoolManager(retries=False)
-
-    def read_records(self):
-        """Returns the records of all workers by name."""
-        workers = {}
-        for address, port in self._addresses:
-            response = self._pool.request("GET", f"http://{address}:{port}/control/record")
-            workers.update(json.loads(response.data))
-        return workers
-
-
 def start_platform(running):
     """Starts the stand-in of the platform and waits until it is ready."""
     address = ":".join(map(str, deployment.PLATFORM_ADDRESS))
@@ -187,108 +158,10 @@
         method = "GET" if is_idempotent else "POST"
         headers = {"Work-Id": work_id}
         outcome = sender.send(service.service_id, method, path, body, is_idempotent, headers)
-        results.append(Sent(work_id, path, body, is_idempotent, outcome))
+        results.append(worklog.Sent(work_id, path, body, is_idempotent, outcome))
         time.sleep(generator.uniform(0, 2 * PAUSE_S))
 
 
-def is_own_answer(sent):
-    """Tells whether an answer belongs to its request."""
-    try:
-        echo = json.loads(sent.outcome.body)
-    except ValueError:
-        return False
-    digest = hashlib.sha256(sent.body).hexdigest()
-    own = (sent.work_id, digest)
-    return (echo.get("work_id"), echo.get("body_sha256")) == own and sent.path in echo["path"]
-
-
-def is_answered(sent):
-    """Tells whether the client got the upstream's answer."""
-    return sent.outcome.verdict == "RAN" and sent.outcome.status == 200
-
-
-def count_totals(results, workers, loaded, killed_host=None):
-    """Counts the figures of the closing line from answers and from the workers' records.
-
-    Work that a killed host had in flight is not counted as cut off.
-    """
-    runs = collections.Counter()
-    for worker in workers.values():
-        runs.update(worker["work"])
-    verdicts = collections.Counter(sent.outcome.verdict for sent in results)
-    wrong = sum(is_answered(sent) and not is_own_answer(sent) for sent in results)
-    false_not_run = sum(
-        sent.outcome.verdict == "NOT_RUN" and not sent.is_idempotent and runs[sent.work_id] > 0
-        for sent in results
-    )
-    kinds = {service.service_id: service.kind for service in loaded.services}
-    cut_off = sum(
-        workers[upstream.upstream_id]["counts"].get("begun", 0)
-        - workers[upstream.upstream_id]["counts"].get("ended", 0)
-        for upstream in loaded.upstreams
-        if kinds[upstream.service_id] is records.WorkKind.NON_IDEMPOTENT
-        and killed_host not in (upstream.home, upstream.standby)
-    )
-    return {
-        "sent": len(results),
-        "answered": sum(is_answered(sent) for sent in results),
-        "not_run": verdicts["NOT_RUN"],
-        "may_have_run": verdicts["MAY_HAVE_RUN"],
-        "wrong": wrong + false_not_run,
-        "repeated": sum(not sent.is_idempotent and runs[sent.work_id] > 1 for sent in results),
-        "over_limit": sum(
-            workers[upstream.upstream_id]["over_slots"]
-            + (workers[upstream.upstream_id]["max_connections"] > upstream.max_connections)
-            for upstream in loaded.upstreams
-        ),
-        "cut_off": cut_off,
-    }
-
-
-def sample_headroom(control, loaded, end, samples):
-    """Samples the share of free slots of each service from the workers' records until ``end``."""
-    while time.monotonic() < end:
-        workers = control.read_records()
-        for service in loaded.services:
-            own = [item for item in loaded.upstreams if item.service_id == service.service_id]
-            slots = sum(upstream.slots for upstream in own)
-            busy = sum(workers[upstream.upstream_id]["in_flight"] for upstream in own)
-            samples[service.service_id].append(1 - busy / slots)
-        time.sleep(0.25)
-
-
-def print_table(results, samples, loaded):
-    """Prints one line for each service."""
-    print(f"{'service':<12}{'sent':>7}{'answered':>10}{'p50 ms':>9}{'p99 ms':>9}{'headroom':>10}")
-    for service in loaded.services:
-        own = [sent for sent in results if sent.outcome.service == service.service_id]
-        times = [1000 * sent.outcome.latency_s for sent in own if is_answered(sent)]
-        headroom = min(samples[service.service_id], default=1.0)
-        print(
-            f"{service.service_id:<12}{len(own):>7}{len(times):>10}"
-            f"{queue_model.compute_percentile(times, 50):>9.0f}"
-            f"{queue_model.compute_percentile(times, 99):>9.0f}{headroom:>10.0%}"
-        )
-
-
-def print_failures(results):
-    """Prints how often each kind of failure was the last word to a client."""
-    reasons = collections.Counter()
-    for sent in results:
-        if not is_answered(sent):
-            reasons[(sent.outcome.service, sent.outcome.verdict, read_reason(sent))] += 1
-    for (service, verdict, reason), count in sorted(reasons.items(), key=str):
-        print(f"not answered: {service} {verdict} {reason} {count}")
-
-
-def read_reason(sent):
-    """Returns the reason of an error answer, or its status."""
-    try:
-        return json.loads(sent.outcome.body).get("reason", sent.outcome.status)
-    except (ValueError, AttributeError):
-        return sent.outcome.status
-
-
 def choose_targets(loaded):
     """Returns the upstream to drain and the host to kill; they share no host."""
     kinds = {service.service_id: service.kind for service in loaded.services}
@@ -324,7 +197,9 @@
         )
         for index, sender in enumerate(make_clients(loaded))
     ]
-    threads.append(threading.Thread(target=sample_headroom, args=(control, loaded, end, samples)))
+    threads.append(
+        threading.Thread(target=worklog.sample_headroom, args=(control, loaded, end, samples))
+    )
     for thread in threads:
         thread.start()
     for at_s, text, act in script:
@@ -360,7 +235,7 @@
       The UpstreamControl.
     """
     start_platform(running)
-    control = UpstreamControl(start_upstreams(running, loaded))
+    control = worklog.UpstreamControl(start_upstreams(running, loaded))
     running.start_all_hosts()
     run_console(running, "apply", str(path))
     wait_for_service(loaded)
@@ -394,12 +269,12 @@
         results, samples = apply_load(loaded, control, script, LOAD_S)
         time.sleep(SETTLE_S)
         workers = control.read_records()
-    print_table(results, samples, loaded)
-    print_failures(results)
-    totals = count_totals(results, workers, loaded, killed)
+    worklog.print_table(results, samples, loaded)
+    worklog.print_failures(results)
+    totals = worklog.count_totals(results, workers, loaded, killed)
     print("demo: " + " ".join(f"{key}={value}" for key, value in totals.items()))
     idempotent = [sent for sent in results if sent.is_idempotent]
-    answered = sum(is_answered(sent) for sent in idempotent)
+    answered = sum(worklog.is_answered(sent) for sent in idempotent)
     is_clean = not any(totals[key] for key in ("wrong", "repeated", "over_limit", "cut_off"))
     return is_clean and answered >= MIN_ANSWERED_SHARE * len(idempotent)
 
--- a/bench/process_faults.py
+++ b/bench/process_faults.py
@@ -15,7 +15,7 @@
 
 import urllib3
 
-from bench import demo, deployment
+from bench import demo, deployment, worklog
 
 LOAD_S = 14.0
 MAX_STOP_S = 8.0
@@ -122,10 +122,10 @@
         has_stopped = case.name != "stop-host" or _wait_until_stopped(running, host)
         time.sleep(demo.SETTLE_S)
         workers = control.read_records()
-    demo.print_failures(results)
-    totals = demo.count_totals(results, workers, loaded, host if case.may_cut_off else None)
+    worklog.print_failures(results)
+    totals = worklog.count_totals(results, workers, loaded, host if case.may_cut_off else None)
     idempotent = [sent for sent in results if sent.is_idempotent]
-    answered = sum(demo.is_answered(sent) for sent in idempotent)
+    answered = sum(worklog.is_answered(sent) for sent in idempotent)
     is_clean = not any(totals[key] for key in ("wrong", "repeated", "over_limit", "cut_off"))
     has_held = is_clean and has_stopped and answered >= MIN_ANSWERED_SHARE * len(idempotent)
     fields = " ".join(f"{key}={value}" for key, value in totals.items())
