End commands whose questions get no answer

Cause: without a terminal cleo answers each question with its default, and at the end of the input it asks again for ever; the questionnaire then wrote the same line without end, and a drain that nobody confirmed ended with exit code 0.

Change: the questionnaire needs a terminal; every question is asked once and the end of the input ends the command; a change that is not confirmed has exit code 1.

Ruled out: reading typed answers from a pipe, because generate reads them from a file.

Conclusion: no command waits for an answer that cannot come.

--- a/features/console.feature
+++ b/features/console.feature
@@ -20,6 +20,17 @@
     And "check FILE --answers" runs
     Then it exits with 0 and prints "no problems"
 
+  Scenario: The questionnaire needs a terminal
+    Given a console
+    When "questionnaire FILE" runs without a terminal
+    Then it exits with 1 and prints "the questions need a terminal"
+
+  Scenario: A wrong answer is asked for again, and the end of the input ends the command
+    Given a console
+    When "questionnaire FILE" runs with "two words,cedarwake" typed in
+    Then it exits with 1 and prints "the input has ended; nothing was changed"
+    And the output names "must be 1 to 64 letters"
+
   Scenario: Each problem of a file is one line
     Given a console with a configuration file of generation 0
     And "slots = 3" in the file becomes "slots = 0"
@@ -117,6 +128,22 @@
       |         | 1    | 1          |
       | --force | 0    | 2          |
 
+  Scenario Outline: A change that is not confirmed is not made
+    Given a console with a configuration file of generation 0
+    When "apply FILE" runs
+    And "<line>" runs without a terminal
+    Then it exits with 1 and prints "nothing was changed; --yes"
+    And the store has generation 1
+    When "<line>" runs with "n" typed in
+    Then it exits with 1 and prints "nothing was changed; --yes"
+    When "<line>" runs with "y" typed in
+    Then it exits with 0 and prints "generation 2 is in the store"
+
+    Examples:
+      | line                      |
+      | drain host host-0         |
+      | shift move north south 30 |
+
   Scenario: A shift is shown with its cap, and ended
     Given a console with a configuration file of generation 0
     When "apply FILE" runs
--- a/features/steps/console_steps.py
+++ b/features/steps/console_steps.py
@@ -1,6 +1,5 @@
 """Steps of console.feature."""
 
-import contextlib
 import json
 import os
 import pathlib
@@ -150,14 +149,13 @@
     context.store.remove(key)
 
 
-def run_command(context, line, inputs=None):
+def run_command(context, line, inputs=None, interactive=None):
     line = line.replace("FILE", str(context.file))
     line = line.replace("ANSWERS", str(EXAMPLES / "cedarwake-answers.ini"))
     name, _, arguments = line.partition(" ")
     command = application.make_application().find(name)
     tester = command_tester.CommandTester(command)
-    with contextlib.suppress(SystemExit):
-        tester.execute(arguments, inputs=inputs)
+    tester.execute(arguments, inputs=inputs, interactive=interactive)
     context.exit_code = tester.status_code
     context.output = tester.io.fetch_output()
     context.errors = tester.io.fetch_error()
@@ -168,6 +166,16 @@
     run_command(context, line)
 
 
+@when('"{line}" runs without a terminal')
+def step_run_alone(context, line):
+    run_command(context, line, interactive=False)
+
+
+@when('"{line}" runs with "{typed}" typed in')
+def step_run_typed_in(context, line, typed):
+    run_command(context, line, typed.replace(",", "\n") + "\n")
+
+
 @when('"{line}" runs with the example answers typed in')
 def step_run_typed(context, line):
     text = (EXAMPLES / "cedarwake-answers.ini").read_text(encoding="utf-8")
--- a/skylarksill/console/_command.py
+++ b/skylarksill/console/_command.py
@@ -76,6 +76,20 @@
         """Does the work; returns an exit code or None."""
         raise NotImplementedError
 
+    def ask_once(self, question):
+        """Asks a question of cleo.
+
+        Raises:
+          CommandError: If the input has ended.
+        """
+        # Without a bound cleo asks again for ever at the end of the input.
+        question.set_max_attempts(1)
+        try:
+            return question.ask(self.io)
+        except RuntimeError as error:
+            reason = "the input has ended; nothing was changed"
+            raise CommandError(EXIT_PROBLEMS, reason) from error
+
     def write_error(self, text):
         """Writes a line to standard error as it is, without styles."""
         self.io.write_error_line(text, type=output.Type.RAW)
--- a/skylarksill/console/_drains.py
+++ b/skylarksill/console/_drains.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cleo import helpers
+from cleo.ui import confirmation_question
 
 from skylarksill import drains, records
 from skylarksill.console import _command
@@ -23,9 +24,10 @@
         """Decides whether the change is made.
 
         Returns:
-          False for a dry run or if the operator declines.
+          False for a dry run.
         Raises:
-          CommandError: If the rest cannot carry the load and ``--force`` is not given.
+          CommandError: If the rest cannot carry the load and ``--force`` is not given, or if the
+            operator does not confirm the change.
         """
         for fault in faults:
             self.write_error(f"headroom: {fault}")
@@ -34,7 +36,10 @@
         if faults and not self.option("force"):
             reason = "nothing was changed; --force makes the change all the same"
             raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
-        return self.option("yes") or self.confirm("Make this change?", False)
+        if self.option("yes") or self.ask_once(_make_question()):
+            return True
+        reason = "nothing was changed; --yes makes the change without a question"
+        raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
 
     def read_loads(self):
         """Returns the loads that the agent knows; none if it does not answer."""
@@ -62,6 +67,10 @@
         self.render_table(headers, rows, style="compact")
 
 
+def _make_question():
+    return confirmation_question.ConfirmationQuestion("Make this change?", default=False)
+
+
 class DrainCommand(_ChangeCommand):
     """Drains something, or returns it to service."""
 
@@ -90,7 +99,6 @@
         self.show_headrooms(preview.headrooms)
         # A return adds slots, so that a lack that remains is no reason against it.
         if not self.confirm_change(() if self.option("undo") else preview.faults):
-            self.write_text("nothing was changed")
             return
         subject = f"{state.value} {target.kind.value} {target.name}"
         generation = self.publish(store, base, preview.configuration, subject)
@@ -132,7 +140,6 @@
             shifts = (*others, planned)
             faults = self._show_target(present, planned)
         if not self.confirm_change(faults):
-            self.write_text("nothing was changed")
             return
         changed = dataclasses.replace(present, shifts=shifts)
         verb = "end shift" if self.option("undo") else "shift"
--- a/skylarksill/console/_generating.py
+++ b/skylarksill/console/_generating.py
@@ -3,6 +3,7 @@
 import pathlib
 
 from cleo import helpers
+from cleo.ui import question
 
 from skylarksill import configuration, questionnaire
 from skylarksill.console import _command
@@ -21,6 +22,10 @@
     def run_command(self):
         """Asks all questions and writes the answers if they fit together."""
         path = check_new_file(self.argument("answers"), self.option("force"))
+        if not self.io.is_interactive():
+            # Every question would get its default, also those that have none.
+            reason = "the questions need a terminal; answers in a file go to generate"
+            raise _command.CommandError(_command.EXIT_PROBLEMS, reason)
         text = questionnaire.ask_answers(self._ask, self.write_text)
         write_file(path, text)
         _, problems = questionnaire.parse_answers(text)
@@ -29,10 +34,7 @@
 
     def _ask(self, prompt, default):
         shown = f"{prompt} [{default}]:" if default else f"{prompt}:"
-        try:
-            return self.ask(shown, default)
-        except EOFError:
-            raise _command.CommandError(_command.EXIT_PROBLEMS, "the answers end early") from None
+        return self.ask_once(question.Question(shown, default=default))
 
 
 class GenerateCommand(_command.ConsoleCommand):
