--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -8,14 +8,18 @@
 import heapq
 import random
 import time
-import tracemalloc
+
+import psutil
 
 from skylarksill import frames, membership, messages, records
 
 FRAME_BYTES = 28
+# Zone summaries have reached all hosts by then.
+WARM_UP_S = 8
 # One segment's headers and the other side's acknowledgement.
 PACKET_BYTES = 2 * 52
 SEGMENT_BYTES = 1448
+MARK = messages.HeadMark(1, 1_000_000, "0123456789abcdef")
 SERVICES = ("catalogue", "deposits", "yard")
 
 
@@ -123,21 +127,25 @@
     def _exchange(self, host, target):
         asking, answering = self.tables[host], self.tables[target]
         digest = membership.make_digest(asking, answering.zone)
-        question = self._carry(host, target, asking, digest=digest)
+        question = self._carry(host, target, asking, mark=MARK, digest=digest)
         delta = membership.answer_digest(answering, question.digest, question.zone, self.now)
-        answer = self._carry(target, host, answering, delta=delta)
+        answer = self._carry(target, host, answering, True, delta=delta)
         membership.merge_delta(asking, answer.delta, self.now)
         delta = membership.make_delta(asking, answer.delta, self.now)
         if delta is not None:
             completion = self._carry(host, target, asking, delta=delta)
             membership.merge_delta(answering, completion.delta, self.now)
-            self._carry(target, host, answering)
+            self._carry(target, host, answering, True)
 
-    def _carry(self, sender, receiver, table, **fields):
-        mark = messages.HeadMark(1, 1_000_000, "0123456789abcdef")
-        message = messages.ExchangeMessage(sender, table.zone, mark, 0, 1_000_000, **fields)
-        call = {"id": 70_000, "method": "exchange", "body": messages.encode_message(message)}
-        payload = frames.pack_payload(call)
+    def _carry(self, sender, receiver, table, is_answer=False, **fields):
+        fields.setdefault("is_same_mark", "mark" not in fields)
+        message = messages.ExchangeMessage(
+            sender, table.zone, suspects_check=0, instances_version=1_000_000, **fields
+        )
+        body = messages.encode_message(message)
+        call = {"id": 70_000, "method": "exchange", "body": body}
+        answer = {"id": 70_000, "ok": True, "body": body}
+        payload = frames.pack_payload(answer if is_answer else call)
         size = FRAME_BYTES + len(payload)
         self.sent[sender] += size
         self.received[receiver] += size
@@ -151,11 +159,11 @@
 def measure(count, seconds, seed):
     """Returns a line with the cost per host of a fleet of ``count`` hosts."""
     configuration = build_fleet(count)
-    tracemalloc.start()
+    process = psutil.Process()
+    before = process.memory_info().rss
     fleet = Fleet(configuration, seed)
-    fleet.run(6)
-    memory = tracemalloc.get_traced_memory()[0] / count
-    tracemalloc.stop()
+    fleet.run(WARM_UP_S)
+    memory = (process.memory_info().rss - before) / count
     for counts in (fleet.sent, fleet.received, fleet.packets):
         counts.update(dict.fromkeys(counts, 0))
     fleet.busy_s = 0.0
--- a/skylarksill/_agentstate.py
+++ b/skylarksill/_agentstate.py
@@ -140,7 +140,7 @@
         delta = None
         if message.digest is not None:
             delta = membership.answer_digest(self.table, message.digest, message.zone, now)
-        return self._make_message(delta=delta, **self._find_news(message, now))
+        return self._make_message(message, delta=delta, **self._find_news(message, now))
 
     def make_completion(self, answer, now):
         """Makes the ExchangeMessage that gives what an answer lacks, or None if nothing."""
@@ -148,7 +148,7 @@
         news = self._find_news(answer, now)
         if delta is None and not news:
             return None
-        return self._make_message(delta=delta, **news)
+        return self._make_message(answer, delta=delta, **news)
 
     def take_message(self, message, now):
         """Takes over peers, suspects and instances of another agent.
@@ -198,13 +198,14 @@
 
     def pick_shards(self, digests):
         """Returns pairs of digest and text, as many as fit an answer."""
-        texts = self.accepted.list_texts()
-        picked, size = [], 0
-        for digest in digests:
-            size += len(texts.get(digest, ""))
-            if digest in texts and size <= MAX_SHARDS_BYTES:
-                picked.append((digest, texts[digest]))
-        return tuple(picked)
+        shards = self.accepted.list_shards()
+        texts = ((digest, shards[digest]) for digest in digests if digest in shards)
+        return tuple(_take_fitting(texts))
+
+    def pack_shards(self, digests):
+        """Returns pairs of digest and compressed text, as many as fit an answer."""
+        packed = self.accepted.list_shards().packed
+        return tuple(_take_fitting((d, packed[d]) for d in digests if d in packed))
 
     def age_store(self, now):
         """Returns milliseconds since the store's last answer, or NO_STORE_AGE_MS."""
@@ -219,11 +220,16 @@
             for part in self.parts.values()
         )
 
-    def _make_message(self, **fields):
+    def _make_message(self, answered=None, **fields):
+        mark = self.accepted.mark
+        is_same = answered is not None and (
+            answered.is_same_mark or (mark is not None and answered.mark == mark)
+        )
         return messages.ExchangeMessage(
             sender=self.table.host,
             zone=self.table.zone,
-            mark=self.accepted.mark,
+            mark=None if is_same else mark,
+            is_same_mark=is_same,
             suspects_check=self._suspects_check,
             instances_version=self.instances.version,
             **fields,
@@ -231,7 +237,8 @@
 
     def _find_news(self, message, now):
         news = {}
-        if propagation.is_higher(self.accepted.mark, message.mark):
+        is_higher = propagation.is_higher(self.accepted.mark, message.mark)
+        if is_higher and not message.is_same_mark:
             news["head"], news["head_base"] = self.accepted.shorten_head(message.mark)
         if message.suspects_check != self._suspects_check and self._suspects:
             news["suspects"] = self._list_suspects(now)
@@ -269,6 +276,15 @@
         return zlib.crc32("\n".join(names).encode()) if names else 0
 
 
+def _take_fitting(pairs):
+    size = 0
+    for digest, data in pairs:
+        size += len(data)
+        if size > MAX_SHARDS_BYTES:
+            return
+        yield digest, data
+
+
 def _set_leaving(peer):
     if peer.entry.state is not records.LifeState.SERVING:
         return peer
