--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -15,12 +15,14 @@
 import sys
 import tempfile
 import time
+import types
 
+import eventlet
 import psutil
 import urllib3
 
 from features import builders
-from skylarksill import configuration, messages, objectstore, records, rpc
+from skylarksill import clock, configuration, messages, objectstore, records, rpc, viewer
 
 PLATFORM_PORT = 7100
 AGENT_PORT = 7004
@@ -144,6 +146,16 @@
         answer = self._clients[host.host_id].call("status", body, 1.0)
         return messages.decode_message(messages.StatusResult, answer)
 
+    def make_viewer(self, host, part):
+        """Returns a Viewer that polls a host's agent."""
+        host_settings = types.SimpleNamespace(
+            address=host.address,
+            agent_port=host.agent_port,
+            shared_key=SHARED_KEY,
+            host=host.host_id,
+        )
+        return viewer.Viewer(host_settings, clock.SystemClock(), part, "bench")
+
     def control(self, path, **fields):
         """Calls the platform's control endpoint."""
         url = f"http://{self.network}.1:{PLATFORM_PORT}/control/{path}"
@@ -158,7 +170,8 @@
         lines = subprocess.run(
             ["ss", "-tinHO", "src", host.address], capture_output=True, text=True, check=True
         ).stdout.splitlines()
-        # A client binds no address, so a connection between hosts shows at its accepting end only.
+        # A client binds no address and so has 127.0.0.1: a connection between hosts shows at its
+        # accepting end only.
         sent = sum(int(n) for line in lines for n in re.findall(r"bytes_sent:(\d+)", line))
         received = sum(int(n) for line in lines for n in re.findall(r"bytes_received:(\d+)", line))
         return sent + received
@@ -229,13 +242,23 @@
     agents.control("faults", outage=False)
 
 
-def measure_rest(agents, seconds):
-    """Measures store calls, processor time, memory and bytes of agents at rest."""
+def measure_rest(agents, seconds, viewer_count):
+    """Measures store calls, processor time, memory and bytes of agents at rest.
+
+    Args:
+      agents: The Agents.
+      seconds: Duration in seconds.
+      viewer_count: Number of daemons of each host that poll its agent.
+    """
     hosts = agents.configuration.hosts
+    viewers = [agents.make_viewer(host, str(i)) for host in hosts for i in range(viewer_count)]
+    for polling in viewers:
+        polling.start()
+    eventlet.sleep(3)
     counts = agents.control("counts")["clients"]
     used = {host: sum(agents.find_process(host).cpu_times()[:2]) for host in hosts}
     sent = {host: agents.count_bytes(host) for host in hosts}
-    time.sleep(seconds)
+    eventlet.sleep(seconds)
     later = agents.control("counts")["clients"]
     calls = [
         (sum(later[host.host_id].values()) - sum(counts[host.host_id].values())) / seconds
@@ -244,11 +267,15 @@
     cores = [(sum(agents.find_process(h).cpu_times()[:2]) - used[h]) / seconds for h in hosts]
     # Each byte between two hosts is counted at one end, so the sum is what all hosts send.
     rate = sum(agents.count_bytes(host) - sent[host] for host in hosts) / seconds / len(hosts)
-    memory = [agents.find_process(host).memory_info().rss / 1e6 for host in hosts]
+    memory = [agents.find_process(host).memory_full_info() for host in hosts]
+    for polling in viewers:
+        polling.stop()
     print(
-        f"propagation: case=rest seconds={seconds} hosts={len(hosts)} "
+        f"propagation: case=rest seconds={seconds} hosts={len(hosts)} viewers={viewer_count} "
         f"store_calls_s_max={max(calls):.2f} core_percent_max={100 * max(cores):.2f} "
-        f"rss_mb_max={max(memory):.1f} sent_bytes_s_mean={rate:.0f}",
+        f"rss_mb_max={max(m.rss for m in memory) / 1e6:.1f} "
+        f"uss_mb_max={max(m.uss for m in memory) / 1e6:.1f}"
+        + (f" both_ways_bytes_s_mean={2 * rate:.0f}" if not viewer_count else ""),
         flush=True,
     )
 
@@ -285,7 +312,8 @@
         try:
             agents.start()
             hosts = [host.host_id for host in agents.configuration.hosts]
-            measure_rest(agents, arguments.rest)
+            measure_rest(agents, arguments.rest, 0)
+            measure_rest(agents, arguments.rest, 3)
             measure_changes(agents, "store_up", arguments.repeats)
             measure_changes(agents, "6_of_7_cut_off", arguments.repeats, cut_off=hosts[1:])
             measure_changes(agents, "stale_watches", arguments.repeats, stale_watches=True)
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -255,7 +255,8 @@
 @then("the viewer has generation {generation:d} and shows {host} as down")
 def step_viewer_down(context, generation, host):
     peers = {peer.entry.host: peer.is_alive for peer in context.viewer.view.peers}
-    assert context.viewer.configuration.generation == generation
+    shown = {peer.entry.generation for peer in context.viewer.view.peers if peer.is_alive}
+    assert context.viewer.configuration.generation == generation and shown == {generation}, shown
     assert not peers.pop(host) and all(peers.values()) and len(peers) == 7, peers
 
 
--- a/skylarksill/_agentstate.py
+++ b/skylarksill/_agentstate.py
@@ -7,6 +7,8 @@
 
 # A daemon that has not polled for this long is no longer a part of the host.
 PART_TIMEOUT_S = 2.0
+# Ages in a view are too low by at most this time.
+VIEW_CACHE_S = 0.25
 MAX_SUSPECTS = 4096
 # Daemons renew a suspect's expiry with each poll; smaller steps are not passed on.
 EXPIRY_STEP_S = 1.0
@@ -48,6 +50,7 @@
         self._suspects = {}
         self._suspects_check = 0
         self._head_version = 0
+        self._encoded_view = (None, 0.0, None)
 
     @property
     def generation(self):
@@ -74,7 +77,7 @@
         self.table.beat(now, loads, generation=self.generation, parts=parts, state=self.life)
         down = self.table.mark_down(now)
         self.table.summarise_zone(now, unix)
-        self.table.publish_loads()
+        self.table.publish()
         return down
 
     def note_configuration(self, near_limit=membership.NEAR_LIMIT):
@@ -159,10 +162,22 @@
         if message.delta is not None:
             membership.merge_delta(self.table, message.delta, now)
             if self.table.topology is None or self.table.topology.is_small:
-                self.table.publish_loads()
+                self.table.publish()
         self.take_instances(message.instances)
         return self.take_suspects(message.suspects, now)
 
+    def encode_view(self, call, now):
+        """Answers a daemon's ViewCall with an encoded ViewResult.
+
+        The daemons of a host poll within VIEW_CACHE_S of each other, mostly from the same version.
+        """
+        key = (call.version, self.table.version)
+        cached_key, made_at, body = self._encoded_view
+        if key != cached_key or now - made_at > VIEW_CACHE_S:
+            body = messages.encode_message(self.make_view(call, now))
+            self._encoded_view = (key, now, body)
+        return body
+
     def make_view(self, call, now):
         """Answers a daemon's ViewCall with a ViewResult."""
         version = self.table.version
--- a/skylarksill/agent.py
+++ b/skylarksill/agent.py
@@ -168,7 +168,7 @@
         now = self._clock.monotonic()
         if self._state.take_report(call, now):
             eventlet.spawn_n(self._peers.push)
-        return messages.encode_message(self._state.make_view(call, now))
+        return self._state.encode_view(call, now)
 
     def _serve_shards(self, body, context):
         call = messages.decode_message(messages.ShardsCall, body)
--- a/skylarksill/membership.py
+++ b/skylarksill/membership.py
@@ -79,7 +79,7 @@
         self.zone = entry.zone
         self.version = 1
         self.whole_version = 1
-        self._has_new_loads = False
+        self._has_unpublished = False
         self.topology = None
         self.peers = {entry.host: Peer(entry, compute_entry_check(entry), now, loads_at=now)}
         self.zones = {}
@@ -137,8 +137,10 @@
 
     def take_beat(self, peer, heartbeat, generation, now):
         """Takes over a higher heartbeat of a peer whose entry is otherwise the same."""
-        if not peer.is_alive or generation != peer.entry.generation:
+        if not peer.is_alive:
             self._mark_changed(peer)
+        elif generation != peer.entry.generation:
+            self._mark_at_publication(peer)
         peer.entry = dataclasses.replace(peer.entry, heartbeat=heartbeat, generation=generation)
         peer.heard_at = now
         peer.is_alive = True
@@ -146,15 +148,15 @@
     def set_loads(self, peer, loads, loads_at):
         """Replaces a peer's loads by LoadEntries that were measured at ``loads_at``."""
         if loads != peer.loads:
-            self._has_new_loads = True
+            self._has_unpublished = True
         peer.loads = loads
         peer.loads_at = loads_at
 
-    def publish_loads(self):
-        """Raises the version if loads have changed since the last time."""
-        if self._has_new_loads:
+    def publish(self):
+        """Raises the version if loads or generations have changed since the last time."""
+        if self._has_unpublished:
             self.version += 1
-        self._has_new_loads = False
+        self._has_unpublished = False
 
     def take_summary(self, summary, now):
         """Takes over a ZoneSummary if its version is higher than the known one."""
@@ -163,7 +165,7 @@
         if known is not None and summary.version <= known.summary.version:
             return
         self.zones[zone] = ZoneState(summary, now)
-        self._has_new_loads = True
+        self._has_unpublished = True
         if known is None or not known.is_alive or _list_absent(known) != _list_absent(summary):
             self._mark_zone(zone)
 
@@ -242,8 +244,8 @@
         """Returns the LoadEntries of living near hosts with their ages."""
         return tuple(
             dataclasses.replace(load, age_ms=_to_ms(now - peer.loads_at))
-            for peer in self.peers.values()
-            if peer.is_alive
+            for host, peer in self.peers.items()
+            if peer.is_alive and self.is_near(host)
             for load in peer.loads
         )
 
@@ -285,8 +287,10 @@
 
     def _set_entry(self, peer, entry, now):
         check = compute_entry_check(entry)
-        if check != peer.check or not peer.is_alive or entry.generation != peer.entry.generation:
+        if check != peer.check or not peer.is_alive:
             self._mark_changed(peer)
+        elif entry.generation != peer.entry.generation:
+            self._mark_at_publication(peer)
         peer.entry = entry
         peer.check = check
         peer.heard_at = now
@@ -321,6 +325,12 @@
             if not self.is_near(host):
                 self._far_changed[host] = self.version
 
+    def _mark_at_publication(self, peer):
+        # Each new generation changes all peers within seconds; one view for each would cost more
+        # than all exchanges.
+        peer.changed = self.version + 1
+        self._has_unpublished = True
+
     def _view_far_host(self, host, now):
         zone = self.topology.zone_of[host]
         state = self.zones.get(zone)
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import functools
+import operator
 import types
 import typing
 
@@ -356,6 +357,10 @@
     head: records.ConfigurationHead | None = None
 
 
+# Values that msgpack carries as they are. Messages consist mostly of them.
+_PLAIN_TYPES = frozenset((bool, bytes, float, int, str, type(None)))
+
+
 def encode_message(message):
     """Encodes a message as nested lists that msgpack can carry.
 
@@ -364,14 +369,17 @@
     Returns:
       Lists, strings, numbers, bytes and None.
     """
-    if dataclasses.is_dataclass(message):
-        fields = _list_fields(type(message))
-        return [encode_message(getattr(message, name)) for name, _ in fields]
-    if isinstance(message, enum.Enum):
+    message_type = type(message)
+    if message_type in _PLAIN_TYPES:
+        return message
+    if issubclass(message_type, (list, tuple)):
+        return [v if type(v) in _PLAIN_TYPES else encode_message(v) for v in message]
+    if issubclass(message_type, enum.Enum):
         return message.value
-    if isinstance(message, (list, tuple)):
-        return [encode_message(item) for item in message]
-    return message
+    if not dataclasses.is_dataclass(message_type):
+        return message
+    values = _make_getter(message_type)(message)
+    return [v if type(v) in _PLAIN_TYPES else encode_message(v) for v in values]
 
 
 def decode_message(message_type, value):
@@ -388,6 +396,14 @@
     return _make_decoder(message_type)(value)
 
 
+@functools.cache
+def _make_getter(message_type):
+    names = [name for name, _ in _list_fields(message_type)]
+    if len(names) > 1:
+        return operator.attrgetter(*names)
+    return lambda message: [getattr(message, name) for name in names]
+
+
 @functools.cache
 def _list_fields(message_type):
     hints = typing.get_type_hints(message_type)
