--- a/bench/demo.py
+++ b/bench/demo.py
@@ -60,13 +60,25 @@
         return workers
 
 
-def start_upstreams(running, loaded):
+def start_platform(running):
+    """Starts the stand-in of the platform and waits until it is ready."""
+    address = ":".join(map(str, deployment.PLATFORM_ADDRESS))
+    platform = running.start_module("platform", "standins.platform", "--address", address)
+    platform.wait_until_ready()
+
+
+def start_upstreams(running, loaded, distribution="exponential", mean_ms=None):
     """Starts one stand-in process for each zone.
 
+    Args:
+      running: The Deployment.
+      loaded: The Configuration.
+      distribution: Distribution of the service times, "exponential" or "fixed".
+      mean_ms: Mean service time in milliseconds; that of each service if None.
     Returns:
       The control addresses.
     """
-    means = {service.service_id: service.mean_ms for service in loaded.services}
+    means = {service.service_id: mean_ms or service.mean_ms for service in loaded.services}
     controls = []
     started = []
     for index, zone in enumerate(loaded.zones):
@@ -81,7 +93,7 @@
                     f"service = {upstream.service_id}",
                     f"slots = {upstream.slots}",
                     f"mean_ms = {means[upstream.service_id]}",
-                    "distribution = exponential",
+                    f"distribution = {distribution}",
                 ]
         path = running.directory / f"upstreams-{zone.zone_id}.ini"
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
@@ -123,6 +135,26 @@
             time.sleep(0.1)
 
 
+def wait_for_upstreams(loaded):
+    """Waits until each client gets an answer from each service.
+
+    New dispatchers keep their slots unused until work of a predecessor could no longer run.
+
+    Raises:
+      RuntimeError: If a service does not answer within 20 s.
+    """
+    deadline = time.monotonic() + 20.0
+    for sender, service in itertools.product(make_clients(loaded), loaded.services):
+        is_idempotent = service.kind is records.WorkKind.IDEMPOTENT
+        method = "GET" if is_idempotent else "POST"
+        while True:
+            outcome = sender.send(service.service_id, method, "/ready", b"", is_idempotent)
+            if outcome.status == 200:
+                break
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{service.service_id} does not answer: {outcome}")
+
+
 def make_clients(loaded):
     """Returns clients in all zones, each with the look-ups of its own zone first."""
     prefixes = {block.zone_id: block.prefix for block in reversed(loaded.blocks)}
@@ -175,8 +207,11 @@
     return sent.outcome.verdict == "RAN" and sent.outcome.status == 200
 
 
-def count_totals(results, workers, loaded, killed_host):
-    """Counts the figures of the closing line from answers and from the workers' records."""
+def count_totals(results, workers, loaded, killed_host=None):
+    """Counts the figures of the closing line from answers and from the workers' records.
+
+    Work that a killed host had in flight is not counted as cut off.
+    """
     runs = collections.Counter()
     for worker in workers.values():
         runs.update(worker["work"])
@@ -268,16 +303,21 @@
     return drained.upstream_id, killed.host_id
 
 
-def apply_load(running, loaded, control, drained, killed):
-    """Sends work from all clients while the upstream drains and the host is killed.
+def apply_load(loaded, control, script, load_s):
+    """Sends work from all clients while a script of disturbances runs.
 
+    Args:
+      loaded: The Configuration.
+      control: The UpstreamControl.
+      script: Triples of time in seconds, text to print and function to call, in order of time.
+      load_s: Duration of the load in seconds.
     Returns:
       The Sent records and the samples of headroom by service.
     """
     results = []
     samples = collections.defaultdict(list)
     start = time.monotonic()
-    end = start + LOAD_S
+    end = start + load_s
     threads = [
         threading.Thread(
             target=send_work, args=(sender, loaded.services, SEED + index, end, results)
@@ -287,22 +327,22 @@
     threads.append(threading.Thread(target=sample_headroom, args=(control, loaded, end, samples)))
     for thread in threads:
         thread.start()
-    time.sleep(max(0.0, start + DRAIN_AT_S - time.monotonic()))
-    run_console(running, "drain", "upstream", drained, "--yes")
-    print(f"{time.monotonic() - start:4.1f} s: drain of {drained} accepted")
-    time.sleep(max(0.0, start + KILL_AT_S - time.monotonic()))
-    running.signal_host(killed, signal.SIGKILL)
-    print(f"{time.monotonic() - start:4.1f} s: all programs of {killed} killed")
+    for at_s, text, act in script:
+        time.sleep(max(0.0, start + at_s - time.monotonic()))
+        act()
+        print(f"{time.monotonic() - start:4.1f} s: {text}")
     for thread in threads:
         thread.join()
     return results, samples
 
 
-def run_demo(name, directory):
-    """Runs the demo of one deployment.
+def load_example(name, directory):
+    """Copies an example configuration into a directory and reads it.
 
     Returns:
-      True if nothing was wrong, repeated, over a limit or cut off, and enough was answered.
+      The Configuration and the path of the copy.
+    Raises:
+      ValueError: If the example is not valid.
     """
     directory.mkdir(parents=True, exist_ok=True)
     path = directory / "configuration.ini"
@@ -310,17 +350,48 @@
     loaded, problems = configuration.parse_configuration(path.read_text(encoding="utf-8"))
     if problems:
         raise ValueError(str(problems[0]))
+    return loaded, path
+
+
+def start_deployment(running, loaded, path):
+    """Starts all processes, puts the configuration in force and waits until all is served.
+
+    Returns:
+      The UpstreamControl.
+    """
+    start_platform(running)
+    control = UpstreamControl(start_upstreams(running, loaded))
+    running.start_all_hosts()
+    run_console(running, "apply", str(path))
+    wait_for_service(loaded)
+    wait_for_upstreams(loaded)
+    return control
+
+
+def run_demo(name, directory):
+    """Runs the demo of one deployment.
+
+    Returns:
+      True if nothing was wrong, repeated, over a limit or cut off, and enough was answered.
+    """
+    loaded, path = load_example(name, directory)
     drained, killed = choose_targets(loaded)
     with deployment.Deployment(loaded, directory) as running:
-        address = ":".join(map(str, deployment.PLATFORM_ADDRESS))
-        platform = running.start_module("platform", "standins.platform", "--address", address)
-        platform.wait_until_ready()
-        control = UpstreamControl(start_upstreams(running, loaded))
-        running.start_all_hosts()
-        run_console(running, "apply", str(path))
-        wait_for_service(loaded)
+        control = start_deployment(running, loaded, path)
         print(f"{len(running.list_processes())} processes serve {name}")
-        results, samples = apply_load(running, loaded, control, drained, killed)
+        script = (
+            (
+                DRAIN_AT_S,
+                f"drain of {drained} accepted",
+                lambda: run_console(running, "drain", "upstream", drained, "--yes"),
+            ),
+            (
+                KILL_AT_S,
+                f"all programs of {killed} killed",
+                lambda: running.signal_host(killed, signal.SIGKILL),
+            ),
+        )
+        results, samples = apply_load(loaded, control, script, LOAD_S)
         time.sleep(SETTLE_S)
         workers = control.read_records()
     print_table(results, samples, loaded)
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -357,10 +357,6 @@
     head: records.ConfigurationHead | None = None
 
 
-# Values that msgpack carries as they are. Messages consist mostly of them.
-_PLAIN_TYPES = frozenset((bool, bytes, float, int, str, type(None)))
-
-
 def encode_message(message):
     """Encodes a message as nested lists that msgpack can carry.
 
@@ -369,17 +365,7 @@
     Returns:
       Lists, strings, numbers, bytes and None.
     """
-    message_type = type(message)
-    if message_type in _PLAIN_TYPES:
-        return message
-    if issubclass(message_type, (list, tuple)):
-        return [v if type(v) in _PLAIN_TYPES else encode_message(v) for v in message]
-    if issubclass(message_type, enum.Enum):
-        return message.value
-    if not dataclasses.is_dataclass(message_type):
-        return message
-    values = _make_getter(message_type)(message)
-    return [v if type(v) in _PLAIN_TYPES else encode_message(v) for v in values]
+    return _make_encoder(type(message))(message)
 
 
 def decode_message(message_type, value):
@@ -396,20 +382,49 @@
     return _make_decoder(message_type)(value)
 
 
-@functools.cache
-def _make_getter(message_type):
-    names = [name for name, _ in _list_fields(message_type)]
-    if len(names) > 1:
-        return operator.attrgetter(*names)
-    return lambda message: [getattr(message, name) for name in names]
-
-
 @functools.cache
 def _list_fields(message_type):
     hints = typing.get_type_hints(message_type)
     return [(field.name, hints[field.name]) for field in dataclasses.fields(message_type)]
 
 
+@functools.cache
+def _make_encoder(hint):
+    if isinstance(hint, typing.NewType):
+        return _make_encoder(hint.__supertype__)
+    if dataclasses.is_dataclass(hint):
+        return _make_record_encoder(hint)
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return operator.attrgetter("value")
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
+        return _make_optional_encoder(hint)
+    if typing.get_origin(hint) is tuple:
+        return _make_tuple_encoder(typing.get_args(hint))
+    return _encode_plain
+
+
+def _make_record_encoder(message_type):
+    encoders = [(name, _make_encoder(hint)) for name, hint in _list_fields(message_type)]
+    return lambda message: [encode(getattr(message, name)) for name, encode in encoders]
+
+
+def _make_optional_encoder(hint):
+    (inner,) = [_make_encoder(arg) for arg in typing.get_args(hint) if arg is not type(None)]
+    return lambda value: None if value is None else inner(value)
+
+
+def _make_tuple_encoder(arguments):
+    if len(arguments) == 2 and arguments[1] is Ellipsis:
+        encode_item = _make_encoder(arguments[0])
+        return lambda value: [encode_item(item) for item in value]
+    encoders = [_make_encoder(argument) for argument in arguments]
+    return lambda value: [encode(item) for encode, item in zip(encoders, value, strict=True)]
+
+
+def _encode_plain(value):
+    return value
+
+
 @functools.cache
 def _make_decoder(hint):
     if isinstance(hint, typing.NewType):
