--- a/skylarksill/agent.py
+++ b/skylarksill/agent.py
@@ -79,7 +79,7 @@
 
     def join(self):
         """Asks store and peers and takes the highest generation that can be fetched."""
-        self._join()
+        self._take_highest()
         self._peers.is_joining = False
 
     def step(self):
@@ -128,7 +128,7 @@
         self._threads.append(eventlet.spawn(self._peers.run))
         self._threads.append(eventlet.spawn(self._watcher.run))
 
-    def _join(self):
+    def _take_highest(self):
         read = eventlet.spawn(self._read_store)
         offers = [
             (mark, head, address)
