--- a/skylarksill/_dispatchrunner.py
+++ b/skylarksill/_dispatchrunner.py
@@ -9,6 +9,7 @@
 from skylarksill import dispatching, logs, messages, records, upstreams
 
 TICK_S = 0.01
+IDLE_TICK_S = 0.1
 # A longer gap between two ticks means that the process was paused.
 MAX_TICK_GAP_S = 0.5
 METRIC_INTERVAL_S = 1.0
@@ -187,7 +188,7 @@
     def _tick(self):
         measured_at = self._clock.monotonic()
         while True:
-            eventlet.sleep(TICK_S)
+            eventlet.sleep(TICK_S if self._waiting or self._sendings else IDLE_TICK_S)
             now = self._clock.monotonic()
             self._note_pause(now)
             self._last_tick = now
