Test the status table over several agents and without a head

Cause: asking the other agents and reading the store in place of a missing head had only been tried by hand.

Conclusion: both ways are covered.

--- a/features/console.feature
+++ b/features/console.feature
@@ -172,6 +172,25 @@
     When "status --json" runs
     Then the JSON has a row for each of 2 regions, 4 zones, 4 hosts and 8 upstreams
 
+  Scenario: Status of one region, from an agent that does not name its head
+    Given a console with a configuration file of generation 0
+    And an agent that reports 4 requests of catalogue in flight in each region, 700 ms ago
+    And the agent does not name its head
+    When "apply FILE" runs
+    And "status --region south --json" runs
+    Then the JSON has a row for each of 1 regions, 2 zones, 2 hosts and 4 upstreams
+
+  Scenario: Status asks the agents of the other hosts for their upstreams
+    Given a console with a configuration file of generation 0
+    And an agent that reports 4 requests of catalogue in flight in each region, 700 ms ago
+    And an agent of host-1 that reports 1 request at deposits-north-b
+    When "status" runs
+    Then it exits with 0
+    And the table has these rows
+      | row                                                    |
+      | upstream catalogue-north-a host-0 ejected 3 2 1 7 0.2 s |
+      | upstream deposits-north-b host-1 serving 3 1 2 7 0.1 s |
+
   Scenario: Explain shows block, region, cause and hosts
     Given a console with a configuration file of generation 0
     And an agent that reports 0 requests of catalogue in flight in each region, 700 ms ago
--- a/features/steps/console_steps.py
+++ b/features/steps/console_steps.py
@@ -1,5 +1,6 @@
 """Steps of console.feature."""
 
+import dataclasses
 import json
 import os
 import pathlib
@@ -83,26 +84,58 @@
     "an agent that reports {load:d} requests of catalogue in flight in each region, {age:d} ms ago"
 )
 def step_agent(context, load, age):
-    head, texts = configuration.split_shards(builders.build_configuration(7))
-    status = build_status(head, load, age)
+    context.in_force = builders.build_configuration(7)
+    head, _ = configuration.split_shards(context.in_force)
+    context.status = build_status(head, load, age)
+    port = serve_agent(context, "host-0", lambda: context.status)
+    write_settings(context, port)
 
+
+def serve_agent(context, host, make_status):
     def answer_status(body, call_context):
-        return messages.encode_message(status)
+        return messages.encode_message(make_status())
 
     def answer_shards(body, call_context):
         digests = messages.decode_message(messages.ShardsCall, body).digests
+        _, texts = configuration.split_shards(context.in_force)
         pairs = tuple((digest, texts[digest]) for digest in digests)
         return messages.encode_message(messages.ShardsResult(pairs))
 
     server = rpc.RpcServer(
         ("127.0.0.1", 0),
         builders.SHARED_KEY,
-        rpc.Identity("agent", "host-0", "a-1"),
+        rpc.Identity("agent", host, "a-1"),
         {"status": answer_status, "shards": answer_shards},
     )
     context.add_cleanup(server.close)
     eventlet.spawn(server.serve)
-    write_settings(context, server.port)
+    return server.port
+
+
+@given("the agent does not name its head")
+def step_no_head(context):
+    context.status = dataclasses.replace(context.status, head=None)
+
+
+@given("an agent of {host} that reports 1 request at {upstream}")
+def step_other_agent(context, host, upstream):
+    entry = messages.UpstreamEntry(upstream, records.LifeState.SERVING, False, 2, 1, 100)
+    answer = dataclasses.replace(context.status, host=host, upstreams=(entry,))
+    port = serve_agent(context, host, lambda: answer)
+    hosts = tuple(
+        (
+            dataclasses.replace(item, address="127.0.0.1", agent_port=port)
+            if item.host_id == host
+            else item
+        )
+        for item in context.in_force.hosts
+    )
+    context.in_force = dataclasses.replace(context.in_force, hosts=hosts)
+    head, _ = configuration.split_shards(context.in_force)
+    peer = context.status.peers[0]
+    entry = dataclasses.replace(peer.entry, host=host, zone="north-b")
+    peers = (*context.status.peers, dataclasses.replace(peer, entry=entry))
+    context.status = dataclasses.replace(context.status, head=head, peers=peers)
 
 
 def build_status(head, load, age):
