--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -131,11 +131,18 @@
         delta = membership.answer_digest(answering, question.digest, question.zone, self.now)
         answer = self._carry(target, host, answering, True, delta=delta)
         membership.merge_delta(asking, answer.delta, self.now)
-        delta = membership.make_delta(asking, answer.delta, self.now)
+        delta = membership.make_delta(asking, answer.delta, answer.zone, self.now)
         if delta is not None:
             completion = self._carry(host, target, asking, delta=delta)
             membership.merge_delta(answering, completion.delta, self.now)
-            self._carry(target, host, answering, True)
+            delta = None
+            if completion.delta.wanted_records:
+                delta = membership.make_delta(
+                    answering, completion.delta, completion.zone, self.now
+                )
+            last = self._carry(target, host, answering, True, delta=delta)
+            if last.delta is not None:
+                membership.merge_delta(asking, last.delta, self.now)
 
     def _carry(self, sender, receiver, table, is_answer=False, **fields):
         fields.setdefault("is_same_mark", "mark" not in fields)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -152,7 +152,8 @@
         other, membership.make_digest(context.peers, other.zone), context.peers.zone, NOW
     )
     membership.merge_delta(context.peers, answer, NOW)
-    membership.merge_delta(other, membership.make_delta(context.peers, answer, NOW), NOW)
+    completion = membership.make_delta(context.peers, answer, other.zone, NOW)
+    membership.merge_delta(other, completion, NOW)
     context.other = other
 
 
--- a/skylarksill/_agentpeers.py
+++ b/skylarksill/_agentpeers.py
@@ -169,7 +169,7 @@
             self._take(answer, address)
             completion = self._state.make_completion(answer, self._clock.monotonic())
             if completion is not None:
-                self._ask(address, completion, PUSH_TIMEOUT_S)
+                self._take(self._ask(address, completion, PUSH_TIMEOUT_S), address)
         except records.SkylarksillError as error:
             self._log.debug("exchange with {}:{} failed: {}", *address, error)
         finally:
--- a/skylarksill/_agentstate.py
+++ b/skylarksill/_agentstate.py
@@ -143,11 +143,15 @@
         delta = None
         if message.digest is not None:
             delta = membership.answer_digest(self.table, message.digest, message.zone, now)
+        elif message.delta is not None and message.delta.wanted_records:
+            delta = membership.make_delta(self.table, message.delta, message.zone, now)
         return self._make_message(message, delta=delta, **self._find_news(message, now))
 
     def make_completion(self, answer, now):
         """Makes the ExchangeMessage that gives what an answer lacks, or None if nothing."""
-        delta = membership.make_delta(self.table, answer.delta, now) if answer.delta else None
+        delta = None
+        if answer.delta is not None:
+            delta = membership.make_delta(self.table, answer.delta, answer.zone, now)
         news = self._find_news(answer, now)
         if delta is None and not news:
             return None
--- a/skylarksill/_gossip.py
+++ b/skylarksill/_gossip.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import struct
+import zlib
 
 from skylarksill import messages, records
 
@@ -23,15 +24,14 @@
     """
     topology = table.topology
     if topology is None:
-        return messages.PeerDigest(0, b"", b"", b"")
-    beats = entries = zones = b""
+        return messages.PeerDigest(0, b"", 0, b"")
+    beats = zones = b""
     if topology.shares_near(table.zone, target_zone):
         beats = _pack([_get_beat(table, host) for host in topology.near])
-    if topology.shares_scope(table.zone, target_zone):
-        entries = _pack([_get_check(table, host) for host in topology.scope])
+    entries_check = zlib.crc32(_pack_entries(table, target_zone))
     if not topology.is_small:
         zones = _pack([_get_zone_version(table, zone) for zone in topology.zones])
-    return messages.PeerDigest(topology.check, beats, entries, zones)
+    return messages.PeerDigest(topology.check, beats, entries_check, zones)
 
 
 def answer_digest(table, digest, sender_zone, now):
@@ -49,40 +49,42 @@
     if topology is None or digest.check != topology.check:
         return make_full_delta(table, now)
     own = make_digest(table, sender_zone)
-    newer, wanted_beats, wanted_records = _compare_hosts(topology, own, digest)
+    newer, wanted_beats = _compare_beats(topology, own.beats, digest.beats)
     newer_zones, wanted_zones = _compare_numbers(own.zones, digest.zones)
-    beats, full = _pick_records(table, newer, now)
+    is_same = own.entries_check == digest.entries_check
     return messages.PeerDelta(
         check=topology.check,
-        beats=beats,
-        records=full,
+        beats=_pick_beats(table, newer, now),
+        entries=b"" if is_same else _pack_entries(table, sender_zone),
         zones=_pick_zones(table, newer_zones, now),
         wanted_beats=wanted_beats,
-        wanted_records=wanted_records,
         wanted_zones=tuple(wanted_zones),
     )
 
 
-def make_delta(table, answer, now):
-    """Makes the delta that completes an exchange.
+def make_delta(table, answer, sender_zone, now):
+    """Makes the delta that another one asks for.
 
     Args:
-      table: The asking agent's PeerTable.
-      answer: The PeerDelta that the other agent answered with.
+      table: The agent's PeerTable.
+      answer: The PeerDelta of the other agent.
+      sender_zone: Zone of the other agent.
       now: Monotonic seconds.
     Returns:
-      A PeerDelta, or None if the other agent lacks nothing.
+      A PeerDelta, or None if the other agent lacks nothing and knows nothing better.
     """
     topology = table.topology
     if topology is None or answer.check != topology.check:
         return make_full_delta(table, now)
-    if not answer.wanted_beats and not answer.wanted_records and not answer.wanted_zones:
-        return None
-    newer = [(position, False) for position in answer.wanted_beats]
-    newer += [(position, True) for position in answer.wanted_records]
-    beats, full = _pick_records(table, newer, now)
-    zones = _pick_zones(table, answer.wanted_zones, now)
-    return messages.PeerDelta(topology.check, beats, full, zones)
+    newer, wanted = _compare_entries(table, _pack_entries(table, sender_zone), answer.entries)
+    delta = messages.PeerDelta(
+        check=topology.check,
+        beats=_pick_beats(table, answer.wanted_beats, now),
+        records=_pick_records(table, {*newer, *answer.wanted_records}, now),
+        zones=_pick_zones(table, answer.wanted_zones, now),
+        wanted_records=wanted,
+    )
+    return None if delta == messages.PeerDelta(topology.check) else delta
 
 
 def make_full_delta(table, now):
@@ -164,32 +166,28 @@
     )
 
 
-def _compare_hosts(topology, own, other):
-    """Compares two digests of hosts.
+def _compare_beats(topology, own, other):
+    """Returns the positions of the beats that the other agent lacks and that the own one lacks."""
+    more, fewer = _compare_numbers(own, other)
+    return [
+        tuple(topology.positions[topology.near[index]] for index in indexes)
+        for indexes in (more, fewer)
+    ]
 
-    Returns:
-      Pairs of position and whether the whole record is needed, for what the other agent lacks, and
-      the positions of beats and of records that the own agent lacks.
+
+def _compare_entries(table, own, other):
+    """Returns the positions of the records to send and to ask for.
+
+    Differing entries belong to different incarnations or states, whose low bits of the heartbeat do
+    not compare. So both agents send them, and the receiver decides by the whole heartbeat.
     """
-    newer, wanted_beats, wanted_records = {}, set(), set()
-    if len(own.beats) == len(other.beats):
-        more, fewer = _compare_numbers(own.beats, other.beats)
-        newer = {topology.positions[topology.near[index]]: False for index in more}
-        wanted_beats = {topology.positions[topology.near[index]] for index in fewer}
-    if len(own.entries) == len(other.entries):
-        for index, (mine, yours) in enumerate(_pair(own.entries, other.entries)):
-            if mine == yours:
-                continue
-            position = topology.positions[topology.scope[index]]
-            # Differing entries belong to different incarnations or states, whose low bits of the
-            # heartbeat do not compare; the receiver decides by the whole heartbeat.
-            newer.pop(position, None)
-            wanted_beats.discard(position)
-            if mine:
-                newer[position] = True
-            if yours:
-                wanted_records.add(position)
-    return list(newer.items()), tuple(sorted(wanted_beats)), tuple(sorted(wanted_records))
+    if not other or len(own) != len(other):
+        return (), ()
+    topology = table.topology
+    pairs = zip(topology.scope, _pair(own, other), strict=True)
+    differing = [(topology.positions[h], *pair) for h, pair in pairs if pair[0] != pair[1]]
+    newer = tuple(position for position, mine, _ in differing if mine)
+    return newer, tuple(position for position, _, yours in differing if yours)
 
 
 def _compare_numbers(own, other):
@@ -205,17 +203,15 @@
     return more, fewer
 
 
+def _pick_beats(table, positions, now):
+    hosts = [_get_name(table.topology.hosts, position) for position in positions]
+    return tuple(_make_beat(table, host, now) for host in hosts if host in table.peers)
+
+
 def _pick_records(table, positions, now):
-    beats, full = [], []
-    for position, is_whole in positions:
-        host = _get_name(table.topology.hosts, position)
-        if host not in table.peers:
-            continue
-        if is_whole:
-            full.append(_make_record(table, host, now))
-        else:
-            beats.append(_make_beat(table, host, now))
-    return tuple(beats), tuple(full[:MAX_RECORDS])
+    hosts = [_get_name(table.topology.hosts, position) for position in sorted(positions)]
+    known = [host for host in hosts if host in table.peers][:MAX_RECORDS]
+    return tuple(_make_record(table, host, now) for host in known)
 
 
 def _pick_zones(table, positions, now):
@@ -309,6 +305,13 @@
     return peer.check if peer else 0
 
 
+def _pack_entries(table, other_zone):
+    topology = table.topology
+    if not topology.shares_scope(table.zone, other_zone):
+        return b""
+    return _pack([_get_check(table, host) for host in topology.scope])
+
+
 def _get_zone_version(table, zone):
     state = table.zones.get(zone)
     return (state.summary.version & _MASK or 1) if state else 0
--- a/skylarksill/messages.py
+++ b/skylarksill/messages.py
@@ -228,13 +228,13 @@
     """What an agent knows of its peers, as numbers by position in the sorted names.
 
     ``check`` is a CRC of all names. ``beats`` holds the low 16 bits of the heartbeat of each near
-    host, ``entries`` a 16-bit CRC of each entry in scope, and ``zones`` the low 16 bits of the
-    version of each zone's summary. A part that the two agents don't share is empty.
+    host, ``zones`` the low 16 bits of the version of each zone's summary, and ``entries_check`` a
+    CRC over the entries of all hosts in scope. A part that the two agents don't share is empty.
     """
 
     check: int
     beats: bytes
-    entries: bytes
+    entries_check: int
     zones: bytes
 
 
@@ -278,6 +278,8 @@
 class PeerDelta:
     """What the other agent lacks, and the positions of what the sender lacks.
 
+    If the ``entries_check`` of a digest differs, ``entries`` holds a 16-bit CRC of each entry in
+    scope, by which the other agent finds what differs.
     Without the same ``check``, only ``records`` are filled.
     """
 
@@ -285,6 +287,7 @@
     beats: tuple[HostBeat, ...] = ()
     records: tuple[PeerRecord, ...] = ()
     zones: tuple[ZoneSummary, ...] = ()
+    entries: bytes = b""
     wanted_beats: tuple[int, ...] = ()
     wanted_records: tuple[int, ...] = ()
     wanted_zones: tuple[int, ...] = ()
