--- a/skylarksill/_dispatchrunner.py
+++ b/skylarksill/_dispatchrunner.py
@@ -9,6 +9,7 @@
 from skylarksill import dispatching, logs, messages, records, upstreams
 
 TICK_S = 0.01
+IDLE_TICK_S = 0.1
 # A longer gap between two ticks means that the process was paused.
 MAX_TICK_GAP_S = 0.5
 METRIC_INTERVAL_S = 1.0
@@ -84,7 +85,11 @@
         result = event.Event()
         self._waiting[request.request_id] = result
         started = self._clock.monotonic()
-        self.apply(dispatching.Arrived(request))
+        try:
+            self.apply(dispatching.Arrived(request))
+        except Exception:
+            self._waiting.pop(request.request_id, None)
+            raise
         if context is not None:
             context.on_cancel(lambda: self.apply(dispatching.Cancelled(request.request_id)))
         outcome = result.wait()
@@ -187,11 +192,14 @@
     def _tick(self):
         measured_at = self._clock.monotonic()
         while True:
-            eventlet.sleep(TICK_S)
+            eventlet.sleep(TICK_S if self._waiting or self._sendings else IDLE_TICK_S)
             now = self._clock.monotonic()
             self._note_pause(now)
             self._last_tick = now
-            self.apply(dispatching.Ticked())
+            try:
+                self.apply(dispatching.Ticked())
+            except Exception:
+                self._log.exception("tick failed")
             if now - measured_at >= METRIC_INTERVAL_S:
                 measured_at = now
                 self._report_load(now)
