--- a/features/agent.feature
+++ b/features/agent.feature
@@ -118,6 +118,17 @@
     When a daemon of host-2 reports a suspect with 2 deaths
     Then the view of each agent holds the suspect
 
+  Scenario: One exchange gives both agents what the other knows better
+    Given 2 agent states that know different news of host-2 and host-3
+    When they exchange once
+    Then both show host-2 and host-3 as leaving
+
+  Scenario: Loads reach the viewers of other hosts with their age
+    Given 8 agents with generation 1
+    And a viewer of host-1
+    When a daemon of host-6 reports 7 free slots and 2 rounds pass
+    Then the viewer shows 7 free slots of host-6 with an age below 3 s
+
   Scenario: A daemon's viewer follows peers and configuration through a restart of its agent
     Given 8 agents with generation 1
     And a viewer of host-1
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -1,10 +1,22 @@
 """Steps of agent.feature."""
 
+import dataclasses
+
 import eventlet
 from behave import given, then, when
 
-from features import platforms
-from skylarksill import _agentwatch, clock, messages, objectstore, records, rpc, viewer
+from features import builders, platforms
+from skylarksill import (
+    _agentstate,
+    _agentwatch,
+    clock,
+    membership,
+    messages,
+    objectstore,
+    records,
+    rpc,
+    viewer,
+)
 from standins import platform
 
 LEAVING = records.LifeState.LEAVING
@@ -279,6 +291,55 @@
     assert {source for source, _ in context.cluster.closed} == set(context.cluster.agents)
 
 
+def make_entry(host, heartbeat=1, state=records.LifeState.SERVING):
+    return messages.PeerEntry(host, "north-a", "1", heartbeat, 1, state, ())
+
+
+@given("2 agent states that know different news of host-2 and host-3")
+def step_states(context):
+    topology = membership.build_topology(builders.build_configuration(hosts_per_zone=2), "north-a")
+    context.states = [_agentstate.AgentState(make_entry(f"host-{n}"), 1.0) for n in range(2)]
+    for state, newer in zip(context.states, ("host-2", "host-3"), strict=True):
+        state.table.set_topology(topology)
+        for host in ("host-2", "host-3"):
+            state.table.take_entry(make_entry(host), 1.0)
+        state.table.take_entry(make_entry(newer, 2, LEAVING), 1.0)
+
+
+@when("they exchange once")
+def step_exchange(context):
+    asking, answering = context.states
+    answer = answering.make_answer(asking.make_question("north-a", 1.0), 1.0)
+    asking.take_message(answer, 1.0)
+    completion = asking.make_completion(answer, 1.0)
+    answering.take_message(completion, 1.0)
+    asking.take_message(answering.make_answer(completion, 1.0), 1.0)
+
+
+@then("both show host-2 and host-3 as leaving")
+def step_both_leaving(context):
+    for state in context.states:
+        shown = {peer.entry.host: peer.entry.state for peer in state.make_status(1.0).peers}
+        assert shown["host-2"] is shown["host-3"] is LEAVING, shown
+
+
+@when("a daemon of host-6 reports {free:d} free slots and {count:d} rounds pass")
+def step_load(context, free, count):
+    # The first reports also change the host's parts; the last one changes the load alone.
+    for reported in [free + 1] * 3 + [free] * count:
+        load = messages.LoadEntry("host-6", "catalogue", 9, reported, 0, 2)
+        call = dataclasses.replace(make_call(0), part="dispatch", loads=(load,))
+        context.cluster.agents["host-6"].handlers["view"](messages.encode_message(call), None)
+        step_rounds(context, 1)
+
+
+@then("the viewer shows {free:d} free slots of host-6 with an age below 3 s")
+def step_shows_load(context, free):
+    (load,) = context.viewer.view.loads
+    assert (load.host, load.free) == ("host-6", free)
+    assert load.age_ms + context.viewer.load_offset_ms < 3000, load
+
+
 class RestartingClient:
     """An agent that is replaced during the second call; both have version 5 and one peer."""
 
