Add up the deaths that several dispatchers see of one request

Two dispatchers that each saw one death took the other's report for an echo of their own, a suspect ran alone before the peers could report, and copies that waited to run alone ran after the block. An agent keeps the greatest number of deaths, so a clearance as 0 deaths was lost.

Ruled out: a longer notice before the reply, which does not help copies that are in flight at several hosts already.

Change: entries are named after the dispatcher that saw the death, deaths and clearances only grow, and their sums over the dispatchers decide. A suspect runs alone 0.3 s after the last death that is known. Waiting copies are refused once their request is blocked. Entries of an old view are aged before they are merged. The scenario of a clearance as 0 deaths became one of a clearance by name.

Conclusion: a sequence of tries takes down 2 upstreams at most; copies sent to three or more hosts within one service time can still exceed that.

--- a/features/dispatch_world.py
+++ b/features/dispatch_world.py
@@ -172,7 +172,9 @@
             case dispatching.Forward():
                 node.core.forwarded = action
             case dispatching.ReportSuspect():
-                self.suspects[action.entry.fingerprint] = action.entry
+                known = self.suspects.get(action.entry.fingerprint, action.entry)
+                most = max(known, action.entry, key=lambda entry: entry.deaths)
+                self.suspects[action.entry.fingerprint] = most
                 self._exchange_views()
             case dispatching.LogDecision():
                 self.decisions[action.decision] += 1
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -54,11 +54,18 @@
     When 3 of the last 5 requests of all upstreams are late
     Then 1 upstream is EJECTED and 4 are SLOWED
 
-  Scenario: A peer's clearance lifts neither a block nor an own observation
+  Scenario: The clearance of a peer lifts neither a block nor an own observation
     Given a suspect table that has seen 1 death of its own and a block of a peer
     When the peer clears both
     Then the own one is still a suspect and the other one is blocked
 
+  Scenario: Deaths that two dispatchers see at the same moment make a block, an echo does not
+    Given a suspect table that has seen 1 death of its own and a block of a peer
+    When the own entry comes back from a peer
+    Then the own one may run alone once its notice has passed
+    When a peer reports a death of its own of the same request
+    Then the own one is blocked
+
   Scenario: A suspect expires after 60 s and a block after 10 minutes
     Given a suspect table that has seen 1 death of its own and a block of a peer
     Then after 61 s only the block is left and after 601 s nothing is
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -194,15 +194,37 @@
 
 @given("a suspect table that has seen 1 death of its own and a block of a peer")
 def step_suspects(context):
-    context.suspects = suspects.SuspectTable()
-    context.suspects.note_death("own", 0.0)
-    context.suspects.merge(messages.SuspectEntry("peer", 2, 600_000), 0.0)
+    context.suspects = suspects.SuspectTable("host-0")
+    context.entry = context.suspects.note_death("own", 0.0)
+    context.suspects.merge(messages.SuspectEntry("peer@host-1", 2, 600_000), 0.0)
 
 
 @when("the peer clears both")
 def step_clear(context):
-    for fingerprint in ("own", "peer"):
-        context.suspects.merge(messages.SuspectEntry(fingerprint, 0, 60_000), 1.0)
+    for name in ("own@host-1!", "peer@host-1!"):
+        context.suspects.merge(messages.SuspectEntry(name, 2, 60_000), 1.0)
+
+
+@when("the own entry comes back from a peer")
+def step_echo(context):
+    context.suspects.merge(context.entry, 0.1)
+
+
+@when("a peer reports a death of its own of the same request")
+def step_other_death(context):
+    context.suspects.merge(messages.SuspectEntry("own@host-1", 1, 60_000), 1.0)
+
+
+@then("the own one may run alone once its notice has passed")
+def step_alone(context):
+    assert context.suspects.is_own("own", 1.0) and not context.suspects.is_blocked("own", 1.0)
+    assert not context.suspects.is_settled("own", 0.2)
+    assert context.suspects.is_settled("own", 0.3)
+
+
+@then("the own one is blocked")
+def step_own_blocked(context):
+    assert context.suspects.is_blocked("own", 1.0)
 
 
 @then("the own one is still a suspect and the other one is blocked")
@@ -213,5 +235,7 @@
 
 @then("after 61 s only the block is left and after 601 s nothing is")
 def step_expired(context):
-    assert [entry.fingerprint for entry in context.suspects.list_entries(61.0)] == ["peer"]
+    assert not context.suspects.is_suspect("own", 61.0)
+    assert context.suspects.is_blocked("peer", 61.0)
+    assert not context.suspects.is_suspect("peer", 601.0)
     assert context.suspects.list_entries(601.0) == ()
--- a/skylarksill/_dispatchpeers.py
+++ b/skylarksill/_dispatchpeers.py
@@ -1,10 +1,10 @@
 """What a dispatcher exchanges with its agent, other dispatchers and the health of upstreams."""
 
-import collections
+import dataclasses
 
 import eventlet
 
-from skylarksill import dispatching, loans, logs, messages, records, rpc, suspects, upstreams
+from skylarksill import dispatching, loans, logs, messages, records, rpc, upstreams
 
 VIEW_INTERVAL_S = 0.2
 PROBE_INTERVAL_S = 1.0
@@ -39,7 +39,6 @@
         self._clients = {}
         self._threads = []
         self._leaving = set()
-        self._cleared = collections.OrderedDict()
         self._probe_client = upstreams.UpstreamClient()
         self._probing = set()
 
@@ -91,21 +90,11 @@
 
     def report_suspect(self, entry):
         """Passes a suspect or its clearance to the agent at once."""
-        self._cleared.pop(entry.fingerprint, None)
-        if entry.deaths == 0:
-            self._cleared[entry.fingerprint] = self._clock.monotonic() + suspects.SUSPECT_S
         self._viewer.poll_soon()
 
     def list_suspects(self):
-        """Returns the SuspectEntry records to report, with clearances as 0 deaths."""
-        now = self._clock.monotonic()
-        while self._cleared and next(iter(self._cleared.values())) <= now:
-            self._cleared.popitem(last=False)
-        cleared = tuple(
-            messages.SuspectEntry(fingerprint, 0, int(1000 * (until - now)))
-            for fingerprint, until in self._cleared.items()
-        )
-        return self._runner.core.list_suspects(now) + cleared
+        """Returns the SuspectEntry records to report."""
+        return self._runner.core.list_suspects(self._clock.monotonic())
 
     def _repeat(self, step, pause_s):
         while True:
@@ -140,7 +129,8 @@
         siblings = _find_siblings(
             configuration, view, self._viewer.load_offset_ms, self._settings.host
         )
-        self._runner.apply(dispatching.PeersSeen(accepted, siblings, view.suspects))
+        suspected = _age_suspects(view.suspects, self._viewer.load_offset_ms)
+        self._runner.apply(dispatching.PeersSeen(accepted, siblings, suspected))
         leaving = set(view.leaving_upstreams)
         for upstream in leaving ^ self._leaving:
             self._runner.apply(
@@ -207,6 +197,15 @@
     return _GONE if is_gone else entry.generation
 
 
+def _age_suspects(entries, offset_ms):
+    """Returns the entries of a view that was received ``offset_ms`` ago and have not expired."""
+    return tuple(
+        dataclasses.replace(entry, expires_in_ms=entry.expires_in_ms - offset_ms)
+        for entry in entries
+        if entry.expires_in_ms > offset_ms
+    )
+
+
 def _find_siblings(configuration, view, offset_ms, own_host):
     """Returns the free slots of the other live dispatchers of the region."""
     regions = {zone.zone_id: zone.region_id for zone in configuration.zones}
--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -230,7 +230,7 @@
         self.send_ids = itertools.count(1)
         self.lender = loans.LenderTable()
         self.borrower = loans.BorrowerTable()
-        self.suspects = suspects.SuspectTable()
+        self.suspects = suspects.SuspectTable(host)
         self.leaders = {}
         self.held = {}
         self.ready = []
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -10,10 +10,9 @@
     health,
     queueing,
     records,
+    suspects,
 )
 
-# Time in which a suspect reaches the peers before the client can send the request again elsewhere.
-SUSPECT_NOTICE_S = 0.3
 MAX_ATTEMPTS = 3
 
 _LEAVING_HEADER_SOURCE = "answer"
@@ -179,7 +178,7 @@
     work.state = _dispatchstate.WorkState.REFUSING
     work.refusal = refusal
     request_id = work.request.request_id
-    state.add_timer(now + SUSPECT_NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
+    state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
 
 
 def _end_refusing(state, request_id, now, out):
--- a/skylarksill/_placement.py
+++ b/skylarksill/_placement.py
@@ -35,8 +35,12 @@
 
     If no such upstream is idle, one is reserved, so that its work runs out.
     """
+    _refuse_blocked(state, service, now, out)
     if any(upstream.alone_send for upstream in service.upstreams):
         return
+    work = _find_settled(state, service, now)
+    if work is None:
+        return
     candidates = [up for up in service.upstreams if _may_run_alone(service, up, now)]
     reserved = next((up for up in candidates if up.is_reserved), None)
     _endings.release_reservation(service)
@@ -46,11 +50,29 @@
     upstream.is_reserved = True
     if upstream.sends or len(state.sends) >= state.count_share(now):
         return
-    work = next(iter(service.alone.values()))
     start_send(state, work, upstream, now, out, upstream.count_loan(now) > 0)
     upstream.alone_send = work.sends[-1]
 
 
+def _refuse_blocked(state, service, now, out):
+    for work in list(service.alone.values()):
+        is_waiting = work.state is _dispatchstate.WorkState.ALONE
+        if is_waiting and state.suspects.is_blocked(work.fingerprint, now):
+            detail = "the request took down the upstreams that ran it"
+            _endings.refuse_work(state, work, "blocked_request", detail, out, now)
+
+
+def _find_settled(state, service, now):
+    return next(
+        (
+            work
+            for work in service.alone.values()
+            if state.suspects.is_settled(work.fingerprint, now)
+        ),
+        None,
+    )
+
+
 def pick_upstream(service, now, avoid=frozenset(), is_hedge=False):
     """Picks the upstream that is used least in proportion to its slots; slow ones come last.
 
--- a/skylarksill/suspects.py
+++ b/skylarksill/suspects.py
@@ -11,24 +11,42 @@
 BLOCK_DEATHS = 2
 MAX_SUSPECTS = 10_000
 MAX_PROVEN = 10_000
+# Time in which a death reaches the peers, before the request may run or be sent again.
+NOTICE_S = 0.3
+
+_HOST_MARK = "@"
+_CLEARED_MARK = "!"
 
 
 @dataclasses.dataclass(slots=True)
-class _Suspect:
-    deaths: int
-    expires: float
-    is_own: bool
+class _Count:
+    """Deaths that one dispatcher has seen, and how many of them an answer has cleared."""
+
+    deaths: int = 0
+    cleared: int = 0
+    noted_at: float = float("-inf")
+    expires: float = float("-inf")
 
 
 class SuspectTable:
     """Suspected, blocked and proven fingerprints.
 
+    Each dispatcher counts the deaths that it has seen itself, and the counts of all dispatchers
+    add up: two that each see one death at the same moment make a block. Entries for the peers are
+    named "fingerprint@host", or "fingerprint@host!" for cleared deaths; both numbers only grow, so
+    that peers may keep the greatest one.
+
     A fingerprint is proven once an upstream has answered it. Copies of a request that is neither
     proven nor suspected run one at a time, so that the first death is known before the next run.
+
+    Args:
+      host: Id of this dispatcher's host.
     """
 
-    def __init__(self):
-        self._suspects = collections.OrderedDict()
+    def __init__(self, host):
+        self._host = host
+        self._counts = collections.OrderedDict()
+        self._blocks = collections.OrderedDict()
         self._proven = collections.OrderedDict()
 
     def note_death(self, fingerprint, now):
@@ -38,17 +56,18 @@
           A messages.SuspectEntry to report to the peers.
         """
         self._proven.pop(fingerprint, None)
-        suspect = self._find(fingerprint, now)
-        deaths = suspect.deaths + 1 if suspect else 1
-        lifetime_s = BLOCK_S if deaths >= BLOCK_DEATHS else SUSPECT_S
-        self._store(fingerprint, _Suspect(deaths, now + lifetime_s, True))
-        return messages.SuspectEntry(fingerprint, deaths, int(lifetime_s * 1000))
+        count = self._find_count(fingerprint, self._host)
+        count.deaths += 1
+        count.noted_at = now
+        count.expires = now + SUSPECT_S
+        self._note_block(fingerprint, now)
+        return self._make_entry(fingerprint, count, now)
 
     def note_answer(self, fingerprint, now):
-        """Clears a suspect that an upstream has answered; a block stays.
+        """Clears the own count of a suspect that an upstream has answered; a block stays.
 
         Returns:
-          A messages.SuspectEntry with 0 deaths to report if a suspect was cleared, else None.
+          A messages.SuspectEntry to report if deaths were cleared, else None.
         """
         if self.is_blocked(fingerprint, now):
             return None
@@ -56,64 +75,108 @@
         self._proven.move_to_end(fingerprint)
         if len(self._proven) > MAX_PROVEN:
             self._proven.popitem(last=False)
-        if self._suspects.pop(fingerprint, None) is None:
+        count = self._counts.get(fingerprint, {}).get(self._host)
+        if count is None or count.deaths <= count.cleared:
             return None
-        return messages.SuspectEntry(fingerprint, 0, int(SUSPECT_S * 1000))
+        count.cleared = count.deaths
+        return self._make_clearance(fingerprint, count, now)
 
     def merge(self, entry, now):
-        """Takes over an entry of a peer; the greater number of deaths wins.
-
-        A clearance removes a suspect that came from a peer, but no block and no own observation.
-        """
-        known = self._find(entry.fingerprint, now)
-        if entry.deaths == 0:
-            if known and not known.is_own and known.deaths < BLOCK_DEATHS:
-                del self._suspects[entry.fingerprint]
-            return
-        if known and known.deaths >= entry.deaths:
-            return
+        """Takes over an entry of a peer, or of this host's former incarnation."""
+        is_clearance = entry.fingerprint.endswith(_CLEARED_MARK)
+        name = entry.fingerprint.removesuffix(_CLEARED_MARK)
+        fingerprint, _, host = name.rpartition(_HOST_MARK)
+        count = self._find_count(fingerprint or host, host if fingerprint else "")
         expires = now + min(entry.expires_in_ms / 1000, BLOCK_S)
-        is_own = known.is_own if known else False
-        self._store(entry.fingerprint, _Suspect(entry.deaths, expires, is_own))
+        if is_clearance:
+            count.cleared = max(count.cleared, entry.deaths)
+            count.expires = max(count.expires, expires) if count.deaths == 0 else count.expires
+        elif entry.deaths > count.deaths:
+            count.deaths = entry.deaths
+            count.noted_at = now
+            count.expires = expires
+        self._note_block(fingerprint or host, now)
 
     def is_blocked(self, fingerprint, now):
         """Returns True if no upstream may run the request."""
-        suspect = self._find(fingerprint, now)
-        return suspect is not None and suspect.deaths >= BLOCK_DEATHS
+        until = self._blocks.get(fingerprint)
+        if until is not None and until <= now:
+            del self._blocks[fingerprint]
+            return False
+        return until is not None
 
     def is_suspect(self, fingerprint, now):
         """Returns True if the request may run only alone, or not at all."""
-        return self._find(fingerprint, now) is not None
+        if fingerprint not in self._counts and fingerprint not in self._blocks:
+            return False
+        return self.is_blocked(fingerprint, now) or self._count_deaths(fingerprint, now) > 0
 
     def is_own(self, fingerprint, now):
-        """Returns True if this dispatcher saw the death itself, so that it may run the suspect."""
-        suspect = self._find(fingerprint, now)
-        return suspect is not None and suspect.is_own
+        """Returns True if only this dispatcher has seen a death, so that it may run the suspect."""
+        counts = self._counts.get(fingerprint, {})
+        return all(
+            _count_open(count, now) == 0 for host, count in counts.items() if host != self._host
+        )
+
+    def is_settled(self, fingerprint, now):
+        """Returns True if the peers have had time to report deaths of their own."""
+        counts = self._counts.get(fingerprint, {})
+        return all(count.noted_at + NOTICE_S <= now for count in counts.values())
 
     def is_proven(self, fingerprint):
         """Returns True if an upstream has answered the request."""
         return fingerprint in self._proven
 
     def list_entries(self, now):
-        """Returns messages.SuspectEntry records of all suspects and blocks."""
-        return tuple(
-            messages.SuspectEntry(fingerprint, suspect.deaths, int((suspect.expires - now) * 1000))
-            for fingerprint, suspect in self._suspects.items()
-            if suspect.expires > now
-        )
+        """Returns messages.SuspectEntry records of what this dispatcher has seen itself."""
+        entries = []
+        for fingerprint, counts in self._counts.items():
+            count = counts.get(self._host)
+            if count is not None and count.deaths and count.expires > now:
+                entries.append(self._make_entry(fingerprint, count, now))
+                if count.cleared:
+                    entries.append(self._make_clearance(fingerprint, count, now))
+        return tuple(entries)
+
+    def _find_count(self, fingerprint, host):
+        counts = self._counts.setdefault(fingerprint, {})
+        self._counts.move_to_end(fingerprint)
+        if len(self._counts) > MAX_SUSPECTS:
+            self._counts.popitem(last=False)
+        return counts.setdefault(host, _Count())
+
+    def _count_deaths(self, fingerprint, now):
+        counts = self._counts.get(fingerprint)
+        if counts is None:
+            return 0
+        if all(count.expires <= now for count in counts.values()):
+            del self._counts[fingerprint]
+            return 0
+        return sum(_count_open(count, now) for count in counts.values())
+
+    def _note_block(self, fingerprint, now):
+        if self.is_blocked(fingerprint, now):
+            return
+        if self._count_deaths(fingerprint, now) < BLOCK_DEATHS:
+            return
+        self._blocks[fingerprint] = now + BLOCK_S
+        if len(self._blocks) > MAX_SUSPECTS:
+            self._blocks.popitem(last=False)
+        own = self._counts[fingerprint].get(self._host)
+        if own is not None:
+            own.expires = now + BLOCK_S
+
+    def _make_entry(self, fingerprint, count, now):
+        name = f"{fingerprint}{_HOST_MARK}{self._host}"
+        return messages.SuspectEntry(name, count.deaths, int((count.expires - now) * 1000))
+
+    def _make_clearance(self, fingerprint, count, now):
+        name = f"{fingerprint}{_HOST_MARK}{self._host}{_CLEARED_MARK}"
+        return messages.SuspectEntry(name, count.cleared, int((count.expires - now) * 1000))
 
-    def _find(self, fingerprint, now):
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None and suspect.expires <= now:
-            del self._suspects[fingerprint]
-            return None
-        return suspect
 
-    def _store(self, fingerprint, suspect):
-        self._suspects[fingerprint] = suspect
-        self._suspects.move_to_end(fingerprint)
-        if len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+def _count_open(count, now):
+    return max(0, count.deaths - count.cleared) if count.expires > now else 0
 
 
 def fingerprint_request(request):
