Wake the dispatcher's core when a suspect may run alone

Cause: a driver that ticks only at the next timer would have started a suspect late, since its notice of 0.3 s had no timer.

Change: a death adds a timer; the driver's duty to tick is stated for waits that have none.

Conclusion: the real daemon, which ticks every 10 ms, behaves as before.

--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -27,6 +27,7 @@
 class TimerKind(enum.Enum):
     """What is due at a timer's time."""
 
+    PLACE = 9
     WORK_DEADLINE = 0
     SEND_DEADLINE = 1
     RELEASE = 2
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -153,6 +153,7 @@
             fingerprints.add(other.work.fingerprint)
     for fingerprint in sorted(fingerprints):
         out.append(_dispatchevents.ReportSuspect(state.suspects.note_death(fingerprint, now)))
+    state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.PLACE, None)
 
 
 def _retry_work(state, send, event, now, out):
@@ -181,6 +182,10 @@
     state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
 
 
+def _await_place(state, key, now, out):
+    """Does nothing: waiting work is placed after each event, also after this timer."""
+
+
 def _end_refusing(state, request_id, now, out):
     work = state.works.get(request_id)
     if work is not None and work.state is _dispatchstate.WorkState.REFUSING:
@@ -254,6 +259,7 @@
 
 
 _TIMER_HANDLERS = {
+    _dispatchstate.TimerKind.PLACE: _await_place,
     _dispatchstate.TimerKind.WORK_DEADLINE: _end_work_deadline,
     _dispatchstate.TimerKind.SEND_DEADLINE: _end_send_deadline,
     _dispatchstate.TimerKind.RELEASE: _end_slot,
--- a/skylarksill/dispatching.py
+++ b/skylarksill/dispatching.py
@@ -44,7 +44,8 @@
     """Enforces the limits of the upstreams of one host and places requests on them.
 
     Each request that arrives ends with one Reply or Refuse. The driver passes Ticked at least
-    when ``find_next_timer`` is due.
+    when ``find_next_timer`` is due, and every 0.1 s while requests wait: pauses of upstreams and
+    waits for slots have no timer.
 
     Args:
       host: Id of this dispatcher's host.
