--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -27,6 +27,7 @@
 class TimerKind(enum.Enum):
     """What is due at a timer's time."""
 
+    PLACE = 9
     WORK_DEADLINE = 0
     SEND_DEADLINE = 1
     RELEASE = 2
@@ -230,7 +231,7 @@
         self.send_ids = itertools.count(1)
         self.lender = loans.LenderTable()
         self.borrower = loans.BorrowerTable()
-        self.suspects = suspects.SuspectTable()
+        self.suspects = suspects.SuspectTable(host)
         self.leaders = {}
         self.held = {}
         self.ready = []
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -10,10 +10,9 @@
     health,
     queueing,
     records,
+    suspects,
 )
 
-# Time in which a suspect reaches the peers before the client can send the request again elsewhere.
-SUSPECT_NOTICE_S = 0.3
 MAX_ATTEMPTS = 3
 
 _LEAVING_HEADER_SOURCE = "answer"
@@ -154,6 +153,7 @@
             fingerprints.add(other.work.fingerprint)
     for fingerprint in sorted(fingerprints):
         out.append(_dispatchevents.ReportSuspect(state.suspects.note_death(fingerprint, now)))
+    state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.PLACE, None)
 
 
 def _retry_work(state, send, event, now, out):
@@ -179,7 +179,11 @@
     work.state = _dispatchstate.WorkState.REFUSING
     work.refusal = refusal
     request_id = work.request.request_id
-    state.add_timer(now + SUSPECT_NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
+    state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
+
+
+def _await_place(state, key, now, out):
+    """Does nothing: waiting work is placed after each event, also after this timer."""
 
 
 def _end_refusing(state, request_id, now, out):
@@ -255,6 +259,7 @@
 
 
 _TIMER_HANDLERS = {
+    _dispatchstate.TimerKind.PLACE: _await_place,
     _dispatchstate.TimerKind.WORK_DEADLINE: _end_work_deadline,
     _dispatchstate.TimerKind.SEND_DEADLINE: _end_send_deadline,
     _dispatchstate.TimerKind.RELEASE: _end_slot,
