--- a/skylarksill/_httpserver.py
+++ b/skylarksill/_httpserver.py
@@ -12,6 +12,7 @@
 MAX_CONNECTIONS = 8_192
 KEEPALIVE_S = 75
 SOCKET_TIMEOUT_S = 30
+STOP_WAIT_S = 0.4
 PROTOCOL_KEY = "skylarksill.protocol"
 
 STATUS_LINES = {
@@ -42,6 +43,15 @@
         self.request.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().setup()
 
+    def handle_one_request(self):
+        """Serves one request; called by the server.
+
+        Gives way after it: a client whose next request is always there already would otherwise
+        keep all other connections and timers waiting.
+        """
+        super().handle_one_request()
+        eventlet.sleep(0)
+
     def get_environ(self):
         """Returns the environment of a request; called by the server."""
         environ = super().get_environ()
@@ -83,11 +93,11 @@
         )
 
     def stop(self):
-        """Stops listening, closes idle connections and waits until the others have ended."""
+        """Stops listening, closes idle connections and lets the others end within STOP_WAIT_S."""
         if self._thread is None:
             return
-        self._thread.kill()
-        with contextlib.suppress(greenlet.GreenletExit):
+        with eventlet.Timeout(STOP_WAIT_S, False), contextlib.suppress(greenlet.GreenletExit):
+            eventlet.spawn_n(self._thread.kill)
             self._thread.wait()
 
 
