Offer waiting work to siblings instead of forwarding by their reported load

Cause: a trace at 85% load showed queues at one dispatcher beside free slots at its sibling. Work was forwarded only on arrival and only by load figures that are 0.2 to 2 s old, so a full sibling was still sent work and a free one was not. Ruled out: more slots on loan (one slot for each upstream) and fresher figures (a figure of 100 ms is as old as two service times).

Change: waiting idempotent work is offered to the dispatchers of the region, oldest first. The sibling takes it if a slot is free at that moment and else refuses it as NOT_RUN (no_free_slot) at once; it then returns to the front of the queue. Offers pause for 8 ms after a refusal and up to 64 ms after more than 10 in a row. Load figures only order the siblings.

--- a/skylarksill/_admission.py
+++ b/skylarksill/_admission.py
@@ -1,12 +1,11 @@
 """Admission of requests: fingerprints, forwarding, deadlines and limits of the region."""
 
-import dataclasses
-
 from skylarksill import (
     _dispatchevents,
     _dispatchstate,
     _endings,
     _placement,
+    _pooling,
     queueing,
     records,
     suspects,
@@ -61,9 +60,7 @@
         return
     service = work.service
     service.judge(now)
-    if not work.is_admitted and (
-        _forward_work(state, work, now, out) or not _check_limits(state, work, now, out)
-    ):
+    if not work.is_admitted and not _check_limits(state, work, now, out):
         return
     work.state = _dispatchstate.WorkState.QUEUED
     service.queue.push(work.request.request_id, work, work.is_long, now)
@@ -113,27 +110,6 @@
         _placement.place_alone(state, work.service, now, out)
 
 
-def _forward_work(state, work, now, out):
-    service = work.service
-    if not service.siblings or not service.is_idempotent:
-        return False
-    if work.was_forwarded or work.request.hops:
-        return False
-    if not len(service.queue) and _placement.pick_upstream(service, now) is not None:
-        return False
-    sibling = max(service.siblings, key=lambda entry: entry[1])
-    if sibling[1] <= 0:
-        return False
-    sibling[1] -= 1
-    work.was_forwarded = True
-    work.state = _dispatchstate.WorkState.FORWARDED
-    remaining_ms = int((work.deadline - now) * 1000)
-    request = dataclasses.replace(work.request, hops=1, deadline_ms=remaining_ms)
-    out.append(_dispatchevents.Forward(request, sibling[0], work.deadline))
-    _endings.log_decision(work, "forward", sibling[0], now, out)
-    return True
-
-
 def _check_limits(state, work, now, out):
     """Admits work, or refuses it if it cannot start in time or exceeds a limit."""
     fields = _find_obstacle(state, work, now)
@@ -146,6 +122,11 @@
 
 def _find_obstacle(state, work, now):
     service = work.service
+    if work.request.hops and not _pooling.has_room(state, work, now):
+        return {
+            "reason": _pooling.NO_FREE_SLOT,
+            "detail": "no slot is free for work of another dispatcher",
+        }
     capacity = service.count_capacity(now)
     if capacity == 0:
         return {
--- a/skylarksill/_adoption.py
+++ b/skylarksill/_adoption.py
@@ -34,15 +34,22 @@
         state.accepted[host] = max(generation, state.accepted.get(host, -1))
     _note_accepted(state, now)
     for service in state.services.values():
-        service.siblings = []
-    for sibling in peers.siblings:
-        service = state.services.get(sibling.service)
-        if service is not None and sibling.free > 0:
-            service.siblings.append([sibling.host, sibling.free])
+        known, service.siblings = service.siblings, {}
+        for sibling in peers.siblings:
+            if sibling.service == service.record.service_id:
+                service.siblings[sibling.host] = _renew_sibling(known, sibling)
     for entry in peers.suspects:
         state.suspects.merge(entry, now)
 
 
+def _renew_sibling(known, reported):
+    sibling = known.get(reported.host)
+    if sibling is None:
+        return _dispatchstate.Sibling(reported.host, reported.free)
+    sibling.free = reported.free
+    return sibling
+
+
 def grant_loans(state, upstreams, borrower, now):
     """Lends the standby slots that are free to their home.
 
--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -32,6 +32,7 @@
     RELEASE = 2
     HEDGE = 3
     REFUSE = 4
+    OFFER = 5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -49,7 +50,7 @@
     sends: list = dataclasses.field(default_factory=list)
     avoid: frozenset = frozenset()
     may_have_run: bool = False
-    was_forwarded: bool = False
+    forwarded_to: records.HostId | None = None
     is_admitted: bool = False
     refusal: records.Refusal | None = None
 
@@ -70,6 +71,16 @@
     is_death_counted: bool = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Sibling:
+    """Another dispatcher of the region; ``free`` is what it last reported, maybe long ago."""
+
+    host: records.HostId
+    free: int
+    refusals: int = 0
+    next_at: float = float("-inf")
+
+
 class UpstreamState:
     """Slots of one upstream as this dispatcher owns and uses them."""
 
@@ -157,7 +168,8 @@
         self.hedge_budget = hedges.SendBudget(HEDGE_RATIO)
         self.retry_budget = hedges.SendBudget(RETRY_RATIO)
         self.alone = {}
-        self.siblings = []
+        self.siblings = {}
+        self.offer_at = float("-inf")
         self.median_s = mean_s
         self._judged_at = float("-inf")
 
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -7,6 +7,7 @@
     _dispatchstate,
     _endings,
     _placement,
+    _pooling,
     health,
     queueing,
     records,
@@ -72,10 +73,15 @@
         return
     if event.answer is not None:
         state.suspects.note_answer(work.fingerprint, now)
+        _pooling.note_outcome(work.service, work.forwarded_to, True, now)
         out.append(_dispatchevents.Reply(event.request_id, event.answer, event.upstream))
         _endings.close_work(state, work, out)
     elif event.refusal.verdict is records.Verdict.NOT_RUN:
-        _admission.enter_work(state, work, now, out)
+        _pooling.note_outcome(work.service, work.forwarded_to, False, now)
+        if state.suspects.is_suspect(work.fingerprint, now):
+            _admission.enter_work(state, work, now, out)
+        else:
+            _pooling.put_back(work, now)
     else:
         _endings.end_with_refusal(state, work, event.refusal, out, now)
 
@@ -244,6 +250,10 @@
         _placement.start_send(state, work, upstream, now, out, False, is_hedge=True)
 
 
+def _end_pause(state, service_id, now, out):
+    """Does nothing: offers are made after each event, also after this timer."""
+
+
 def _find_hedge_slot(state, send, now):
     service = send.work.service
     if len(service.queue) or len(state.sends) >= state.count_share(now):
@@ -260,4 +270,5 @@
     _dispatchstate.TimerKind.RELEASE: _end_slot,
     _dispatchstate.TimerKind.HEDGE: _hedge_send,
     _dispatchstate.TimerKind.REFUSE: _end_refusing,
+    _dispatchstate.TimerKind.OFFER: _end_pause,
 }
--- a/skylarksill/_placement.py
+++ b/skylarksill/_placement.py
@@ -23,7 +23,7 @@
         upstream = pick_upstream(service, now)
         if upstream is None:
             return
-        entry = service.queue.pop(_may_start_long(service, now), now)
+        entry = service.queue.pop(_may_pop_long(service, now), now)
         if entry is None:
             return
         if not _start_entry(state, service, upstream, entry, now, out):
@@ -120,13 +120,16 @@
     return service.health.limit_slots(upstream.record.upstream_id, usable, now)
 
 
-def _may_start_long(service, now):
-    if not service.queue.long_count:
-        return False
+def may_start_long(service, now):
+    """Returns True if long work holds less than its share of the slots."""
     slots = sum(upstream.count_usable(now) for upstream in service.upstreams)
     return service.count_long(now) < queueing.count_long_slots(slots)
 
 
+def _may_pop_long(service, now):
+    return service.queue.long_count > 0 and may_start_long(service, now)
+
+
 def _start_entry(state, service, upstream, entry, now, out):
     """Starts a popped queue entry; returns False if it was put back."""
     work = entry.item
--- /dev/null
+++ b/skylarksill/_pooling.py
@@ -0,0 +1,83 @@
+"""Sharing of waiting work between the dispatchers of a region.
+
+Load figures of siblings are seconds old, so they only order the siblings. Waiting work is offered
+to a sibling, which takes it if a slot is free at that moment and else refuses it at once.
+"""
+
+import dataclasses
+
+from skylarksill import _dispatchevents, _dispatchstate, _endings, _placement, queueing
+
+# Longer than a round trip between zones, so that a refusal stops further offers in time.
+OFFER_GAP_S = 0.004
+FIRST_PAUSE_S = 0.008
+MAX_PAUSE_S = 0.064
+# Shorter runs of refusals are usual at 85% load; longer ones mean overload.
+PATIENT_REFUSALS = 10
+NO_FREE_SLOT = "no_free_slot"
+
+
+def has_room(state, work, now):
+    """Returns True if work of a sibling can start at once."""
+    service = work.service
+    if len(service.queue) or len(state.sends) >= state.count_share(now):
+        return False
+    if work.is_long and not _placement.may_start_long(service, now):
+        return False
+    return _placement.pick_upstream(service, now) is not None
+
+
+def offer_all(state, now, out):
+    """Offers waiting work of all services to siblings."""
+    for service in state.services.values():
+        if len(service.queue) and service.siblings and service.is_idempotent:
+            _offer_waiting(state, service, now, out)
+
+
+def note_outcome(service, host, was_taken, now):
+    """Lengthens the pause before the next offer after refusals in a row."""
+    sibling = service.siblings.get(host)
+    if sibling is None:
+        return
+    sibling.refusals = 0 if was_taken else sibling.refusals + 1
+    doublings = max(0, sibling.refusals - PATIENT_REFUSALS)
+    if not was_taken:
+        sibling.next_at = now + min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(doublings, 8))
+
+
+def put_back(work, now):
+    """Puts work that a sibling refused to the front of the queue."""
+    work.state = _dispatchstate.WorkState.QUEUED
+    entry = queueing.QueueEntry(work.request.request_id, work, now)
+    work.service.queue.put_back(entry, work.is_long)
+
+
+def _offer_waiting(state, service, now, out):
+    while len(service.queue):
+        sibling = min(service.siblings.values(), key=lambda item: (item.next_at > now, -item.free))
+        if sibling.next_at > now:
+            break
+        entry = service.queue.pop(True, now)
+        if entry.item.request.hops or entry.item.deadline - now < service.median_s:
+            service.queue.put_back(entry, entry.item.is_long)
+            break
+        sibling.next_at = now + OFFER_GAP_S
+        _forward_work(state, entry.item, sibling.host, now, out)
+    if len(service.queue):
+        _schedule_offer(state, service, now)
+
+
+def _schedule_offer(state, service, now):
+    due = min(sibling.next_at for sibling in service.siblings.values())
+    if due > now and (service.offer_at <= now or due < service.offer_at):
+        service.offer_at = due
+        state.add_timer(due, _dispatchstate.TimerKind.OFFER, service.record.service_id)
+
+
+def _forward_work(state, work, host, now, out):
+    work.state = _dispatchstate.WorkState.FORWARDED
+    work.forwarded_to = host
+    remaining_ms = int((work.deadline - now) * 1000)
+    request = dataclasses.replace(work.request, hops=1, deadline_ms=remaining_ms)
+    out.append(_dispatchevents.Forward(request, host, work.deadline))
+    _endings.log_decision(work, "forward", host, now, out)
--- a/skylarksill/dispatching.py
+++ b/skylarksill/dispatching.py
@@ -12,6 +12,7 @@
     _loadreport,
     _outcomes,
     _placement,
+    _pooling,
 )
 
 Arrived = _dispatchevents.Arrived
@@ -99,6 +100,7 @@
                 raise TypeError(f"unknown event {type(event).__name__}")
         _admission.enter_ready(state, now, out)
         _placement.place_all(state, now, out)
+        _pooling.offer_all(state, now, out)
         return out
 
     def is_send_allowed(self, send_id, now):
