Send work to the nearest dispatchers without regard to reported free slots

Cause: each entry host sent its work to a sibling zone while the own zone's latest figure showed no free slot. Ruled out: fresher figures, and weights by free slots, which have the same delay.

Figures still order the dispatchers of other regions. The scenario that expected a sibling with free slots before the own zone described the fault and now expects the own zone first; it checks the same number of orders.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -22,14 +22,14 @@
     Given a retry budget that counted 100 requests 11 seconds ago
     Then it permits no retry
 
-  Scenario Outline: Dispatchers with free slots come first, the nearest zone before others
+  Scenario Outline: The nearest zone comes first, and free slots order only the other regions
     Given free slots of <free> at host-0, host-1, host-2 and host-3
     Then an entry host of north-a ranks the dispatchers <order>
 
     Examples:
       | free       | order                          |
       | 1, 5, 5, 5 | host-0, host-1, host-2, host-3 |
-      | 0, 5, 5, 5 | host-1, host-0, host-2, host-3 |
+      | 0, 5, 5, 5 | host-0, host-1, host-2, host-3 |
       | 0, 0, 5, 5 | host-0, host-1, host-2, host-3 |
       | 0, 0, 0, 5 | host-0, host-1, host-3, host-2 |
 
--- a/skylarksill/_dispatchranking.py
+++ b/skylarksill/_dispatchranking.py
@@ -17,9 +17,11 @@
 def rank_dispatchers(table, view, loads, service, zone, pick, avoided=()):
     """Orders the live dispatchers that own upstreams of a service.
 
-    Dispatchers with free slots in the entry host's region come first, the nearest zone before the
-    others; then those without in its region, since they queue and forward between zones; then
-    other regions. Within a zone, work is spread in proportion to the free slots.
+    The dispatchers of the nearest zone come first, since they share waiting work with those of
+    their region, then those of the other zones of the region. In other regions, dispatchers with
+    free slots come before those without. Within a zone, work is spread in proportion to the
+    slots. Figures do not order the own region: they are older than a service time, and all entry
+    hosts would send their work to the same zone until the next ones.
 
     Args:
       table: The RoutingTable in force.
@@ -38,9 +40,8 @@
         zones = table.zone_orders[zone] if region == own_region else table.zones_by_region[region]
         groups = [_list_candidates(table, view, loads, service, name) for name in zones]
         groups = [_spread(group, pick) for group in groups]
-        with_free = [item for group in groups for item in group if item.free > 0]
-        without = [item for group in groups for item in group if item.free <= 0]
-        ranked += with_free + without
+        items = [item for group in groups for item in group]
+        ranked += items if region == own_region else _put_free_first(items)
     ranked.sort(key=lambda item: item.owner.host_id in avoided)
     return [(item.owner.host_id, item.zone) for item in ranked]
 
@@ -53,6 +54,10 @@
     ]
 
 
+def _put_free_first(items):
+    return sorted(items, key=lambda item: item.free <= 0)
+
+
 def _find_free(load, owner):
     # Without a recent figure all slots count as free: the dispatcher itself keeps the limit.
     if load is None or load.age_ms > FIGURES_MAX_AGE_MS:
@@ -63,7 +68,7 @@
 def _spread(candidates, pick):
     if len(candidates) < 2:
         return candidates
-    weights = [max(1, candidate.free) for candidate in candidates]
+    weights = [candidate.owner.slots for candidate in candidates]
     point = pick % sum(weights)
     for index, weight in enumerate(weights):
         if point < weight:
