Share waiting non-idempotent work between the dispatchers of a region too

Cause: a trace of latency at 85% load showed queues of deposits and yard beside free slots of the same region. Such work stayed at its ticket's home, which in cn-a has 3 slots. Ruled out: spreading tickets better, since even perfect spreading leaves each home a queue over 3 to 6 slots.

Change: the home offers waiting non-idempotent work to siblings like idempotent work. The ticket is claimed at its home before, and the home makes one offer at a time and another one only after NOT_RUN, so the work still runs at most once; a lost sibling gives MAY_HAVE_RUN. The sibling takes work with a hop from dispatchers only, without a claim of its own. A cancelled request goes on while a sibling may be running it, as it does on an own upstream.

--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -18,6 +18,7 @@
 MAX_ATTEMPTS = 3
 
 _LEAVING_HEADER_SOURCE = "answer"
+_IN_PROGRESS = (_dispatchstate.WorkState.FORWARDED, _dispatchstate.WorkState.RUNNING)
 
 
 def handle_answer(state, event, now, out):
@@ -92,7 +93,7 @@
     if work is None:
         return
     is_running = work.state is _dispatchstate.WorkState.RUNNING
-    if is_running and not work.service.is_idempotent:
+    if work.state in _IN_PROGRESS and not work.service.is_idempotent:
         return
     if work.state is _dispatchstate.WorkState.FORWARDED:
         out.append(_dispatchevents.CancelForward(event.request_id))
@@ -200,8 +201,7 @@
         return
     if work.state is _dispatchstate.WorkState.FORWARDED:
         out.append(_dispatchevents.CancelForward(request_id))
-    in_progress = (_dispatchstate.WorkState.FORWARDED, _dispatchstate.WorkState.RUNNING)
-    work.may_have_run |= work.state in in_progress
+    work.may_have_run |= work.state in _IN_PROGRESS
     _endings.refuse_work(
         state, work, "deadline_passed", "the deadline passed before an answer", out, now
     )
--- a/skylarksill/_pooling.py
+++ b/skylarksill/_pooling.py
@@ -30,7 +30,7 @@
 def offer_all(state, now, out):
     """Offers waiting work of all services to siblings."""
     for service in state.services.values():
-        if len(service.queue) and service.siblings and service.is_idempotent:
+        if len(service.queue) and service.siblings:
             _offer_waiting(state, service, now, out)
 
 
--- a/skylarksill/dispatch.py
+++ b/skylarksill/dispatch.py
@@ -150,7 +150,9 @@
 
     def _run_request(self, request, context):
         service = self._find_service(request.service_id)
-        if service is None or service.kind is records.WorkKind.IDEMPOTENT:
+        # The ticket of forwarded work is claimed at its home, which forwards it to one dispatcher.
+        is_forwarded = request.hops > 0 and context.peer.part == "dispatch"
+        if service is None or service.kind is records.WorkKind.IDEMPOTENT or is_forwarded:
             return self._runner.run(request, context)
         max_deadline_s = service.max_deadline_ms / 1000
         return self._desk.handle(request, context, self._is_stopping, max_deadline_s)
