Recall the standby's slot when its home asks while the slot is in use

Cause: a trace at 150% load showed dispatchers that reached their share of the region while others had unused share. A standby whose own work held the slot when the home asked could not lend it and at once started more own work, so the slot stayed with it for as long as it had a queue, although the shares count the slot for the home. Ruled out: refusals and ejections, which the trace showed at the same rate in dispatchers without unused share.

Change: a question that cannot be granted keeps the slot free of new work for the duration of a loan, so that a later question is granted. Without a question the standby uses it as before.

--- a/skylarksill/_adoption.py
+++ b/skylarksill/_adoption.py
@@ -72,7 +72,11 @@
 
 def _grant_loan(state, upstream_id, borrower, now):
     upstream = state.upstreams.get(upstream_id)
-    if upstream is None or upstream.record.home != borrower or not upstream.can_lend(now):
+    if upstream is None or upstream.record.home != borrower:
+        return False
+    if not upstream.can_lend(now):
+        # The standby's own work ends on the slot, so that the home gets it at a later question.
+        upstream.recalled_until = now + loans.LOAN_S
         return False
     return state.lender.grant(upstream_id, borrower, now)
 
--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -92,6 +92,7 @@
         self.leaving_sources = set()
         self.is_reserved = False
         self.alone_send = None
+        self.recalled_until = float("-inf")
         self._lender = lender
         self._borrower = borrower
         self._host = host
@@ -108,7 +109,9 @@
 
     def count_owned(self, now):
         """Returns the owned slots that are usable and not lent."""
-        if not self.is_home and not self._lender.is_returned(self.record.upstream_id, now):
+        if not self.is_home and (
+            now < self.recalled_until or not self._lender.is_returned(self.record.upstream_id, now)
+        ):
             return 0
         return self.holding.count(now)
 
