Estimate the wait in the queue from the median service time

Cause: with 3 slow upstreams of each service, requests were refused as queue_full although the good upstreams would have served them in time: the moving mean of the latencies, which includes the slow upstreams, was multiplied with the queue over the slots of the good ones only. Ruled out: the margin of the 95th percentile, which is bounded by half of the deadline.

Change: the estimate uses the median times 1.44, the ratio of an exponential distribution.

--- a/skylarksill/_admission.py
+++ b/skylarksill/_admission.py
@@ -14,6 +14,8 @@
 SUSPECT_RETRY_MS = 1_000
 NO_UPSTREAM_RETRY_MS = 500
 REGION_RETRY_MS = 200
+# Of an exponential distribution; unlike the mean, the median ignores a few slowed upstreams.
+MEAN_PER_MEDIAN = 1.44
 # A queue of one request a slot overflows in bursts at 85% load; the deadline bounds it as well.
 MAX_WAITING_PER_SLOT = 10
 # With the p95 alone as margin, 2% of the requests started at 150% load passed their deadline.
@@ -178,7 +180,7 @@
 
 
 def _estimate_wait_s(service, work, capacity):
-    wait_s = (len(service.queue) + 1) * service.latency.mean_s / capacity
+    wait_s = (len(service.queue) + 1) * service.median_s * MEAN_PER_MEDIAN / capacity
     if not work.is_long:
         return wait_s
     long_s = queueing.LONG_FACTOR * service.mean_s
