--- a/skylarksill/agent.py
+++ b/skylarksill/agent.py
@@ -79,7 +79,7 @@
 
     def join(self):
         """Asks store and peers and takes the highest generation that can be fetched."""
-        self._join()
+        self._take_highest()
         self._peers.is_joining = False
 
     def step(self):
@@ -128,7 +128,7 @@
         self._threads.append(eventlet.spawn(self._peers.run))
         self._threads.append(eventlet.spawn(self._watcher.run))
 
-    def _join(self):
+    def _take_highest(self):
         read = eventlet.spawn(self._read_store)
         offers = [
             (mark, head, address)
@@ -168,7 +168,7 @@
         now = self._clock.monotonic()
         if self._state.take_report(call, now):
             eventlet.spawn_n(self._peers.push)
-        return messages.encode_message(self._state.make_view(call, now))
+        return self._state.encode_view(call, now)
 
     def _serve_shards(self, body, context):
         call = messages.decode_message(messages.ShardsCall, body)
