Take the smaller of the mean and the scaled median for the wait

With the smaller of the two, a constant service time gives the mean and slowed upstreams give the median.

--- a/skylarksill/_admission.py
+++ b/skylarksill/_admission.py
@@ -14,7 +14,8 @@
 SUSPECT_RETRY_MS = 1_000
 NO_UPSTREAM_RETRY_MS = 500
 REGION_RETRY_MS = 200
-# Of an exponential distribution; unlike the mean, the median ignores a few slowed upstreams.
+# Of an exponential distribution. The mean of the latencies includes slowed upstreams, which the
+# capacity does not count; the median ignores a few of them.
 MEAN_PER_MEDIAN = 1.44
 # A queue of one request a slot overflows in bursts at 85% load; the deadline bounds it as well.
 MAX_WAITING_PER_SLOT = 10
@@ -180,7 +181,8 @@
 
 
 def _estimate_wait_s(service, work, capacity):
-    wait_s = (len(service.queue) + 1) * service.median_s * MEAN_PER_MEDIAN / capacity
+    mean_s = min(service.latency.mean_s, service.median_s * MEAN_PER_MEDIAN)
+    wait_s = (len(service.queue) + 1) * mean_s / capacity
     if not work.is_long:
         return wait_s
     long_s = queueing.LONG_FACTOR * service.mean_s
