--- a/skylarksill/_adoption.py
+++ b/skylarksill/_adoption.py
@@ -34,15 +34,22 @@
         state.accepted[host] = max(generation, state.accepted.get(host, -1))
     _note_accepted(state, now)
     for service in state.services.values():
-        service.siblings = []
-    for sibling in peers.siblings:
-        service = state.services.get(sibling.service)
-        if service is not None and sibling.free > 0:
-            service.siblings.append([sibling.host, sibling.free])
+        known, service.siblings = service.siblings, {}
+        for sibling in peers.siblings:
+            if sibling.service == service.record.service_id:
+                service.siblings[sibling.host] = _renew_sibling(known, sibling)
     for entry in peers.suspects:
         state.suspects.merge(entry, now)
 
 
+def _renew_sibling(known, reported):
+    sibling = known.get(reported.host)
+    if sibling is None:
+        return _dispatchstate.Sibling(reported.host, reported.free)
+    sibling.free = reported.free
+    return sibling
+
+
 def grant_loans(state, upstreams, borrower, now):
     """Lends the standby slots that are free to their home.
 
@@ -65,7 +72,11 @@
 
 def _grant_loan(state, upstream_id, borrower, now):
     upstream = state.upstreams.get(upstream_id)
-    if upstream is None or upstream.record.home != borrower or not upstream.can_lend(now):
+    if upstream is None or upstream.record.home != borrower:
+        return False
+    if not upstream.can_lend(now):
+        # The standby's own work ends on the slot, so that the home gets it at a later question.
+        upstream.recalled_until = now + loans.LOAN_S
         return False
     return state.lender.grant(upstream_id, borrower, now)
 
--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -27,11 +27,13 @@
 class TimerKind(enum.Enum):
     """What is due at a timer's time."""
 
+    PLACE = 9
     WORK_DEADLINE = 0
     SEND_DEADLINE = 1
     RELEASE = 2
     HEDGE = 3
     REFUSE = 4
+    OFFER = 5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -49,7 +51,7 @@
     sends: list = dataclasses.field(default_factory=list)
     avoid: frozenset = frozenset()
     may_have_run: bool = False
-    was_forwarded: bool = False
+    forwarded_to: records.HostId | None = None
     is_admitted: bool = False
     refusal: records.Refusal | None = None
 
@@ -70,6 +72,16 @@
     is_death_counted: bool = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Sibling:
+    """Another dispatcher of the region; ``free`` is what it last reported, maybe long ago."""
+
+    host: records.HostId
+    free: int
+    refusals: int = 0
+    next_at: float = float("-inf")
+
+
 class UpstreamState:
     """Slots of one upstream as this dispatcher owns and uses them."""
 
@@ -81,6 +93,7 @@
         self.leaving_sources = set()
         self.is_reserved = False
         self.alone_send = None
+        self.recalled_until = float("-inf")
         self._lender = lender
         self._borrower = borrower
         self._host = host
@@ -97,7 +110,9 @@
 
     def count_owned(self, now):
         """Returns the owned slots that are usable and not lent."""
-        if not self.is_home and not self._lender.is_returned(self.record.upstream_id, now):
+        if not self.is_home and (
+            now < self.recalled_until or not self._lender.is_returned(self.record.upstream_id, now)
+        ):
             return 0
         return self.holding.count(now)
 
@@ -157,7 +172,8 @@
         self.hedge_budget = hedges.SendBudget(HEDGE_RATIO)
         self.retry_budget = hedges.SendBudget(RETRY_RATIO)
         self.alone = {}
-        self.siblings = []
+        self.siblings = {}
+        self.offer_at = float("-inf")
         self.median_s = mean_s
         self._judged_at = float("-inf")
 
@@ -230,7 +246,7 @@
         self.send_ids = itertools.count(1)
         self.lender = loans.LenderTable()
         self.borrower = loans.BorrowerTable()
-        self.suspects = suspects.SuspectTable()
+        self.suspects = suspects.SuspectTable(host)
         self.leaders = {}
         self.held = {}
         self.ready = []
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -7,16 +7,17 @@
     _dispatchstate,
     _endings,
     _placement,
+    _pooling,
     health,
     queueing,
     records,
+    suspects,
 )
 
-# Time in which a suspect reaches the peers before the client can send the request again elsewhere.
-SUSPECT_NOTICE_S = 0.3
 MAX_ATTEMPTS = 3
 
 _LEAVING_HEADER_SOURCE = "answer"
+_IN_PROGRESS = (_dispatchstate.WorkState.FORWARDED, _dispatchstate.WorkState.RUNNING)
 
 
 def handle_answer(state, event, now, out):
@@ -72,10 +73,15 @@
         return
     if event.answer is not None:
         state.suspects.note_answer(work.fingerprint, now)
+        _pooling.note_outcome(work.service, work.forwarded_to, True, now)
         out.append(_dispatchevents.Reply(event.request_id, event.answer, event.upstream))
         _endings.close_work(state, work, out)
     elif event.refusal.verdict is records.Verdict.NOT_RUN:
-        _admission.enter_work(state, work, now, out)
+        _pooling.note_outcome(work.service, work.forwarded_to, False, now)
+        if state.suspects.is_suspect(work.fingerprint, now):
+            _admission.enter_work(state, work, now, out)
+        else:
+            _pooling.put_back(work, now)
     else:
         _endings.end_with_refusal(state, work, event.refusal, out, now)
 
@@ -86,7 +92,7 @@
     if work is None:
         return
     is_running = work.state is _dispatchstate.WorkState.RUNNING
-    if is_running and not work.service.is_idempotent:
+    if work.state in _IN_PROGRESS and not work.service.is_idempotent:
         return
     if work.state is _dispatchstate.WorkState.FORWARDED:
         out.append(_dispatchevents.CancelForward(event.request_id))
@@ -154,6 +160,7 @@
             fingerprints.add(other.work.fingerprint)
     for fingerprint in sorted(fingerprints):
         out.append(_dispatchevents.ReportSuspect(state.suspects.note_death(fingerprint, now)))
+    state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.PLACE, None)
 
 
 def _retry_work(state, send, event, now, out):
@@ -179,7 +186,11 @@
     work.state = _dispatchstate.WorkState.REFUSING
     work.refusal = refusal
     request_id = work.request.request_id
-    state.add_timer(now + SUSPECT_NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
+    state.add_timer(now + suspects.NOTICE_S, _dispatchstate.TimerKind.REFUSE, request_id)
+
+
+def _await_place(state, key, now, out):
+    """Does nothing: waiting work is placed after each event, also after this timer."""
 
 
 def _end_refusing(state, request_id, now, out):
@@ -194,8 +205,7 @@
         return
     if work.state is _dispatchstate.WorkState.FORWARDED:
         out.append(_dispatchevents.CancelForward(request_id))
-    in_progress = (_dispatchstate.WorkState.FORWARDED, _dispatchstate.WorkState.RUNNING)
-    work.may_have_run |= work.state in in_progress
+    work.may_have_run |= work.state in _IN_PROGRESS
     _endings.refuse_work(
         state, work, "deadline_passed", "the deadline passed before an answer", out, now
     )
@@ -244,6 +254,10 @@
         _placement.start_send(state, work, upstream, now, out, False, is_hedge=True)
 
 
+def _end_pause(state, service_id, now, out):
+    """Does nothing: offers are made after each event, also after this timer."""
+
+
 def _find_hedge_slot(state, send, now):
     service = send.work.service
     if len(service.queue) or len(state.sends) >= state.count_share(now):
@@ -255,9 +269,11 @@
 
 
 _TIMER_HANDLERS = {
+    _dispatchstate.TimerKind.PLACE: _await_place,
     _dispatchstate.TimerKind.WORK_DEADLINE: _end_work_deadline,
     _dispatchstate.TimerKind.SEND_DEADLINE: _end_send_deadline,
     _dispatchstate.TimerKind.RELEASE: _end_slot,
     _dispatchstate.TimerKind.HEDGE: _hedge_send,
     _dispatchstate.TimerKind.REFUSE: _end_refusing,
+    _dispatchstate.TimerKind.OFFER: _end_pause,
 }
--- a/skylarksill/dispatching.py
+++ b/skylarksill/dispatching.py
@@ -12,6 +12,7 @@
     _loadreport,
     _outcomes,
     _placement,
+    _pooling,
 )
 
 Arrived = _dispatchevents.Arrived
@@ -44,7 +45,8 @@
     """Enforces the limits of the upstreams of one host and places requests on them.
 
     Each request that arrives ends with one Reply or Refuse. The driver passes Ticked at least
-    when ``find_next_timer`` is due.
+    when ``find_next_timer`` is due, and every 0.1 s while requests wait: pauses of upstreams and
+    waits for slots have no timer.
 
     Args:
       host: Id of this dispatcher's host.
@@ -99,6 +101,7 @@
                 raise TypeError(f"unknown event {type(event).__name__}")
         _admission.enter_ready(state, now, out)
         _placement.place_all(state, now, out)
+        _pooling.offer_all(state, now, out)
         return out
 
     def is_send_allowed(self, send_id, now):
