--- a/bench/_gossip.py
+++ b/bench/_gossip.py
@@ -100,11 +100,11 @@
     def _make_peers(self, host):
         serving = self.list_alive(host)
         siblings = tuple(
-            dispatching.SiblingLoad(load.host, load.service, load.free)
+            dispatching.SiblingLoad(
+                load.host, load.service, load.free if load.age_ms <= MAX_LOAD_AGE_MS else 0
+            )
             for load in self.list_loads(host)
-            if load.host in serving
-            and self._fleet.is_sibling(host, load.host)
-            and load.age_ms <= MAX_LOAD_AGE_MS
+            if load.host in serving and self._fleet.is_sibling(host, load.host)
         )
         accepted = tuple((other, self._fleet.generations[other]) for other in self._fleet.drivers)
         return dispatching.PeersSeen(accepted, siblings)
--- a/skylarksill/_dispatchpeers.py
+++ b/skylarksill/_dispatchpeers.py
@@ -217,11 +217,13 @@
         if peer.is_alive and peer.entry.state is records.LifeState.SERVING
     }
     own_region = hosts.get(own_host)
+
+    def is_recent(load):
+        return load.age_ms + offset_ms <= MAX_LOAD_AGE_MS
+
     return tuple(
-        dispatching.SiblingLoad(load.host, load.service, load.free)
+        # An old figure tells nothing about free slots, but its host can still be offered work.
+        dispatching.SiblingLoad(load.host, load.service, load.free if is_recent(load) else 0)
         for load in view.loads
-        if load.host != own_host
-        and load.host in serving
-        and hosts.get(load.host) == own_region
-        and load.age_ms + offset_ms <= MAX_LOAD_AGE_MS
+        if load.host != own_host and load.host in serving and hosts.get(load.host) == own_region
     )
