--- a/bench/measure.py
+++ b/bench/measure.py
@@ -45,9 +45,11 @@
     ]
     counts = {True: 0, False: 0}
     with concurrent.futures.ProcessPoolExecutor(MAX_PROCESSES) as pool:
-        futures = [pool.submit(run_case, *task) for task in tasks]
-        for future in futures:
-            figures = future.result()
+        # The cases that take longest start first, so that they do not run on alone.
+        order = sorted(tasks, key=lambda task: task[0] not in SINGLE_CASES)
+        futures = {task: pool.submit(run_case, *task) for task in order}
+        for task in tasks:
+            figures = futures[task].result()
             for figure in figures:
                 print(figure, flush=True)
             counts[all(figure.is_ok for figure in figures)] += 1
