Charge the retry budget for shed work that a sibling returns

A sibling whose upstream shed the work returned it as NOT_RUN and the home placed it again without a budget; and forwarded work was counted as a request at both dispatchers.

Change: work is counted at its first dispatcher only, and a refusal that came after a send needs a part of the retry budget.

--- a/skylarksill/_admission.py
+++ b/skylarksill/_admission.py
@@ -37,8 +37,10 @@
         return
     work = _make_work(state, service, request, now)
     state.works[request.request_id] = work
-    service.hedge_budget.note_request()
-    service.retry_budget.note_request()
+    if not request.hops:
+        # Work of a sibling has been counted there; counting it twice would double the budgets.
+        service.hedge_budget.note_request()
+        service.retry_budget.note_request()
     if state.is_stopping:
         _endings.refuse_work(state, work, "leaving", "this dispatcher is stopping", out, now)
         return
--- a/skylarksill/_outcomes.py
+++ b/skylarksill/_outcomes.py
@@ -80,8 +80,10 @@
         _pooling.note_outcome(work.service, work.forwarded_to, False, now)
         if state.suspects.is_suspect(work.fingerprint, now):
             _admission.enter_work(state, work, now, out)
-        else:
+        elif _pooling.may_try_again(work, event.refusal):
             _pooling.put_back(work, now)
+        else:
+            _endings.end_with_refusal(state, work, event.refusal, out, now)
     else:
         _endings.end_with_refusal(state, work, event.refusal, out, now)
 
--- a/skylarksill/_pooling.py
+++ b/skylarksill/_pooling.py
@@ -15,6 +15,20 @@
 # Shorter runs of refusals are usual at 85% load; longer ones mean overload.
 PATIENT_REFUSALS = 10
 NO_FREE_SLOT = "no_free_slot"
+# Refusals of a sibling that come before it has sent the work to an upstream.
+_UNSENT_REASONS = frozenset(
+    (
+        NO_FREE_SLOT,
+        "no_configuration",
+        "unknown_service",
+        "no_upstream",
+        "queue_full",
+        "region_full",
+        "shift_cap",
+        "leaving",
+        "not_sent",
+    )
+)
 
 
 def has_room(state, work, now):
@@ -45,6 +59,15 @@
         sibling.next_at = now + min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(doublings, 8))
 
 
+def may_try_again(work, refusal):
+    """Returns True if refused work may be placed again.
+
+    Another try is a retry if the sibling had sent the work to an upstream, and then needs a part
+    of the budget, else work that upstreams shed would go to and fro without bound.
+    """
+    return refusal.reason in _UNSENT_REASONS or work.service.retry_budget.take()
+
+
 def put_back(work, now):
     """Puts work that a sibling refused to the front of the queue."""
     work.state = _dispatchstate.WorkState.QUEUED
