Count foreign work against the shift cap when it starts

Cause: the window was taken at admission, and waiting work of several seconds could start within one.

Ruled out: a smaller queue, which only makes the excess smaller.

Change: admission asks whether the window has room, the start takes it, and work whose turn comes while the window is full is refused as NOT_RUN with the time to try again.

--- a/skylarksill/_admission.py
+++ b/skylarksill/_admission.py
@@ -155,14 +155,8 @@
             "limit": "max_in_flight",
             "retry_after_ms": REGION_RETRY_MS,
         }
-    if work.is_foreign and not state.take_shift(now):
-        wait_s = state.shift_window.compute_wait_s(now)
-        return {
-            "reason": "shift_cap",
-            "detail": "the cap on work of other regions is reached",
-            "limit": "shift_cap_per_s",
-            "retry_after_ms": None if wait_s is None else int(wait_s * 1000) + 1,
-        }
+    if work.is_foreign and state.compute_shift_wait_s(now) != 0.0:
+        return _endings.describe_shift_cap(state, now)
     return None
 
 
--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -53,6 +53,7 @@
     may_have_run: bool = False
     forwarded_to: records.HostId | None = None
     is_admitted: bool = False
+    is_shift_counted: bool = False
     refusal: records.Refusal | None = None
 
 
@@ -282,8 +283,13 @@
         if limit != self.shift_window.limit:
             self.shift_window.change_limit(limit, now)
 
+    def compute_shift_wait_s(self, now):
+        """Returns the seconds until foreign work may start, or None if it never may."""
+        self.update_shift(now)
+        return self.shift_window.compute_wait_s(now)
+
     def take_shift(self, now):
-        """Takes one admission of foreign work; False if the window is full."""
+        """Counts one start of foreign work; False if the window is full."""
         self.update_shift(now)
         return self.shift_window.take(now)
 
--- a/skylarksill/_endings.py
+++ b/skylarksill/_endings.py
@@ -74,6 +74,22 @@
     return records.Refusal(verdict, reason, detail, **fields)
 
 
+def describe_shift_cap(state, now):
+    """Returns the fields of a refusal of foreign work over the shift cap."""
+    wait_s = state.compute_shift_wait_s(now)
+    return {
+        "reason": "shift_cap",
+        "detail": "the cap on work of other regions is reached",
+        "limit": "shift_cap_per_s",
+        "retry_after_ms": None if wait_s is None else int(wait_s * 1000) + 1,
+    }
+
+
+def refuse_shift(state, work, now, out):
+    """Refuses foreign work whose turn came while the shift cap was reached."""
+    refuse_work(state, work, out=out, now=now, **describe_shift_cap(state, now))
+
+
 def end_with_refusal(state, work, refusal, out, now):
     """Ends work with a given Refusal."""
     out.append(_dispatchevents.Refuse(work.request.request_id, refusal))
--- a/skylarksill/_placement.py
+++ b/skylarksill/_placement.py
@@ -170,10 +170,20 @@
             service.queue.put_back(entry, work.is_long)
             return False
         is_on_loan = False
+    if not _count_shift(state, work, now):
+        _endings.refuse_shift(state, work, now, out)
+        return True
     start_send(state, work, upstream, now, out, is_on_loan)
     return True
 
 
+def _count_shift(state, work, now):
+    """Counts the first start of foreign work; False if the shift cap is reached."""
+    if work.is_foreign and not work.is_shift_counted:
+        work.is_shift_counted = state.take_shift(now)
+    return work.is_shift_counted or not work.is_foreign
+
+
 def _may_run_alone(service, upstream, now):
     return (
         not upstream.is_leaving
