--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 CASE ?=
 
-.PHONY: test format demo measure faults random
+.PHONY: test format demo measure faults random process-faults
 
 $(VENV)/ready: pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,3 +32,6 @@
 
 random: $(VENV)/ready
 	$(PYTHON) -m bench.random_runs --runs $(RUNS) --seed $(SEED)
+
+process-faults: $(VENV)/ready
+	$(PYTHON) -m bench.process_faults --deployment $(DEPLOYMENT)
--- a/features/dispatching.feature
+++ b/features/dispatching.feature
@@ -65,6 +65,11 @@
     Then host-0 admitted at most 10 foreign requests in any second
     And the excess was reported as not run with the limit shift_cap_per_s
 
+  Scenario: Foreign work that waited for slots does not start in one second over the cap
+    Given dispatchers of the north region that have served for 10 s
+    When host-0 gets 10 requests of south a second while all slots are busy for 2 s
+    Then host-0 admitted at most 10 foreign requests in any second
+
   Scenario: A new incarnation counts its shift allowance as used
     Given dispatchers of the north region that have served for 10 s
     When host-0 is killed and started again
--- a/features/steps/dispatching_steps.py
+++ b/features/steps/dispatching_steps.py
@@ -183,6 +183,17 @@
     context.world.advance(1)
 
 
+@when("host-0 gets 10 requests of south a second while all slots are busy for 2 s")
+def step_foreign_waiting(context):
+    context.world.work_s = 2.0
+    send(context, count=10, home_region="south", deadline_ms=4_000)
+    context.world.advance(0.1)
+    context.world.work_s = 0.01
+    context.world.advance(1.0)
+    send(context, count=10, home_region="south", deadline_ms=4_000)
+    context.world.advance(2.5)
+
+
 @when("host-0 gets a poison request 100 times at once")
 def step_poison(context):
     context.world.poison.add(POISON)
