Leave client blocks out of entry and dispatch

Cause: each of the two kept all block records, which only the look-up uses. Change: their viewers skip the block shards.

--- a/skylarksill/dispatch.py
+++ b/skylarksill/dispatch.py
@@ -56,6 +56,7 @@
             incarnation,
             self.accept_configuration,
             viewer.Reports(self._describe_load, self._describe_upstreams, self._list_suspects),
+            has_blocks=False,
         )
         self._links = _dispatchpeers.PeerLinks(
             settings, identity, clock, self._runner, self._viewer
--- a/skylarksill/entry.py
+++ b/skylarksill/entry.py
@@ -70,7 +70,7 @@
         )
         incarnation = os.urandom(8).hex()
         self._viewer = view_source or viewer.Viewer(
-            settings, clock, "entry", incarnation, self.accept_configuration
+            settings, clock, "entry", incarnation, self.accept_configuration, has_blocks=False
         )
         self.source.attach(self._viewer)
         self._calls = _dispatchcalls.DispatchCalls(settings, clock, incarnation)
