--- a/features/agent.feature
+++ b/features/agent.feature
@@ -23,6 +23,11 @@
     When the store's outage ends
     Then all agents have generation 2 after 3 rounds
 
+  Scenario: The status during an outage names the configuration, which the store cannot give
+    Given 8 agents with generation 1
+    When the store has an outage
+    Then the status of each agent names the shards of generation 1
+
   Scenario: Hosts that cannot reach the store take a generation from peers
     Given 8 agents with generation 1
     When all agents but host-0 are cut off from the store
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -147,6 +147,14 @@
     assert set(generations.values()) == {generation}, generations
 
 
+@then("the status of each agent names the shards of generation {generation:d}")
+def step_status(context, generation):
+    for running in context.cluster.agents.values():
+        status = running.state.make_status(0.0)
+        assert status.generation == generation
+        assert status.head is not None and status.head.shards
+
+
 @when("the network is split and only the first half reaches the store")
 def step_split(context):
     second = list(context.cluster.agents)[4:]
--- a/skylarksill/_agentstate.py
+++ b/skylarksill/_agentstate.py
@@ -206,6 +206,7 @@
 
     def make_status(self, now):
         """Makes the StatusResult."""
+        in_force = self.accepted.in_force
         return messages.StatusResult(
             host=self.table.host,
             generation=self.generation,
@@ -213,6 +214,8 @@
             peers=self._mark_leaving(self.table.list_views(now)),
             loads=self.table.list_loads(now),
             upstreams=tuple(u for part in self.parts.values() for u in part.call.upstreams),
+            # Without the head the command line would have to ask the store, which may be down.
+            head=in_force.head if in_force else None,
         )
 
     def pick_shards(self, digests):
