Remove three functions that nothing calls

Cause: a search for names without a second mention found list_owned_upstreams, list_zones and WindowLimit.fill; change_limit already counts a new incarnation's allowance as used. Ruled out: removing the LeastOutstanding baseline, which is kept runnable for comparisons. Change: the three are removed; behaviour is unchanged.

--- a/bench/queue_model.py
+++ b/bench/queue_model.py
@@ -61,10 +61,6 @@
         """Sum of the slots of all upstreams."""
         return sum(site.slots for site in self.sites)
 
-    def list_zones(self):
-        """Returns the zones in order."""
-        return sorted({site.zone for site in self.sites})
-
     @functools.cached_property
     def regions_by_zone(self):
         """Region of each zone."""
--- a/skylarksill/_dispatchstate.py
+++ b/skylarksill/_dispatchstate.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 
-from skylarksill import _holdings, health, hedges, limits, loans, queueing, records, suspects
+from skylarksill import health, hedges, limits, loans, queueing, records, suspects
 
 HEDGE_RATIO = 0.05
 # The entry process may use the other half of the 10% that retries may add.
@@ -292,12 +292,3 @@
         """Counts one start of foreign work; False if the window is full."""
         self.update_shift(now)
         return self.shift_window.take(now)
-
-
-def list_owned_upstreams(configuration, host):
-    """Returns the upstreams of which a host owns slots."""
-    return [
-        upstream
-        for upstream in configuration.upstreams
-        if _holdings.count_owned_slots(upstream, host) > 0
-    ]
--- a/skylarksill/limits.py
+++ b/skylarksill/limits.py
@@ -18,10 +18,6 @@
         self._window_s = window_s
         self._times = collections.deque()
 
-    def fill(self, now):
-        """Counts the whole allowance as used at ``now``, as a new incarnation must."""
-        self._times = collections.deque([now] * self.limit)
-
     def take(self, now):
         """Admits one event.
 
