--- a/Makefile
+++ b/Makefile
@@ -13,13 +13,13 @@
 	touch $@
 
 test: $(VENV)/ready
-	$(VENV)/bin/black --check --quiet skylarksill standins bench features examples
-	$(VENV)/bin/ruff check --quiet skylarksill standins bench features examples
+	$(VENV)/bin/black --check --quiet skylarksill platform standins bench features examples
+	$(VENV)/bin/ruff check --quiet skylarksill platform standins bench features examples
 	$(PYTHON) -m bench.features
 
 format: $(VENV)/ready
-	$(VENV)/bin/black --quiet skylarksill standins bench features examples
-	$(VENV)/bin/ruff check --fix --quiet skylarksill standins bench features examples
+	$(VENV)/bin/black --quiet skylarksill platform standins bench features examples
+	$(VENV)/bin/ruff check --fix --quiet skylarksill platform standins bench features examples
 
 demo: $(VENV)/ready
 	$(PYTHON) -m bench.demo --deployment $(DEPLOYMENT)
--- /dev/null
+++ b/skylarksill/host/_upstreamhttp.py
@@ -0,0 +1,339 @@
+"""HTTP/1.1 to upstreams: one connection, one request at a time, and an outcome for each send."""
+
+import dataclasses
+import errno
+import time
+
+import httptools
+from eventlet.green import socket
+
+from skylarksill.host import records
+
+CONNECT_TIMEOUT_S = 0.6
+READ_BYTES = 65_536
+# An answer is kept in memory until it is whole, so that a broken one can be told from a whole one.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Unacknowledged bytes reset the connection after this time, so that a silent peer is noticed.
+USER_TIMEOUT_MS = 4_000
+
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_BODILESS_STATUSES = (204, 304)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer of the upstream that was asked, with the load that it states."""
+
+    answer: records.Answer
+    load: records.LoadReport | None
+    is_leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request has certainly not run there.
+
+    Attributes:
+      is_shed: True if the upstream rejected it for lack of room.
+      is_misdirected: True if another upstream answered at the address.
+      is_unreachable: True if no connection could be made.
+    """
+
+    reason: str
+    is_shed: bool = False
+    is_misdirected: bool = False
+    is_unreachable: bool = False
+    load: records.LoadReport | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """There is no usable answer, and the request may have run."""
+
+    reason: str
+    is_broken: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimedOut:
+    """There was no answer in the given time."""
+
+    reason: str = "timeout"
+
+
+class _ResponseReader:
+    """Collects the messages that arrive on a connection."""
+
+    def __init__(self, connection):
+        self._connection = connection
+        self.messages = []
+        self._reset()
+
+    def _reset(self):
+        self.reason = b""
+        self.headers = []
+        self.body = []
+        self.size = 0
+        self.is_open = False
+        self.has_head = False
+
+    def on_message_begin(self):
+        self._reset()
+        self.is_open = True
+
+    def on_status(self, reason):
+        self.reason += reason
+
+    def on_header(self, name, value):
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        self.has_head = True
+
+    def on_body(self, body):
+        self.size += len(body)
+        if self.size > MAX_ANSWER_BYTES:
+            raise OverflowError("answer is too long")
+        self.body.append(body)
+
+    def on_message_complete(self):
+        self.close_message(self._connection.should_keep_alive())
+
+    def close_message(self, is_kept_alive):
+        """Adds the present message to the complete ones."""
+        status = self._connection.get_status()
+        if status >= 200:
+            body = b"".join(self.body)
+            message = (status, self.reason, tuple(self.headers), body, is_kept_alive)
+            self.messages.append(message)
+        self._reset()
+
+
+class Connection:
+    """A connection to an upstream.
+
+    Attributes:
+      idle_since: Monotonic time since which it is idle.
+      keep_alive_s: Longest idle time that the upstream states, or None.
+      is_reusable: True while nothing has happened that spoils it for further requests.
+    """
+
+    def __init__(self, upstream, sock, names):
+        self.upstream = upstream
+        self.idle_since = 0.0
+        self.keep_alive_s = None
+        self.is_reusable = True
+        self._socket = sock
+        self._names = names
+        self._reader = _ResponseReader(self)
+        self._parser = httptools.HttpResponseParser(self._reader)
+
+    def should_keep_alive(self):
+        """Returns True if the present message leaves the connection open."""
+        return self._parser.should_keep_alive()
+
+    def get_status(self):
+        """Returns the status of the present message."""
+        return self._parser.get_status_code()
+
+    def is_quiet(self):
+        """Returns True if the idle connection is open and nothing unexpected has arrived."""
+        try:
+            self._socket.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def abort(self):
+        """Ends the connection; a green thread that waits for it wakes up."""
+        self.is_reusable = False
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            if error.errno not in (errno.ENOTCONN, errno.EBADF):
+                raise
+
+    def close(self):
+        """Closes the connection."""
+        self.is_reusable = False
+        self._socket.close()
+
+    def exchange(self, request, message, until):
+        """Sends a request and waits for its whole answer.
+
+        Args:
+          request: The records.Request.
+          message: The bytes to send.
+          until: Monotonic time of the end of the wait.
+        Returns:
+          Answered, NotRun, MayHaveRun or TimedOut.
+        """
+        try:
+            self._socket.settimeout(max(0.001, until - time.monotonic()))
+            self._socket.sendall(message)
+            return self._read_answer(request, until)
+        except TimeoutError:
+            self.is_reusable = False
+            return TimedOut()
+        except OverflowError:
+            self.is_reusable = False
+            return MayHaveRun("answer_too_long")
+        except (OSError, httptools.HttpParserError) as error:
+            self.is_reusable = False
+            is_broken = isinstance(error, OSError)
+            return MayHaveRun("connection_reset" if is_broken else "malformed_answer", is_broken)
+
+    def _read_answer(self, request, until):
+        messages = self._reader.messages
+        while True:
+            while messages:
+                outcome = self._judge(request, *messages.pop(0))
+                if outcome is not None:
+                    if messages or self._reader.is_open:
+                        # More than was asked for: the rest belongs to no request.
+                        self.is_reusable = False
+                    return outcome
+            self._socket.settimeout(max(0.001, until - time.monotonic()))
+            data = self._socket.recv(READ_BYTES)
+            if not data:
+                self.is_reusable = False
+                outcome = self._judge_end(request)
+                if outcome is not None:
+                    return outcome
+                return MayHaveRun("connection_closed", True)
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserError:
+                self.is_reusable = False
+                if not messages:
+                    raise
+            if request.method == b"HEAD" and self._reader.has_head:
+                self._reader.close_message(False)
+                self.is_reusable = False
+
+    def _judge_end(self, request):
+        reader = self._reader
+        has_length = any(
+            name in (b"content-length", b"transfer-encoding") for name, _ in reader.headers
+        )
+        if not reader.has_head or has_length:
+            return None
+        # An answer without a length ends with its connection.
+        reader.close_message(False)
+        return self._judge(request, *reader.messages.pop(0)) if reader.messages else None
+
+    def _judge(self, request, status, reason, headers, body, is_kept_alive):
+        names = self._names
+        fields = dict(headers)
+        if not is_kept_alive:
+            self.is_reusable = False
+        answered_id = fields.get(names.request_id)
+        if answered_id is not None and answered_id != request.request_id:
+            # A late answer to a former request on this connection.
+            self.is_reusable = False
+            return None
+        load = parse_load(fields.get(names.load))
+        self.keep_alive_s = parse_keep_alive(fields.get(b"keep-alive"))
+        if status == 421:
+            return NotRun("misdirected", is_misdirected=True)
+        if names.not_run in fields:
+            return NotRun("shed", is_shed=status in (429, 503), load=load)
+        if 200 <= status < 300 and (answered_id is None or names.signature not in fields):
+            self.is_reusable = False
+            return MayHaveRun("unsigned_answer")
+        is_leaving = b"close" in fields.get(b"connection", b"").lower()
+        kept = filter_headers(headers)
+        return Answered(records.Answer(status, reason, kept, body), load, is_leaving)
+
+
+def connect(upstream, names, timeout_s):
+    """Opens a connection to an upstream.
+
+    Raises:
+      OSError: If that fails or takes longer than ``timeout_s``.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.settimeout(timeout_s)
+        sock.connect(upstream.address)
+    except BaseException:
+        sock.close()
+        raise
+    return Connection(upstream, sock, names)
+
+
+def format_request(request, upstream_id, deadline_ms, names):
+    """Returns the bytes of a request to an upstream.
+
+    Args:
+      request: The records.Request.
+      upstream_id: The upstream that must answer.
+      deadline_ms: Milliseconds after which the upstream stops working on it.
+      names: The records.HeaderNames.
+    """
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    own = (names.deadline, names.expected_upstream)
+    lines += [
+        name + b": " + value for name, value in filter_headers(request.headers) if name not in own
+    ]
+    lines.append(names.deadline + b": %d" % deadline_ms)
+    lines.append(names.expected_upstream + b": " + upstream_id.encode())
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def filter_headers(headers):
+    """Returns the headers that concern more than one connection."""
+    dropped = HOP_HEADERS
+    for name, value in headers:
+        if name == b"connection":
+            dropped = dropped | {item.strip().lower() for item in value.split(b",")}
+    return tuple((name, value) for name, value in headers if name not in dropped)
+
+
+def parse_load(value):
+    """Returns the LoadReport of a header's value, or None without a valid one."""
+    if value is None:
+        return None
+    try:
+        figures = [int(figure) for figure in value.split(b",")]
+        running, waiting, slots = figures[:3]
+    except ValueError:
+        return None
+    if running < 0 or waiting < 0 or slots < 1:
+        return None
+    pace = figures[3] / 100 if len(figures) > 3 and figures[3] > 0 else 1.0
+    return records.LoadReport(running, waiting, slots, pace)
+
+
+def parse_keep_alive(value):
+    """Returns the idle time-out in seconds of a Keep-Alive header, or None without one."""
+    for field in (value or b"").split(b","):
+        name, _, seconds = field.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return float(seconds)
+    return None
+
+
+def is_bodiless(method, status):
+    """Returns True if an answer has no body whatever its headers say."""
+    return method == b"HEAD" or status in _BODILESS_STATUSES
--- /dev/null
+++ b/skylarksill/host/belief.py
@@ -0,0 +1,122 @@
+"""What a host believes about configuration, upstreams and evacuated zones, and since when.
+
+Entries that vanish while the store is unavailable may belong to upstreams that live: they are kept
+for LAPSE_GRACE_S after the store is back, unless their upstream said that it leaves.
+"""
+
+import dataclasses
+
+from skylarksill.host import routes
+
+# Upstreams register again within about 2 s of the store's return.
+LAPSE_GRACE_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change of belief, for the log: what, its subject, and what is believed now."""
+
+    what: str
+    subject: str
+    value: str
+
+
+class Belief:
+    """State of belief of one host.
+
+    Attributes:
+      configuration: The accepted Configuration, or None.
+      route_table: RouteTable of the accepted configuration.
+      upstreams: Dict of Upstream by id.
+      evacuated: Set of zones whose upstreams get nothing.
+      has_upstreams: True once the store's list of upstreams has been read.
+    """
+
+    def __init__(self):
+        self.configuration = None
+        self.route_table = routes.RouteTable(())
+        self.upstreams = {}
+        self.evacuated = set()
+        self.has_upstreams = False
+        self._lapsing = {}
+        self._has_outage = False
+        self._grace_until = float("-inf")
+
+    @property
+    def is_complete(self):
+        """True if requests can be routed."""
+        return self.configuration is not None and self.has_upstreams
+
+    def note_outage(self):
+        """Notes a call that the store did not answer, or answered much too late."""
+        self._has_outage = True
+
+    def note_contact(self, now):
+        """Notes an answer of the store; the first one after an outage starts the lapse grace."""
+        if self._has_outage:
+            self._has_outage = False
+            self._grace_until = now + LAPSE_GRACE_S
+
+    def accept_configuration(self, configuration):
+        """Accepts a configuration unless it is older than the accepted one.
+
+        Returns:
+          A tuple of Change; empty if nothing changed.
+        """
+        known = self.configuration
+        if known is not None and configuration.generation <= known.generation:
+            return ()
+        self.configuration = configuration
+        self.route_table = routes.RouteTable(configuration.routes)
+        return (Change("configuration", "main", str(configuration.generation)),)
+
+    def replace_upstreams(self, upstreams, now):
+        """Takes over a whole list of upstreams.
+
+        Args:
+          upstreams: Dict of Upstream by id.
+          now: Monotonic seconds.
+        Returns:
+          A tuple of Change.
+        """
+        self.has_upstreams = True
+        changes = []
+        for upstream_id in [item for item in self.upstreams if item not in upstreams]:
+            changes += self.remove_upstream(upstream_id, now)
+        for upstream in upstreams.values():
+            changes += self.set_upstream(upstream)
+        return tuple(changes)
+
+    def set_upstream(self, upstream):
+        """Takes over one upstream's entry; returns a tuple of Change."""
+        self._lapsing.pop(upstream.upstream_id, None)
+        if self.upstreams.get(upstream.upstream_id) == upstream:
+            return ()
+        self.upstreams[upstream.upstream_id] = upstream
+        return (Change("upstream", upstream.upstream_id, upstream.state.value),)
+
+    def remove_upstream(self, upstream_id, now):
+        """Forgets an upstream whose entry is gone or unreadable; returns a tuple of Change."""
+        if upstream_id not in self.upstreams:
+            return ()
+        if now < self._grace_until:
+            self._lapsing.setdefault(upstream_id, self._grace_until)
+            return (Change("upstream", upstream_id, "lapsed"),)
+        self._lapsing.pop(upstream_id, None)
+        del self.upstreams[upstream_id]
+        return (Change("upstream", upstream_id, "gone"),)
+
+    def expire_lapsed(self, now):
+        """Forgets lapsed upstreams whose grace has ended; returns a tuple of Change."""
+        ended = [upstream_id for upstream_id, until in self._lapsing.items() if until <= now]
+        changes = []
+        for upstream_id in ended:
+            changes += self.remove_upstream(upstream_id, now)
+        return tuple(changes)
+
+    def replace_evacuated(self, zones):
+        """Takes over the set of evacuated zones; returns a tuple of Change."""
+        before, self.evacuated = self.evacuated, set(zones)
+        begun = [Change("evacuation", zone, "begun") for zone in sorted(self.evacuated - before)]
+        ended = [Change("evacuation", zone, "ended") for zone in sorted(before - self.evacuated)]
+        return tuple(begun + ended)
--- /dev/null
+++ b/skylarksill/host/clientserver.py
@@ -0,0 +1,383 @@
+"""HTTP/1.1 server: requests of a connection run side by side, answers leave in their order."""
+
+import collections
+import dataclasses
+import time
+
+import eventlet
+import httptools
+from eventlet.green import socket
+
+from skylarksill.host import _upstreamhttp, forwarder, records
+
+LISTEN_BACKLOG = 1024
+READ_BYTES = 65_536
+# Requests of one connection that are worked on at the same time; more stay unread.
+MAX_PIPELINED = 16
+# After the last answer the client's remaining bytes are read for this long, since closing a
+# connection with unread bytes resets it and can destroy the answer.
+LINGER_S = 1.0
+# A client that takes no byte of an answer for this long is given up.
+WRITE_TIMEOUT_S = 10.0
+ACCEPT_PAUSE_S = 0.05
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class _BadRequestError(Exception):
+    """A request can't be served; ``status`` says why."""
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.status = status
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A request whose answer has not left yet."""
+
+    method: bytes
+    is_kept_alive: bool
+    cancellation: forwarder.Cancellation
+    data: bytes | None = None
+
+
+class ClientServer:
+    """Accepts connections and hands whole requests to a handler.
+
+    Args:
+      address: IP address and port to listen on.
+      handle: Function of a records.Request and a Cancellation that returns a records.Answer, or
+        None if the request was cancelled.
+      find_limits: Function that returns the records.ClientLimits in force.
+      names: The records.HeaderNames.
+      log: The EventLog.
+    """
+
+    def __init__(self, address, handle, find_limits, names, log):
+        self.handle = handle
+        self.find_limits = find_limits
+        self.names = names
+        self.log = log
+        self.is_leaving = False
+        self.connections = set()
+        self._socket = eventlet.listen(address, backlog=LISTEN_BACKLOG)
+        self._thread = None
+
+    @property
+    def address(self):
+        """IP address and port that the server listens on."""
+        return self._socket.getsockname()[:2]
+
+    @property
+    def in_flight(self):
+        """Number of requests whose answers have not left."""
+        return sum(len(connection.pending) for connection in self.connections)
+
+    def start(self):
+        """Starts accepting connections."""
+        self._thread = eventlet.spawn(self._accept)
+
+    def leave(self):
+        """Makes each connection close after the answer to its last request."""
+        self.is_leaving = True
+
+    def stop_listening(self):
+        """Refuses new connections."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._thread = None
+            self._socket.close()
+
+    def close_idle(self):
+        """Closes the connections that have no request in progress."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.end()
+
+    def _accept(self):
+        while True:
+            try:
+                client, _ = self._socket.accept()
+            except OSError as error:
+                self.log.write("client.accept_failed", error=str(error))
+                eventlet.sleep(ACCEPT_PAUSE_S)
+                continue
+            eventlet.spawn_n(_Connection(self, client).run)
+
+
+class _Connection:
+    """One client's connection."""
+
+    def __init__(self, server, client):
+        self.pending = collections.deque()
+        self._server = server
+        self._socket = client
+        self._is_writing = False
+        self._is_closing = False
+        self._is_gone = False
+        self._begin_message()
+        self._parser = httptools.HttpRequestParser(self)
+
+    @property
+    def is_busy(self):
+        """True while a request is being read or answered."""
+        return bool(self.pending) or self._begun_at is not None
+
+    def run(self):
+        """Serves the connection until it ends."""
+        self._server.connections.add(self)
+        try:
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _upstreamhttp.USER_TIMEOUT_MS
+            )
+            self._read_requests()
+        except OSError as error:
+            self._server.log.write("client.connection_lost", error=str(error))
+        finally:
+            self._drop_pending()
+            self._server.connections.discard(self)
+            self._socket.close()
+
+    def end(self):
+        """Closes an idle connection from another green thread."""
+        self._is_closing = True
+        self._shut_down(socket.SHUT_RDWR)
+
+    def _read_requests(self):
+        while not self._is_closing:
+            while len(self.pending) >= MAX_PIPELINED and not self._is_closing:
+                eventlet.sleep(0.01)
+            data = self._receive()
+            if not data:
+                return
+            try:
+                self._parser.feed_data(data)
+                self._check_head_size()
+            except _BadRequestError as error:
+                self._refuse(error.status)
+            except httptools.HttpParserCallbackError as error:
+                cause = error.__context__
+                self._refuse(cause.status if isinstance(cause, _BadRequestError) else 400)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._refuse(400)
+        self._linger()
+
+    def _receive(self):
+        """Returns the next bytes; none if the connection is to be closed."""
+        limits = self._server.find_limits()
+        while True:
+            timeout_s = self._find_timeout_s(limits)
+            self._socket.settimeout(timeout_s)
+            try:
+                return self._socket.recv(READ_BYTES)
+            except TimeoutError:
+                if self.pending:
+                    continue
+                if self._begun_at is None:
+                    return b""
+                self._refuse(408)
+                return b""
+
+    def _find_timeout_s(self, limits):
+        if self._begun_at is None:
+            return limits.idle_timeout_s
+        if self._is_head_complete:
+            return limits.idle_timeout_s
+        return max(0.01, self._begun_at + limits.head_timeout_s - time.monotonic())
+
+    def _check_head_size(self):
+        if not self._is_head_complete and self._head_bytes > self._limits.max_head_bytes:
+            raise _BadRequestError(431)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self):
+        """Starts a request."""
+        self._begin_message()
+        self._begun_at = time.monotonic()
+        self._limits = self._server.find_limits()
+
+    def on_url(self, url):
+        """Adds a piece of the target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name, value):
+        """Adds a header."""
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self):
+        """Checks a whole head."""
+        self._is_head_complete = True
+        fields = dict(self._headers)
+        length = fields.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+            raise _BadRequestError(413)
+        if fields.get(b"expect", b"").lower() == b"100-continue" and not self.pending:
+            self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body):
+        """Adds a piece of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.max_body_bytes:
+            raise _BadRequestError(413)
+        self._body.append(body)
+
+    def on_message_complete(self):
+        """Starts serving a whole request."""
+        if self._is_closing:
+            return
+        method = self._parser.get_method()
+        is_kept_alive = self._parser.should_keep_alive()
+        request = self._make_request(method, is_kept_alive)
+        item = _Pending(method, is_kept_alive, forwarder.Cancellation())
+        self.pending.append(item)
+        self._begin_message()
+        if not is_kept_alive:
+            # What follows on the connection is not read.
+            self._is_closing = True
+        eventlet.spawn_n(self._serve, item, request)
+
+    def _begin_message(self):
+        self._begun_at = None
+        self._is_head_complete = False
+        self._target = b""
+        self._headers = []
+        self._head_bytes = 0
+        self._body = []
+        self._body_bytes = 0
+
+    def _count_head(self, size):
+        self._head_bytes += size
+        if self._head_bytes > self._limits.max_head_bytes:
+            raise _BadRequestError(431)
+
+    def _make_request(self, method, is_kept_alive):
+        names = self._server.names
+        fields = dict(self._headers)
+        site = fields.get(b"host")
+        if site is None:
+            raise _BadRequestError(400)
+        return records.Request(
+            method=method,
+            target=self._target,
+            headers=tuple(self._headers),
+            body=b"".join(self._body),
+            request_id=fields.get(names.request_id),
+            site=site.decode("latin-1").rpartition("]")[2].partition(":")[0].lower(),
+            deadline_s=_parse_deadline(fields.get(names.deadline)),
+            affinity_key=find_cookie(fields.get(b"cookie"), names.affinity_cookie),
+            received_at=time.monotonic(),
+            is_kept_alive=is_kept_alive,
+        )
+
+    def _serve(self, item, request):
+        answer = self._server.handle(request, item.cancellation)
+        if answer is None or self._is_gone:
+            return
+        if self._server.is_leaving:
+            self._is_closing = True
+        item.data = format_answer(answer, item.method, self._is_last(item))
+        self._write_ready()
+
+    def _is_last(self, item):
+        return self._is_closing and item is self.pending[-1]
+
+    def _refuse(self, status):
+        """Answers a request that can't be read and closes the connection after it."""
+        self._server.log.write("client.refused", status=status)
+        self._is_closing = True
+        item = _Pending(b"GET", False, forwarder.Cancellation())
+        item.data = format_answer(forwarder.make_answer(status, b""), b"GET", True)
+        self.pending.append(item)
+        self._begin_message()
+        self._write_ready()
+
+    def _write_ready(self):
+        """Writes the answers that are next in order, one green thread at a time."""
+        if self._is_writing:
+            return
+        self._is_writing = True
+        try:
+            while self.pending and self.pending[0].data is not None and not self._is_gone:
+                self._socket.settimeout(WRITE_TIMEOUT_S)
+                self._socket.sendall(self.pending[0].data)
+                self.pending.popleft()
+        except OSError as error:
+            self._server.log.write("client.write_failed", error=str(error))
+            self._drop_pending()
+            self._shut_down(socket.SHUT_RDWR)
+            return
+        finally:
+            self._is_writing = False
+        if self._is_closing and not self.pending:
+            self._shut_down(socket.SHUT_WR)
+
+    def _linger(self):
+        """Waits for the last answers, then reads until the client closes its side."""
+        while not self._is_gone:
+            self._socket.settimeout(LINGER_S)
+            try:
+                if not self._socket.recv(READ_BYTES):
+                    return
+            except TimeoutError:
+                if not self.pending:
+                    return
+
+    def _drop_pending(self):
+        self._is_gone = True
+        for item in self.pending:
+            if item.data is None:
+                item.cancellation.cancel()
+        self.pending.clear()
+
+    def _shut_down(self, how):
+        try:
+            self._socket.shutdown(how)
+        except OSError as error:
+            self._server.log.write("client.shutdown_failed", error=str(error))
+
+
+def format_answer(answer, method, is_last):
+    """Returns the bytes of an answer.
+
+    Args:
+      answer: The records.Answer.
+      method: Method of the request.
+      is_last: True if the connection is closed after it.
+    """
+    reason = answer.reason or _REASONS.get(answer.status, b"Status")
+    lines = [b"HTTP/1.1 %d " % answer.status + reason]
+    lines += [name + b": " + value for name, value in answer.headers]
+    is_bodiless = _upstreamhttp.is_bodiless(method, answer.status)
+    if not is_bodiless:
+        lines.append(b"content-length: %d" % len(answer.body))
+    if is_last:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if is_bodiless else answer.body)
+
+
+def find_cookie(header, name):
+    """Returns the value of a cookie, or None."""
+    for pair in (header or b"").split(b";"):
+        key, has_value, value = pair.strip().partition(b"=")
+        if has_value and key.lower() == name:
+            return value
+    return None
+
+
+def _parse_deadline(value):
+    return int(value) / 1000 if value is not None and value.isdigit() else None
--- /dev/null
+++ b/skylarksill/host/fleet.py
@@ -0,0 +1,304 @@
+"""What a host has learned of the upstreams that it may send to.
+
+Load reports are as old as the last answer, so the load of an upstream is estimated as the host's
+own requests in flight plus what other hosts had there at the report, which fades with its age.
+"""
+
+import collections
+import hashlib
+
+from skylarksill import limits
+from skylarksill.host import records
+
+# Load of other hosts counts in full up to the first age and not at all from the second on. Work
+# takes 0.1 to 1.8 s, so an older report says little about the requests that run now.
+FRESH_REPORT_S = 0.4
+STALE_REPORT_S = 2.0
+# A stated pace changes many times a second; an older one is replaced by its moving mean.
+FRESH_PACE_S = 0.3
+PACE_WEIGHT = 0.1
+# Weight of a new sample of an upstream's slowness, and the time in which it is half forgotten.
+SLOWNESS_WEIGHT = 0.25
+SLOWNESS_HALF_LIFE_S = 4.0
+MAX_SLOWNESS = 12.0
+FAILURE_WEIGHT = 0.15
+FAILURE_HALF_LIFE_S = 3.0
+# Pause before an unreachable upstream is tried again; it doubles up to the maximum.
+FIRST_DOWN_S = 0.3
+MAX_DOWN_S = 2.0
+# Upstreams remember about 18 to 50 recent objects.
+WARM_KEYS = 24
+MAX_RANKINGS = 4_096
+# Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
+# of hosts that do not see each other.
+COLD_SAFETY = 0.8
+
+
+class UpstreamState:
+    """Learned state of one incarnation of an upstream.
+
+    Attributes:
+      record: The records.Upstream.
+      in_flight: Own requests there that have not ended.
+      cold_until: Monotonic time until which it is treated as cold.
+      down_until: Monotonic time before which nothing is sent, after it was unreachable.
+      is_misdirected: True once another upstream answered at its address.
+      is_probed: True while connections to it are tried in the background.
+    """
+
+    __slots__ = (
+        "record",
+        "in_flight",
+        "cold_until",
+        "down_until",
+        "down_s",
+        "is_misdirected",
+        "is_probed",
+        "_others",
+        "_reported_at",
+        "_pace",
+        "_pace_mean",
+        "_slowness",
+        "_slowness_at",
+        "_failure",
+        "_failure_at",
+        "_warm_keys",
+        "cold_limit",
+    )
+
+    def __init__(self, record, cold_until):
+        self.record = record
+        self.in_flight = 0
+        self.cold_until = cold_until
+        self.down_until = 0.0
+        self.down_s = FIRST_DOWN_S
+        self.is_misdirected = False
+        self.is_probed = False
+        self._others = 0.0
+        self._reported_at = 0.0
+        self._pace = 1.0
+        self._pace_mean = 1.0
+        self._slowness = 1.0
+        self._slowness_at = 0.0
+        self._failure = 0.0
+        self._failure_at = 0.0
+        self._warm_keys = collections.OrderedDict()
+        self.cold_limit = limits.WindowLimit(0)
+
+    def estimate_load(self, now):
+        """Returns the requests that are thought to run or wait there."""
+        age = now - self._reported_at
+        if age <= FRESH_REPORT_S:
+            return self.in_flight + self._others
+        if age >= STALE_REPORT_S:
+            return float(self.in_flight)
+        fading = (STALE_REPORT_S - age) / (STALE_REPORT_S - FRESH_REPORT_S)
+        return self.in_flight + self._others * fading
+
+    def estimate_pace(self, now):
+        """Returns the factor by which work takes longer than usual on its machine."""
+        return self._pace if now - self._reported_at <= FRESH_PACE_S else self._pace_mean
+
+    def estimate_slowness(self, now):
+        """Returns the factor of its own slowness beside the stated pace."""
+        return _fade(self._slowness, 1.0, now - self._slowness_at, SLOWNESS_HALF_LIFE_S)
+
+    def estimate_failure(self, now):
+        """Returns the share of its recent answers that were failures."""
+        return _fade(self._failure, 0.0, now - self._failure_at, FAILURE_HALF_LIFE_S)
+
+    def is_warm_for(self, key):
+        """Returns True if it recently handled the object with this affinity key."""
+        return key in self._warm_keys
+
+    def is_cold(self, now):
+        """Returns True while only a limited rate may be sent there."""
+        return now < self.cold_until
+
+    def note_report(self, report, now):
+        """Takes over a LoadReport of an answer; both sides still count the answered request."""
+        self._others = max(0.0, report.running + report.waiting - self.in_flight)
+        self._reported_at = now
+        self._pace = report.pace
+        self._pace_mean += PACE_WEIGHT * (report.pace - self._pace_mean)
+
+    def note_full(self, now):
+        """Notes that it shed work: its slots and its queue count as taken."""
+        self._others = max(0.0, 2.0 * self.record.slots - self.in_flight)
+        self._reported_at = now
+
+    def note_slowness(self, ratio, now):
+        """Adds a sample of the actual over the expected service time."""
+        current = self.estimate_slowness(now)
+        sample = min(MAX_SLOWNESS, max(0.5, ratio))
+        self._slowness = current + SLOWNESS_WEIGHT * (sample - current)
+        self._slowness_at = now
+
+    def note_result(self, has_failed, now):
+        """Counts an answer as a success or a failure."""
+        current = self.estimate_failure(now)
+        self._failure = current + FAILURE_WEIGHT * (float(has_failed) - current)
+        self._failure_at = now
+
+    def note_object(self, key):
+        """Notes that it handled an object."""
+        self._warm_keys[key] = None
+        self._warm_keys.move_to_end(key)
+        if len(self._warm_keys) > WARM_KEYS:
+            self._warm_keys.popitem(last=False)
+
+    def forget_objects(self):
+        """Notes that it has lost what it knew of objects."""
+        self._warm_keys.clear()
+
+
+class Fleet:
+    """The upstreams that the store lists, by service and region.
+
+    Attributes:
+      region: Region of this host.
+      host_count: Hosts that may send to the same upstreams, which share cold rates.
+    """
+
+    def __init__(self, region):
+        self.region = region
+        self.host_count = 1
+        self._states = {}
+        self._pools = {}
+        self._rankings = collections.OrderedDict()
+        self._services = {}
+        self._evacuated = frozenset()
+        self._bounds = None
+        self._round_trips = {}
+
+    def __iter__(self):
+        return iter(self._states.values())
+
+    def apply(self, upstreams, services, evacuated, bounds, now):
+        """Takes over a host's belief.
+
+        Args:
+          upstreams: Dict of records.Upstream by id.
+          services: Dict of records.Service by id.
+          evacuated: Zones whose upstreams get nothing.
+          bounds: The records.Bounds.
+          now: Monotonic seconds.
+        """
+        returned = self._evacuated - frozenset(evacuated)
+        self._services = services
+        self._evacuated = frozenset(evacuated)
+        self._bounds = bounds
+        for upstream_id in [item for item in self._states if item not in upstreams]:
+            del self._states[upstream_id]
+        for upstream in upstreams.values():
+            self._apply_upstream(upstream, now)
+        for state in self._states.values():
+            if state.record.zone in returned:
+                self.note_cold(state, self._find_cold_s(state.record), now)
+        self._rebuild_pools()
+
+    def find(self, upstream_id):
+        """Returns the UpstreamState of an upstream, or None."""
+        return self._states.get(upstream_id)
+
+    def find_pool(self, service_id, region):
+        """Returns the UpstreamStates of a service in a region that may get work."""
+        return self._pools.get((service_id, region), ())
+
+    def list_regions(self, service_id):
+        """Returns the regions that have upstreams of a service, the own region first."""
+        regions = [region for service, region in self._pools if service == service_id]
+        return sorted(regions, key=lambda region: (region != self.region, region))
+
+    def rank(self, service_id, region, key):
+        """Returns a pool in the order of preference for an object; all hosts agree on it."""
+        cache_key = (service_id, region, key)
+        ranking = self._rankings.get(cache_key)
+        if ranking is None:
+            pool = self.find_pool(service_id, region)
+            ranking = sorted(pool, key=lambda state: _score(state.record.upstream_id, key))
+            self._rankings[cache_key] = ranking
+            if len(self._rankings) > MAX_RANKINGS:
+                self._rankings.popitem(last=False)
+        return ranking
+
+    def estimate_round_trip_s(self, region):
+        """Returns the time for a message to a region and back in seconds; 0 if unknown."""
+        return self._round_trips.get(region, 0.0)
+
+    def note_round_trip(self, region, seconds):
+        """Takes over the duration of a connection's set-up."""
+        known = self._round_trips.get(region)
+        self._round_trips[region] = seconds if known is None else min(known * 1.05, seconds)
+
+    def note_cold(self, state, cold_s, now):
+        """Treats an upstream as cold for ``cold_s`` seconds from now."""
+        state.cold_until = max(state.cold_until, now + cold_s)
+        state.forget_objects()
+
+    def note_unreachable(self, state, now):
+        """Notes that no connection could be made; returns the seconds until the next try."""
+        if now >= state.down_until:
+            state.down_until = now + state.down_s
+            state.down_s = min(MAX_DOWN_S, 2 * state.down_s)
+        return state.down_until - now
+
+    def note_returned(self, state, now):
+        """Notes that an unreachable upstream accepts connections again; it may be cold."""
+        state.down_until = 0.0
+        state.down_s = FIRST_DOWN_S
+        self.note_cold(state, self._find_cold_s(state.record), now)
+
+    def has_cold_room(self, state, now):
+        """Returns True if a cold upstream bears one more request now."""
+        state.cold_limit.limit = self._compute_cold_limit(state.record)
+        wait_s = state.cold_limit.compute_wait_s(now)
+        return wait_s is not None and wait_s <= 0.0
+
+    def take_cold_send(self, state, now):
+        """Counts a send to an upstream that may be cold; returns True if it is permitted."""
+        if not state.is_cold(now):
+            return True
+        state.cold_limit.limit = self._compute_cold_limit(state.record)
+        return state.cold_limit.take(now)
+
+    def _compute_cold_limit(self, record):
+        service = self._services.get(record.service_id)
+        if service is None or not service.cold_rate or self._bounds is None:
+            return 1_000_000
+        bounds = self._bounds
+        total = service.cold_rate * bounds.cold_overage + bounds.cold_tolerance
+        return max(1, int(COLD_SAFETY * total / self.host_count))
+
+    def _find_cold_s(self, record):
+        service = self._services.get(record.service_id)
+        return service.cold_s if service else 0.0
+
+    def _apply_upstream(self, upstream, now):
+        state = self._states.get(upstream.upstream_id)
+        if state is None or state.record.incarnation != upstream.incarnation:
+            state = UpstreamState(upstream, now + upstream.cold_s)
+            self._states[upstream.upstream_id] = state
+        if state.record.address != upstream.address:
+            state.is_misdirected = False
+        state.record = upstream
+
+    def _rebuild_pools(self):
+        self._rankings.clear()
+        pools = collections.defaultdict(list)
+        for state in self._states.values():
+            record = state.record
+            is_open = record.state is records.UpstreamState.READY
+            if is_open and not state.is_misdirected and record.zone not in self._evacuated:
+                pools[record.service_id, record.region].append(state)
+        self._pools = dict(pools)
+
+
+def _score(upstream_id, key):
+    return hashlib.blake2b(upstream_id.encode() + b"\0" + key, digest_size=8).digest()
+
+
+def _fade(value, rest, age, half_life_s):
+    if age <= 0.0 or value == rest:
+        return value
+    return rest + (value - rest) * 0.5 ** (age / half_life_s)
--- /dev/null
+++ b/skylarksill/host/forwarder.py
@@ -0,0 +1,414 @@
+"""The life of one request: route, placement, sends to upstreams, and the answer to the client."""
+
+import dataclasses
+import time
+
+import eventlet
+
+from skylarksill import records as shared
+from skylarksill import retries
+from skylarksill.host import _upstreamhttp, placement, records, routes
+
+# Added to the time-out before the host answers itself, so that the upstream's own answer at its
+# deadline arrives first. Clients expect an answer within 0.25 s after the time-out.
+TIMEOUT_GRACE_S = 0.08
+# An idempotent request is sent again only if this share of the expected service time is left.
+MIN_RETRY_SHARE = 0.5
+# Part of the permitted repeated sends that the hosts use together.
+RETRY_SAFETY = 0.8
+# Sends of one request that upstreams rejected unrun, beside those that may have run.
+MAX_REJECTED_SENDS = 3
+CONNECT_TIMEOUT_S = 0.6
+MIN_RETRY_AFTER_S = 0.02
+# Clients honour a Retry-After of up to this share of the time that they have left.
+MAX_RETRY_AFTER_SHARE = 1 / 3
+
+
+class Cancellation:
+    """Lets the client's side stop a request that is in progress."""
+
+    def __init__(self):
+        self.is_cancelled = False
+        self._connection = None
+
+    def attach(self, connection):
+        """Names the upstream connection that carries the request, or None."""
+        self._connection = connection
+        if connection is not None and self.is_cancelled:
+            connection.abort()
+
+    def cancel(self):
+        """Stops the request; work at an upstream ends with its connection."""
+        self.is_cancelled = True
+        if self._connection is not None:
+            self._connection.abort()
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What has happened to one request so far."""
+
+    route: records.Route
+    service_id: str
+    until: float
+    has_maybe_run: bool = False
+    ran_sends: int = 0
+    rejected_sends: int = 0
+    excluded: set = dataclasses.field(default_factory=set)
+    trace: list = dataclasses.field(default_factory=list)
+    last_answer: records.Answer | None = None
+
+
+class Forwarder:
+    """Serves requests of clients.
+
+    Args:
+      belief: The host's Belief.
+      fleet: The Fleet.
+      times: The WorkTimes.
+      pool: The ConnectionPool.
+      names: The HeaderNames.
+      log: The EventLog.
+      counters: The Counters.
+      bounds: The records.Bounds.
+    """
+
+    def __init__(self, belief, fleet, times, pool, names, log, counters, bounds):
+        self._belief = belief
+        self._fleet = fleet
+        self._times = times
+        self._pool = pool
+        self._names = names
+        self._log = log
+        self._counters = counters
+        self._bounds = bounds
+        self._splits = routes.SplitTable()
+        self._budgets = {}
+        self._ranks = (None, {})
+        self.host_total = 1
+
+    def serve(self, request, cancellation):
+        """Serves a request.
+
+        Args:
+          request: The records.Request.
+          cancellation: The Cancellation by which the client's side stops it.
+        Returns:
+          The records.Answer, or None if it was cancelled.
+        """
+        belief = self._belief
+        if not belief.is_complete:
+            return self._reject(request, "no_configuration", placement.UNAVAILABLE_RETRY_AFTER_S)
+        route = belief.route_table.find(request.site, request.path)
+        if route is None:
+            self._finish(request, None, 404, "no_route")
+            return make_answer(404, b"no route\n")
+        left_s = route.timeout_s
+        if request.deadline_s is not None:
+            left_s = min(left_s, request.deadline_s)
+        service_id = self._splits.choose(route)
+        progress = _Progress(route, service_id, request.received_at + left_s)
+        self._find_budget(service_id).count_request(request.received_at)
+        answer = self._place_and_send(request, progress, cancellation)
+        if cancellation.is_cancelled:
+            self._finish(request, progress, 0, "client_gone")
+            return None
+        return answer
+
+    def _place_and_send(self, request, progress, cancellation):
+        while not cancellation.is_cancelled:
+            now = time.monotonic()
+            query = self._make_query(request, progress, now)
+            choice = placement.choose_upstream(self._fleet, self._times, query, now)
+            if isinstance(choice, placement.Rejected):
+                return self._give_up(request, progress, choice)
+            if not self._fleet.take_cold_send(choice.upstream, now):
+                progress.excluded.add(choice.upstream.record.upstream_id)
+                continue
+            outcome = self._send(request, progress, choice, cancellation)
+            answer = self._judge(request, progress, choice, outcome)
+            if answer is not None:
+                return answer
+        return None
+
+    def _make_query(self, request, progress, now):
+        route = progress.route
+        own = self._fleet.region
+        regions = self._fleet.list_regions(progress.service_id)
+        if route.regions:
+            regions = [region for region in regions if region in route.regions]
+        elif own in regions:
+            regions = [own]
+        return placement.Query(
+            route,
+            progress.service_id,
+            self._find_rank(route, progress.service_id),
+            request.affinity_key,
+            progress.until - now,
+            progress.excluded,
+            regions,
+        )
+
+    def _send(self, request, progress, choice, cancellation):
+        """Sends a request to the chosen upstream; returns its outcome."""
+        state = choice.upstream
+        upstream = state.record
+        connection = None
+        state.in_flight += 1
+        try:
+            is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
+            connection = self._pool.take_idle(upstream, is_idempotent)
+            is_reused = connection is not None
+            if connection is None:
+                connection = self._connect(state, progress)
+            if isinstance(connection, _upstreamhttp.NotRun):
+                return connection
+            cancellation.attach(connection)
+            if cancellation.is_cancelled:
+                return _upstreamhttp.NotRun("client_gone")
+            if not self._may_send_to(upstream):
+                return _upstreamhttp.NotRun("left_meanwhile")
+            return self._exchange(request, progress, choice, connection, is_reused)
+        finally:
+            state.in_flight -= 1
+            cancellation.attach(None)
+            if isinstance(connection, _upstreamhttp.Connection):
+                self._pool.put_back(connection)
+
+    def _connect(self, state, progress):
+        upstream = state.record
+        begun = time.monotonic()
+        timeout_s = max(0.01, min(CONNECT_TIMEOUT_S, progress.until - begun))
+        try:
+            connection = self._pool.open(upstream, timeout_s)
+        except OSError as error:
+            now = time.monotonic()
+            wait_s = self._fleet.note_unreachable(state, now)
+            self._log.write(
+                "upstream.unreachable",
+                upstream=upstream.upstream_id,
+                error=str(error),
+                next_try_s=round(wait_s, 3),
+            )
+            eventlet.spawn_n(self.probe, state)
+            return _upstreamhttp.NotRun("unreachable", is_unreachable=True)
+        self._counters.count("upstream_connections", upstream.service_id)
+        self._fleet.note_round_trip(upstream.region, time.monotonic() - begun)
+        return connection
+
+    def probe(self, state):
+        """Tries to connect to an unreachable upstream until it accepts or leaves the list."""
+        if state.is_probed:
+            return
+        state.is_probed = True
+        try:
+            while self._fleet.find(state.record.upstream_id) is state:
+                eventlet.sleep(max(0.01, state.down_until - time.monotonic()))
+                if self._try_connection(state):
+                    return
+        finally:
+            state.is_probed = False
+
+    def _try_connection(self, state):
+        try:
+            connection = self._pool.open(state.record, CONNECT_TIMEOUT_S)
+        except OSError:
+            # Logged when it became unreachable; it stays so.
+            state.down_until = 0.0
+            self._fleet.note_unreachable(state, time.monotonic())
+            return False
+        self._fleet.note_returned(state, time.monotonic())
+        self._log.write("upstream.returned", upstream=state.record.upstream_id)
+        self._pool.put_back(connection)
+        return True
+
+    def _may_send_to(self, upstream):
+        current = self._belief.upstreams.get(upstream.upstream_id)
+        is_same = current is not None and current.incarnation == upstream.incarnation
+        return (
+            is_same
+            and current.state is records.UpstreamState.READY
+            and current.zone not in self._belief.evacuated
+        )
+
+    def _exchange(self, request, progress, choice, connection, is_reused):
+        state = choice.upstream
+        begun = time.monotonic()
+        left_s = progress.until - begun
+        if left_s <= 0.0:
+            return _upstreamhttp.NotRun("no_time_left")
+        message = _upstreamhttp.format_request(
+            request, state.record.upstream_id, max(1, int(left_s * 1000)), self._names
+        )
+        outcome = connection.exchange(request, message, progress.until + TIMEOUT_GRACE_S)
+        now = time.monotonic()
+        trace = f"{state.record.upstream_id}:{_name_outcome(outcome)}:{int((now - begun) * 1000)}ms"
+        progress.trace.append(trace)
+        self._learn(request, progress, choice, outcome, now - begun, now)
+        if isinstance(outcome, _upstreamhttp.MayHaveRun) and outcome.is_broken and not is_reused:
+            # A crash breaks connections too; the probe tells it from a single reset.
+            state.down_until = now
+            eventlet.spawn_n(self.probe, state)
+        return outcome
+
+    def _learn(self, request, progress, choice, outcome, seconds, now):
+        state = choice.upstream
+        load = getattr(outcome, "load", None)
+        if load is not None:
+            # The request is still counted in ``in_flight`` here.
+            state.note_report(load, now)
+        match outcome:
+            case _upstreamhttp.Answered(answer, _, _):
+                has_failed = answer.status >= 500
+                state.note_result(has_failed, now)
+                if not has_failed:
+                    self._learn_time(request, progress, choice, load, seconds, now)
+            case _upstreamhttp.NotRun(is_shed=True):
+                state.note_full(now)
+            case _upstreamhttp.NotRun(is_misdirected=True):
+                state.is_misdirected = True
+                self._log.write("upstream.misdirected", upstream=state.record.upstream_id)
+            case _upstreamhttp.MayHaveRun():
+                state.note_result(True, now)
+            case _upstreamhttp.TimedOut():
+                state.note_slowness(seconds / max(0.001, choice.work_s), now)
+
+    def _learn_time(self, request, progress, choice, load, seconds, now):
+        state = choice.upstream
+        region = state.record.region
+        run_s = max(0.001, seconds - self._fleet.estimate_round_trip_s(region))
+        pace = load.pace if load is not None else 1.0
+        if load is None or load.waiting == 0:
+            self._times.note(
+                progress.route, progress.service_id, choice.is_warm, run_s / max(0.1, pace)
+            )
+            state.note_slowness(run_s / max(0.001, choice.wait_s + choice.work_s), now)
+        if request.affinity_key is not None:
+            state.note_object(request.affinity_key)
+
+    def _judge(self, request, progress, choice, outcome):
+        """Returns the answer to the client, or None if the request is to be sent again."""
+        is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
+        progress.excluded.add(choice.upstream.record.upstream_id)
+        match outcome:
+            case _upstreamhttp.Answered(answer, _, _):
+                progress.ran_sends += 1
+                progress.has_maybe_run = True
+                progress.last_answer = answer
+                if answer.status >= 500 and is_idempotent and self._may_repeat(progress, choice):
+                    return None
+                self._finish(request, progress, answer.status, "answered")
+                return answer
+            case _upstreamhttp.NotRun(is_unreachable=True):
+                return None
+            case _upstreamhttp.NotRun(reason):
+                progress.rejected_sends += 1
+                has_sends = progress.rejected_sends <= MAX_REJECTED_SENDS
+                if has_sends and self._take_retry(progress):
+                    return None
+                rejected = placement.Rejected(reason, max(MIN_RETRY_AFTER_S, choice.wait_s))
+                return self._give_up(request, progress, rejected)
+            case _upstreamhttp.MayHaveRun(reason):
+                progress.ran_sends += 1
+                progress.has_maybe_run = True
+                if is_idempotent and self._may_repeat(progress, choice):
+                    return None
+                self._finish(request, progress, 502, reason)
+                return make_answer(502, b"upstream failed\n")
+            case _upstreamhttp.TimedOut():
+                self._finish(request, progress, 504, "timeout")
+                return make_answer(504, b"upstream timed out\n")
+        raise TypeError(f"unknown outcome {outcome!r}")
+
+    def _may_repeat(self, progress, choice):
+        left_s = progress.until - time.monotonic()
+        return (
+            progress.ran_sends < progress.route.max_attempts
+            and left_s > MIN_RETRY_SHARE * choice.work_s
+            and self._take_retry(progress)
+        )
+
+    def _take_retry(self, progress):
+        return self._find_budget(progress.service_id).take_retry(time.monotonic())
+
+    def _find_budget(self, service_id):
+        budget = self._budgets.get(service_id)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budgets[service_id] = retries.RetryBudget(
+                RETRY_SAFETY * bounds.retry_ratio, bounds.retry_window_s
+            )
+        budget.extra = RETRY_SAFETY * self._bounds.retry_extra / self.host_total
+        return budget
+
+    def _find_rank(self, route, service_id):
+        """Returns how many more urgent priorities the service's routes have."""
+        configuration = self._belief.configuration
+        if self._ranks[0] is not configuration:
+            priorities = {}
+            for known in configuration.routes:
+                for share in known.shares:
+                    priorities.setdefault(share.service_id, set()).add(known.priority)
+            self._ranks = (configuration, priorities)
+        known = self._ranks[1].get(service_id, ())
+        return sum(priority < route.priority for priority in known)
+
+    def _give_up(self, request, progress, rejected):
+        if progress.last_answer is not None:
+            self._finish(request, progress, progress.last_answer.status, "answered")
+            return progress.last_answer
+        if progress.has_maybe_run:
+            self._finish(request, progress, 502, rejected.reason)
+            return make_answer(502, b"upstream failed\n")
+        return self._reject(request, rejected.reason, rejected.retry_after_s, progress, rejected)
+
+    def _reject(self, request, reason, retry_after_s, progress=None, rejected=None):
+        left_s = request.deadline_s
+        if left_s is not None:
+            left_s -= time.monotonic() - request.received_at
+            retry_after_s = min(retry_after_s, max(0.0, left_s) * MAX_RETRY_AFTER_SHARE)
+        self._finish(
+            request,
+            progress,
+            503,
+            reason,
+            retry_after_s=round(retry_after_s, 3),
+            wait_s=round(rejected.wait_s, 3) if rejected else None,
+        )
+        return make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
+
+    def _finish(self, request, progress, status, reason, **fields):
+        now = time.monotonic()
+        service_id = progress.service_id if progress else ""
+        self._counters.count("requests", f"{service_id} {status} {reason}")
+        self._counters.time("latency", service_id, now - request.received_at)
+        configuration = self._belief.configuration
+        self._log.write(
+            "request",
+            id=(request.request_id or b"").decode("latin-1"),
+            route=progress.route.route_id if progress else None,
+            service=service_id,
+            status=status,
+            reason=reason,
+            ms=int((now - request.received_at) * 1000),
+            sends=progress.trace if progress else [],
+            generation=configuration.generation if configuration else None,
+            **fields,
+        )
+
+
+def make_answer(status, body, headers=()):
+    """Returns an Answer of the host itself with a text body."""
+    content_type = (b"content-type", b"text/plain")
+    return records.Answer(status, b"", (content_type, *headers), body)
+
+
+def _name_outcome(outcome):
+    match outcome:
+        case _upstreamhttp.Answered(answer, _, _):
+            return str(answer.status)
+        case _upstreamhttp.NotRun(reason) | _upstreamhttp.MayHaveRun(reason):
+            return reason
+        case _upstreamhttp.TimedOut(reason):
+            return reason
+    raise TypeError(f"unknown outcome {outcome!r}")
--- /dev/null
+++ b/skylarksill/host/program.py
@@ -0,0 +1,257 @@
+"""Composition of one host: belief, fleet, forwarding, look-up, peers and the stop."""
+
+import random
+import signal
+import time
+
+import eventlet
+from eventlet.green import socket
+
+from skylarksill import objectstore
+from skylarksill.host import (
+    _peercodec,
+    belief,
+    clientserver,
+    counters,
+    eventlog,
+    fleet,
+    forwarder,
+    lookup,
+    peers,
+    pool,
+    records,
+    watching,
+    worktimes,
+)
+
+# Time for which a leaving host still accepts connections: clients keep a look-up answer for
+# seconds, and a refused connection costs them a round trip.
+LISTEN_ON_S = 2.0
+# Idle connections are closed once readiness has been seen to fail.
+CLOSE_IDLE_AFTER_S = 1.2
+# Kept of the time between the request to stop and the kill, for the last answers to leave.
+STOP_RESERVE_S = 0.25
+HOUSEKEEPING_S = 0.25
+LOG_FLUSH_S = 0.1
+REGISTER_PAUSE_S = 0.5
+# Hosts that may share budgets with this one before its peers are known.
+MIN_ASSUMED_HOSTS = 8
+EXIT_SECOND_SIGNAL = 3
+
+
+class Host:
+    """One host process.
+
+    Args:
+      settings: The records.HostSettings.
+      names: The records.HeaderNames.
+    """
+
+    def __init__(self, settings, names):
+        self.settings = settings
+        self.log = eventlog.EventLog(settings.host_id)
+        self.counters = counters.Counters()
+        self.belief = belief.Belief()
+        self.fleet = fleet.Fleet(settings.region)
+        self.pool = pool.ConnectionPool(names)
+        self.forwarder = forwarder.Forwarder(
+            self.belief,
+            self.fleet,
+            worktimes.WorkTimes(),
+            self.pool,
+            names,
+            self.log,
+            self.counters,
+            settings.bounds,
+        )
+        now = time.monotonic()
+        incarnation = int(time.time() * 1000)
+        self.own = records.HostRecord(
+            settings.host_id,
+            incarnation,
+            settings.zone,
+            settings.region,
+            settings.entry,
+            settings.gossip,
+        )
+        self.peers = peers.PeerTable(self.own, now)
+        self.state = records.HostState.STARTING
+        self._names = names
+        self._store = None
+        self._watcher = None
+        self._servers = []
+        self._entry = None
+        self._gossip_socket = None
+        self._stopping = eventlet.event.Event()
+        self._most_hosts = 0
+
+    def run(self, store):
+        """Runs until the host is told to stop; returns after the last answer has left.
+
+        Args:
+          store: The watching.StoreClient.
+        """
+        self._store = store
+        self._watcher = watching.Watcher(store, self.belief, self.log, self._apply_belief)
+        self.log.write("host.start", zone=self.settings.zone, incarnation=self.own.incarnation)
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        self._listen()
+        self._start_gossip()
+        self._watcher.start()
+        eventlet.spawn_n(self._register)
+        eventlet.spawn_n(self._repeat, HOUSEKEEPING_S, self._keep_house)
+        eventlet.spawn_n(self._repeat, LOG_FLUSH_S, self.log.flush)
+        stopped_at = self._stopping.wait()
+        self._leave(stopped_at)
+
+    def _listen(self):
+        settings = self.settings
+        limits = self._find_limits
+        for address, handle in (
+            (settings.entry, self.forwarder.serve),
+            (settings.readiness, self._answer_readiness),
+            (settings.lookup, self._answer_lookup),
+            (settings.metrics, self._answer_metrics),
+        ):
+            if address is None:
+                continue
+            server = clientserver.ClientServer(address, handle, limits, self._names, self.log)
+            server.start()
+            self._servers.append(server)
+            if address == settings.entry:
+                self._entry = server
+
+    def _find_limits(self):
+        configuration = self.belief.configuration
+        return configuration.limits if configuration else records.ClientLimits()
+
+    def _answer_readiness(self, request, cancellation):
+        is_ready = self.state is records.HostState.SERVING
+        return forwarder.make_answer(200 if is_ready else 503, b"")
+
+    def _answer_lookup(self, request, cancellation):
+        serving = self.peers.list_serving(time.monotonic())
+        max_lifetime_s = self.settings.bounds.max_lookup_lifetime_s
+        return lookup.answer_lookup(request, serving, self.own, max_lifetime_s)
+
+    def _answer_metrics(self, request, cancellation):
+        return forwarder.make_answer(200, self.counters.format().encode())
+
+    def _apply_belief(self):
+        configuration = self.belief.configuration
+        services = configuration.services if configuration else {}
+        self.fleet.apply(
+            self.belief.upstreams,
+            services,
+            self.belief.evacuated,
+            self.settings.bounds,
+            time.monotonic(),
+        )
+        if self.belief.is_complete and self.state is records.HostState.STARTING:
+            self._set_state(records.HostState.SERVING)
+
+    def _set_state(self, state):
+        self.state = state
+        self.log.write("host.state", state=state.value)
+        self._send_heartbeats()
+
+    def _keep_house(self):
+        now = time.monotonic()
+        changes = self.belief.expire_lapsed(now)
+        if changes:
+            self._watcher.log_changes(changes)
+            self._apply_belief()
+        self.pool.drop_stale(self.belief.upstreams)
+        alive = self.peers.list_alive(now)
+        near = sum(peer.record.region == self.settings.region for peer in alive)
+        self._most_hosts = max(self._most_hosts, len(alive))
+        self.fleet.host_count = max(2, near)
+        self.forwarder.host_total = max(MIN_ASSUMED_HOSTS, self._most_hosts)
+
+    def _repeat(self, pause_s, function):
+        while True:
+            eventlet.sleep(pause_s)
+            function()
+
+    # Peers.
+
+    def _start_gossip(self):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(self.settings.gossip)
+        self._gossip_socket = sock
+        eventlet.spawn_n(self._receive_gossip)
+        eventlet.spawn_n(self._repeat, peers.ROUND_S, self._send_heartbeats)
+
+    def _send_heartbeats(self):
+        if self._gossip_socket is None:
+            return
+        now = time.monotonic()
+        self.peers.beat(self.state, now)
+        datagram = _peercodec.encode_digest(self.peers.make_digest(now))
+        targets = self.peers.choose_targets(now)
+        if not targets:
+            targets = [seed for seed in self.settings.seeds if seed != self.settings.gossip]
+        for address in targets:
+            try:
+                self._gossip_socket.sendto(datagram, address)
+            except OSError as error:
+                self.log.write("peer.send_failed", peer=str(address), error=str(error))
+
+    def _receive_gossip(self):
+        while True:
+            try:
+                datagram, address = self._gossip_socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
+                entries = _peercodec.decode_digest(datagram)
+            except _peercodec.CodecError as error:
+                self.log.write("peer.malformed", peer=str(address), error=str(error))
+                continue
+            except OSError as error:
+                self.log.write("peer.receive_failed", error=str(error))
+                eventlet.sleep(HOUSEKEEPING_S)
+                continue
+            now = time.monotonic()
+            for record, heartbeat, state in entries:
+                if self.peers.merge(record, heartbeat, state, now):
+                    self.log.write("peer.alive", peer=record.host_id, state=state.value)
+
+    def _register(self):
+        """Registers this host in the store and learns of others there, until both succeed."""
+        while True:
+            try:
+                self._store.register_host(self.own)
+                for record in self._store.list_hosts():
+                    self.peers.add_candidate(record, time.monotonic())
+                self.log.write("host.registered")
+                return
+            except objectstore.StoreError as error:
+                self.log.write("host.register_failed", error=str(error))
+                eventlet.sleep(REGISTER_PAUSE_S * (1.0 + random.random()))
+
+    # Stop and reload.
+
+    def _on_stop(self, signal_number, frame):
+        if self._stopping.ready():
+            return
+        self._stopping.send(time.monotonic())
+
+    def _on_reload(self, signal_number, frame):
+        eventlet.spawn_n(self.log.write, "host.reload")
+
+    def _leave(self, stopped_at):
+        """Stops gracefully: requests that were read are answered before the process ends."""
+        self._set_state(records.HostState.LEAVING)
+        self._entry.leave()
+        end = stopped_at + self.settings.bounds.grace_s - STOP_RESERVE_S
+        eventlet.sleep(CLOSE_IDLE_AFTER_S)
+        self._entry.close_idle()
+        eventlet.sleep(max(0.0, stopped_at + LISTEN_ON_S - time.monotonic()))
+        self._entry.stop_listening()
+        while time.monotonic() < end:
+            self._entry.close_idle()
+            if not self._entry.connections:
+                break
+            eventlet.sleep(0.05)
+        self.log.write("host.stop", cut_off=self._entry.in_flight)
+        self.log.flush()
--- /dev/null
+++ b/skylarksill/host/records.py
@@ -0,0 +1,233 @@
+"""Records of the host program: routes, services, upstreams, hosts and settings.
+
+Times are float seconds of a monotonic clock, unless a name ends in ``_ms`` or ``_unix_ms``.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from skylarksill import records
+
+RouteId = typing.NewType("RouteId", str)
+Address = tuple[str, int]
+
+
+class UpstreamState(enum.Enum):
+    """What an upstream says of itself in the store."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class HostState(enum.Enum):
+    """What a host says of itself to its peers."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """One part of a route's traffic split; weights are relative to their sum."""
+
+    service_id: records.ServiceId
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A rule that takes requests of one site and path prefix to services.
+
+    Attributes:
+      timeout_s: Longest time that a request may take, in seconds.
+      target_latency_s: Time within which an answer is in time, in seconds.
+      priority: Rank; 0 is the most urgent.
+      max_attempts: Most upstreams that one request may be sent to.
+      is_sticky: True if upstreams run repeated work on the same object faster.
+      regions: Regions that may run the request; empty for all.
+    """
+
+    route_id: RouteId
+    site: str
+    prefix: str
+    kind: records.WorkKind
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    shares: tuple[Share, ...]
+    max_attempts: int
+    is_sticky: bool
+    regions: frozenset[records.RegionId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """Limits that hold for each upstream of a service.
+
+    Attributes:
+      cold_s: Time for which an upstream is cold after its start, in seconds.
+      cold_rate: Requests a second that a cold upstream bears; 0 for no limit.
+    """
+
+    service_id: records.ServiceId
+    health_path: str
+    max_connections: int
+    cold_s: float
+    cold_rate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Bounds on what clients send: sizes in bytes, times in seconds."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One generation of the operators' configuration."""
+
+    generation: records.Generation
+    routes: tuple[Route, ...]
+    services: dict[records.ServiceId, Service]
+    limits: ClientLimits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upstream:
+    """An upstream as its entry in the store describes it.
+
+    Attributes:
+      incarnation: Differs for each start of the upstream, also under the same id.
+      cold_s: Time for which it stays cold after it was registered, in seconds.
+    """
+
+    upstream_id: records.UpstreamId
+    incarnation: int
+    service_id: records.ServiceId
+    address: Address
+    zone: records.ZoneId
+    region: records.RegionId
+    slots: int
+    state: UpstreamState
+    cold_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that an upstream states in an answer; ``pace`` is 1.0 at its usual speed."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostRecord:
+    """One incarnation of a host, as it registers itself and as peers pass it on."""
+
+    host_id: records.HostId
+    incarnation: int
+    zone: records.ZoneId
+    region: records.RegionId
+    entry: Address
+    gossip: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Limits that the users set; the figures come from the host's settings.
+
+    Attributes:
+      contact_s: Time without trouble after which all other bounds hold, in seconds.
+      drain_s: Time within which an upstream that leaves gets its last request, in seconds.
+      grace_s: Time between the request to stop and the kill, in seconds.
+      retry_ratio: Repeated sends permitted for each request to a service, over all hosts.
+      retry_window_s: Window of the retry budget in seconds.
+      retry_extra: Repeated sends permitted besides in each window, over all hosts.
+      cold_overage: Factor by which a cold upstream's rate may be exceeded.
+      cold_tolerance: Requests a second permitted besides to a cold upstream.
+      max_lookup_lifetime_s: Longest time for which clients keep a look-up answer, in seconds.
+      max_shift: Greatest change of a region's share from one window of 2 s to the next.
+    """
+
+    contact_s: float
+    drain_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_extra: int
+    cold_overage: float
+    cold_tolerance: float
+    max_lookup_lifetime_s: float
+    max_shift: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Checked settings of one host process."""
+
+    host_id: records.HostId
+    zone: records.ZoneId
+    region: records.RegionId
+    entry: Address | None
+    readiness: Address | None
+    lookup: Address | None
+    gossip: Address
+    metrics: Address
+    store: Address
+    seeds: tuple[Address, ...]
+    regions: dict[records.ZoneId, records.RegionId]
+    bounds: Bounds
+    memory_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Names of the headers that the host program reads and sets, in lower case."""
+
+    request_id: bytes
+    deadline: bytes
+    expected_upstream: bytes
+    signature: bytes
+    not_run: bytes
+    load: bytes
+    cold: bytes
+    affinity_cookie: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request of a client."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    request_id: bytes | None
+    site: str
+    deadline_s: float | None
+    affinity_key: bytes | None
+    received_at: float
+    is_kept_alive: bool
+
+    @property
+    def path(self):
+        """The path without its query, as text."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer to a client's request; ``headers`` excludes those of the connection."""
+
+    status: int
+    reason: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
--- /dev/null
+++ b/skylarksill/host/routes.py
@@ -0,0 +1,61 @@
+"""Choice of the route and the service of a request."""
+
+import collections
+
+MAX_SPLIT_ROUTES = 4_096
+
+
+class RouteTable:
+    """Finds the route whose prefix is the longest one that begins a path.
+
+    Args:
+      routes: The routes of one generation of the configuration.
+    """
+
+    def __init__(self, routes):
+        self._prefixes = {(route.site, route.prefix): route for route in routes}
+
+    def find(self, site, path):
+        """Returns the Route of a request, or None.
+
+        Args:
+          site: Host name that the client asked for, without a port.
+          path: Path without a query.
+        """
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._prefixes.get((site, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end) if end else -1
+        return None
+
+
+class SplitTable:
+    """Distributes the requests of each route over its services in proportion to their weights.
+
+    Smooth weighted round robin: each service gains its weight with every request, and the one that
+    is furthest behind gets the request.
+    """
+
+    def __init__(self):
+        self._credits = collections.OrderedDict()
+
+    def choose(self, route):
+        """Returns the ServiceId that gets the route's next request."""
+        if len(route.shares) == 1:
+            return route.shares[0].service_id
+        key = (route.route_id, route.shares)
+        credits = self._credits.pop(key, None) or dict.fromkeys(
+            (share.service_id for share in route.shares), 0.0
+        )
+        self._credits[key] = credits
+        if len(self._credits) > MAX_SPLIT_ROUTES:
+            self._credits.popitem(last=False)
+        total = 0.0
+        for share in route.shares:
+            credits[share.service_id] += share.weight
+            total += share.weight
+        chosen = max(credits, key=credits.get)
+        credits[chosen] -= total
+        return chosen
--- a/skylarksill/retries.py
+++ b/skylarksill/retries.py
@@ -18,9 +18,14 @@
     Args:
       ratio: Permitted retries for each request.
       window_s: Length of the window in seconds.
+      extra: Retries permitted in each window besides.
+
+    Attributes:
+      extra: As above; may change at any time.
     """
 
-    def __init__(self, ratio=ENTRY_RETRY_RATIO, window_s=WINDOW_S):
+    def __init__(self, ratio=ENTRY_RETRY_RATIO, window_s=WINDOW_S, extra=0.0):
+        self.extra = extra
         self._ratio = ratio
         self._slots = collections.deque()
         self._slot_count = max(1, int(window_s / SLOT_S))
@@ -42,7 +47,7 @@
           True if the retry may be sent.
         """
         self._move(now)
-        if self._retries + 1 > self._ratio * self._requests:
+        if self._retries + 1 > self._ratio * self._requests + self.extra:
             return False
         self._slots[-1][2] += 1
         self._retries += 1
