Keep each object to two upstreams and spill whole objects to other regions

Change: two choices in the object's ranking; objects, not requests, move between regions; resets are no longer taken for the end of an answer without a length (eventlet returns none for both).

--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -5,6 +5,7 @@
 import time
 
 import httptools
+from eventlet import hubs
 from eventlet.green import socket
 
 from skylarksill.host import records
@@ -209,8 +210,7 @@
                         # More than was asked for: the rest belongs to no request.
                         self.is_reusable = False
                     return outcome
-            self._socket.settimeout(max(0.001, until - time.monotonic()))
-            data = self._socket.recv(READ_BYTES)
+            data = _receive(self._socket, until)
             if not data:
                 self.is_reusable = False
                 outcome = self._judge_end(request)
@@ -262,6 +262,24 @@
         return Answered(records.Answer(status, reason, kept, body), load, is_leaving)
 
 
+def _receive(sock, until):
+    """Returns the next bytes of a connection, none at its end.
+
+    eventlet's own ``recv`` also returns none for a reset, which would make an answer that was cut
+    off look like one that ends with its connection.
+
+    Raises:
+      OSError: If the connection was reset.
+      TimeoutError: If nothing arrives before the monotonic time ``until``.
+    """
+    while True:
+        try:
+            return sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            timeout_s = max(0.001, until - time.monotonic())
+            hubs.trampoline(sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+
+
 def connect(upstream, names, timeout_s):
     """Opens a connection to an upstream.
 
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -27,7 +27,7 @@
 FIRST_DOWN_S = 0.3
 MAX_DOWN_S = 2.0
 # Upstreams remember about 18 to 50 recent objects.
-WARM_KEYS = 24
+WARM_KEYS = 48
 MAX_RANKINGS = 4_096
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that do not see each other.
@@ -95,6 +95,10 @@
         fading = (STALE_REPORT_S - age) / (STALE_REPORT_S - FRESH_REPORT_S)
         return self.in_flight + self._others * fading
 
+    def get_report_age_s(self, now):
+        """Returns the age of its last load report in seconds."""
+        return now - self._reported_at
+
     def estimate_pace(self, now):
         """Returns the factor by which work takes longer than usual on its machine."""
         return self._pace if now - self._reported_at <= FRESH_PACE_S else self._pace_mean
@@ -210,18 +214,32 @@
         regions = [region for service, region in self._pools if service == service_id]
         return sorted(regions, key=lambda region: (region != self.region, region))
 
-    def rank(self, service_id, region, key):
-        """Returns a pool in the order of preference for an object; all hosts agree on it."""
-        cache_key = (service_id, region, key)
+    def rank(self, service_id, regions, key):
+        """Returns the upstreams of some regions in the order of preference for an object.
+
+        All hosts with the same belief agree on the order.
+
+        Args:
+          service_id: The service.
+          regions: Tuple of regions.
+          key: Affinity key of the object.
+        """
+        cache_key = (service_id, regions, key)
         ranking = self._rankings.get(cache_key)
         if ranking is None:
-            pool = self.find_pool(service_id, region)
+            pool = [state for region in regions for state in self.find_pool(service_id, region)]
             ranking = sorted(pool, key=lambda state: _score(state.record.upstream_id, key))
             self._rankings[cache_key] = ranking
             if len(self._rankings) > MAX_RANKINGS:
                 self._rankings.popitem(last=False)
         return ranking
 
+    def estimate_utilisation(self, service_id, region, now):
+        """Returns the load of a service's upstreams in a region as a share of their slots."""
+        pool = self.find_pool(service_id, region)
+        slots = sum(state.record.slots for state in pool)
+        return sum(state.estimate_load(now) for state in pool) / slots if slots else 1.0
+
     def estimate_round_trip_s(self, region):
         """Returns the time for a message to a region and back in seconds; 0 if unknown."""
         return self._round_trips.get(region, 0.0)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -7,7 +7,7 @@
 
 from skylarksill import records as shared
 from skylarksill import retries
-from skylarksill.host import _upstreamhttp, placement, records, routes
+from skylarksill.host import _upstreamhttp, placement, records, routes, spill
 
 # Added to the time-out before the host answers itself, so that the upstream's own answer at its
 # deadline arrives first. Clients expect an answer within 0.25 s after the time-out.
@@ -84,6 +84,7 @@
         self._bounds = bounds
         self._splits = routes.SplitTable()
         self._budgets = {}
+        self._spills = {}
         self._ranks = (None, {})
         self.host_total = 1
 
@@ -118,8 +119,7 @@
     def _place_and_send(self, request, progress, cancellation):
         while not cancellation.is_cancelled:
             now = time.monotonic()
-            query = self._make_query(request, progress, now)
-            choice = placement.choose_upstream(self._fleet, self._times, query, now)
+            choice = self._choose(request, progress, now)
             if isinstance(choice, placement.Rejected):
                 return self._give_up(request, progress, choice)
             if not self._fleet.take_cold_send(choice.upstream, now):
@@ -131,18 +131,57 @@
                 return answer
         return None
 
-    def _make_query(self, request, progress, now):
+    def _choose(self, request, progress, now):
+        """Returns Placed or Rejected for the next send of a request."""
+        home, others = self._split_regions(progress)
+        query = self._make_query(request, progress, home, now)
+        choice = self._choose_in(query, now)
+        if not others or progress.excluded:
+            return choice
+        if isinstance(choice, placement.Rejected) and choice.reason == "no_upstream":
+            return self._choose_in(dataclasses.replace(query, regions=others), now)
+        return self._consider_spill(query, choice, others, now)
+
+    def _consider_spill(self, query, home, others, now):
+        control = self._spills.get(query.service_id)
+        if control is None:
+            control = spill.SpillControl(self._bounds.max_shift)
+            self._spills[query.service_id] = control
+        if control.is_step_due(now):
+            region = self._fleet.region
+            control.advance(self._fleet.estimate_utilisation(query.service_id, region, now), now)
+        is_away = query.affinity_key is not None and control.is_away(query.affinity_key)
+        is_late = not _is_in_time(home, query)
+        away = None
+        if is_away or is_late:
+            away = self._choose_in(dataclasses.replace(query, regions=others), now)
+        control.note(is_late and away is not None and self._does_gain(query, home, away))
+        return away if is_away and isinstance(away, placement.Placed) else home
+
+    def _does_gain(self, query, home, away):
+        round_trip_s = 0.0
+        if isinstance(away, placement.Placed):
+            round_trip_s = self._fleet.estimate_round_trip_s(away.upstream.record.region)
+        return placement.does_gain(home, away, round_trip_s, query)
+
+    def _choose_in(self, query, now):
+        return placement.choose_upstream(self._fleet, self._times, query, now)
+
+    def _split_regions(self, progress):
+        """Returns the regions to search first, and the others that the route permits."""
         route = progress.route
-        own = self._fleet.region
         regions = self._fleet.list_regions(progress.service_id)
         if route.regions:
             regions = [region for region in regions if region in route.regions]
-        elif own in regions:
-            regions = [own]
+        if self._fleet.region in regions:
+            return (self._fleet.region,), tuple(regions[1:])
+        return tuple(regions), ()
+
+    def _make_query(self, request, progress, regions, now):
         return placement.Query(
-            route,
+            progress.route,
             progress.service_id,
-            self._find_rank(route, progress.service_id),
+            self._find_rank(progress.route, progress.service_id),
             request.affinity_key,
             progress.until - now,
             progress.excluded,
@@ -240,10 +279,30 @@
         message = _upstreamhttp.format_request(
             request, state.record.upstream_id, max(1, int(left_s * 1000)), self._names
         )
+        load_before = state.estimate_load(begun)
+        pace_before = state.estimate_pace(begun)
+        report_age_s = state.get_report_age_s(begun)
         outcome = connection.exchange(request, message, progress.until + TIMEOUT_GRACE_S)
         now = time.monotonic()
-        trace = f"{state.record.upstream_id}:{_name_outcome(outcome)}:{int((now - begun) * 1000)}ms"
-        progress.trace.append(trace)
+        progress.trace.append(
+            {
+                "upstream": state.record.upstream_id,
+                "outcome": _name_outcome(outcome),
+                "ms": int((now - begun) * 1000),
+                "expected_ms": int((choice.wait_s + choice.work_s) * 1000),
+                "warm": choice.is_warm,
+                "load": round(load_before, 1),
+                "slots": state.record.slots,
+                "pace": round(pace_before, 2),
+                "report_age_ms": int(report_age_s * 1000),
+                "reported": (
+                    list(dataclasses.astuple(outcome.load))
+                    if getattr(outcome, "load", None)
+                    else None
+                ),
+                "key": (request.affinity_key or b"").decode(),
+            }
+        )
         self._learn(request, progress, choice, outcome, now - begun, now)
         if isinstance(outcome, _upstreamhttp.MayHaveRun) and outcome.is_broken and not is_reused:
             # A crash breaks connections too; the probe tells it from a single reset.
@@ -397,6 +456,12 @@
         )
 
 
+def _is_in_time(choice, query):
+    if isinstance(choice, placement.Rejected):
+        return False
+    return choice.wait_s + choice.work_s <= query.route.target_latency_s
+
+
 def make_answer(status, body, headers=()):
     """Returns an Answer of the host itself with a text body."""
     content_type = (b"content-type", b"text/plain")
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -8,13 +8,23 @@
 import dataclasses
 import random
 
-# Upstreams of an object's ranking that are compared; in larger pools as many random ones besides.
-CHOICES = 4
+# Upstreams of an object's ranking that share its work. An upstream remembers some 20 to 50 objects
+# and runs others 3 to 4 times longer, so each object is kept to few upstreams.
+STICKY_CHOICES = 2
+# Upstreams that are compared for work without an object.
+FREE_CHOICES = 4
 # An upstream with only failures counts as if its work took this many times longer.
 FAILURE_FACTOR = 6.0
 # Longest wait for a slot as a share of the target latency, by the rank of the route among the
 # routes of its service: work of lower rank leaves the last slots to more urgent work.
 WAIT_SHARES = (0.9, 0.6, 0.5)
+# Work that has to wait is only accepted if it is expected to complete within this share of the
+# target latency, or if the wait is shorter than the minimum share of it.
+COMPLETION_SHARE = 1.0
+MIN_WAIT_SHARE = 0.1
+# Price of a second of slot time in seconds of latency: work that runs longer where its object is
+# unknown takes the slots of other work.
+CONGESTION_WEIGHT = 0.5
 MIN_RETRY_AFTER_S = 0.05
 UNAVAILABLE_RETRY_AFTER_S = 0.4
 
@@ -30,7 +40,7 @@
       affinity_key: Key of the object, or None.
       left_s: Seconds until the request's deadline or time-out.
       excluded: Ids of upstreams that have failed the request.
-      regions: Regions to search, in order of preference.
+      regions: Regions to search.
     """
 
     route: object
@@ -73,15 +83,10 @@
     Returns:
       Placed or Rejected.
     """
-    best = None
-    for region in query.regions:
-        best = _find_best(fleet, times, query, region, now, rng)
-        if best is not None:
-            break
-    if best is None:
+    placed = _find_best(fleet, times, query, now, rng)
+    if placed is None:
         return Rejected("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
-    _, placed = best
-    limit_s = compute_wait_limit_s(query)
+    limit_s = compute_wait_limit_s(query, placed.work_s)
     if placed.wait_s > limit_s:
         return Rejected("busy", max(MIN_RETRY_AFTER_S, placed.wait_s - limit_s), placed.wait_s)
     if placed.wait_s > 0.0 and placed.wait_s + placed.work_s > query.left_s:
@@ -89,31 +94,49 @@
     return placed
 
 
-def compute_wait_limit_s(query):
-    """Returns the longest wait for a slot that a request may be given, in seconds."""
+def compute_wait_limit_s(query, work_s):
+    """Returns the longest wait for a slot that a request may be given, in seconds.
+
+    Args:
+      query: The Query.
+      work_s: Expected service time in seconds.
+    """
+    target_s = query.route.target_latency_s
     share = WAIT_SHARES[min(query.rank, len(WAIT_SHARES) - 1)]
-    return share * query.route.target_latency_s
+    return max(
+        MIN_WAIT_SHARE * target_s, min(share * target_s, COMPLETION_SHARE * target_s - work_s)
+    )
 
 
-def _find_best(fleet, times, query, region, now, rng):
-    pool = fleet.find_pool(query.service_id, region)
-    if not pool:
-        return None
-    round_trip_s = fleet.estimate_round_trip_s(region)
+def _find_best(fleet, times, query, now, rng):
+    """Returns Placed at the upstream of least cost, or None without a usable one."""
     best = None
-    for state in _list_candidates(fleet, query, region, pool, rng):
-        if state.down_until > now or state.is_misdirected:
-            continue
-        if state.record.upstream_id in query.excluded:
-            continue
-        if state.is_cold(now) and not fleet.has_cold_room(state, now):
-            continue
+    for state in _list_usable(fleet, query, now, rng):
         placed = estimate_completion(times, query, state, now)
         failure = state.estimate_failure(now)
-        cost = round_trip_s + placed.wait_s + placed.work_s * (1.0 + FAILURE_FACTOR * failure)
+        cost = fleet.estimate_round_trip_s(state.record.region) + placed.wait_s
+        cost += placed.work_s * (1.0 + CONGESTION_WEIGHT + FAILURE_FACTOR * failure)
         if best is None or cost < best[0]:
             best = (cost, placed)
-    return best
+    return best[1] if best else None
+
+
+def does_gain(home, away, round_trip_s, query):
+    """Returns True if a request is better served in another region than at home.
+
+    Args:
+      home: Placed or Rejected for the own region.
+      away: Placed or Rejected for the others.
+      round_trip_s: Time to the other region and back in seconds.
+      query: The Query.
+    """
+    if not isinstance(away, Placed) or away.wait_s > 0.0:
+        return False
+    away_s = round_trip_s + away.work_s
+    if isinstance(home, Rejected):
+        return away_s < query.left_s
+    home_s = home.wait_s + home.work_s
+    return home_s > query.route.target_latency_s > away_s
 
 
 def estimate_completion(times, query, state, now):
@@ -129,13 +152,30 @@
     return Placed(state, wait_s, work_s, is_warm)
 
 
-def _list_candidates(fleet, query, region, pool, rng):
+def _list_usable(fleet, query, now, rng):
+    """Returns the upstreams to compare, the preferred one of the object first."""
     key = query.affinity_key if query.route.is_sticky else None
-    if len(pool) <= 2 * CHOICES:
-        if key is not None:
-            return fleet.rank(query.service_id, region, key)
-        return rng.sample(pool, len(pool))
-    others = rng.sample(pool, CHOICES)
     if key is None:
-        return others + rng.sample(pool, CHOICES)
-    return fleet.rank(query.service_id, region, key)[:CHOICES] + others
+        pool = [
+            state for region in query.regions for state in fleet.find_pool(query.service_id, region)
+        ]
+        ranking = rng.sample(pool, len(pool))
+        choices = FREE_CHOICES
+    else:
+        ranking = fleet.rank(query.service_id, query.regions, key)
+        choices = STICKY_CHOICES
+    usable = []
+    for state in ranking:
+        if _is_usable(fleet, query, state, now):
+            usable.append(state)
+            if len(usable) == choices:
+                break
+    return usable
+
+
+def _is_usable(fleet, query, state, now):
+    if state.down_until > now or state.is_misdirected:
+        return False
+    if state.record.upstream_id in query.excluded:
+        return False
+    return not state.is_cold(now) or fleet.has_cold_room(state, now)
--- /dev/null
+++ b/skylarksill/host/spill.py
@@ -0,0 +1,72 @@
+"""Which objects of a service are served in another region than that of their clients.
+
+Answers a region with few upstreams, whose work would wait or be rejected while other regions have
+free slots. Whole objects move, so that the other region's upstreams soon know them, and the share
+of objects that moves follows the demand in small steps: a sudden move would meet cold caches.
+"""
+
+import zlib
+
+STEP_S = 0.5
+# The users bound the change from one window of 2 s to the next. Half of the bound is left for the
+# change of the mix of services and objects within a window.
+BOUND_WINDOW_S = 2.0
+BOUND_SHARE = 0.5
+MAX_SHARE = 0.7
+# Requests of a step below which the demand is not judged.
+MIN_REQUESTS = 3
+# Share of requests that would gain from leaving above which more objects leave.
+MORE_ABOVE = 0.05
+# Objects return while fewer requests would gain, and the region's load is below this share.
+FEWER_BELOW = 0.02
+RETURN_UTILISATION = 0.6
+RETURN_PACE = 0.5
+_HASH_RANGE = 2**32
+
+
+class SpillControl:
+    """Share of one service's objects that are served in other regions.
+
+    Args:
+      max_shift: Greatest change of a region's share between windows of BOUND_WINDOW_S.
+
+    Attributes:
+      share: Present share, from 0 to MAX_SHARE.
+    """
+
+    def __init__(self, max_shift):
+        self.share = 0.0
+        self._step = max_shift * BOUND_SHARE * STEP_S / BOUND_WINDOW_S
+        self._step_at = None
+        self._requests = 0
+        self._gains = 0
+
+    def is_away(self, key):
+        """Returns True if the object with an affinity key is served in another region."""
+        return zlib.crc32(key) < self.share * _HASH_RANGE
+
+    def is_step_due(self, now):
+        """Returns True if ``advance`` is to be called."""
+        return self._step_at is None or now - self._step_at >= STEP_S
+
+    def note(self, does_gain):
+        """Counts a request; ``does_gain`` if it would be served better in another region."""
+        self._requests += 1
+        self._gains += does_gain
+
+    def advance(self, utilisation, now):
+        """Adapts the share to the demand since the last step.
+
+        Args:
+          utilisation: Load of the own region as a share of its slots.
+          now: Monotonic seconds.
+        """
+        self._step_at = now
+        if self._requests >= MIN_REQUESTS:
+            demand = self._gains / self._requests
+            if demand > MORE_ABOVE:
+                self.share = min(MAX_SHARE, self.share + self._step)
+            elif demand < FEWER_BELOW and utilisation < RETURN_UTILISATION:
+                self.share = max(0.0, self.share - RETURN_PACE * self._step)
+        self._requests = 0
+        self._gains = 0
