--- /dev/null
+++ b/bench/fleet_model.py
@@ -0,0 +1,297 @@
+"""Model of upstreams under load, driven by the host program's own placement decisions.
+
+Upstreams have slots, a short queue, a memory of recent objects and a pace that changes. Hosts see
+them only through their answers. Run with ``python -m bench.fleet_model``.
+"""
+
+import argparse
+import collections
+import dataclasses
+import heapq
+import itertools
+import math
+import random
+
+from skylarksill import records as shared
+from skylarksill.host import fleet, placement, records, steering
+
+SERVICE = shared.ServiceId("catalogue")
+BOUNDS = records.Bounds(4.0, 2.5, 6.0, 0.2, 10.0, 58, 1.5, 5.0, 5.0, 0.15)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A load pattern; times in seconds, rates a second over all regions."""
+
+    rate: float
+    length_s: float = 20.0
+    swing: float = 0.4
+    period_s: float = 12.0
+    upstreams: tuple[int, ...] = (6, 2, 6)
+    hosts: tuple[int, ...] = (3, 2, 2)
+    slots: int = 5
+    queue: int = 15
+    objects: int = 55
+    memory: int = 30
+    work_s: float = 0.31
+    known_factor: float = 0.3
+    slow_share: float = 0.15
+    slow_factor: float = 2.5
+    slow_period_s: float = 0.6
+    target_s: float = 0.4
+    timeout_s: float = 1.0
+    round_trip_s: float = 0.11
+
+
+# The patterns of the deployments' days: calm, the busiest, and a sudden burst.
+LOADS = {
+    "calm": Load(rate=125.0),
+    "scale": Load(rate=278.0),
+    "burst": Load(rate=278.0, swing=0.9, period_s=8.0),
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Counts of requests by how they ended, with the work that upstreams did."""
+
+    in_time: int = 0
+    late: int = 0
+    rejected: int = 0
+    failed: int = 0
+    known_runs: int = 0
+    unknown_runs: int = 0
+    worst_shift: float = 0.0
+
+    @property
+    def total(self):
+        """Number of requests."""
+        return self.in_time + self.late + self.rejected + self.failed
+
+    @property
+    def in_time_share(self):
+        """Share of the requests that were answered within the target latency."""
+        return self.in_time / max(1, self.total)
+
+
+class _Upstream:
+    def __init__(self, record, load, rng):
+        self.record = record
+        self.running = 0
+        self.waiting = collections.deque()
+        self.memory = collections.OrderedDict()
+        self.slow_seed = rng.randrange(1 << 30)
+        self._load = load
+
+    def compute_pace(self, now):
+        period = int(now / self._load.slow_period_s)
+        is_slow = random.Random(self.slow_seed + period).random() < self._load.slow_share
+        return self._load.slow_factor if is_slow else 1.0
+
+    def recall(self, key):
+        is_known = key in self.memory
+        self.memory.pop(key, None)
+        self.memory[key] = None
+        if len(self.memory) > self._load.memory:
+            self.memory.popitem(last=False)
+        return is_known
+
+
+class Model:
+    """One run of a load pattern.
+
+    Args:
+      load: The Load.
+      seed: Seed of all randomness.
+      make_steering: Function of a Fleet and a random source that returns a Steering.
+    """
+
+    def __init__(self, load, seed, make_steering=None):
+        self._load = load
+        self._rng = random.Random(seed)
+        self._events = []
+        self._order = itertools.count()
+        self._make_steering = make_steering or _make_steering
+        self.result = Result()
+        self._runs = collections.defaultdict(collections.Counter)
+        self._upstreams = {}
+        records_by_id = {}
+        for region, count in enumerate(load.upstreams):
+            for index in range(count):
+                record = _make_upstream(f"u{region}-{index}", f"r{region}", load.slots)
+                records_by_id[record.upstream_id] = record
+                self._upstreams[record.upstream_id] = _Upstream(record, load, self._rng)
+        self._route = _make_route(load)
+        service = records.Service(SERVICE, "/health", 330, 3.0, 11.0)
+        self._hosts = []
+        for region, count in enumerate(load.hosts):
+            self._hosts.append(
+                [self._make_host(f"r{region}", records_by_id, service) for _ in range(count)]
+            )
+
+    def run(self):
+        """Plays the load pattern; returns the Result."""
+        for region in range(len(self._load.hosts)):
+            self._schedule(0.0, self._arrive, region)
+        while self._events:
+            now, _, function, arguments = heapq.heappop(self._events)
+            function(now, *arguments)
+        self.result.worst_shift = self._find_worst_shift()
+        return self.result
+
+    def _make_host(self, region, records_by_id, service):
+        known = fleet.Fleet(region)
+        known.apply(records_by_id, {SERVICE: service}, (), BOUNDS, 0.0)
+        for other in range(len(self._load.hosts)):
+            is_own = f"r{other}" == region
+            known.note_round_trip(f"r{other}", 0.002 if is_own else self._load.round_trip_s)
+        return known, self._make_steering(known, self._rng)
+
+    def _schedule(self, at, function, *arguments):
+        heapq.heappush(self._events, (at, next(self._order), function, arguments))
+
+    def _arrive(self, now, region):
+        load = self._load
+        if now > load.length_s:
+            return
+        wave = 1.0 + load.swing * math.sin(2 * math.pi * (now / load.period_s + region / 3))
+        rate = load.rate / len(load.hosts) * wave
+        self._schedule(now + self._rng.expovariate(rate), self._arrive, region)
+        key = b"%d-%d" % (region, self._rng.randrange(load.objects))
+        self._place(now, now, region, key, True)
+
+    def _place(self, now, begun, region, key, may_return):
+        host = self._rng.choice(self._hosts[region])
+        known, steers = host
+        left_s = begun + self._load.timeout_s - now
+        query = placement.Query(self._route, SERVICE, 0, key, left_s, frozenset())
+        choice = steers.choose(query, now)
+        if isinstance(choice, placement.Placed):
+            choice.upstream.note_send(now)
+            delay_s = known.estimate_round_trip_s(choice.upstream.record.region) / 2
+            run = (host, query, choice, begun, now, region)
+            self._schedule(now + delay_s, self._reach, run)
+            return
+        if may_return and choice.retry_after_s < left_s / 3:
+            self._schedule(now + choice.retry_after_s, self._place, begun, region, key, False)
+            return
+        self.result.rejected += 1
+
+    def _reach(self, now, run):
+        upstream = self._upstreams[run[2].upstream.record.upstream_id]
+        if upstream.running < self._load.slots:
+            self._start(now, upstream, run)
+        elif len(upstream.waiting) < self._load.queue:
+            upstream.waiting.append(run)
+        else:
+            self._shed(now, run)
+
+    def _start(self, now, upstream, run):
+        upstream.running += 1
+        is_known = upstream.recall(run[1].affinity_key)
+        self.result.known_runs += is_known
+        self.result.unknown_runs += not is_known
+        factor = self._load.known_factor if is_known else 1.0
+        run_s = self._load.work_s * factor * self._rng.uniform(0.85, 1.15)
+        self._runs[run[5], int(now / 2.0)][upstream.record.region] += 1
+        self._schedule(now + run_s * upstream.compute_pace(now), self._complete, upstream, run)
+
+    def _complete(self, now, upstream, run):
+        report = records.LoadReport(
+            upstream.running, len(upstream.waiting), self._load.slots, upstream.compute_pace(now)
+        )
+        upstream.running -= 1
+        if upstream.waiting:
+            self._start(now, upstream, upstream.waiting.popleft())
+        known = run[0][0]
+        delay_s = known.estimate_round_trip_s(upstream.record.region) / 2
+        self._schedule(now + delay_s, self._answer, run, report)
+
+    def _answer(self, now, run, report):
+        (_, steers), query, choice, begun, sent_at, _ = run
+        steers.note_answer(query, choice, report, now - sent_at, now)
+        choice.upstream.note_end(True, now)
+        taken_s = now - begun
+        if taken_s <= self._load.target_s:
+            self.result.in_time += 1
+        elif taken_s <= self._load.timeout_s:
+            self.result.late += 1
+        else:
+            self.result.failed += 1
+
+    def _shed(self, now, run):
+        (_, steers), _, choice, _, _, _ = run
+        steers.note_shed(choice, now)
+        choice.upstream.note_end(False, now)
+        self.result.rejected += 1
+
+    def _find_worst_shift(self):
+        worst = 0.0
+        for (region, window), counts in self._runs.items():
+            following = self._runs.get((region, window + 1))
+            if following is None or window < 1:
+                continue
+            before, after = sum(counts.values()), sum(following.values())
+            if min(before, after) < 50:
+                continue
+            home = f"r{region}"
+            worst = max(worst, abs(counts[home] / before - following[home] / after))
+        return worst
+
+
+def _make_steering(known, rng):
+    return steering.Steering(known, BOUNDS.max_shift, rng)
+
+
+def _make_upstream(upstream_id, region, slots):
+    return records.Upstream(
+        upstream_id=shared.UpstreamId(upstream_id),
+        incarnation=1,
+        service_id=SERVICE,
+        address=("127.0.0.1", 1),
+        zone=shared.ZoneId(region),
+        region=shared.RegionId(region),
+        slots=slots,
+        state=records.UpstreamState.READY,
+        cold_s=0.0,
+    )
+
+
+def _make_route(load):
+    return records.Route(
+        route_id=records.RouteId("read"),
+        site="test",
+        prefix="/",
+        kind=shared.WorkKind.IDEMPOTENT,
+        timeout_s=load.timeout_s,
+        target_latency_s=load.target_s,
+        priority=0,
+        shares=(records.Share(SERVICE, 1.0),),
+        max_attempts=2,
+        is_sticky=True,
+        regions=frozenset(),
+    )
+
+
+def main():
+    """Prints one line a load pattern and seed."""
+    parser = argparse.ArgumentParser(prog="python -m bench.fleet_model")
+    parser.add_argument("--load", choices=sorted(LOADS), action="append")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=3)
+    arguments = parser.parse_args()
+    for name in arguments.load or sorted(LOADS):
+        for seed in range(arguments.seed, arguments.seed + arguments.runs):
+            result = Model(LOADS[name], seed).run()
+            unknown_share = result.unknown_runs / (result.known_runs + result.unknown_runs)
+            print(
+                f"{name} seed={seed} in_time={result.in_time_share:.3f}"
+                f" late={result.late / result.total:.3f}"
+                f" rejected={result.rejected / result.total:.3f}"
+                f" unknown_runs={unknown_share:.3f}"
+                f" worst_shift={result.worst_shift:.3f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -43,6 +43,7 @@
       cold_until: Monotonic time until which it is treated as cold.
       down_until: Monotonic time before which nothing is sent, after it was unreachable.
       is_misdirected: True once another upstream answered at its address.
+      is_unreachable: True from a failed connection until one succeeds.
       is_probed: True while connections to it are tried in the background.
     """
 
@@ -54,6 +55,8 @@
         "down_s",
         "is_misdirected",
         "is_probed",
+        "is_unreachable",
+        "_waits_since",
         "_others",
         "_reported_at",
         "_pace",
@@ -74,6 +77,8 @@
         self.down_s = FIRST_DOWN_S
         self.is_misdirected = False
         self.is_probed = False
+        self.is_unreachable = False
+        self._waits_since = 0.0
         self._others = 0.0
         self._reported_at = 0.0
         self._pace = 1.0
@@ -107,6 +112,22 @@
         """Returns the factor of its own slowness beside the stated pace."""
         return _fade(self._slowness, 1.0, now - self._slowness_at, SLOWNESS_HALF_LIFE_S)
 
+    def estimate_silence_s(self, now):
+        """Returns the time for which it has answered nothing although work is in flight."""
+        return now - self._waits_since if self.in_flight else 0.0
+
+    def note_send(self, now):
+        """Counts a request that is sent there."""
+        if self.in_flight == 0:
+            self._waits_since = now
+        self.in_flight += 1
+
+    def note_end(self, has_answered, now):
+        """Counts the end of a request there."""
+        self.in_flight -= 1
+        if has_answered:
+            self._waits_since = now
+
     def estimate_failure(self, now):
         """Returns the share of its recent answers that were failures."""
         return _fade(self._failure, 0.0, now - self._failure_at, FAILURE_HALF_LIFE_S)
@@ -169,6 +190,7 @@
         self.host_count = 1
         self._states = {}
         self._pools = {}
+        self._regions = {}
         self._rankings = collections.OrderedDict()
         self._services = {}
         self._evacuated = frozenset()
@@ -210,9 +232,8 @@
         return self._pools.get((service_id, region), ())
 
     def list_regions(self, service_id):
-        """Returns the regions that have upstreams of a service, the own region first."""
-        regions = [region for service, region in self._pools if service == service_id]
-        return sorted(regions, key=lambda region: (region != self.region, region))
+        """Returns a tuple of the regions with upstreams of a service, the own region first."""
+        return self._regions.get(service_id, ())
 
     def rank(self, service_id, regions, key):
         """Returns the upstreams of some regions in the order of preference for an object.
@@ -256,6 +277,7 @@
 
     def note_unreachable(self, state, now):
         """Notes that no connection could be made; returns the seconds until the next try."""
+        state.is_unreachable = True
         if now >= state.down_until:
             state.down_until = now + state.down_s
             state.down_s = min(MAX_DOWN_S, 2 * state.down_s)
@@ -263,6 +285,7 @@
 
     def note_returned(self, state, now):
         """Notes that an unreachable upstream accepts connections again; it may be cold."""
+        state.is_unreachable = False
         state.down_until = 0.0
         state.down_s = FIRST_DOWN_S
         self.note_cold(state, self._find_cold_s(state.record), now)
@@ -310,6 +333,10 @@
             if is_open and not state.is_misdirected and record.zone not in self._evacuated:
                 pools[record.service_id, record.region].append(state)
         self._pools = dict(pools)
+        regions = collections.defaultdict(list)
+        for service_id, region in sorted(pools, key=lambda key: (key[1] != self.region, key[1])):
+            regions[service_id].append(region)
+        self._regions = {service_id: tuple(found) for service_id, found in regions.items()}
 
 
 def _score(upstream_id, key):
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -7,7 +7,7 @@
 
 from skylarksill import records as shared
 from skylarksill import retries
-from skylarksill.host import _upstreamhttp, placement, records, routes, spill
+from skylarksill.host import _upstreamhttp, placement, records, routes
 
 # Added to the time-out before the host answers itself, so that the upstream's own answer at its
 # deadline arrives first. Clients expect an answer within 0.25 s after the time-out.
@@ -18,7 +18,10 @@
 RETRY_SAFETY = 0.8
 # Sends of one request that upstreams rejected unrun, beside those that may have run.
 MAX_REJECTED_SENDS = 3
+# A connection takes one round trip and about 1 ms; an upstream without power never answers.
 CONNECT_TIMEOUT_S = 0.6
+CONNECT_BASE_S = 0.2
+CONNECT_ROUND_TRIPS = 2.0
 MIN_RETRY_AFTER_S = 0.02
 # Clients honour a Retry-After of up to this share of the time that they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
@@ -65,7 +68,7 @@
     Args:
       belief: The host's Belief.
       fleet: The Fleet.
-      times: The WorkTimes.
+      steering: The Steering.
       pool: The ConnectionPool.
       names: The HeaderNames.
       log: The EventLog.
@@ -73,10 +76,10 @@
       bounds: The records.Bounds.
     """
 
-    def __init__(self, belief, fleet, times, pool, names, log, counters, bounds):
+    def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds):
         self._belief = belief
         self._fleet = fleet
-        self._times = times
+        self._steering = steering
         self._pool = pool
         self._names = names
         self._log = log
@@ -84,7 +87,6 @@
         self._bounds = bounds
         self._splits = routes.SplitTable()
         self._budgets = {}
-        self._spills = {}
         self._ranks = (None, {})
         self.host_total = 1
 
@@ -119,65 +121,20 @@
     def _place_and_send(self, request, progress, cancellation):
         while not cancellation.is_cancelled:
             now = time.monotonic()
-            choice = self._choose(request, progress, now)
+            query = self._make_query(request, progress, now)
+            choice = self._steering.choose(query, now)
             if isinstance(choice, placement.Rejected):
                 return self._give_up(request, progress, choice)
             if not self._fleet.take_cold_send(choice.upstream, now):
                 progress.excluded.add(choice.upstream.record.upstream_id)
                 continue
-            outcome = self._send(request, progress, choice, cancellation)
+            outcome = self._send(request, progress, query, choice, cancellation)
             answer = self._judge(request, progress, choice, outcome)
             if answer is not None:
                 return answer
         return None
 
-    def _choose(self, request, progress, now):
-        """Returns Placed or Rejected for the next send of a request."""
-        home, others = self._split_regions(progress)
-        query = self._make_query(request, progress, home, now)
-        choice = self._choose_in(query, now)
-        if not others or progress.excluded:
-            return choice
-        if isinstance(choice, placement.Rejected) and choice.reason == "no_upstream":
-            return self._choose_in(dataclasses.replace(query, regions=others), now)
-        return self._consider_spill(query, choice, others, now)
-
-    def _consider_spill(self, query, home, others, now):
-        control = self._spills.get(query.service_id)
-        if control is None:
-            control = spill.SpillControl(self._bounds.max_shift)
-            self._spills[query.service_id] = control
-        if control.is_step_due(now):
-            region = self._fleet.region
-            control.advance(self._fleet.estimate_utilisation(query.service_id, region, now), now)
-        is_away = query.affinity_key is not None and control.is_away(query.affinity_key)
-        is_late = not _is_in_time(home, query)
-        away = None
-        if is_away or is_late:
-            away = self._choose_in(dataclasses.replace(query, regions=others), now)
-        control.note(is_late and away is not None and self._does_gain(query, home, away))
-        return away if is_away and isinstance(away, placement.Placed) else home
-
-    def _does_gain(self, query, home, away):
-        round_trip_s = 0.0
-        if isinstance(away, placement.Placed):
-            round_trip_s = self._fleet.estimate_round_trip_s(away.upstream.record.region)
-        return placement.does_gain(home, away, round_trip_s, query)
-
-    def _choose_in(self, query, now):
-        return placement.choose_upstream(self._fleet, self._times, query, now)
-
-    def _split_regions(self, progress):
-        """Returns the regions to search first, and the others that the route permits."""
-        route = progress.route
-        regions = self._fleet.list_regions(progress.service_id)
-        if route.regions:
-            regions = [region for region in regions if region in route.regions]
-        if self._fleet.region in regions:
-            return (self._fleet.region,), tuple(regions[1:])
-        return tuple(regions), ()
-
-    def _make_query(self, request, progress, regions, now):
+    def _make_query(self, request, progress, now):
         return placement.Query(
             progress.route,
             progress.service_id,
@@ -185,15 +142,15 @@
             request.affinity_key,
             progress.until - now,
             progress.excluded,
-            regions,
         )
 
-    def _send(self, request, progress, choice, cancellation):
+    def _send(self, request, progress, query, choice, cancellation):
         """Sends a request to the chosen upstream; returns its outcome."""
         state = choice.upstream
         upstream = state.record
         connection = None
-        state.in_flight += 1
+        state.note_send(time.monotonic())
+        outcome = None
         try:
             is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
             connection = self._pool.take_idle(upstream, is_idempotent)
@@ -207,9 +164,10 @@
                 return _upstreamhttp.NotRun("client_gone")
             if not self._may_send_to(upstream):
                 return _upstreamhttp.NotRun("left_meanwhile")
-            return self._exchange(request, progress, choice, connection, is_reused)
+            outcome = self._exchange(request, progress, query, choice, connection, is_reused)
+            return outcome
         finally:
-            state.in_flight -= 1
+            state.note_end(isinstance(outcome, _upstreamhttp.Answered), time.monotonic())
             cancellation.attach(None)
             if isinstance(connection, _upstreamhttp.Connection):
                 self._pool.put_back(connection)
@@ -217,18 +175,13 @@
     def _connect(self, state, progress):
         upstream = state.record
         begun = time.monotonic()
-        timeout_s = max(0.01, min(CONNECT_TIMEOUT_S, progress.until - begun))
+        round_trip_s = self._fleet.estimate_round_trip_s(upstream.region)
+        timeout_s = min(CONNECT_TIMEOUT_S, CONNECT_BASE_S + CONNECT_ROUND_TRIPS * round_trip_s)
+        timeout_s = max(0.01, min(timeout_s, progress.until - begun))
         try:
             connection = self._pool.open(upstream, timeout_s)
         except OSError as error:
-            now = time.monotonic()
-            wait_s = self._fleet.note_unreachable(state, now)
-            self._log.write(
-                "upstream.unreachable",
-                upstream=upstream.upstream_id,
-                error=str(error),
-                next_try_s=round(wait_s, 3),
-            )
+            self._note_unreachable(state, error)
             eventlet.spawn_n(self.probe, state)
             return _upstreamhttp.NotRun("unreachable", is_unreachable=True)
         self._counters.count("upstream_connections", upstream.service_id)
@@ -251,16 +204,27 @@
     def _try_connection(self, state):
         try:
             connection = self._pool.open(state.record, CONNECT_TIMEOUT_S)
-        except OSError:
-            # Logged when it became unreachable; it stays so.
+        except OSError as error:
             state.down_until = 0.0
-            self._fleet.note_unreachable(state, time.monotonic())
+            self._note_unreachable(state, error)
             return False
-        self._fleet.note_returned(state, time.monotonic())
-        self._log.write("upstream.returned", upstream=state.record.upstream_id)
+        if state.is_unreachable:
+            self._fleet.note_returned(state, time.monotonic())
+            self._log.write("upstream.returned", upstream=state.record.upstream_id)
         self._pool.put_back(connection)
         return True
 
+    def _note_unreachable(self, state, error):
+        was_unreachable = state.is_unreachable
+        wait_s = self._fleet.note_unreachable(state, time.monotonic())
+        if not was_unreachable:
+            self._log.write(
+                "upstream.unreachable",
+                upstream=state.record.upstream_id,
+                error=str(error),
+                next_try_s=round(wait_s, 3),
+            )
+
     def _may_send_to(self, upstream):
         current = self._belief.upstreams.get(upstream.upstream_id)
         is_same = current is not None and current.incarnation == upstream.incarnation
@@ -270,7 +234,7 @@
             and current.zone not in self._belief.evacuated
         )
 
-    def _exchange(self, request, progress, choice, connection, is_reused):
+    def _exchange(self, request, progress, query, choice, connection, is_reused):
         state = choice.upstream
         begun = time.monotonic()
         left_s = progress.until - begun
@@ -295,55 +259,30 @@
                 "slots": state.record.slots,
                 "pace": round(pace_before, 2),
                 "report_age_ms": int(report_age_s * 1000),
-                "reported": (
-                    list(dataclasses.astuple(outcome.load))
-                    if getattr(outcome, "load", None)
-                    else None
-                ),
-                "key": (request.affinity_key or b"").decode(),
             }
         )
-        self._learn(request, progress, choice, outcome, now - begun, now)
+        self._learn(query, choice, outcome, now - begun, now)
         if isinstance(outcome, _upstreamhttp.MayHaveRun) and outcome.is_broken and not is_reused:
             # A crash breaks connections too; the probe tells it from a single reset.
-            state.down_until = now
             eventlet.spawn_n(self.probe, state)
         return outcome
 
-    def _learn(self, request, progress, choice, outcome, seconds, now):
-        state = choice.upstream
-        load = getattr(outcome, "load", None)
-        if load is not None:
-            # The request is still counted in ``in_flight`` here.
-            state.note_report(load, now)
+    def _learn(self, query, choice, outcome, seconds, now):
         match outcome:
-            case _upstreamhttp.Answered(answer, _, _):
-                has_failed = answer.status >= 500
-                state.note_result(has_failed, now)
-                if not has_failed:
-                    self._learn_time(request, progress, choice, load, seconds, now)
+            case _upstreamhttp.Answered(answer, load, _) if answer.status < 500:
+                self._steering.note_answer(query, choice, load, seconds, now)
+            case _upstreamhttp.Answered(_, load, _):
+                self._steering.note_failure(choice, load, now)
             case _upstreamhttp.NotRun(is_shed=True):
-                state.note_full(now)
+                self._steering.note_shed(choice, now)
             case _upstreamhttp.NotRun(is_misdirected=True):
-                state.is_misdirected = True
-                self._log.write("upstream.misdirected", upstream=state.record.upstream_id)
+                choice.upstream.is_misdirected = True
+                upstream_id = choice.upstream.record.upstream_id
+                self._log.write("upstream.misdirected", upstream=upstream_id)
             case _upstreamhttp.MayHaveRun():
-                state.note_result(True, now)
+                self._steering.note_failure(choice, None, now)
             case _upstreamhttp.TimedOut():
-                state.note_slowness(seconds / max(0.001, choice.work_s), now)
-
-    def _learn_time(self, request, progress, choice, load, seconds, now):
-        state = choice.upstream
-        region = state.record.region
-        run_s = max(0.001, seconds - self._fleet.estimate_round_trip_s(region))
-        pace = load.pace if load is not None else 1.0
-        if load is None or load.waiting == 0:
-            self._times.note(
-                progress.route, progress.service_id, choice.is_warm, run_s / max(0.1, pace)
-            )
-            state.note_slowness(run_s / max(0.001, choice.wait_s + choice.work_s), now)
-        if request.affinity_key is not None:
-            state.note_object(request.affinity_key)
+                self._steering.note_timeout(choice, seconds, now)
 
     def _judge(self, request, progress, choice, outcome):
         """Returns the answer to the client, or None if the request is to be sent again."""
@@ -456,12 +395,6 @@
         )
 
 
-def _is_in_time(choice, query):
-    if isinstance(choice, placement.Rejected):
-        return False
-    return choice.wait_s + choice.work_s <= query.route.target_latency_s
-
-
 def make_answer(status, body, headers=()):
     """Returns an Answer of the host itself with a text body."""
     content_type = (b"content-type", b"text/plain")
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -11,16 +11,23 @@
 # Upstreams of an object's ranking that share its work. An upstream remembers some 20 to 50 objects
 # and runs others 3 to 4 times longer, so each object is kept to few upstreams.
 STICKY_CHOICES = 2
+# Share of the target latency within which the preferred upstream must be expected to answer, or
+# the next one is considered.
+PREFERRED_SHARE = 0.6
 # Upstreams that are compared for work without an object.
 FREE_CHOICES = 4
 # An upstream with only failures counts as if its work took this many times longer.
 FAILURE_FACTOR = 6.0
+# An upstream that has answered nothing for this many times the expected completion, and the margin
+# for a load that came all at once, counts as if work waited for the length of its silence.
+SILENCE_FACTOR = 2.0
+SILENCE_MARGIN_S = 0.15
 # Longest wait for a slot as a share of the target latency, by the rank of the route among the
 # routes of its service: work of lower rank leaves the last slots to more urgent work.
 WAIT_SHARES = (0.9, 0.6, 0.5)
 # Work that has to wait is only accepted if it is expected to complete within this share of the
 # target latency, or if the wait is shorter than the minimum share of it.
-COMPLETION_SHARE = 1.0
+COMPLETION_SHARE = 0.8
 MIN_WAIT_SHARE = 0.1
 # Price of a second of slot time in seconds of latency: work that runs longer where its object is
 # unknown takes the slots of other work.
@@ -49,7 +56,7 @@
     affinity_key: bytes | None
     left_s: float
     excluded: frozenset
-    regions: tuple
+    regions: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +123,8 @@
         failure = state.estimate_failure(now)
         cost = fleet.estimate_round_trip_s(state.record.region) + placed.wait_s
         cost += placed.work_s * (1.0 + CONGESTION_WEIGHT + FAILURE_FACTOR * failure)
+        if best is None and cost <= PREFERRED_SHARE * query.route.target_latency_s:
+            return placed
         if best is None or cost < best[0]:
             best = (cost, placed)
     return best[1] if best else None
@@ -149,6 +158,9 @@
     if excess > 0.0:
         service_s = times.estimate_service(query.service_id, work_s) * factor
         wait_s = excess / state.record.slots * service_s
+    silence_s = state.estimate_silence_s(now)
+    if silence_s > SILENCE_FACTOR * (wait_s + work_s) + SILENCE_MARGIN_S:
+        wait_s += silence_s
     return Placed(state, wait_s, work_s, is_warm)
 
 
@@ -178,4 +190,7 @@
         return False
     if state.record.upstream_id in query.excluded:
         return False
-    return not state.is_cold(now) or fleet.has_cold_room(state, now)
+    if not state.is_cold(now):
+        return True
+    # The rate of a cold upstream is shared by the hosts of its region.
+    return state.record.region == fleet.region and fleet.has_cold_room(state, now)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -20,8 +20,8 @@
     peers,
     pool,
     records,
+    steering,
     watching,
-    worktimes,
 )
 
 # Time for which a leaving host still accepts connections: clients keep a look-up answer for
@@ -57,7 +57,7 @@
         self.forwarder = forwarder.Forwarder(
             self.belief,
             self.fleet,
-            worktimes.WorkTimes(),
+            steering.Steering(self.fleet, settings.bounds.max_shift),
             self.pool,
             names,
             self.log,
