Give up silent connections to the store within 3 s, and retry one watch at a time

Cause: after a cut a watch waited up to 9.5 s on a dead connection: requests were sent 12 s after their upstream had left (DRAIN) and an older configuration was in force (CONFIG) after the cut. Ruled out: shorter watches (each costs a call; 3 to 4 times as many calls at 2 s).

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -49,6 +49,10 @@
     When the store fails for 1 s and configuration 9 is written
     Then it logs configuration 9 within 3 s
 
+  Scenario: A connection to the store that has gone silent is given up within 3 s
+    Given a store with a configuration and 2 upstreams
+    Then a connection to it is probed so that 3 s of silence end it
+
   Scenario: The program serves, explains and stops
     Given a store with a configuration and 2 upstreams
     And the host program on it
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -198,6 +198,27 @@
     _wait(seconds, has_logged)
 
 
+@then("a connection to it is probed so that {seconds:d} s of silence end it")
+def step_probed(context, seconds):
+    _, _, store = host_builders.import_platform()
+    with plain_socket.create_connection(context.store.address) as connection:
+        for option in store.SOCKET_OPTIONS:
+            connection.setsockopt(*option)
+        values = {
+            name: connection.getsockopt(plain_socket.IPPROTO_TCP, name)
+            for name in (
+                plain_socket.TCP_KEEPIDLE,
+                plain_socket.TCP_KEEPINTVL,
+                plain_socket.TCP_KEEPCNT,
+                plain_socket.TCP_USER_TIMEOUT,
+            )
+        }
+        is_probed = connection.getsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE)
+    idle_s, interval_s, count, unacknowledged_ms = values.values()
+    assert is_probed and idle_s + interval_s * count <= seconds, values
+    assert unacknowledged_ms <= seconds * 1000, values
+
+
 @given("the host program on it")
 def step_program(context):
     context.ports = _find_free_ports(5)
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -14,10 +14,14 @@
 # Pause after a watch has returned events: further ones then come together, and each call costs.
 # Upstreams that leave must be left within drain (2.5 s), which leaves room for a lost connection.
 GATHER_S = 0.5
+# Pause between looks at whether another watch has regained the store.
+WAIT_TURN_S = 0.05
 # A watch that ends this much after its wait was held up by an outage of the store.
 LATE_WATCH_S = 1.0
+# Wait of a watch after a failure: its answer shows that the store is back, so it must not wait.
+RETRY_WATCH_S = 0.05
 FIRST_RETRY_S = 0.1
-MAX_RETRY_S = 1.0
+MAX_RETRY_S = 0.8
 
 
 class StoreClient(typing.Protocol):
@@ -66,6 +70,7 @@
         self._log = log
         self._on_change = on_change
         self._evacuated = set()
+        self._lost = []
 
     def start(self):
         """Starts the watches."""
@@ -91,25 +96,34 @@
                     self._note_contact(kind, failures)
                     self._take(changes)
                 else:
-                    revision = self._watch_once(kind, revision, apply_event)
+                    revision = self._watch_once(kind, revision, apply_event, failures)
                 failures = 0
             except HistoryGoneError as error:
                 self._log.write("store.history_gone", kind=kind, error=str(error))
                 revision = None
             except objectstore.StoreError as error:
                 failures += 1
-                self._belief.note_outage()
-                if failures == 1:
-                    self._log.write("store.lost", kind=kind, error=str(error))
-                pause_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(failures, 8))
-                eventlet.sleep(pause_s * (0.5 + random.random()))
-
-    def _watch_once(self, kind, revision, apply_event):
+                self._note_failure(kind, failures, error)
+
+    def _note_failure(self, kind, failures, error):
+        """Pauses after a failed call; while several watches are lost only one of them retries."""
+        self._belief.note_outage()
+        if failures == 1:
+            self._log.write("store.lost", kind=kind, error=str(error))
+        if kind not in self._lost:
+            self._lost.append(kind)
+        pause_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(failures, 8))
+        eventlet.sleep(pause_s * (0.5 + random.random()))
+        while self._lost[0] != kind:
+            eventlet.sleep(WAIT_TURN_S)
+
+    def _watch_once(self, kind, revision, apply_event, failures):
         begun = time.monotonic()
-        next_revision, events = self._store.watch(kind, revision, WATCH_S)
-        if time.monotonic() - begun > WATCH_S + LATE_WATCH_S:
+        wait_s = RETRY_WATCH_S if failures else WATCH_S
+        next_revision, events = self._store.watch(kind, revision, wait_s)
+        if time.monotonic() - begun > wait_s + LATE_WATCH_S:
             self._belief.note_outage()
-        self._note_contact(kind, 0)
+        self._note_contact(kind, failures)
         changes = []
         for event in events:
             changes += apply_event(*event)
@@ -121,6 +135,8 @@
     def _note_contact(self, kind, failures):
         now = time.monotonic()
         self._belief.note_contact(now)
+        if kind in self._lost:
+            self._lost.remove(kind)
         if failures:
             self._log.write("store.regained", kind=kind, failures=failures)
 
