Agree on spilled objects within a region and share cold rates among all known hosts

Regions with few upstreams also began with rejections, as their share of moved objects rises by 4% a second at most. Change: a host counts all hosts that the store and peers have named, and eight before that; heartbeats carry the shares, which pull towards their mean; the first share follows the slots.

--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -287,20 +287,17 @@
 @given('a peer table that heard of "{name}" at {now:g} s')
 def step_peers(context, name, now):
     context.peers = peers.PeerTable(host_builders.build_host_record("own"), 0.0)
-    record = host_builders.build_host_record(name)
-    context.peers.merge(record, 5, records.HostState.SERVING, now)
+    context.peers.merge(_build_peer(name, 5), now)
 
 
 @when('the same heartbeat of "{name}" arrives again at {now:g} s')
 def step_again(context, name, now):
-    record = host_builders.build_host_record(name)
-    context.peers.merge(record, 5, records.HostState.SERVING, now)
+    context.peers.merge(_build_peer(name, 5), now)
 
 
 @when('incarnation {number:d} of "{name}" sends its first heartbeat at {now:g} s')
 def step_incarnation(context, number, name, now):
-    record = host_builders.build_host_record(name, incarnation=number)
-    context.peers.merge(record, 1, records.HostState.SERVING, now)
+    context.peers.merge(_build_peer(name, 1, number), now)
 
 
 @then('"{name}" is serving at {first:g} s and not at {second:g} s')
@@ -322,12 +319,9 @@
 
 @then("a digest of {count:d} hosts is decoded to the same")
 def step_codec(context, count):
-    context.digest = [
-        peers.Peer(host_builders.build_host_record(f"h{index}"), 7, records.HostState.SERVING, 0.0)
-        for index in range(count)
-    ]
+    context.digest = [_build_peer(f"h{index}", 7) for index in range(count)]
     decoded = _peercodec.decode_digest(_peercodec.encode_digest(context.digest))
-    assert decoded == [(peer.record, 7, records.HostState.SERVING) for peer in context.digest]
+    assert decoded == context.digest
 
 
 @then("{count:d} random or damaged datagrams are rejected or harmless")
@@ -340,9 +334,9 @@
         if index % 2:
             datagram[rng.randrange(len(datagram))] = rng.randrange(256)
         try:
-            for record, heartbeat, state in _peercodec.decode_digest(bytes(datagram)):
-                assert isinstance(record.host_id, str) and isinstance(heartbeat, int)
-                assert isinstance(state, records.HostState)
+            for peer in _peercodec.decode_digest(bytes(datagram)):
+                assert isinstance(peer.record.host_id, str) and isinstance(peer.heartbeat, int)
+                assert isinstance(peer.state, records.HostState)
         except _peercodec.CodecError:
             rejected += 1
     assert rejected > count / 3
@@ -405,6 +399,11 @@
     assert lines[-2] == lines[-2] | {"event": "log.dropped", "lines": 10_000 - kept}, lines[-2]
 
 
+def _build_peer(name, heartbeat, incarnation=1):
+    record = host_builders.build_host_record(name, incarnation=incarnation)
+    return peers.Peer(record, heartbeat, records.HostState.SERVING, 0.0, {"catalogue": 0.25})
+
+
 def _make_steering(known):
     return steering.Steering(known, host_builders.BOUNDS.max_shift, random.Random(1))
 
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -3,9 +3,9 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import records
+from skylarksill.host import peers, records
 
-VERSION = 1
+VERSION = 2
 MAX_DATAGRAM_BYTES = 16_384
 
 
@@ -25,6 +25,7 @@
             peer.record.gossip,
             peer.heartbeat,
             peer.state.value,
+            peer.spill_shares,
         )
         for peer in peers
     ]
@@ -35,7 +36,7 @@
     """Decodes a datagram.
 
     Returns:
-      A list of tuples of HostRecord, heartbeat and HostState.
+      A list of peers.Peer, heard at 0.
     Raises:
       CodecError: If the datagram is malformed or of another version.
     """
@@ -44,12 +45,12 @@
         if version != VERSION:
             raise CodecError(f"unknown version {version!r}")
         return [_decode_entry(entry) for entry in entries]
-    except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
+    except (ValueError, TypeError, AttributeError, msgpack.exceptions.UnpackException) as error:
         raise CodecError(f"malformed datagram: {error}") from error
 
 
 def _decode_entry(entry):
-    host_id, incarnation, zone, region, front, gossip, heartbeat, state = entry
+    host_id, incarnation, zone, region, front, gossip, heartbeat, state, shares = entry
     record = records.HostRecord(
         _check(host_id, str),
         _check(incarnation, int),
@@ -58,7 +59,10 @@
         _decode_address(front),
         _decode_address(gossip),
     )
-    return record, _check(heartbeat, int), records.HostState(state)
+    shares = {_check(name, str): _check(share, float) for name, share in shares.items()}
+    if not all(0.0 <= share <= 1.0 for share in shares.values()):
+        raise ValueError(f"shares {shares!r} are not between 0 and 1")
+    return peers.Peer(record, _check(heartbeat, int), records.HostState(state), 0.0, shares)
 
 
 def _decode_address(value):
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -255,10 +255,14 @@
                 self._rankings.popitem(last=False)
         return ranking
 
+    def count_slots(self, service_id, region):
+        """Returns the slots of a service's upstreams in a region."""
+        return sum(state.record.slots for state in self.find_pool(service_id, region))
+
     def estimate_utilisation(self, service_id, region, now):
         """Returns the load of a service's upstreams in a region as a share of their slots."""
         pool = self.find_pool(service_id, region)
-        slots = sum(state.record.slots for state in pool)
+        slots = self.count_slots(service_id, region)
         return sum(state.estimate_load(now) for state in pool) / slots if slots else 1.0
 
     def estimate_round_trip_s(self, region):
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -22,12 +22,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """What is known of one host; ``heard_at`` is the time of its last new heartbeat."""
+    """What is known of one host.
+
+    Attributes:
+      heard_at: Monotonic time of its last new heartbeat.
+      spill_shares: Share of the objects that it sends to other regions, by service.
+    """
 
     record: records.HostRecord
     heartbeat: int
     state: records.HostState
     heard_at: float
+    spill_shares: dict = dataclasses.field(default_factory=dict)
 
 
 class PeerTable:
@@ -42,12 +48,13 @@
         self._own = own.host_id
         self._peers = {own.host_id: Peer(own, 1, records.HostState.STARTING, now)}
 
-    def beat(self, state, now):
-        """Raises the own heartbeat."""
+    def beat(self, state, now, spill_shares=None):
+        """Raises the own heartbeat; ``spill_shares`` is a dict of share by service."""
         peer = self._peers[self._own]
         peer.heartbeat += 1
         peer.state = state
         peer.heard_at = now
+        peer.spill_shares = spill_shares or {}
 
     def add_candidate(self, record, now):
         """Adds a host that the store names; it counts as dead until a heartbeat arrives."""
@@ -56,21 +63,25 @@
             heard_at = now - DEAD_AFTER_S
             self._peers[record.host_id] = Peer(record, 0, records.HostState.STARTING, heard_at)
 
-    def merge(self, record, heartbeat, state, now):
+    def merge(self, entry, now):
         """Takes over a peer's entry if it is newer than the known one.
 
+        Args:
+          entry: A Peer as another host knows it; its ``heard_at`` is ignored.
+          now: Monotonic seconds.
         Returns:
           True if the host was unknown or dead before.
         """
-        if record.host_id == self._own:
+        host_id = entry.record.host_id
+        if host_id == self._own:
             return False
-        known = self._peers.get(record.host_id)
+        known = self._peers.get(host_id)
         if known is not None:
             order = (known.record.incarnation, known.heartbeat)
-            if (record.incarnation, heartbeat) <= order:
+            if (entry.record.incarnation, entry.heartbeat) <= order:
                 return False
         was_alive = known is not None and now - known.heard_at < DEAD_AFTER_S
-        self._peers[record.host_id] = Peer(record, heartbeat, state, now)
+        self._peers[host_id] = dataclasses.replace(entry, heard_at=now)
         return not was_alive
 
     def list_alive(self, now):
@@ -82,6 +93,21 @@
         serving = records.HostState.SERVING
         return [peer for peer in self.list_alive(now) if peer.state is serving]
 
+    def count_known(self, region=None):
+        """Returns the number of known hosts, dead ones included, in a region or in all."""
+        return sum(region in (None, peer.record.region) for peer in self._peers.values())
+
+    def average_spill_share(self, region, service_id, now):
+        """Returns the mean share that a region's other serving hosts state, or None."""
+        shares = [
+            peer.spill_shares[service_id]
+            for peer in self.list_serving(now)
+            if peer.record.region == region
+            and peer.record.host_id != self._own
+            and service_id in peer.spill_shares
+        ]
+        return sum(shares) / len(shares) if shares else None
+
     def choose_targets(self, now, rng=random):
         """Returns the gossip addresses of this round, one of a dead host among them at most."""
         alive, dead = [], []
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -34,7 +34,7 @@
 HOUSEKEEPING_S = 0.25
 LOG_FLUSH_S = 0.1
 REGISTER_PAUSE_S = 0.5
-# Hosts that may share budgets with this one before its peers are known.
+# Hosts that are assumed to share budgets with this one before the store has named them.
 MIN_ASSUMED_HOSTS = 8
 EXIT_SECOND_SIGNAL = 3
 
@@ -54,10 +54,11 @@
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet(settings.region)
         self.pool = pool.ConnectionPool(names)
+        self.steering = steering.Steering(self.fleet, settings.bounds.max_shift)
         self.forwarder = forwarder.Forwarder(
             self.belief,
             self.fleet,
-            steering.Steering(self.fleet, settings.bounds.max_shift),
+            self.steering,
             self.pool,
             names,
             self.log,
@@ -83,7 +84,7 @@
         self._entry = None
         self._gossip_socket = None
         self._stopping = eventlet.event.Event()
-        self._most_hosts = 0
+        self._is_registered = False
 
     def run(self, store):
         """Runs until the host is told to stop; returns after the last answer has left.
@@ -164,11 +165,13 @@
             self._watcher.log_changes(changes)
             self._apply_belief()
         self.pool.drop_stale(self.belief.upstreams)
-        alive = self.peers.list_alive(now)
-        near = sum(peer.record.region == self.settings.region for peer in alive)
-        self._most_hosts = max(self._most_hosts, len(alive))
-        self.fleet.host_count = max(2, near)
-        self.forwarder.host_total = max(MIN_ASSUMED_HOSTS, self._most_hosts)
+        region = self.settings.region
+        least = 1 if self._is_registered else MIN_ASSUMED_HOSTS
+        self.fleet.host_count = max(least, self.peers.count_known(region))
+        self.forwarder.host_total = max(MIN_ASSUMED_HOSTS, self.peers.count_known())
+        for service_id in self.steering.list_spill_shares():
+            average = self.peers.average_spill_share(region, service_id, now)
+            self.steering.note_spill_average(service_id, average)
 
     def _repeat(self, pause_s, function):
         while True:
@@ -188,7 +191,7 @@
         if self._gossip_socket is None:
             return
         now = time.monotonic()
-        self.peers.beat(self.state, now)
+        self.peers.beat(self.state, now, self.steering.list_spill_shares())
         datagram = _peercodec.encode_digest(self.peers.make_digest(now))
         targets = self.peers.choose_targets(now)
         if not targets:
@@ -212,9 +215,10 @@
                 eventlet.sleep(HOUSEKEEPING_S)
                 continue
             now = time.monotonic()
-            for record, heartbeat, state in entries:
-                if self.peers.merge(record, heartbeat, state, now):
-                    self.log.write("peer.alive", peer=record.host_id, state=state.value)
+            for entry in entries:
+                if self.peers.merge(entry, now):
+                    peer = entry.record.host_id
+                    self.log.write("peer.alive", peer=peer, state=entry.state.value)
 
     def _register(self):
         """Registers this host in the store and learns of others there, until both succeed."""
@@ -223,6 +227,7 @@
                 self._store.register_host(self.own)
                 for record in self._store.list_hosts():
                     self.peers.add_candidate(record, time.monotonic())
+                self._is_registered = True
                 self.log.write("host.registered")
                 return
             except objectstore.StoreError as error:
--- a/skylarksill/host/spill.py
+++ b/skylarksill/host/spill.py
@@ -14,6 +14,12 @@
 BOUND_WINDOW_S = 2.0
 BOUND_SHARE = 0.5
 MAX_SHARE = 0.7
+# Part of the share that the region's slots fall short by which leaves from the start, when all
+# caches are cold and the demand is not known yet.
+FIRST_SHARE = 0.6
+# Pull towards the share of the region's other hosts: an object that some of them serve at home and
+# others elsewhere takes memory in both places.
+AVERAGE_WEIGHT = 0.3
 # Requests of a step below which the demand is not judged.
 MIN_REQUESTS = 3
 # Share of requests that would gain from leaving above which more objects leave.
@@ -36,12 +42,16 @@
     Args:
       max_shift: Greatest change of a region's share between windows of BOUND_WINDOW_S.
 
+      share: First share.
+
     Attributes:
       share: Present share, from 0 to MAX_SHARE.
+      average: Mean share of the region's other hosts, or None.
     """
 
-    def __init__(self, max_shift):
-        self.share = 0.0
+    def __init__(self, max_shift, share=0.0):
+        self.share = min(MAX_SHARE, share)
+        self.average = None
         self._step = max_shift * BOUND_SHARE * STEP_S / BOUND_WINDOW_S
         self._step_at = None
         self._requests = 0
@@ -68,6 +78,8 @@
           now: Monotonic seconds.
         """
         self._step_at = now
+        if self.average is not None:
+            self.share += AVERAGE_WEIGHT * (self.average - self.share)
         if self._requests >= MIN_REQUESTS:
             demand = self._gains / self._requests
             if demand > MORE_ABOVE:
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -44,10 +44,13 @@
             return self._choose_in(dataclasses.replace(query, regions=others), now)
         return self._consider_spill(query, choice, others, now)
 
-    def get_spill_share(self, service_id):
-        """Returns the share of a service's objects that are served in other regions."""
-        control = self._spills.get(service_id)
-        return control.share if control else 0.0
+    def list_spill_shares(self):
+        """Returns the share of objects that are served in other regions by service."""
+        return {service_id: control.share for service_id, control in self._spills.items()}
+
+    def note_spill_average(self, service_id, average):
+        """Takes over the mean share of the region's other hosts; None if it is unknown."""
+        self._spills[service_id].average = average
 
     def note_answer(self, query, choice, load, seconds, now):
         """Learns from an answer that is no failure.
@@ -91,7 +94,8 @@
     def _consider_spill(self, query, home, others, now):
         control = self._spills.get(query.service_id)
         if control is None:
-            control = spill.SpillControl(self._max_shift)
+            share = self._estimate_first_share(query.service_id)
+            control = spill.SpillControl(self._max_shift, share)
             self._spills[query.service_id] = control
         if control.is_step_due(now):
             region = self._fleet.region
@@ -108,6 +112,13 @@
             self._guard.note(leaves, now)
         return choice
 
+    def _estimate_first_share(self, service_id):
+        """Returns the share of objects that the region's part of all slots can't serve."""
+        regions = self._fleet.list_regions(service_id)
+        slots = [self._fleet.count_slots(service_id, region) for region in regions]
+        fair = sum(slots) / len(slots)
+        return spill.FIRST_SHARE * max(0.0, 1.0 - slots[0] / fair)
+
     def _does_gain(self, query, home, away):
         round_trip_s = 0.0
         if isinstance(away, placement.Placed):
