Probe an upstream that lets a request time out without answering anything

Ruled out: shorter time-outs of requests (long jobs are cut off as well). Change: a time-out during which the upstream answered nothing starts a connection in the background; if that fails the upstream gets nothing until one succeeds.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -111,3 +111,9 @@
     When the client sends an idempotent request and leaves after 0.1 s
     Then 0.5 s later no upstream works on it
     And no upstream counts as failing
+
+  Scenario: An upstream that lets a request time out in silence is probed
+    Given the upstreams take 5.0 s
+    When the client sends an idempotent request
+    Then the answer is 504 within 1.0 to 1.25 s
+    And its upstream is asked for another connection within 0.5 s
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -268,3 +268,9 @@
 def step_not_failing(context):
     now = time.monotonic()
     assert {state.estimate_failure(now) for state in context.world.fleet} == {0.0}
+
+
+@then("its upstream is asked for another connection within {seconds:g} s")
+def step_probed(context, seconds):
+    eventlet.sleep(seconds)
+    assert sum(item.connections for item in context.world.workers.values()) == 2
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -58,6 +58,7 @@
         "is_probed",
         "is_unreachable",
         "_waits_since",
+        "_answered_at",
         "_others",
         "_reported_at",
         "_pace",
@@ -80,6 +81,7 @@
         self.is_probed = False
         self.is_unreachable = False
         self._waits_since = 0.0
+        self._answered_at = 0.0
         self._others = 0.0
         self._reported_at = 0.0
         self._pace = 1.0
@@ -128,6 +130,11 @@
         self.in_flight -= 1
         if has_answered:
             self._waits_since = now
+            self._answered_at = now
+
+    def has_answered_since(self, begun):
+        """Returns True if it has answered any request since a monotonic time."""
+        return self._answered_at >= begun
 
     def estimate_failure(self, now):
         """Returns the share of its recent answers that were failures."""
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -166,7 +166,7 @@
             # A send that was cancelled tells nothing of the upstream.
             if not cancellation.is_cancelled:
                 self._learn(query, choice, outcome, begun)
-                self._suspect(state, outcome, is_reused)
+                self._suspect(state, outcome, begun, is_reused)
             return outcome
         finally:
             state.note_end(isinstance(outcome, _upstreamhttp.Answered), time.monotonic())
@@ -221,10 +221,17 @@
             case _upstreamhttp.TimedOut():
                 self._steering.note_timeout(choice, seconds, now)
 
-    def _suspect(self, state, outcome, is_reused):
-        """Probes an upstream whose connection broke: a crash breaks all, a single reset one."""
-        if isinstance(outcome, _upstreamhttp.MayHaveRun) and outcome.is_broken and not is_reused:
-            self._connector.start_probe(state)
+    def _suspect(self, state, outcome, begun, is_reused):
+        """Probes an upstream that may have crashed or lost its power.
+
+        A crash breaks all connections, as a reset does with one. An upstream without power answers
+        no request at all.
+        """
+        match outcome:
+            case _upstreamhttp.MayHaveRun(is_broken=True) if not is_reused:
+                self._connector.start_probe(state)
+            case _upstreamhttp.TimedOut() if not state.has_answered_since(begun):
+                self._connector.start_probe(state)
 
     def _judge(self, request, progress, choice, outcome):
         """Returns the answer to the client, or None if the request is to be sent again."""
