--- a/features/console.feature
+++ b/features/console.feature
@@ -223,3 +223,14 @@
       | bash  |
       | zsh   |
       | fish  |
+
+  Scenario: Trace tells a request's sends and what its host came to believe
+    Given a console without settings
+    And a host's log in which request "r1" was sent to "u1" and "u1" became unreachable
+    When the trace of "r1" is asked for
+    Then it exits with 0 and prints "status=502 reason=connection_closed"
+    And the output names "send 1: upstream=u1 outcome=connection_closed ms=69"
+    And the output names "upstream.unreachable upstream=u1"
+    And the output does not name "u2"
+    When the trace of "r9" is asked for
+    Then it exits with 1 and prints "no log line has the request id 'r9'"
--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -10,6 +10,11 @@
     Then the settings name the zone, the store and the bounds
     And without each required line the error names its field
 
+  Scenario: Settings can be checked without starting the host
+    Given the platform's settings file
+    Then checking it ends with code 0 and names the host
+    And checking it without its zone ends with code 2 and names the field
+
   Scenario Outline: A foreign or unreadable entry names no upstream
     Given an upstream's entry where <field> is <value>
     Then it is rejected
--- a/features/steps/console_steps.py
+++ b/features/steps/console_steps.py
@@ -276,3 +276,40 @@
 @then("the JSON names {host} first")
 def step_json_host(context, host):
     assert json.loads(context.output)["hosts"][0]["host"] == host
+
+
+@given(
+    'a host\'s log in which request "{request}" was sent to "{upstream}" and '
+    '"{same}" became unreachable'
+)
+def step_host_log(context, request, upstream, same):
+    send = {"upstream": upstream, "outcome": "connection_closed", "ms": 69}
+    lines = [
+        {"time": 7.9, "host": "h1", "event": "upstream.unreachable", "upstream": "u2"},
+        {"time": 8.0, "host": "h1", "event": "upstream.unreachable", "upstream": upstream},
+        {
+            "time": 8.1,
+            "host": "h1",
+            "event": "request",
+            "id": request,
+            "status": 502,
+            "reason": "connection_closed",
+            "ms": 70,
+            "sends": [send],
+        },
+    ]
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.host_log = pathlib.Path(folder.name) / "host.log"
+    text = "a library's warning\n" + "\n".join(json.dumps(line) for line in lines)
+    context.host_log.write_text(text, encoding="utf-8")
+
+
+@when('the trace of "{request}" is asked for')
+def step_trace(context, request):
+    run_command(context, f"trace {request} {context.host_log}")
+
+
+@then('the output does not name "{text}"')
+def step_output_without(context, text):
+    assert text not in context.output, context.output
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -75,6 +75,19 @@
             raise AssertionError(f"settings without {name} were accepted")
 
 
+@then("checking it ends with code {code:d} and names the host")
+def step_check_good(context, code):
+    result = _check_settings(context.lines)
+    assert result.returncode == code and "edge-1" in result.stdout, result
+
+
+@then("checking it without its zone ends with code {code:d} and names the field")
+def step_check_bad(context, code):
+    lines = [line for line in context.lines if not line.startswith("self.zone=")]
+    result = _check_settings(lines)
+    assert result.returncode == code and "self.zone" in result.stderr, result
+
+
 @given("an upstream's entry where {field} is {value}")
 def step_entry(context, field, value):
     context.spec = host_builders.build_upstream_spec()
@@ -338,6 +351,14 @@
         return hostfile.load_settings(file.name)
 
 
+def _check_settings(lines):
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write("\n".join(lines))
+        file.flush()
+        command = [sys.executable, str(ROOT / "platform" / "start.py"), "--check", file.name]
+        return subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
 def _find_free_ports(count):
     """Returns first ports of two free ranges, for internal traffic and for listeners."""
     rng = random.Random()
--- a/skylarksill/console/application.py
+++ b/skylarksill/console/application.py
@@ -4,7 +4,7 @@
 
 import skylarksill
 from skylarksill import logs
-from skylarksill.console import _drains, _explaining, _generating, _publishing, _status
+from skylarksill.console import _drains, _explaining, _generating, _publishing, _status, _tracing
 
 COMMANDS = (
     _generating.QuestionnaireCommand,
@@ -16,6 +16,7 @@
     _drains.DrainCommand,
     _drains.ShiftCommand,
     _explaining.ExplainCommand,
+    _tracing.TraceCommand,
 )
 
 
