Bound the bodies and connections that a host holds, and remove unused fields

Cause: bodies of up to 64 MB were held without a bound over all connections; the maximum of an upstream's connections was read and not used. Ruled out: streaming of bodies (a request that is not whole could not be rejected as not run). Change: a fifth of the memory for bodies, 503 beyond it; requests in flight at an upstream keep to the host's part of its connections; unused fields and constants are gone.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -122,7 +122,7 @@
                 records_by_id[record.upstream_id] = record
                 self._upstreams[record.upstream_id] = _Upstream(record, load, self._rng)
         self._route = _make_route(load)
-        service = records.Service(SERVICE, "/health", 330, 3.0, 11.0)
+        service = records.Service(SERVICE, 330, 3.0, 11.0)
         self._hosts = []
         for region, count in enumerate(load.hosts):
             self._hosts.append(
--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -57,6 +57,10 @@
     When the preferred upstream of an object reports 9 running and waiting
     Then 30 requests for the object use at most 2 upstreams
 
+  Scenario: Hosts together keep to the connections of an upstream
+    Given a host among 100 that sees 1 upstreams with 330 connections
+    Then it has at most 3 requests there at the same time
+
   Scenario: Work that can't be served in time is rejected at once
     Given a host that sees 2 upstreams
     When all upstreams report 12 running and waiting
--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -94,6 +94,13 @@
       | long chunked body   | 413    |
       | slow head           | 408    |
 
+  Scenario: Bodies beyond the host's buffers are rejected as not run
+    Given the host may hold 5000 bytes of bodies
+    And the upstreams take 0.5 s
+    When 3 clients send bodies of 2000 bytes at once
+    Then 2 are answered with 200 and 1 with 503
+    And no bytes of bodies are held
+
   Scenario: A stop answers what was read and closes the connection after it
     Given the upstreams take 0.4 s
     When the client sends an idempotent request and the host is told to stop meanwhile
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -197,6 +197,26 @@
     _learn_time(context, 0.1)
 
 
+@given("a host among {hosts:d} that sees {count:d} upstreams with {most:d} connections")
+def step_host_among(context, hosts, count, most):
+    upstreams = [host_builders.build_upstream(f"u{index}", slots=50) for index in range(count)]
+    context.fleet = host_builders.build_fleet(upstreams)
+    context.fleet.host_total = hosts
+    context.steering = _make_steering(context.fleet)
+    assert host_builders.build_service().max_connections == most
+
+
+@then("it has at most {most:d} requests there at the same time")
+def step_connections(context, most):
+    placed = 0
+    for _ in range(20):
+        choice = context.steering.choose(host_builders.build_query(), 1.0)
+        if isinstance(choice, placement.Placed):
+            choice.upstream.note_send(1.0)
+            placed += 1
+    assert placed == most, placed
+
+
 @when("the preferred upstream of an object reports {count:d} running and waiting")
 def step_preferred_full(context, count):
     preferred = context.fleet.rank("catalogue", ("north",), b"object")[0]
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -274,3 +274,28 @@
 def step_probed(context, seconds):
     eventlet.sleep(seconds)
     assert sum(item.connections for item in context.world.workers.values()) == 2
+
+
+@given("the host may hold {size:d} bytes of bodies")
+def step_buffers(context, size):
+    context.world.server.max_buffered_bytes = size
+
+
+@when("{count:d} clients send bodies of {size:d} bytes at once")
+def step_bodies(context, count, size):
+    clients = [context.world.connect() for _ in range(count)]
+    for index, client in enumerate(clients):
+        body = b"x" * size
+        client.sendall(host_world.format_request("POST /order/1", f"r{index}", body))
+    context.answers = [host_world.AnswerReader(client).read() for client in clients]
+
+
+@then("{first:d} are answered with {good:d} and {second:d} with {bad:d}")
+def step_two_statuses(context, first, good, second, bad):
+    statuses = [answer[0] for answer in context.answers]
+    assert statuses.count(good) == first and statuses.count(bad) == second, statuses
+
+
+@then("no bytes of bodies are held")
+def step_no_bodies(context):
+    assert context.world.server.buffered_bytes == 0
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -41,7 +41,6 @@
 
     answer: records.Answer
     load: records.LoadReport | None
-    is_leaving: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -257,9 +256,8 @@
         if 200 <= status < 300 and (answered_id is None or names.signature not in fields):
             self.is_reusable = False
             return MayHaveRun("unsigned_answer")
-        is_leaving = b"close" in fields.get(b"connection", b"").lower()
         kept = filter_headers(headers)
-        return Answered(records.Answer(status, reason, kept, body), load, is_leaving)
+        return Answered(records.Answer(status, reason, kept, body), load)
 
 
 def _receive(sock, until):
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -20,6 +20,8 @@
 # A client that takes no byte of an answer for this long is given up.
 WRITE_TIMEOUT_S = 10.0
 ACCEPT_PAUSE_S = 0.05
+# Bodies that are held in memory at the same time; the smallest hosts have 300 MB.
+MAX_BUFFERED = 64 * 1024 * 1024
 
 _REASONS = {
     200: b"OK",
@@ -47,7 +49,6 @@
     """A request whose answer has not left yet."""
 
     method: bytes
-    is_kept_alive: bool
     cancellation: forwarder.Cancellation
     data: bytes | None = None
 
@@ -62,13 +63,19 @@
       find_limits: Function that returns the records.ClientLimits in force.
       names: The records.HeaderNames.
       log: The EventLog.
+      max_buffered_bytes: Bytes of request bodies that all connections may hold together.
+
+    Attributes:
+      buffered_bytes: Bytes of bodies that are being read or served.
     """
 
-    def __init__(self, address, handle, find_limits, names, log):
+    def __init__(self, address, handle, find_limits, names, log, max_buffered_bytes=MAX_BUFFERED):
         self.handle = handle
         self.find_limits = find_limits
         self.names = names
         self.log = log
+        self.max_buffered_bytes = max_buffered_bytes
+        self.buffered_bytes = 0
         self.is_leaving = False
         self.connections = set()
         self._socket = eventlet.listen(address, backlog=LISTEN_BACKLOG)
@@ -146,6 +153,7 @@
         except OSError as error:
             self._server.log.write("client.connection_lost", error=str(error))
         finally:
+            self._drop_partial()
             self._drop_pending()
             self._server.connections.discard(self)
             self._socket.close()
@@ -232,6 +240,9 @@
     def on_body(self, body):
         """Adds a piece of the body."""
         self._body_bytes += len(body)
+        self._server.buffered_bytes += len(body)
+        if self._server.buffered_bytes > self._server.max_buffered_bytes:
+            raise _BadRequestError(503)
         if self._body_bytes > self._limits.max_body_bytes:
             raise _BadRequestError(413)
         self._body.append(body)
@@ -242,8 +253,8 @@
             return
         method = self._parser.get_method()
         is_kept_alive = self._parser.should_keep_alive()
-        request = self._make_request(method, is_kept_alive)
-        item = _Pending(method, is_kept_alive, forwarder.Cancellation())
+        request = self._make_request(method)
+        item = _Pending(method, forwarder.Cancellation())
         self.pending.append(item)
         self._begin_message()
         if not is_kept_alive:
@@ -260,12 +271,17 @@
         self._body = []
         self._body_bytes = 0
 
+    def _drop_partial(self):
+        """Forgets a request that has been read in part."""
+        self._server.buffered_bytes -= self._body_bytes
+        self._begin_message()
+
     def _count_head(self, size):
         self._head_bytes += size
         if self._head_bytes > self._limits.max_head_bytes:
             raise _BadRequestError(431)
 
-    def _make_request(self, method, is_kept_alive):
+    def _make_request(self, method):
         names = self._server.names
         fields = dict(self._headers)
         site = fields.get(b"host")
@@ -281,11 +297,13 @@
             deadline_s=_parse_deadline(fields.get(names.deadline)),
             affinity_key=find_cookie(fields.get(b"cookie"), names.affinity_cookie),
             received_at=time.monotonic(),
-            is_kept_alive=is_kept_alive,
         )
 
     def _serve(self, item, request):
-        answer = self._server.handle(request, item.cancellation)
+        try:
+            answer = self._server.handle(request, item.cancellation)
+        finally:
+            self._server.buffered_bytes -= len(request.body)
         if answer is None or self._is_gone:
             return
         if self._server.is_leaving:
@@ -300,10 +318,10 @@
         """Answers a request that can't be read and closes the connection after it."""
         self._server.log.write("client.refused", status=status)
         self._is_closing = True
-        item = _Pending(b"GET", False, forwarder.Cancellation())
+        item = _Pending(b"GET", forwarder.Cancellation())
         item.data = format_answer(forwarder.make_answer(status, b""), b"GET", True)
         self.pending.append(item)
-        self._begin_message()
+        self._drop_partial()
         self._write_ready()
 
     def _write_ready(self):
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -191,12 +191,14 @@
 
     Attributes:
       region: Region of this host.
-      host_count: Hosts that may send to the same upstreams, which share cold rates.
+      host_count: Hosts of the region, which share the rates of cold upstreams.
+      host_total: Hosts of all regions, which share the connections of upstreams.
     """
 
     def __init__(self, region):
         self.region = region
         self.host_count = 1
+        self.host_total = 1
         self._states = {}
         self._pools = {}
         self._regions = {}
@@ -303,6 +305,13 @@
         state.down_s = FIRST_DOWN_S
         self.note_cold(state, self._find_cold_s(state.record), now)
 
+    def has_connection_room(self, state):
+        """Returns True if one more request may need one more connection to an upstream."""
+        service = self._services.get(state.record.service_id)
+        if service is None:
+            return True
+        return state.in_flight < max(1, service.max_connections // self.host_total)
+
     def has_cold_room(self, state, now):
         """Returns True if a cold upstream bears one more request now."""
         state.cold_limit.limit = self._compute_cold_limit(state.record)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -204,11 +204,11 @@
         now = time.monotonic()
         seconds = now - begun
         match outcome:
-            case _upstreamhttp.Answered(answer, _, _) if answer.status == 504:
+            case _upstreamhttp.Answered(answer, _) if answer.status == 504:
                 self._steering.note_timeout(choice, seconds, now)
-            case _upstreamhttp.Answered(answer, load, _) if answer.status < 500:
+            case _upstreamhttp.Answered(answer, load) if answer.status < 500:
                 self._steering.note_answer(query, choice, load, seconds, now)
-            case _upstreamhttp.Answered(_, load, _):
+            case _upstreamhttp.Answered(_, load):
                 self._steering.note_failure(choice, load, now)
             case _upstreamhttp.NotRun(is_shed=True):
                 self._steering.note_shed(choice, now)
@@ -238,7 +238,7 @@
         is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
         progress.excluded.add(choice.upstream.record.upstream_id)
         match outcome:
-            case _upstreamhttp.Answered(answer, _, _):
+            case _upstreamhttp.Answered(answer, _):
                 progress.ran_sends += 1
                 progress.has_maybe_run = True
                 progress.last_answer = answer
@@ -369,7 +369,7 @@
 
 def _name_outcome(outcome):
     match outcome:
-        case _upstreamhttp.Answered(answer, _, _):
+        case _upstreamhttp.Answered(answer, _):
             return str(answer.status)
         case _upstreamhttp.NotRun(reason) | _upstreamhttp.MayHaveRun(reason):
             return reason
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -188,6 +188,8 @@
         return False
     if state.record.upstream_id in query.excluded:
         return False
+    if not fleet.has_connection_room(state):
+        return False
     if not state.is_cold(now):
         return True
     # The rate of a cold upstream is shared by the hosts of its region.
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -31,12 +31,14 @@
 CLOSE_IDLE_AFTER_S = 1.2
 # Kept of the time between the request to stop and the kill, for the last answers to leave.
 STOP_RESERVE_S = 0.25
+# Part of the host's memory that bodies of requests may take. Requests to upstreams are copies, and
+# the program itself takes about 35 MB.
+BUFFER_SHARE = 0.2
 HOUSEKEEPING_S = 0.25
 LOG_FLUSH_S = 0.1
 REGISTER_PAUSE_S = 0.5
 # Hosts that are assumed to share budgets with this one before the store has named them.
 MIN_ASSUMED_HOSTS = 8
-EXIT_SECOND_SIGNAL = 3
 
 
 class Host:
@@ -118,7 +120,10 @@
         ):
             if address is None:
                 continue
-            server = clientserver.ClientServer(address, handle, limits, self._names, self.log)
+            max_buffered = int(BUFFER_SHARE * settings.memory_bytes)
+            server = clientserver.ClientServer(
+                address, handle, limits, self._names, self.log, max_buffered
+            )
             server.start()
             self._servers.append(server)
             if address == settings.entry:
@@ -168,7 +173,9 @@
         region = self.settings.region
         least = 1 if self._is_registered else MIN_ASSUMED_HOSTS
         self.fleet.host_count = max(least, self.peers.count_known(region))
-        self.forwarder.host_total = max(MIN_ASSUMED_HOSTS, self.peers.count_known())
+        self.fleet.host_total = self.forwarder.host_total = max(
+            MIN_ASSUMED_HOSTS, self.peers.count_known()
+        )
         for service_id in self.steering.list_spill_shares():
             average = self.peers.average_spill_share(region, service_id, now)
             self.steering.note_spill_average(service_id, average)
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -67,12 +67,12 @@
     """Limits that hold for each upstream of a service.
 
     Attributes:
+      max_connections: Connections that an upstream accepts from all hosts together.
       cold_s: Time for which an upstream is cold after its start, in seconds.
       cold_rate: Requests a second that a cold upstream bears; 0 for no limit.
     """
 
     service_id: records.ServiceId
-    health_path: str
     max_connections: int
     cold_s: float
     cold_rate: float
@@ -198,7 +198,6 @@
     signature: bytes
     not_run: bytes
     load: bytes
-    cold: bytes
     affinity_cookie: bytes
 
 
@@ -215,7 +214,6 @@
     deadline_s: float | None
     affinity_key: bytes | None
     received_at: float
-    is_kept_alive: bool
 
     @property
     def path(self):
