Split gossip from the host program and rename what knows objects

Cause: reading the diff: a cold upstream and an object that an upstream knows were both named by temperature; the host program held the datagrams of its peers as well.

--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -28,7 +28,7 @@
 FIRST_DOWN_S = 0.3
 MAX_DOWN_S = 2.0
 # Upstreams remember about 18 to 50 recent objects.
-WARM_KEYS = 48
+KNOWN_OBJECTS = 48
 MAX_RANKINGS = 4_096
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that do not see each other.
@@ -67,7 +67,7 @@
         "_slowness_at",
         "_failure",
         "_failure_at",
-        "_warm_keys",
+        "_objects",
         "cold_limit",
     )
 
@@ -90,7 +90,7 @@
         self._slowness_at = 0.0
         self._failure = 0.0
         self._failure_at = 0.0
-        self._warm_keys = collections.OrderedDict()
+        self._objects = collections.OrderedDict()
         self.cold_limit = limits.WindowLimit(0)
 
     def estimate_load(self, now):
@@ -140,9 +140,9 @@
         """Returns the share of its recent answers that were failures."""
         return _fade(self._failure, 0.0, now - self._failure_at, FAILURE_HALF_LIFE_S)
 
-    def is_warm_for(self, key):
+    def has_object(self, key):
         """Returns True if it recently handled the object with this affinity key."""
-        return key in self._warm_keys
+        return key in self._objects
 
     def is_cold(self, now):
         """Returns True while only a limited rate may be sent there."""
@@ -176,14 +176,14 @@
 
     def note_object(self, key):
         """Notes that it handled an object."""
-        self._warm_keys[key] = None
-        self._warm_keys.move_to_end(key)
-        if len(self._warm_keys) > WARM_KEYS:
-            self._warm_keys.popitem(last=False)
+        self._objects[key] = None
+        self._objects.move_to_end(key)
+        if len(self._objects) > KNOWN_OBJECTS:
+            self._objects.popitem(last=False)
 
     def forget_objects(self):
         """Notes that it has lost what it knew of objects."""
-        self._warm_keys.clear()
+        self._objects.clear()
 
 
 class Fleet:
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -359,7 +359,7 @@
     return {
         "upstream": state.record.upstream_id,
         "expected_ms": int((choice.wait_s + choice.work_s) * 1000),
-        "known_object": choice.is_warm,
+        "known_object": choice.knows_object,
         "load": round(state.estimate_load(now), 1),
         "slots": state.record.slots,
         "pace": round(state.estimate_pace(now), 2),
--- /dev/null
+++ b/skylarksill/host/gossip.py
@@ -0,0 +1,74 @@
+"""Exchange of heartbeats between hosts by datagrams."""
+
+import time
+
+import eventlet
+from eventlet.green import socket
+
+from skylarksill.host import _peercodec, peers
+
+RECEIVE_PAUSE_S = 0.25
+
+
+class Gossip:
+    """Sends and receives heartbeats.
+
+    Args:
+      address: Own IP address and port.
+      seeds: Addresses to try while no peer is known.
+      table: The PeerTable.
+      log: The EventLog.
+      describe_own: Function that returns the own HostState and dict of spill share by service.
+    """
+
+    def __init__(self, address, seeds, table, log, describe_own):
+        self._address = address
+        self._seeds = [seed for seed in seeds if seed != address]
+        self._table = table
+        self._log = log
+        self._describe_own = describe_own
+        self._socket = None
+
+    def start(self):
+        """Starts sending in rounds and receiving."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(self._address)
+        eventlet.spawn_n(self._receive)
+        eventlet.spawn_n(self._send_rounds)
+
+    def send(self):
+        """Sends a heartbeat to some peers at once, for example after a change of state."""
+        if self._socket is None:
+            return
+        now = time.monotonic()
+        state, spill_shares = self._describe_own()
+        self._table.beat(state, now, spill_shares)
+        datagram = _peercodec.encode_digest(self._table.make_digest(now))
+        for address in self._table.choose_targets(now) or self._seeds:
+            try:
+                self._socket.sendto(datagram, address)
+            except OSError as error:
+                self._log.write("peer.send_failed", peer=str(address), error=str(error))
+
+    def _send_rounds(self):
+        while True:
+            eventlet.sleep(peers.ROUND_S)
+            self.send()
+
+    def _receive(self):
+        while True:
+            try:
+                datagram, address = self._socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
+                entries = _peercodec.decode_digest(datagram)
+            except _peercodec.CodecError as error:
+                self._log.write("peer.malformed", peer=str(address), error=str(error))
+                continue
+            except OSError as error:
+                self._log.write("peer.receive_failed", error=str(error))
+                eventlet.sleep(RECEIVE_PAUSE_S)
+                continue
+            now = time.monotonic()
+            for entry in entries:
+                if self._table.merge(entry, now):
+                    peer = entry.record.host_id
+                    self._log.write("peer.alive", peer=peer, state=entry.state.value)
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -8,6 +8,8 @@
 import dataclasses
 import random
 
+from skylarksill.host import fleet, records
+
 # Upstreams of an object's ranking that share its work. An upstream remembers some 20 to 50 objects
 # and runs others 3 to 4 times longer, so each object is kept to few upstreams.
 STICKY_CHOICES = 2
@@ -50,7 +52,7 @@
       regions: Regions to search.
     """
 
-    route: object
+    route: records.Route
     service_id: str
     rank: int
     affinity_key: bytes | None
@@ -63,10 +65,10 @@
 class Placed:
     """The chosen upstream with the expected wait and service time in seconds."""
 
-    upstream: object
+    upstream: fleet.UpstreamState
     wait_s: float
     work_s: float
-    is_warm: bool
+    knows_object: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,11 +80,11 @@
     wait_s: float = 0.0
 
 
-def choose_upstream(fleet, times, query, now, rng=random):
+def choose_upstream(known, times, query, now, rng=random):
     """Chooses the upstream of a request.
 
     Args:
-      fleet: The Fleet.
+      known: The Fleet.
       times: The WorkTimes.
       query: The Query.
       now: Monotonic seconds.
@@ -90,7 +92,7 @@
     Returns:
       Placed or Rejected.
     """
-    placed = _find_best(fleet, times, query, now, rng)
+    placed = _find_best(known, times, query, now, rng)
     if placed is None:
         return Rejected("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
     limit_s = compute_wait_limit_s(query, placed.work_s)
@@ -113,13 +115,13 @@
     return share * max(MIN_WAIT_SHARE * target_s, COMPLETION_SHARE * target_s - work_s)
 
 
-def _find_best(fleet, times, query, now, rng):
+def _find_best(known, times, query, now, rng):
     """Returns Placed at the upstream of least cost, or None without a usable one."""
     best = None
-    for state in _list_usable(fleet, query, now, rng):
+    for state in _list_usable(known, query, now, rng):
         placed = estimate_completion(times, query, state, now)
         failure = state.estimate_failure(now)
-        cost = fleet.estimate_round_trip_s(state.record.region) + placed.wait_s
+        cost = known.estimate_round_trip_s(state.record.region) + placed.wait_s
         cost += placed.work_s * (1.0 + CONGESTION_WEIGHT + FAILURE_FACTOR * failure)
         if best is None and cost <= PREFERRED_SHARE * query.route.target_latency_s:
             return placed
@@ -148,9 +150,9 @@
 
 def estimate_completion(times, query, state, now):
     """Returns Placed with the wait and service time that are expected at an upstream."""
-    is_warm = query.affinity_key is not None and state.is_warm_for(query.affinity_key)
+    knows_object = query.affinity_key is not None and state.has_object(query.affinity_key)
     factor = state.estimate_pace(now) * state.estimate_slowness(now)
-    work_s = times.estimate(query.route, query.service_id, is_warm) * factor
+    work_s = times.estimate(query.route, query.service_id, knows_object) * factor
     excess = state.estimate_load(now) + 1.0 - state.record.slots
     wait_s = 0.0
     if excess > 0.0:
@@ -159,38 +161,38 @@
     silence_s = state.estimate_silence_s(now)
     if silence_s > SILENCE_FACTOR * (wait_s + work_s) + SILENCE_MARGIN_S:
         wait_s += silence_s
-    return Placed(state, wait_s, work_s, is_warm)
+    return Placed(state, wait_s, work_s, knows_object)
 
 
-def _list_usable(fleet, query, now, rng):
+def _list_usable(known, query, now, rng):
     """Returns the upstreams to compare, the preferred one of the object first."""
     key = query.affinity_key if query.route.is_sticky else None
     if key is None:
         pool = [
-            state for region in query.regions for state in fleet.find_pool(query.service_id, region)
+            state for region in query.regions for state in known.find_pool(query.service_id, region)
         ]
         ranking = rng.sample(pool, len(pool))
         choices = FREE_CHOICES
     else:
-        ranking = fleet.rank(query.service_id, query.regions, key)
+        ranking = known.rank(query.service_id, query.regions, key)
         choices = STICKY_CHOICES
     usable = []
     for state in ranking:
-        if _is_usable(fleet, query, state, now):
+        if _is_usable(known, query, state, now):
             usable.append(state)
             if len(usable) == choices:
                 break
     return usable
 
 
-def _is_usable(fleet, query, state, now):
+def _is_usable(known, query, state, now):
     if state.down_until > now or state.is_misdirected:
         return False
     if state.record.upstream_id in query.excluded:
         return False
-    if not fleet.has_connection_room(state):
+    if not known.has_connection_room(state):
         return False
     if not state.is_cold(now):
         return True
     # The rate of a cold upstream is shared by the hosts of its region.
-    return state.record.region == fleet.region and fleet.has_cold_room(state, now)
+    return state.record.region == known.region and known.has_cold_room(state, now)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -5,17 +5,16 @@
 import time
 
 import eventlet
-from eventlet.green import socket
 
 from skylarksill import objectstore
 from skylarksill.host import (
-    _peercodec,
     belief,
     clientserver,
     counters,
     eventlog,
     fleet,
     forwarder,
+    gossip,
     lookup,
     peers,
     pool,
@@ -84,7 +83,9 @@
         self._watcher = None
         self._servers = []
         self._entry = None
-        self._gossip_socket = None
+        self._gossip = gossip.Gossip(
+            settings.gossip, settings.seeds, self.peers, self.log, self._describe_own
+        )
         self._stopping = eventlet.event.Event()
         self._is_registered = False
 
@@ -100,8 +101,9 @@
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
+        self._keep_house()
         self._listen()
-        self._start_gossip()
+        self._gossip.start()
         self._watcher.start()
         eventlet.spawn_n(self._register)
         eventlet.spawn_n(self._repeat, HOUSEKEEPING_S, self._keep_house)
@@ -161,7 +163,10 @@
     def _set_state(self, state):
         self.state = state
         self.log.write("host.state", state=state.value)
-        self._send_heartbeats()
+        self._gossip.send()
+
+    def _describe_own(self):
+        return self.state, self.steering.list_spill_shares()
 
     def _keep_house(self):
         now = time.monotonic()
@@ -185,48 +190,6 @@
             eventlet.sleep(pause_s)
             function()
 
-    # Peers.
-
-    def _start_gossip(self):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind(self.settings.gossip)
-        self._gossip_socket = sock
-        eventlet.spawn_n(self._receive_gossip)
-        eventlet.spawn_n(self._repeat, peers.ROUND_S, self._send_heartbeats)
-
-    def _send_heartbeats(self):
-        if self._gossip_socket is None:
-            return
-        now = time.monotonic()
-        self.peers.beat(self.state, now, self.steering.list_spill_shares())
-        datagram = _peercodec.encode_digest(self.peers.make_digest(now))
-        targets = self.peers.choose_targets(now)
-        if not targets:
-            targets = [seed for seed in self.settings.seeds if seed != self.settings.gossip]
-        for address in targets:
-            try:
-                self._gossip_socket.sendto(datagram, address)
-            except OSError as error:
-                self.log.write("peer.send_failed", peer=str(address), error=str(error))
-
-    def _receive_gossip(self):
-        while True:
-            try:
-                datagram, address = self._gossip_socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
-                entries = _peercodec.decode_digest(datagram)
-            except _peercodec.CodecError as error:
-                self.log.write("peer.malformed", peer=str(address), error=str(error))
-                continue
-            except OSError as error:
-                self.log.write("peer.receive_failed", error=str(error))
-                eventlet.sleep(HOUSEKEEPING_S)
-                continue
-            now = time.monotonic()
-            for entry in entries:
-                if self.peers.merge(entry, now):
-                    peer = entry.record.host_id
-                    self.log.write("peer.alive", peer=peer, state=entry.state.value)
-
     def _register(self):
         """Registers this host in the store and learns of others there, until both succeed."""
         while True:
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -74,7 +74,7 @@
         round_trip_s = self._fleet.estimate_round_trip_s(state.record.region)
         run_s = max(0.001, seconds - round_trip_s)
         pace = max(0.1, load.pace) if load is not None else 1.0
-        self.times.note(query.route, query.service_id, choice.is_warm, run_s / pace)
+        self.times.note(query.route, query.service_id, choice.knows_object, run_s / pace)
         state.note_slowness(run_s / max(0.001, choice.wait_s + choice.work_s), now)
 
     def note_failure(self, choice, load, now):
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -127,7 +127,8 @@
         changes = []
         for event in events:
             changes += apply_event(*event)
-        self._take(changes)
+        if changes:
+            self._take(changes)
         if events:
             eventlet.sleep(GATHER_S)
         return next_revision
--- a/skylarksill/host/worktimes.py
+++ b/skylarksill/host/worktimes.py
@@ -14,20 +14,20 @@
         self._means = {}
         self._services = {}
 
-    def estimate(self, route, service_id, is_warm):
+    def estimate(self, route, service_id, is_known):
         """Returns the expected service time of a route's request in seconds."""
-        mean = self._means.get((route.route_id, service_id, is_warm))
+        mean = self._means.get((route.route_id, service_id, is_known))
         if mean is None:
-            mean = self._means.get((route.route_id, service_id, not is_warm))
+            mean = self._means.get((route.route_id, service_id, not is_known))
         return FIRST_GUESS * route.target_latency_s if mean is None else mean
 
     def estimate_service(self, service_id, default_s):
         """Returns the mean service time over all routes of a service in seconds."""
         return self._services.get(service_id, default_s)
 
-    def note(self, route, service_id, is_warm, seconds):
+    def note(self, route, service_id, is_known, seconds):
         """Adds a service time, already divided by the upstream's pace."""
-        key = (route.route_id, service_id, is_warm)
+        key = (route.route_id, service_id, is_known)
         _add_sample(self._means, key, seconds)
         _add_sample(self._services, service_id, seconds)
 
