--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -10,7 +10,6 @@
 
 from skylarksill.host import records
 
-CONNECT_TIMEOUT_S = 0.6
 READ_BYTES = 65_536
 # An answer is kept in memory until it is whole, so that a broken one can be told from a whole one.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
