--- a/features/host_world.py
+++ b/features/host_world.py
@@ -113,14 +113,12 @@
         while b"\r\n\r\n" not in self._data:
             self._receive()
         head, _, self._data = self._data.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
-        pairs = (line.partition(":") for line in lines[1:])
-        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        headers = worker.parse_fields(head)
         size = int(headers["content-length"])
         while len(self._data) < size:
             self._receive()
         body, self._data = self._data[:size], self._data[size:]
-        return int(lines[0].split()[1]), headers, body
+        return int(head.split()[1]), headers, body
 
     def is_at_end(self):
         """Returns True if the host closes the connection and sends nothing more."""
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -4,7 +4,6 @@
 
 import eventlet
 from behave import given, then, when
-from eventlet.green import socket
 
 from features import host_world
 from standins import worker
@@ -71,16 +70,7 @@
 
 @when('upstream "{name}" accepts connections again')
 def step_accepts(context, name):
-    context.returned = worker.Worker(name)
-    context.returned._socket.close()
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(context.refusing.address)
-    listener.listen(10)
-    context.returned._socket = listener
-    context.returned._thread.kill()
-    context.returned._thread = eventlet.spawn(context.returned._accept)
-    context.world.workers[name] = context.returned
+    context.world.workers[name] = worker.Worker(name, address=context.refusing.address)
 
 
 @when('the client sends "{line}" with the body "{body}"')
@@ -200,7 +190,7 @@
 def step_told(context):
     for name, item in context.world.workers.items():
         for head in item.heads:
-            fields = worker._parse_fields(head.encode())
+            fields = worker.parse_fields(head.encode())
             assert 0 < int(fields["x-skylarksill-deadline-ms"]) <= 1000
             assert fields["x-skylarksill-expect-instance"] == name
 
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -106,7 +106,7 @@
     def on_body(self, body):
         self.size += len(body)
         if self.size > MAX_ANSWER_BYTES:
-            raise OverflowError("answer is too long")
+            raise ValueError("answer is too long")
         self.body.append(body)
 
     def on_message_complete(self):
@@ -190,9 +190,6 @@
         except TimeoutError:
             self.is_reusable = False
             return TimedOut()
-        except OverflowError:
-            self.is_reusable = False
-            return MayHaveRun("answer_too_long")
         except (OSError, httptools.HttpParserError) as error:
             self.is_reusable = False
             is_broken = isinstance(error, OSError)
--- /dev/null
+++ b/skylarksill/host/answers.py
@@ -0,0 +1,31 @@
+"""Answers that a host makes itself, and the bytes of any answer to a client."""
+
+import http
+
+from skylarksill.host import _upstreamhttp, records
+
+_REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
+
+
+def make_answer(status, body, headers=(), content_type=b"text/plain"):
+    """Returns an Answer of the host itself."""
+    return records.Answer(status, b"", ((b"content-type", content_type), *headers), body)
+
+
+def format_answer(answer, method, is_last):
+    """Returns the bytes of an answer.
+
+    Args:
+      answer: The records.Answer.
+      method: Method of the request.
+      is_last: True if the connection is closed after it.
+    """
+    reason = answer.reason or _REASONS.get(answer.status, b"Status")
+    lines = [b"HTTP/1.1 %d " % answer.status + reason]
+    lines += [name + b": " + value for name, value in answer.headers]
+    is_bodiless = _upstreamhttp.is_bodiless(method, answer.status)
+    if not is_bodiless:
+        lines.append(b"content-length: %d" % len(answer.body))
+    if is_last:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if is_bodiless else answer.body)
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -8,7 +8,7 @@
 import httptools
 from eventlet.green import socket
 
-from skylarksill.host import _upstreamhttp, forwarder, records
+from skylarksill.host import _upstreamhttp, answers, cancellation, records
 
 LISTEN_BACKLOG = 1024
 READ_BYTES = 65_536
@@ -23,18 +23,6 @@
 # Bodies that are held in memory at the same time; the smallest hosts have 300 MB.
 MAX_BUFFERED = 64 * 1024 * 1024
 
-_REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
 
 class _BadRequestError(Exception):
     """A request can't be served; ``status`` says why."""
@@ -49,7 +37,7 @@
     """A request whose answer has not left yet."""
 
     method: bytes
-    cancellation: forwarder.Cancellation
+    cancellation: cancellation.Cancellation
     data: bytes | None = None
 
 
@@ -254,7 +242,7 @@
         method = self._parser.get_method()
         is_kept_alive = self._parser.should_keep_alive()
         request = self._make_request(method)
-        item = _Pending(method, forwarder.Cancellation())
+        item = _Pending(method, cancellation.Cancellation())
         self.pending.append(item)
         self._begin_message()
         if not is_kept_alive:
@@ -308,7 +296,7 @@
             return
         if self._server.is_leaving:
             self._is_closing = True
-        item.data = format_answer(answer, item.method, self._is_last(item))
+        item.data = answers.format_answer(answer, item.method, self._is_last(item))
         self._write_ready()
 
     def _is_last(self, item):
@@ -318,8 +306,8 @@
         """Answers a request that can't be read and closes the connection after it."""
         self._server.log.write("client.refused", status=status)
         self._is_closing = True
-        item = _Pending(b"GET", forwarder.Cancellation())
-        item.data = format_answer(forwarder.make_answer(status, b""), b"GET", True)
+        item = _Pending(b"GET", cancellation.Cancellation())
+        item.data = answers.format_answer(answers.make_answer(status, b""), b"GET", True)
         self.pending.append(item)
         self._drop_partial()
         self._write_ready()
@@ -369,25 +357,6 @@
             self._server.log.write("client.shutdown_failed", error=str(error))
 
 
-def format_answer(answer, method, is_last):
-    """Returns the bytes of an answer.
-
-    Args:
-      answer: The records.Answer.
-      method: Method of the request.
-      is_last: True if the connection is closed after it.
-    """
-    reason = answer.reason or _REASONS.get(answer.status, b"Status")
-    lines = [b"HTTP/1.1 %d " % answer.status + reason]
-    lines += [name + b": " + value for name, value in answer.headers]
-    is_bodiless = _upstreamhttp.is_bodiless(method, answer.status)
-    if not is_bodiless:
-        lines.append(b"content-length: %d" % len(answer.body))
-    if is_last:
-        lines.append(b"connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if is_bodiless else answer.body)
-
-
 def find_cookie(header, name):
     """Returns the value of a cookie, or None."""
     for pair in (header or b"").split(b";"):
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -238,6 +238,16 @@
         """Returns the UpstreamState of an upstream, or None."""
         return self._states.get(upstream_id)
 
+    def is_open(self, state):
+        """Returns True if an upstream is believed to take work: present, ready, not evacuated."""
+        record = state.record
+        return (
+            self._states.get(record.upstream_id) is state
+            and record.state is records.UpstreamState.READY
+            and record.zone not in self._evacuated
+            and not state.is_misdirected
+        )
+
     def find_pool(self, service_id, region):
         """Returns the UpstreamStates of a service in a region that may get work."""
         return self._pools.get((service_id, region), ())
@@ -314,16 +324,17 @@
 
     def has_cold_room(self, state, now):
         """Returns True if a cold upstream bears one more request now."""
-        state.cold_limit.limit = self._compute_cold_limit(state.record)
-        wait_s = state.cold_limit.compute_wait_s(now)
+        wait_s = self._find_cold_limit(state).compute_wait_s(now)
         return wait_s is not None and wait_s <= 0.0
 
     def take_cold_send(self, state, now):
         """Counts a send to an upstream that may be cold; returns True if it is permitted."""
-        if not state.is_cold(now):
-            return True
+        return not state.is_cold(now) or self._find_cold_limit(state).take(now)
+
+    def _find_cold_limit(self, state):
+        """Returns the WindowLimit of an upstream, set to this host's part of the rate."""
         state.cold_limit.limit = self._compute_cold_limit(state.record)
-        return state.cold_limit.take(now)
+        return state.cold_limit
 
     def _compute_cold_limit(self, record):
         service = self._services.get(record.service_id)
@@ -350,10 +361,8 @@
         self._rankings.clear()
         pools = collections.defaultdict(list)
         for state in self._states.values():
-            record = state.record
-            is_open = record.state is records.UpstreamState.READY
-            if is_open and not state.is_misdirected and record.zone not in self._evacuated:
-                pools[record.service_id, record.region].append(state)
+            if self.is_open(state):
+                pools[state.record.service_id, state.record.region].append(state)
         self._pools = dict(pools)
         regions = collections.defaultdict(list)
         for service_id, region in sorted(pools, key=lambda key: (key[1] != self.region, key[1])):
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -5,7 +5,7 @@
 
 from skylarksill import records as shared
 from skylarksill import retries
-from skylarksill.host import _upstreamhttp, connector, placement, records, routes
+from skylarksill.host import _upstreamhttp, answers, connector, placement, records, routes
 
 # Added to the time-out before the host answers itself, so that the upstream's own answer at its
 # deadline arrives first. Clients expect an answer within 0.25 s after the time-out.
@@ -21,26 +21,6 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
 
-class Cancellation:
-    """Lets the client's side stop a request that is in progress."""
-
-    def __init__(self):
-        self.is_cancelled = False
-        self._connection = None
-
-    def attach(self, connection):
-        """Names the upstream connection that carries the request, or None."""
-        self._connection = connection
-        if connection is not None and self.is_cancelled:
-            connection.abort()
-
-    def cancel(self):
-        """Stops the request; work at an upstream ends with its connection."""
-        self.is_cancelled = True
-        if self._connection is not None:
-            self._connection.abort()
-
-
 @dataclasses.dataclass(slots=True)
 class _Progress:
     """What has happened to one request so far."""
@@ -48,7 +28,6 @@
     route: records.Route
     service_id: str
     until: float
-    has_maybe_run: bool = False
     ran_sends: int = 0
     rejected_sends: int = 0
     excluded: set = dataclasses.field(default_factory=set)
@@ -100,7 +79,7 @@
         route = belief.route_table.find(request.site, request.path)
         if route is None:
             self._finish(request, None, 404, "no_route")
-            return make_answer(404, b"no route\n")
+            return answers.make_answer(404, b"no route\n")
         left_s = route.timeout_s
         if request.deadline_s is not None:
             left_s = min(left_s, request.deadline_s)
@@ -159,7 +138,7 @@
             cancellation.attach(connection)
             if cancellation.is_cancelled:
                 return _upstreamhttp.NotRun("client_gone")
-            if not self._may_send_to(upstream):
+            if not self._fleet.is_open(state):
                 return _upstreamhttp.NotRun("left_meanwhile")
             begun = time.monotonic()
             outcome = self._exchange(request, progress, choice, connection)
@@ -174,15 +153,6 @@
             if connection is not None:
                 self._pool.put_back(connection)
 
-    def _may_send_to(self, upstream):
-        current = self._belief.upstreams.get(upstream.upstream_id)
-        is_same = current is not None and current.incarnation == upstream.incarnation
-        return (
-            is_same
-            and current.state is records.UpstreamState.READY
-            and current.zone not in self._belief.evacuated
-        )
-
     def _exchange(self, request, progress, choice, connection):
         """Sends a request on a connection and adds the send to the trace."""
         state = choice.upstream
@@ -240,7 +210,6 @@
         match outcome:
             case _upstreamhttp.Answered(answer, _):
                 progress.ran_sends += 1
-                progress.has_maybe_run = True
                 progress.last_answer = answer
                 if answer.status >= 500 and is_idempotent and self._may_repeat(progress, choice):
                     return None
@@ -257,17 +226,16 @@
                 return self._give_up(request, progress, rejected)
             case _upstreamhttp.MayHaveRun(reason):
                 progress.ran_sends += 1
-                progress.has_maybe_run = True
                 if is_idempotent and self._may_repeat(progress, choice):
                     return None
                 self._finish(request, progress, 502, reason)
-                return make_answer(502, b"upstream failed\n")
+                return answers.make_answer(502, b"upstream failed\n")
             case _upstreamhttp.TimedOut() if progress.last_answer is not None:
                 self._finish(request, progress, progress.last_answer.status, "answered")
                 return progress.last_answer
             case _upstreamhttp.TimedOut():
                 self._finish(request, progress, 504, "timeout")
-                return make_answer(504, b"upstream timed out\n")
+                return answers.make_answer(504, b"upstream timed out\n")
         raise TypeError(f"unknown outcome {outcome!r}")
 
     def _may_repeat(self, progress, choice):
@@ -307,9 +275,9 @@
         if progress.last_answer is not None:
             self._finish(request, progress, progress.last_answer.status, "answered")
             return progress.last_answer
-        if progress.has_maybe_run:
+        if progress.ran_sends:
             self._finish(request, progress, 502, rejected.reason)
-            return make_answer(502, b"upstream failed\n")
+            return answers.make_answer(502, b"upstream failed\n")
         return self._reject(request, rejected.reason, rejected.retry_after_s, progress, rejected)
 
     def _reject(self, request, reason, retry_after_s, progress=None, rejected=None):
@@ -325,7 +293,7 @@
             retry_after_s=round(retry_after_s, 3),
             wait_s=round(rejected.wait_s, 3) if rejected else None,
         )
-        return make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
+        return answers.make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
 
     def _finish(self, request, progress, status, reason, **fields):
         now = time.monotonic()
@@ -347,12 +315,6 @@
         )
 
 
-def make_answer(status, body, headers=()):
-    """Returns an Answer of the host itself with a text body."""
-    content_type = (b"content-type", b"text/plain")
-    return records.Answer(status, b"", (content_type, *headers), body)
-
-
 def _describe_choice(choice, now):
     """Returns what decided a send, for the log."""
     state = choice.upstream
--- a/skylarksill/host/lookup.py
+++ b/skylarksill/host/lookup.py
@@ -1,9 +1,6 @@
 """Look-up: which entry addresses a client should use."""
 
-import json
-import urllib.parse
-
-from skylarksill.host import forwarder
+from skylarksill.host import answers
 
 MAX_ADDRESSES = 64
 # Clients keep an answer for its lifetime and some three times as long, so a short one moves them
@@ -27,21 +24,17 @@
     return sorted(near, key=lambda host: (host.zone != zone, host.host_id))[:MAX_ADDRESSES]
 
 
-def answer_lookup(request, peers, own, max_lifetime_s):
-    """Returns the Answer to a client's look-up."""
-    query = urllib.parse.parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
-    region = query.get("region", [None])[0]
-    zone = query.get("zone", [None])[0]
+def answer_lookup(request, peers, own, max_lifetime_s, form):
+    """Returns the Answer to a client's look-up.
+
+    Args:
+      request: The records.Request.
+      peers: The serving Peers.
+      own: The own HostRecord.
+      max_lifetime_s: Longest time for which clients may keep the answer, in seconds.
+      form: The records.LookupForm.
+    """
+    region, zone = form.decode_query(request.target)
     hosts = choose_hosts(peers, own, region, zone)
-    lifetime_s = min(LIFETIME_S, max_lifetime_s)
-    body = {
-        "addresses": [f"{host.entry[0]}:{host.entry[1]}" for host in hosts],
-        "ttl": f"{int(lifetime_s * 1000)}ms",
-    }
-    return make_json_answer(200, body)
-
-
-def make_json_answer(status, body):
-    """Returns an Answer with a JSON body."""
-    answer = forwarder.make_answer(status, json.dumps(body).encode())
-    return type(answer)(status, b"", ((b"content-type", b"application/json"),), answer.body)
+    body = form.encode_answer([host.entry for host in hosts], min(LIFETIME_S, max_lifetime_s))
+    return answers.make_answer(200, body, content_type=form.content_type)
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -49,7 +49,6 @@
       affinity_key: Key of the object, or None.
       left_s: Seconds until the request's deadline or time-out.
       excluded: Ids of upstreams that have failed the request.
-      regions: Regions to search.
     """
 
     route: records.Route
@@ -58,7 +57,6 @@
     affinity_key: bytes | None
     left_s: float
     excluded: frozenset
-    regions: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,19 +78,20 @@
     wait_s: float = 0.0
 
 
-def choose_upstream(known, times, query, now, rng=random):
+def choose_upstream(known, times, query, regions, now, rng=random):
     """Chooses the upstream of a request.
 
     Args:
       known: The Fleet.
       times: The WorkTimes.
       query: The Query.
+      regions: Tuple of the regions to search.
       now: Monotonic seconds.
       rng: Source of randomness.
     Returns:
       Placed or Rejected.
     """
-    placed = _find_best(known, times, query, now, rng)
+    placed = _find_best(known, times, query, regions, now, rng)
     if placed is None:
         return Rejected("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
     limit_s = compute_wait_limit_s(query, placed.work_s)
@@ -115,10 +114,10 @@
     return share * max(MIN_WAIT_SHARE * target_s, COMPLETION_SHARE * target_s - work_s)
 
 
-def _find_best(known, times, query, now, rng):
+def _find_best(known, times, query, regions, now, rng):
     """Returns Placed at the upstream of least cost, or None without a usable one."""
     best = None
-    for state in _list_usable(known, query, now, rng):
+    for state in _list_usable(known, query, regions, now, rng):
         placed = estimate_completion(times, query, state, now)
         failure = state.estimate_failure(now)
         cost = known.estimate_round_trip_s(state.record.region) + placed.wait_s
@@ -164,17 +163,15 @@
     return Placed(state, wait_s, work_s, knows_object)
 
 
-def _list_usable(known, query, now, rng):
+def _list_usable(known, query, regions, now, rng):
     """Returns the upstreams to compare, the preferred one of the object first."""
     key = query.affinity_key if query.route.is_sticky else None
     if key is None:
-        pool = [
-            state for region in query.regions for state in known.find_pool(query.service_id, region)
-        ]
+        pool = [state for region in regions for state in known.find_pool(query.service_id, region)]
         ranking = rng.sample(pool, len(pool))
         choices = FREE_CHOICES
     else:
-        ranking = known.rank(query.service_id, query.regions, key)
+        ranking = known.rank(query.service_id, regions, key)
         choices = STICKY_CHOICES
     usable = []
     for state in ranking:
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -8,6 +8,7 @@
 
 from skylarksill import objectstore
 from skylarksill.host import (
+    answers,
     belief,
     clientserver,
     counters,
@@ -46,9 +47,10 @@
     Args:
       settings: The records.HostSettings.
       names: The records.HeaderNames.
+      lookup_form: The records.LookupForm.
     """
 
-    def __init__(self, settings, names):
+    def __init__(self, settings, names, lookup_form):
         self.settings = settings
         self.log = eventlog.EventLog(settings.host_id)
         self.counters = counters.Counters()
@@ -79,9 +81,9 @@
         self.peers = peers.PeerTable(self.own, now)
         self.state = records.HostState.STARTING
         self._names = names
+        self._lookup_form = lookup_form
         self._store = None
         self._watcher = None
-        self._servers = []
         self._entry = None
         self._gossip = gossip.Gossip(
             settings.gossip, settings.seeds, self.peers, self.log, self._describe_own
@@ -114,6 +116,7 @@
     def _listen(self):
         settings = self.settings
         limits = self._find_limits
+        max_buffered = int(BUFFER_SHARE * settings.memory_bytes)
         for address, handle in (
             (settings.entry, self.forwarder.serve),
             (settings.readiness, self._answer_readiness),
@@ -122,12 +125,10 @@
         ):
             if address is None:
                 continue
-            max_buffered = int(BUFFER_SHARE * settings.memory_bytes)
             server = clientserver.ClientServer(
                 address, handle, limits, self._names, self.log, max_buffered
             )
             server.start()
-            self._servers.append(server)
             if address == settings.entry:
                 self._entry = server
 
@@ -137,15 +138,15 @@
 
     def _answer_readiness(self, request, cancellation):
         is_ready = self.state is records.HostState.SERVING
-        return forwarder.make_answer(200 if is_ready else 503, b"")
+        return answers.make_answer(200 if is_ready else 503, b"")
 
     def _answer_lookup(self, request, cancellation):
         serving = self.peers.list_serving(time.monotonic())
         max_lifetime_s = self.settings.bounds.max_lookup_lifetime_s
-        return lookup.answer_lookup(request, serving, self.own, max_lifetime_s)
+        return lookup.answer_lookup(request, serving, self.own, max_lifetime_s, self._lookup_form)
 
     def _answer_metrics(self, request, cancellation):
-        return forwarder.make_answer(200, self.counters.format().encode())
+        return answers.make_answer(200, self.counters.format().encode())
 
     def _apply_belief(self):
         configuration = self.belief.configuration
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -201,6 +201,20 @@
     affinity_cookie: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookupForm:
+    """How look-ups are spoken.
+
+    Attributes:
+      decode_query: Function of a target that returns the client's region and zone, or None each.
+      encode_answer: Function of entry addresses and a lifetime in seconds that returns a body.
+    """
+
+    decode_query: typing.Callable
+    encode_answer: typing.Callable
+    content_type: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A whole request of a client."""
--- a/skylarksill/host/spill.py
+++ b/skylarksill/host/spill.py
@@ -41,7 +41,6 @@
 
     Args:
       max_shift: Greatest change of a region's share between windows of BOUND_WINDOW_S.
-
       share: First share.
 
     Attributes:
@@ -107,10 +106,11 @@
     def permits(self, now):
         """Returns True if one more request may leave the region."""
         self._forget(now)
+        newest_before = _find_bucket(now - BOUND_WINDOW_S)
         recent = [0, 0]
         before = [0, 0]
         for bucket, away, total in self._buckets:
-            counts = recent if bucket > _find_bucket(now - BOUND_WINDOW_S) else before
+            counts = recent if bucket > newest_before else before
             counts[0] += away
             counts[1] += total
         share_before = before[0] / before[1] if before[1] else 0.0
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -1,6 +1,5 @@
 """Decides where each request runs: upstream, region, or rejection. No input or output."""
 
-import dataclasses
 import random
 
 from skylarksill.host import placement, spill, worktimes
@@ -30,18 +29,17 @@
         """Chooses where a request runs.
 
         Args:
-          query: The placement.Query; its regions are ignored.
+          query: The placement.Query.
           now: Monotonic seconds.
         Returns:
           placement.Placed or placement.Rejected.
         """
         home, others = self._split_regions(query)
-        query = dataclasses.replace(query, regions=home)
-        choice = self._choose_in(query, now)
+        choice = self._choose_in(query, home, now)
         if not others or query.excluded:
             return choice
         if isinstance(choice, placement.Rejected) and choice.reason == "no_upstream":
-            return self._choose_in(dataclasses.replace(query, regions=others), now)
+            return self._choose_in(query, others, now)
         return self._consider_spill(query, choice, others, now)
 
     def list_spill_shares(self):
@@ -104,7 +102,7 @@
         is_late = not _is_in_time(home, query)
         away = None
         if is_away or is_late:
-            away = self._choose_in(dataclasses.replace(query, regions=others), now)
+            away = self._choose_in(query, others, now)
         control.note(is_late and away is not None and self._does_gain(query, home, away))
         leaves = is_away and isinstance(away, placement.Placed) and self._guard.permits(now)
         choice = away if leaves else home
@@ -125,8 +123,8 @@
             round_trip_s = self._fleet.estimate_round_trip_s(away.upstream.record.region)
         return placement.does_gain(home, away, round_trip_s, query)
 
-    def _choose_in(self, query, now):
-        return placement.choose_upstream(self._fleet, self.times, query, now, self._rng)
+    def _choose_in(self, query, regions, now):
+        return placement.choose_upstream(self._fleet, self.times, query, regions, now, self._rng)
 
     def _split_regions(self, query):
         """Returns the regions to search first, and the others that the route permits."""
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -69,7 +69,6 @@
         self._belief = belief
         self._log = log
         self._on_change = on_change
-        self._evacuated = set()
         self._lost = []
 
     def start(self):
@@ -142,8 +141,7 @@
             self._log.write("store.regained", kind=kind, failures=failures)
 
     def _take(self, changes):
-        if changes:
-            self.log_changes(changes)
+        self.log_changes(changes)
         self._on_change()
 
     def _read_configuration(self):
@@ -168,12 +166,9 @@
 
     def _read_evacuations(self):
         revision, zones = self._store.list_evacuations()
-        self._evacuated = set(zones)
-        return revision, self._belief.replace_evacuated(self._evacuated)
+        return revision, self._belief.replace_evacuated(zones)
 
     def _apply_evacuation(self, zone, is_present):
-        if is_present:
-            self._evacuated.add(zone)
-        else:
-            self._evacuated.discard(zone)
-        return self._belief.replace_evacuated(self._evacuated)
+        evacuated = self._belief.evacuated
+        zones = evacuated | {zone} if is_present else evacuated - {zone}
+        return self._belief.replace_evacuated(zones)
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -102,16 +102,12 @@
 
     def _watch(self, kind, revision, wait_s):
         with eventlet.Timeout(wait_s, False):
-            while True:
-                if revision < self._first_kept:
-                    return 410, None
-                events = [
-                    item for at, known, item in self._history if at > revision and known == kind
-                ]
-                if events:
-                    break
+            while revision >= self._first_kept and not self._list_events(kind, revision):
                 self._changed.wait()
         if revision < self._first_kept:
             return 410, None
-        events = [item for at, known, item in self._history if at > revision and known == kind]
+        events = self._list_events(kind, revision)
         return 200, {"events": events, "storeRevision": self._revision}
+
+    def _list_events(self, kind, revision):
+        return [item for at, known, item in self._history if at > revision and known == kind]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -32,6 +32,7 @@
     Args:
       worker_id: Id that a request must expect.
       work_s: Time that a request takes in seconds.
+      address: IP address and port to listen on; any free port if None.
 
     Attributes:
       fault: The Fault in force.
@@ -41,7 +42,7 @@
       bodies: Body of each request.
     """
 
-    def __init__(self, worker_id, work_s=0.0):
+    def __init__(self, worker_id, work_s=0.0, address=None):
         self.worker_id = worker_id
         self.work_s = work_s
         self.fault = Fault.NONE
@@ -51,7 +52,7 @@
         self.bodies = []
         self.connections = 0
         self._last_id = "none"
-        self._socket = eventlet.listen(("127.0.0.1", 0))
+        self._socket = eventlet.listen(address or ("127.0.0.1", 0))
         self.address = self._socket.getsockname()
         self._thread = eventlet.spawn(self._accept)
 
@@ -76,7 +77,7 @@
                         return
                     data += received
                 head, _, data = data.partition(b"\r\n\r\n")
-                fields = _parse_fields(head)
+                fields = parse_fields(head)
                 size = int(fields.get("content-length", "0"))
                 while len(data) < size:
                     data += client.recv(65536)
@@ -192,7 +193,8 @@
 }
 
 
-def _parse_fields(head):
+def parse_fields(head):
+    """Returns the headers of a message's head as a dict of text by lower-case name."""
     lines = head.decode().split("\r\n")[1:]
     pairs = (line.partition(":") for line in lines)
     return {name.strip().lower(): value.strip() for name, _, value in pairs}
