Mend three faults that reading the diff showed

Cause: (1) the check of a head's size ran only after the parser had told of a whole header, so one that never ends grew until the time for heads was over. (2) An upstream's own failure was delivered when the repeat timed out, as a special case, and replaced by 502 when the repeat was broken. (3) docs/platform.md says that nothing is sent to an unreachable upstream until a probe succeeds; it got requests as soon as the pause was over, while the probe was still waiting for an answer. Ruled out: a limit on bytes before the parser, which counts pipelined bodies as heads. Change: bytes that continue an unended head are bounded; all ends after a send pass one function; is_unreachable alone keeps an upstream out, down_until is the time of its next probe. Three scenarios failed before and pass now.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -124,3 +124,21 @@
     When the client sends an idempotent request
     Then the answer is 504 within 1.0 to 1.25 s
     And its upstream is asked for another connection within 0.5 s
+
+  Scenario: A head that never ends is rejected before the time for heads is over
+    When the client sends 200000 bytes of a header that does not end
+    Then the answer is 431 and the connection closes
+
+  Scenario: An upstream's failure is delivered if the repeat is broken as well
+    Given one upstream fails and the other one resets
+    When the client sends an idempotent request
+    Then the answer is 500 with a signature
+    Given the upstreams change their faults
+    When the client sends an idempotent request
+    Then the answer is 500 with a signature
+
+  Scenario: Nothing is sent to an unreachable upstream until a probe succeeds
+    Given upstream "a" refuses connections
+    When the client sends 12 requests in turn
+    And the pause before the next probe of "a" is over
+    Then nothing is placed on "a"
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -1,11 +1,13 @@
 """Steps of host_requests.feature."""
 
+import dataclasses
 import time
 
 import eventlet
 from behave import given, then, when
 
-from features import host_world
+from features import host_builders, host_world
+from skylarksill.host import records, steering
 from standins import worker
 
 LINES = {"idempotent": "GET /read/1", "non-idempotent": "POST /order/1"}
@@ -289,3 +291,51 @@
 @then("no bytes of bodies are held")
 def step_no_bodies(context):
     assert context.world.server.buffered_bytes == 0
+
+
+@when("the client sends {size:d} bytes of a header that does not end")
+def step_endless_head(context, size):
+    context.world.belief.accept_configuration(
+        dataclasses.replace(
+            context.world.belief.configuration,
+            generation=2,
+            limits=records.ClientLimits(2_000, 10_000, 30.0, 2.0),
+        )
+    )
+    client = context.world.connect()
+    client.sendall(b"GET /read/1 HTTP/1.1\r\n" + HOST_LINE + b"X: ")
+    for _ in range(size // 20_000):
+        client.sendall(b"x" * 20_000)
+        eventlet.sleep(0.01)
+    context.reader = host_world.AnswerReader(client)
+    context.answer = context.reader.read()
+
+
+@given("one upstream fails and the other one resets")
+def step_two_faults(context):
+    first, second = context.world.workers.values()
+    first.fault, second.fault = worker.Fault.ERROR, worker.Fault.RESET_AFTER_RUN
+
+
+@given("the upstreams change their faults")
+def step_swap_faults(context):
+    first, second = context.world.workers.values()
+    first.fault, second.fault = second.fault, first.fault
+
+
+@when('the pause before the next probe of "{name}" is over')
+def step_pause_over(context, name):
+    context.state = context.world.fleet.find(name)
+    assert context.state.is_unreachable
+    context.now = context.state.down_until + 0.001
+
+
+@then('nothing is placed on "{name}"')
+def step_not_placed(context, name):
+    steers = steering.Steering(context.world.fleet, host_builders.BOUNDS.max_shift)
+    # Quick work goes to the object's preferred upstream, whatever the others have shown.
+    steers.times.note(host_builders.build_route(), "catalogue", False, 0.01)
+    for index in range(50):
+        query = host_builders.build_query(b"%d" % index)
+        choice = steers.choose(query, context.now)
+        assert choice.upstream.record.upstream_id != name
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -159,8 +159,7 @@
             if not data:
                 return
             try:
-                self._parser.feed_data(data)
-                self._check_head_size()
+                self._feed(data)
             except _BadRequestError as error:
                 self._refuse(error.status)
             except httptools.HttpParserCallbackError as error:
@@ -193,8 +192,15 @@
             return limits.idle_timeout_s
         return max(0.01, self._begun_at + limits.head_timeout_s - time.monotonic())
 
-    def _check_head_size(self):
-        if not self._is_head_complete and self._head_bytes > self._limits.max_head_bytes:
+    def _feed(self, data):
+        """Parses bytes; the parser tells of a header only once it has ended."""
+        continues_head = self._begun_at is not None and not self._is_head_complete
+        self._parser.feed_data(data)
+        if not continues_head or self._begun_at is None or self._is_head_complete:
+            self._unended_bytes = 0
+            return
+        self._unended_bytes += len(data)
+        if self._unended_bytes > self._limits.max_head_bytes:
             raise _BadRequestError(431)
 
     # Callbacks of the parser.
@@ -256,6 +262,7 @@
         self._target = b""
         self._headers = []
         self._head_bytes = 0
+        self._unended_bytes = 0
         self._body = []
         self._body_bytes = 0
 
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -42,7 +42,7 @@
       record: The records.Upstream.
       in_flight: Own requests there that have not ended.
       cold_until: Monotonic time until which it is treated as cold.
-      down_until: Monotonic time before which nothing is sent, after it was unreachable.
+      down_until: Monotonic time of the next probe while it is unreachable.
       is_misdirected: True once another upstream answered at its address.
       is_unreachable: True from a failed connection until one succeeds.
       is_probed: True while connections to it are tried in the background.
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -213,8 +213,7 @@
                 progress.last_answer = answer
                 if answer.status >= 500 and is_idempotent and self._may_repeat(progress, choice):
                     return None
-                self._finish(request, progress, answer.status, "answered")
-                return answer
+                return self._end(request, progress, answer.status, "answered")
             case _upstreamhttp.NotRun(is_unreachable=True):
                 return None
             case _upstreamhttp.NotRun(reason):
@@ -228,14 +227,9 @@
                 progress.ran_sends += 1
                 if is_idempotent and self._may_repeat(progress, choice):
                     return None
-                self._finish(request, progress, 502, reason)
-                return answers.make_answer(502, b"upstream failed\n")
-            case _upstreamhttp.TimedOut() if progress.last_answer is not None:
-                self._finish(request, progress, progress.last_answer.status, "answered")
-                return progress.last_answer
-            case _upstreamhttp.TimedOut():
-                self._finish(request, progress, 504, "timeout")
-                return answers.make_answer(504, b"upstream timed out\n")
+                return self._end(request, progress, 502, reason)
+            case _upstreamhttp.TimedOut(reason):
+                return self._end(request, progress, 504, reason)
         raise TypeError(f"unknown outcome {outcome!r}")
 
     def _may_repeat(self, progress, choice):
@@ -272,14 +266,19 @@
         return sum(priority < route.priority for priority in known)
 
     def _give_up(self, request, progress, rejected):
-        if progress.last_answer is not None:
-            self._finish(request, progress, progress.last_answer.status, "answered")
-            return progress.last_answer
         if progress.ran_sends:
-            self._finish(request, progress, 502, rejected.reason)
-            return answers.make_answer(502, b"upstream failed\n")
+            return self._end(request, progress, 502, rejected.reason)
         return self._reject(request, rejected.reason, rejected.retry_after_s, progress, rejected)
 
+    def _end(self, request, progress, status, reason):
+        """Ends a request that may have run; an answer that an upstream made is delivered."""
+        answer = progress.last_answer
+        if answer is None:
+            self._finish(request, progress, status, reason)
+            return answers.make_answer(status, b"upstream failed\n")
+        self._finish(request, progress, answer.status, "answered")
+        return answer
+
     def _reject(self, request, reason, retry_after_s, progress=None, rejected=None):
         left_s = request.deadline_s
         if left_s is not None:
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -183,7 +183,7 @@
 
 
 def _is_usable(known, query, state, now):
-    if state.down_until > now or state.is_misdirected:
+    if state.is_unreachable or state.is_misdirected:
         return False
     if state.record.upstream_id in query.excluded:
         return False
