Let two hosts of a region watch the store and pass its changes on

An upstream that lapsed during an outage was also kept beyond its grace when the store was lost again meanwhile. Ruled out: watches with serializable reads (seconds old, upstreams drain within 2.5 s); one source a region (nobody is left when its zone goes); a digest of revisions in the heartbeats (a revision also rises with changes of other kinds, so it does not show who is behind). Change: relay decides who are the sources and what an update holds, following carries it on streams; a host watches only while no source covers it. Lapsed entries are forgotten when their first grace ends.

--- /dev/null
+++ b/skylarksill/host/_beliefcodec.py
@@ -0,0 +1,225 @@
+"""Encoding of belief between hosts: length-prefixed msgpack messages on a stream."""
+
+import struct
+
+import msgpack
+
+from skylarksill import records as shared
+from skylarksill.host import fields, records, relay
+
+VERSION = 1
+# A configuration of 500 routes and 500 upstreams take about 150 kB.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# A follower's request is three small numbers.
+MAX_REQUEST_BYTES = 256
+
+_LENGTH = struct.Struct(">I")
+HEADER_BYTES = _LENGTH.size
+
+
+class CodecError(shared.SkylarksillError):
+    """A message of a peer is malformed, too long or of another version."""
+
+
+def parse_length(header, limit):
+    """Returns the length of the message that follows a header.
+
+    Raises:
+      CodecError: If it exceeds ``limit`` bytes.
+    """
+    (length,) = _LENGTH.unpack(header)
+    if length > limit:
+        raise CodecError(f"message of {length} bytes exceeds {limit}")
+    return length
+
+
+def encode_request(sequence, generation, wait_s):
+    """Encodes a follower's request for what has changed since ``sequence``."""
+    return _frame((VERSION, sequence, generation, int(wait_s * 1000)))
+
+
+def decode_request(payload):
+    """Returns sequence, generation and wait in seconds of a follower's request.
+
+    Raises:
+      CodecError: If it is malformed.
+    """
+    try:
+        sequence, generation, wait_ms = _unpack(payload)
+        numbers = [fields.check(number, int) for number in (sequence, generation, wait_ms)]
+    except (ValueError, TypeError) as error:
+        raise CodecError(f"malformed request: {error}") from error
+    return numbers[0], numbers[1], numbers[2] / 1000
+
+
+def encode_update(update):
+    """Encodes a relay.BeliefUpdate."""
+    return _frame(
+        (
+            VERSION,
+            update.sequence,
+            {kind.value: revision for kind, revision in update.revisions.items()},
+            update.is_complete,
+            update.is_store_lost,
+            _encode_configuration(update.configuration),
+            update.is_full,
+            [_encode_upstream(upstream) for upstream in update.upstreams],
+            update.gone,
+            update.evacuated,
+        )
+    )
+
+
+def decode_update(payload):
+    """Decodes a relay.BeliefUpdate.
+
+    Raises:
+      CodecError: If it is malformed.
+    """
+    try:
+        sequence, revisions, is_complete, is_lost, *rest = _unpack(payload)
+        configuration, is_full, upstreams, gone, evacuated = rest
+        return relay.BeliefUpdate(
+            sequence=fields.check(sequence, int),
+            revisions={
+                kind: fields.check(revisions[kind.value], int) for kind in records.ObjectKind
+            },
+            is_complete=fields.check(is_complete, bool),
+            is_store_lost=fields.check(is_lost, bool),
+            configuration=_decode_configuration(configuration),
+            is_full=fields.check(is_full, bool),
+            upstreams=tuple(_decode_upstream(item) for item in fields.check(upstreams, list)),
+            gone=tuple(fields.check(item, str) for item in fields.check(gone, list)),
+            evacuated=tuple(fields.check(item, str) for item in fields.check(evacuated, list)),
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise CodecError(f"malformed update: {error!r}") from error
+
+
+def _frame(message):
+    payload = msgpack.packb(message)
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def _unpack(payload):
+    """Returns the fields of a message without its version."""
+    try:
+        version, *rest = msgpack.unpackb(payload, raw=False)
+    except msgpack.exceptions.UnpackException as error:
+        raise ValueError(str(error)) from error
+    if version != VERSION:
+        raise CodecError(f"unknown version {version!r}")
+    return rest
+
+
+def _encode_upstream(upstream):
+    return (
+        upstream.upstream_id,
+        upstream.incarnation,
+        upstream.service_id,
+        upstream.address,
+        upstream.zone,
+        upstream.region,
+        upstream.slots,
+        upstream.state.value,
+        upstream.cold_s,
+    )
+
+
+def _decode_upstream(item):
+    upstream_id, incarnation, service_id, address, zone, region, slots, state, cold_s = item
+    return records.Upstream(
+        fields.check(upstream_id, str),
+        fields.check(incarnation, int),
+        fields.check(service_id, str),
+        fields.decode_address(address),
+        fields.check(zone, str),
+        fields.check(region, str),
+        fields.check(slots, int),
+        records.UpstreamState(state),
+        fields.check(cold_s, float),
+    )
+
+
+def _encode_configuration(configuration):
+    if configuration is None:
+        return None
+    limits = configuration.limits
+    return (
+        configuration.generation,
+        [_encode_route(route) for route in configuration.routes],
+        [
+            (service.service_id, service.max_connections, service.cold_s, service.cold_rate)
+            for service in configuration.services.values()
+        ],
+        (
+            limits.max_head_bytes,
+            limits.max_body_bytes,
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+        ),
+    )
+
+
+def _decode_configuration(item):
+    if item is None:
+        return None
+    generation, routes, services, limits = item
+    decoded = [
+        records.Service(
+            fields.check(service_id, str),
+            fields.check(limit, int),
+            fields.check(cold_s, float),
+            fields.check(rate, float),
+        )
+        for service_id, limit, cold_s, rate in services
+    ]
+    head_bytes, body_bytes, head_s, idle_s = limits
+    return records.Configuration(
+        fields.check(generation, int),
+        tuple(_decode_route(route) for route in routes),
+        {service.service_id: service for service in decoded},
+        records.ClientLimits(
+            fields.check(head_bytes, int),
+            fields.check(body_bytes, int),
+            fields.check(head_s, float),
+            fields.check(idle_s, float),
+        ),
+    )
+
+
+def _encode_route(route):
+    return (
+        route.route_id,
+        route.site,
+        route.prefix,
+        route.kind.value,
+        route.timeout_s,
+        route.target_latency_s,
+        route.priority,
+        [(share.service_id, share.weight) for share in route.shares],
+        route.max_attempts,
+        route.is_sticky,
+        sorted(route.regions),
+    )
+
+
+def _decode_route(item):
+    route_id, site, prefix, kind, timeout_s, target_s, priority, shares, attempts, *rest = item
+    is_sticky, regions = rest
+    return records.Route(
+        fields.check(route_id, str),
+        fields.check(site, str),
+        fields.check(prefix, str),
+        shared.WorkKind(kind),
+        fields.check(timeout_s, float),
+        fields.check(target_s, float),
+        fields.check(priority, int),
+        tuple(
+            records.Share(fields.check(name, str), fields.check(weight, float))
+            for name, weight in shares
+        ),
+        fields.check(attempts, int),
+        fields.check(is_sticky, bool),
+        frozenset(fields.check(region, str) for region in regions),
+    )
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -3,9 +3,9 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import peers, records
+from skylarksill.host import fields, peers, records
 
-VERSION = 2
+VERSION = 3
 MAX_DATAGRAM_BYTES = 16_384
 
 
@@ -26,6 +26,7 @@
             peer.heartbeat,
             peer.state.value,
             peer.spill_shares,
+            peer.is_store_lost,
         )
         for peer in peers
     ]
@@ -50,27 +51,24 @@
 
 
 def _decode_entry(entry):
-    host_id, incarnation, zone, region, front, gossip, heartbeat, state, shares = entry
+    host_id, incarnation, zone, region, front, gossip, heartbeat, state, *rest = entry
+    shares, is_store_lost = rest
     record = records.HostRecord(
-        _check(host_id, str),
-        _check(incarnation, int),
-        _check(zone, str),
-        _check(region, str),
-        _decode_address(front),
-        _decode_address(gossip),
+        fields.check(host_id, str),
+        fields.check(incarnation, int),
+        fields.check(zone, str),
+        fields.check(region, str),
+        fields.decode_address(front),
+        fields.decode_address(gossip),
     )
-    shares = {_check(name, str): _check(share, float) for name, share in shares.items()}
+    shares = {fields.check(name, str): fields.check(share, float) for name, share in shares.items()}
     if not all(0.0 <= share <= 1.0 for share in shares.values()):
         raise ValueError(f"shares {shares!r} are not between 0 and 1")
-    return peers.Peer(record, _check(heartbeat, int), records.HostState(state), 0.0, shares)
-
-
-def _decode_address(value):
-    host, port = value
-    return _check(host, str), _check(port, int)
-
-
-def _check(value, kind):
-    if not isinstance(value, kind) or isinstance(value, bool):
-        raise ValueError(f"expected {kind.__name__}, got {value!r}")
-    return value
+    return peers.Peer(
+        record,
+        fields.check(heartbeat, int),
+        records.HostState(state),
+        0.0,
+        shares,
+        fields.check(is_store_lost, bool),
+    )
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -4,12 +4,15 @@
 for LAPSE_GRACE_S after the store is back, unless their upstream said that it leaves.
 """
 
+import collections
 import dataclasses
 
-from skylarksill.host import routes
+from skylarksill.host import records, routes
 
 # Upstreams register again within about 2 s of the store's return.
 LAPSE_GRACE_S = 2.0
+# Changes of upstreams that are remembered for peers; one that is further behind gets all of them.
+MAX_JOURNAL = 1_024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +33,8 @@
       upstreams: Dict of Upstream by id.
       evacuated: Set of zones whose upstreams get nothing.
       has_upstreams: True once the store's list of upstreams has been read.
+      revisions: The store's revision up to which each kind of object is known.
+      sequence: Number of changes of belief since the start of this process.
     """
 
     def __init__(self):
@@ -38,6 +43,10 @@
         self.upstreams = {}
         self.evacuated = set()
         self.has_upstreams = False
+        self.revisions = dict.fromkeys(records.ObjectKind, 0)
+        self.sequence = 0
+        self._journal = collections.deque()
+        self._journal_floor = 0
         self._lapsing = {}
         self._has_outage = False
         self._grace_until = float("-inf")
@@ -66,6 +75,7 @@
         known = self.configuration
         if known is not None and configuration.generation <= known.generation:
             return ()
+        self.sequence += 1
         self.configuration = configuration
         self.route_table = routes.RouteTable(configuration.routes)
         return (Change("configuration", "main", str(configuration.generation)),)
@@ -93,6 +103,7 @@
         if self.upstreams.get(upstream.upstream_id) == upstream:
             return ()
         self.upstreams[upstream.upstream_id] = upstream
+        self._note_changed(upstream.upstream_id)
         return (Change("upstream", upstream.upstream_id, upstream.state.value),)
 
     def remove_upstream(self, upstream_id, now):
@@ -102,8 +113,14 @@
         if now < self._grace_until:
             self._lapsing.setdefault(upstream_id, self._grace_until)
             return (Change("upstream", upstream_id, "lapsed"),)
+        return self.forget_upstream(upstream_id)
+
+    def forget_upstream(self, upstream_id):
+        """Forgets an upstream at once; returns a tuple of Change."""
         self._lapsing.pop(upstream_id, None)
-        del self.upstreams[upstream_id]
+        if self.upstreams.pop(upstream_id, None) is None:
+            return ()
+        self._note_changed(upstream_id)
         return (Change("upstream", upstream_id, "gone"),)
 
     def expire_lapsed(self, now):
@@ -111,12 +128,31 @@
         ended = [upstream_id for upstream_id, until in self._lapsing.items() if until <= now]
         changes = []
         for upstream_id in ended:
-            changes += self.remove_upstream(upstream_id, now)
+            changes += self.forget_upstream(upstream_id)
         return tuple(changes)
 
     def replace_evacuated(self, zones):
         """Takes over the set of evacuated zones; returns a tuple of Change."""
         before, self.evacuated = self.evacuated, set(zones)
+        self.sequence += before != self.evacuated
         begun = [Change("evacuation", zone, "begun") for zone in sorted(self.evacuated - before)]
         ended = [Change("evacuation", zone, "ended") for zone in sorted(before - self.evacuated)]
         return tuple(begun + ended)
+
+    def list_changed(self, sequence):
+        """Returns the ids of the upstreams that have changed since an earlier sequence number.
+
+        Args:
+          sequence: A former value of the attribute ``sequence``.
+        Returns:
+          A set of ids, or None if the changes are no longer known.
+        """
+        if sequence < self._journal_floor or sequence > self.sequence:
+            return None
+        return {upstream_id for at, upstream_id in self._journal if at > sequence}
+
+    def _note_changed(self, upstream_id):
+        self.sequence += 1
+        self._journal.append((self.sequence, upstream_id))
+        if len(self._journal) > MAX_JOURNAL:
+            self._journal_floor = self._journal.popleft()[0]
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -18,7 +18,8 @@
       seeds: Addresses to try while no peer is known.
       table: The PeerTable.
       log: The EventLog.
-      describe_own: Function that returns the own HostState and dict of spill share by service.
+      describe_own: Function that returns the own HostState, dict of spill share by service, and
+        whether the store is lost.
     """
 
     def __init__(self, address, seeds, table, log, describe_own):
@@ -41,8 +42,8 @@
         if self._socket is None:
             return
         now = time.monotonic()
-        state, spill_shares = self._describe_own()
-        self._table.beat(state, now, spill_shares)
+        state, spill_shares, is_store_lost = self._describe_own()
+        self._table.beat(state, now, spill_shares, is_store_lost)
         datagram = _peercodec.encode_digest(self._table.make_digest(now))
         for address in self._table.choose_targets(now) or self._seeds:
             try:
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -27,6 +27,7 @@
     Attributes:
       heard_at: Monotonic time of its last new heartbeat.
       spill_shares: Share of the objects that it sends to other regions, by service.
+      is_store_lost: True if it can't reach the platform's store.
     """
 
     record: records.HostRecord
@@ -34,6 +35,7 @@
     state: records.HostState
     heard_at: float
     spill_shares: dict = dataclasses.field(default_factory=dict)
+    is_store_lost: bool = False
 
 
 class PeerTable:
@@ -48,13 +50,14 @@
         self._own = own.host_id
         self._peers = {own.host_id: Peer(own, 1, records.HostState.STARTING, now)}
 
-    def beat(self, state, now, spill_shares=None):
-        """Raises the own heartbeat; ``spill_shares`` is a dict of share by service."""
+    def beat(self, state, now, spill_shares=None, is_store_lost=False):
+        """Raises the own heartbeat; see Peer for the arguments."""
         peer = self._peers[self._own]
         peer.heartbeat += 1
         peer.state = state
         peer.heard_at = now
         peer.spill_shares = spill_shares or {}
+        peer.is_store_lost = is_store_lost
 
     def add_candidate(self, record, now):
         """Adds a host that the store names; it counts as dead until a heartbeat arrives."""
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -14,6 +14,7 @@
     counters,
     eventlog,
     fleet,
+    following,
     forwarder,
     gossip,
     lookup,
@@ -84,6 +85,8 @@
         self._lookup_form = lookup_form
         self._store = None
         self._watcher = None
+        self._following = None
+        self._belief_server = None
         self._entry = None
         self._gossip = gossip.Gossip(
             settings.gossip, settings.seeds, self.peers, self.log, self._describe_own
@@ -98,7 +101,15 @@
           store: The watching.StoreClient.
         """
         self._store = store
-        self._watcher = watching.Watcher(store, self.belief, self.log, self._apply_belief)
+        self._following = following.Following(
+            self.own, self.peers, self.belief, self.log, self._take_changes, self._is_store_lost
+        )
+        self._watcher = watching.Watcher(
+            store, self.belief, self.log, self._apply_belief, self._following.is_covered
+        )
+        self._belief_server = following.BeliefServer(
+            self.settings.gossip, self.belief, self.log, self._is_store_lost
+        )
         self.log.write("host.start", zone=self.settings.zone, incarnation=self.own.incarnation)
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
@@ -106,7 +117,9 @@
         self._keep_house()
         self._listen()
         self._gossip.start()
+        self._belief_server.start()
         self._watcher.start()
+        self._following.start()
         eventlet.spawn_n(self._register)
         eventlet.spawn_n(self._repeat, HOUSEKEEPING_S, self._keep_house)
         eventlet.spawn_n(self._repeat, LOG_FLUSH_S, self.log.flush)
@@ -148,7 +161,14 @@
     def _answer_metrics(self, request, cancellation):
         return answers.make_answer(200, self.counters.format().encode())
 
+    def _take_changes(self, changes):
+        self._watcher.take(changes)
+
+    def _is_store_lost(self):
+        return self._watcher.is_store_lost
+
     def _apply_belief(self):
+        self._belief_server.note_change()
         configuration = self.belief.configuration
         services = configuration.services if configuration else {}
         self.fleet.apply(
@@ -167,14 +187,13 @@
         self._gossip.send()
 
     def _describe_own(self):
-        return self.state, self.steering.list_spill_shares()
+        return self.state, self.steering.list_spill_shares(), self._is_store_lost()
 
     def _keep_house(self):
         now = time.monotonic()
         changes = self.belief.expire_lapsed(now)
         if changes:
-            self._watcher.log_changes(changes)
-            self._apply_belief()
+            self._take_changes(changes)
         self.pool.drop_stale(self.belief.upstreams)
         region = self.settings.region
         least = 1 if self._is_registered else MIN_ASSUMED_HOSTS
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -13,6 +13,14 @@
 Address = tuple[str, int]
 
 
+class ObjectKind(enum.Enum):
+    """Kinds of objects in the store that a host believes in."""
+
+    CONFIGURATION = "configuration"
+    UPSTREAMS = "upstreams"
+    EVACUATIONS = "evacuations"
+
+
 class UpstreamState(enum.Enum):
     """What an upstream says of itself in the store."""
 
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -1,4 +1,7 @@
-"""Watches of the store that keep a host's belief current."""
+"""Watches of the store that keep a host's belief current.
+
+A host that its sources keep current does not watch; see relay.
+"""
 
 import random
 import time
@@ -7,6 +10,7 @@
 import eventlet
 
 from skylarksill import objectstore
+from skylarksill.host import records
 
 # Longest wait of a watch. A connection that has gone silent is noticed when it ends, so it also
 # bounds how old the belief of a host can be without its knowing.
@@ -22,6 +26,12 @@
 RETRY_WATCH_S = 0.05
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# Pause between tries while peers keep the belief current: refused calls count as well.
+COVERED_RETRY_S = 2.0
+# Pause between looks at whether the peers still keep the belief current.
+COVERED_PAUSE_S = 0.1
+# After the first reads a host waits this long for peers, which may spare it the watches.
+SETTLE_S = 1.5
 
 
 class StoreClient(typing.Protocol):
@@ -62,75 +72,126 @@
       belief: The Belief.
       log: The EventLog.
       on_change: Function without arguments that is called after each change of belief.
+      is_covered: Function that returns True while peers keep the belief current.
     """
 
-    def __init__(self, store, belief, log, on_change):
+    def __init__(self, store, belief, log, on_change, is_covered=lambda: False):
         self._store = store
         self._belief = belief
         self._log = log
         self._on_change = on_change
+        self._is_covered = is_covered
         self._lost = []
 
+    @property
+    def is_store_lost(self):
+        """True while a call of the store has failed and none has succeeded since."""
+        return bool(self._lost)
+
     def start(self):
         """Starts the watches."""
-        for kind, read, apply_event in (
-            ("configuration", self._read_configuration, self._apply_configuration),
-            ("upstreams", self._read_upstreams, self._apply_upstream),
-            ("evacuations", self._read_evacuations, self._apply_evacuation),
+        kinds = records.ObjectKind
+        store = self._store
+        for kind, read, replace, apply_event in (
+            (
+                kinds.CONFIGURATION,
+                store.list_configuration,
+                self._replace_configuration,
+                self._apply_configuration,
+            ),
+            (
+                kinds.UPSTREAMS,
+                store.list_upstreams,
+                self._replace_upstreams,
+                self._apply_upstream,
+            ),
+            (
+                kinds.EVACUATIONS,
+                store.list_evacuations,
+                self._belief.replace_evacuated,
+                self._apply_evacuation,
+            ),
         ):
-            eventlet.spawn_n(self._follow, kind, read, apply_event)
+            eventlet.spawn_n(self._follow, kind, read, replace, apply_event)
 
-    def log_changes(self, changes):
-        """Logs changes of belief."""
+    def take(self, changes):
+        """Logs changes of belief and acts on them."""
         for change in changes:
             self._log.write(f"belief.{change.what}", subject=change.subject, value=change.value)
+        self._on_change()
 
-    def _follow(self, kind, read, apply_event):
-        revision = None
+    def _follow(self, kind, read, replace, apply_event):
         failures = 0
         while True:
             try:
-                if revision is None:
-                    revision, changes = read()
-                    self._note_contact(kind, failures)
-                    self._take(changes)
+                if self._belief.revisions[kind]:
+                    if failures == 0:
+                        self._wait_while_covered()
+                    self._watch_once(kind, apply_event, failures)
                 else:
-                    revision = self._watch_once(kind, revision, apply_event, failures)
+                    self._read_once(kind, read, replace, failures)
+                    self._wait_for_peers()
                 failures = 0
             except HistoryGoneError as error:
-                self._log.write("store.history_gone", kind=kind, error=str(error))
-                revision = None
+                self._log.write("store.history_gone", kind=kind.value, error=str(error))
+                # The store's revisions start above 0, so this makes the next round read all.
+                self._belief.revisions[kind] = 0
             except objectstore.StoreError as error:
                 failures += 1
                 self._note_failure(kind, failures, error)
 
+    def _wait_while_covered(self):
+        while self._is_covered():
+            eventlet.sleep(COVERED_PAUSE_S)
+
+    def _wait_for_peers(self):
+        end = time.monotonic() + SETTLE_S
+        while time.monotonic() < end and not self._is_covered():
+            eventlet.sleep(COVERED_PAUSE_S)
+
+    def _read_once(self, kind, read, replace, failures):
+        revision, objects = read()
+        self._note_contact(kind, failures)
+        if revision < self._belief.revisions[kind]:
+            # Peers have passed on later changes meanwhile.
+            return
+        changes = replace(objects)
+        self._belief.revisions[kind] = revision
+        self.take(changes)
+
     def _note_failure(self, kind, failures, error):
         """Pauses after a failed call; while several watches are lost only one of them retries."""
         self._belief.note_outage()
         if failures == 1:
-            self._log.write("store.lost", kind=kind, error=str(error))
+            self._log.write("store.lost", kind=kind.value, error=str(error))
         if kind not in self._lost:
             self._lost.append(kind)
         pause_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(failures, 8))
+        if self._is_covered():
+            pause_s = COVERED_RETRY_S
         eventlet.sleep(pause_s * (0.5 + random.random()))
         while self._lost[0] != kind:
             eventlet.sleep(WAIT_TURN_S)
 
-    def _watch_once(self, kind, revision, apply_event, failures):
+    def _watch_once(self, kind, apply_event, failures):
         begun = time.monotonic()
+        revision = self._belief.revisions[kind]
         wait_s = RETRY_WATCH_S if failures else WATCH_S
         next_revision, events = self._store.watch(kind, revision, wait_s)
         if time.monotonic() - begun > wait_s + LATE_WATCH_S:
             self._belief.note_outage()
         self._note_contact(kind, failures)
+        if next_revision < self._belief.revisions[kind]:
+            # Peers have passed on later changes meanwhile.
+            return
         changes = []
         for event in events:
             changes += apply_event(*event)
+        self._belief.revisions[kind] = next_revision
         if changes:
-            self._take(changes)
+            self.take(changes)
         if events:
             eventlet.sleep(GATHER_S)
-        return next_revision
 
     def _note_contact(self, kind, failures):
         now = time.monotonic()
@@ -138,36 +199,22 @@
         if kind in self._lost:
             self._lost.remove(kind)
         if failures:
-            self._log.write("store.regained", kind=kind, failures=failures)
+            self._log.write("store.regained", kind=kind.value, failures=failures)
 
-    def _take(self, changes):
-        self.log_changes(changes)
-        self._on_change()
-
-    def _read_configuration(self):
-        revision, configuration = self._store.list_configuration()
-        if configuration is None:
-            return revision, ()
-        return revision, self._belief.accept_configuration(configuration)
+    def _replace_configuration(self, configuration):
+        return () if configuration is None else self._belief.accept_configuration(configuration)
 
     def _apply_configuration(self, name, configuration):
-        if configuration is None:
-            return ()
-        return self._belief.accept_configuration(configuration)
+        return self._replace_configuration(configuration)
 
-    def _read_upstreams(self):
-        revision, upstreams = self._store.list_upstreams()
-        return revision, self._belief.replace_upstreams(upstreams, time.monotonic())
+    def _replace_upstreams(self, upstreams):
+        return self._belief.replace_upstreams(upstreams, time.monotonic())
 
     def _apply_upstream(self, name, upstream):
         if upstream is None:
             return self._belief.remove_upstream(name, time.monotonic())
         return self._belief.set_upstream(upstream)
 
-    def _read_evacuations(self):
-        revision, zones = self._store.list_evacuations()
-        return revision, self._belief.replace_evacuated(zones)
-
     def _apply_evacuation(self, zone, is_present):
         evacuated = self._belief.evacuated
         zones = evacuated | {zone} if is_present else evacuated - {zone}
