Take over changed settings without a restart

Cause: SIGHUP was only logged, and a file that changed without a signal was not noticed; bounds stayed those of the start. Ruled out: rebinding sockets and changing zones in a running host (peers and upstreams know it by them; the platform restarts hosts for that). Change: the file is read each second and on SIGHUP. Bounds and memory take effect at once; other changes are logged as needing a restart; a bad file is logged once and changes nothing.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -67,3 +67,15 @@
     When the host program is told to reload and to stop during a request
     Then that request is answered with 200 and the program ends with code 0
     And its log tells of the start, the request with its sends, the reload and the stop
+
+  Scenario: Changed settings are taken over without a restart, bad ones are not
+    Given a store with a configuration and 2 upstreams
+    And the host program on it
+    Then it is ready within 10 s and the look-up names it
+    When the settings change the retry budget without a signal
+    Then it logs within 3 s that it took over the bounds
+    When the settings lose their zone
+    Then it logs within 3 s that it rejected them, naming the field
+    And a request through it is answered with 200
+    When the settings name another store
+    Then it logs within 3 s that this needs a restart
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -247,6 +247,7 @@
         "127.0.0.1", context.store.address, context.ports[0], context.ports[1]
     )
     path.write_text("\n".join(lines), encoding="utf-8")
+    context.settings_path, context.lines = path, lines
     context.log_path = pathlib.Path(folder.name) / "log"
     context.process = subprocess.Popen(
         [sys.executable, str(ROOT / "platform" / "start.py")],
@@ -310,6 +311,52 @@
     assert request["status"] == 200 and len(request["sends"]) == 1, request
 
 
+@when("the settings change the retry budget without a signal")
+def step_change_budget(context):
+    _write_settings(context, {"terms.bounds.retryBudgetExtra": "70"})
+
+
+@when("the settings lose their zone")
+def step_lose_zone(context):
+    _write_settings(context, {"self.zone": ""})
+
+
+@when("the settings name another store")
+def step_other_store(context):
+    _write_settings(context, {"platform.platform.address": "127.0.0.1:9"})
+
+
+@then("it logs within {seconds:d} s that it took over the bounds")
+def step_took_over(context, seconds):
+    _wait_for_line(context, seconds, event="host.reload", changed=["bounds"], needs_restart=[])
+
+
+@then("it logs within {seconds:d} s that it rejected them, naming the field")
+def step_rejected_settings(context, seconds):
+    error = "setting self.zone is missing"
+    _wait_for_line(context, seconds, event="host.settings_rejected", error=error)
+
+
+@then("it logs within {seconds:d} s that this needs a restart")
+def step_needs_restart(context, seconds):
+    _wait_for_line(context, seconds, event="host.reload", needs_restart=["store"])
+
+
+def _write_settings(context, changes):
+    """Writes the settings of the running program with other values of some fields."""
+    lines = [line for line in context.lines if line.partition("=")[0] not in changes]
+    lines += [f"{name}={value}" for name, value in changes.items()]
+    context.settings_path.write_text("\n".join(lines), encoding="utf-8")
+
+
+def _wait_for_line(context, seconds, **wanted):
+    def has_logged():
+        lines = [json.loads(line) for line in context.log_path.read_text().splitlines()]
+        return any(line == line | wanted for line in lines)
+
+    _wait(seconds, has_logged)
+
+
 def _list_beliefs(context, what):
     """Returns the pairs of subject and value that the program has logged of one kind."""
     lines = [json.loads(line) for line in context.log_path.read_text().splitlines()]
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -46,7 +46,7 @@
       names: The HeaderNames.
       log: The EventLog.
       counters: The Counters.
-      bounds: The records.Bounds.
+      bounds: The records.Bounds; may be replaced at any time.
     """
 
     def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds):
@@ -58,7 +58,7 @@
         self._names = names
         self._log = log
         self._counters = counters
-        self._bounds = bounds
+        self.bounds = bounds
         self._splits = routes.SplitTable()
         self._budgets = {}
         self._ranks = (None, {})
@@ -246,11 +246,11 @@
     def _find_budget(self, service_id):
         budget = self._budgets.get(service_id)
         if budget is None:
-            bounds = self._bounds
+            bounds = self.bounds
             budget = self._budgets[service_id] = retries.RetryBudget(
                 RETRY_SAFETY * bounds.retry_ratio, bounds.retry_window_s
             )
-        budget.extra = RETRY_SAFETY * self._bounds.retry_extra / self.host_total
+        budget.extra = RETRY_SAFETY * self.bounds.retry_extra / self.host_total
         return budget
 
     def _find_rank(self, route, service_id):
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -1,5 +1,6 @@
 """Composition of one host: belief, fleet, forwarding, look-up, peers and the stop."""
 
+import dataclasses
 import random
 import signal
 import time
@@ -7,6 +8,7 @@
 import eventlet
 
 from skylarksill import objectstore
+from skylarksill import records as shared
 from skylarksill.host import (
     answers,
     belief,
@@ -38,6 +40,10 @@
 HOUSEKEEPING_S = 0.25
 LOG_FLUSH_S = 0.1
 REGISTER_PAUSE_S = 0.5
+# The settings file may change without a signal; reading it takes less than a millisecond.
+SETTINGS_POLL_S = 1.0
+# Settings that take effect while the host runs; the others are bound to sockets and peers.
+LIVE_SETTINGS = ("bounds", "memory_bytes")
 # Hosts that are assumed to share budgets with this one before the store has named them.
 MIN_ASSUMED_HOSTS = 8
 
@@ -84,6 +90,9 @@
         self._names = names
         self._lookup_form = lookup_form
         self._store = None
+        self._load_settings = None
+        self._settings_error = ""
+        self._ignored_settings = []
         self._watcher = None
         self._following = None
         self._belief_server = None
@@ -94,13 +103,16 @@
         self._stopping = eventlet.event.Event()
         self._is_registered = False
 
-    def run(self, store):
+    def run(self, store, load_settings):
         """Runs until the host is told to stop; returns after the last answer has left.
 
         Args:
           store: The watching.StoreClient.
+          load_settings: Function that returns the present HostSettings, or raises a
+            SkylarksillError if they are bad.
         """
         self._store = store
+        self._load_settings = load_settings
         self._following = following.Following(
             self.own, self.peers, self.belief, self.log, self._take_changes, self._is_store_lost
         )
@@ -123,13 +135,13 @@
         eventlet.spawn_n(self._register)
         eventlet.spawn_n(self._repeat, HOUSEKEEPING_S, self._keep_house)
         eventlet.spawn_n(self._repeat, LOG_FLUSH_S, self.log.flush)
+        eventlet.spawn_n(self._repeat, SETTINGS_POLL_S, self._reload)
         stopped_at = self._stopping.wait()
         self._leave(stopped_at)
 
     def _listen(self):
         settings = self.settings
         limits = self._find_limits
-        max_buffered = int(BUFFER_SHARE * settings.memory_bytes)
         for address, handle in (
             (settings.entry, self.forwarder.serve),
             (settings.readiness, self._answer_readiness),
@@ -138,9 +150,8 @@
         ):
             if address is None:
                 continue
-            server = clientserver.ClientServer(
-                address, handle, limits, self._names, self.log, max_buffered
-            )
+            server = clientserver.ClientServer(address, handle, limits, self._names, self.log)
+            server.max_buffered_bytes = self._compute_max_buffered()
             server.start()
             if address == settings.entry:
                 self._entry = server
@@ -149,6 +160,9 @@
         configuration = self.belief.configuration
         return configuration.limits if configuration else records.ClientLimits()
 
+    def _compute_max_buffered(self):
+        return int(BUFFER_SHARE * self.settings.memory_bytes)
+
     def _answer_readiness(self, request, cancellation):
         is_ready = self.state is records.HostState.SERVING
         return answers.make_answer(200 if is_ready else 503, b"")
@@ -232,7 +246,35 @@
         self._stopping.send(time.monotonic())
 
     def _on_reload(self, signal_number, frame):
-        eventlet.spawn_n(self.log.write, "host.reload")
+        eventlet.spawn_n(self._reload, True)
+
+    def _reload(self, is_asked=False):
+        """Takes over changed settings; bad ones are logged once and change nothing."""
+        try:
+            settings = self._load_settings()
+        except shared.SkylarksillError as error:
+            if str(error) != self._settings_error:
+                self.log.write("host.settings_rejected", error=str(error))
+            self._settings_error = str(error)
+            return
+        self._settings_error = ""
+        changed = _list_changed_settings(self.settings, settings)
+        if not changed and not is_asked:
+            return
+        live = {name: getattr(settings, name) for name in changed if name in LIVE_SETTINGS}
+        ignored = [name for name in changed if name not in LIVE_SETTINGS and name != "seeds"]
+        if live or is_asked or ignored != self._ignored_settings:
+            self.log.write("host.reload", changed=list(live), needs_restart=ignored)
+        self._ignored_settings = ignored
+        if live:
+            self.settings = dataclasses.replace(self.settings, **live)
+            self._apply_settings()
+
+    def _apply_settings(self):
+        self.forwarder.bounds = self.settings.bounds
+        self.steering.set_max_shift(self.settings.bounds.max_shift)
+        self._entry.max_buffered_bytes = self._compute_max_buffered()
+        self._apply_belief()
 
     def _leave(self, stopped_at):
         """Stops gracefully: requests that were read are answered before the process ends."""
@@ -250,3 +292,8 @@
             eventlet.sleep(0.05)
         self.log.write("host.stop", cut_off=self._entry.in_flight)
         self.log.flush()
+
+
+def _list_changed_settings(before, after):
+    names = [field.name for field in dataclasses.fields(before)]
+    return [name for name in names if getattr(before, name) != getattr(after, name)]
--- a/skylarksill/host/spill.py
+++ b/skylarksill/host/spill.py
@@ -44,14 +44,15 @@
       share: First share.
 
     Attributes:
+      max_shift: As above; may change at any time.
       share: Present share, from 0 to MAX_SHARE.
       average: Mean share of the region's other hosts, or None.
     """
 
     def __init__(self, max_shift, share=0.0):
+        self.max_shift = max_shift
         self.share = min(MAX_SHARE, share)
         self.average = None
-        self._step = max_shift * BOUND_SHARE * STEP_S / BOUND_WINDOW_S
         self._step_at = None
         self._requests = 0
         self._gains = 0
@@ -81,10 +82,11 @@
             self.share += AVERAGE_WEIGHT * (self.average - self.share)
         if self._requests >= MIN_REQUESTS:
             demand = self._gains / self._requests
+            step = self.max_shift * BOUND_SHARE * STEP_S / BOUND_WINDOW_S
             if demand > MORE_ABOVE:
-                self.share = min(MAX_SHARE, self.share + self._step)
+                self.share = min(MAX_SHARE, self.share + step)
             elif demand < FEWER_BELOW and utilisation < RETURN_UTILISATION:
-                self.share = max(0.0, self.share - RETURN_PACE * self._step)
+                self.share = max(0.0, self.share - RETURN_PACE * step)
         self._requests = 0
         self._gains = 0
 
@@ -97,10 +99,13 @@
 
     Args:
       max_shift: Greatest change of the share between windows.
+
+    Attributes:
+      max_shift: As above; may change at any time.
     """
 
     def __init__(self, max_shift):
-        self._limit = GUARD_SHARE * max_shift
+        self.max_shift = max_shift
         self._buckets = collections.deque()
 
     def permits(self, now):
@@ -114,7 +119,8 @@
             counts[0] += away
             counts[1] += total
         share_before = before[0] / before[1] if before[1] else 0.0
-        return recent[0] + 1 <= (share_before + self._limit) * (recent[1] + 1) + GUARD_SLACK
+        limit = share_before + GUARD_SHARE * self.max_shift
+        return recent[0] + 1 <= limit * (recent[1] + 1) + GUARD_SLACK
 
     def note(self, is_away, now):
         """Counts a request that was placed."""
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -25,6 +25,12 @@
         self._spills = {}
         self._guard = spill.ShiftGuard(max_shift)
 
+    def set_max_shift(self, max_shift):
+        """Changes the bound on moves between regions."""
+        self._max_shift = self._guard.max_shift = max_shift
+        for control in self._spills.values():
+            control.max_shift = max_shift
+
     def choose(self, query, now):
         """Chooses where a request runs.
 
