Recognise requests that crash upstreams over all hosts, and block them

Cause: a request that takes down each upstream that runs it was sent on without end; each host saw only its own crashes and kept none of them. Ruled out: suspects.SuspectTable of the four daemons, which counts every death: one power cut would block each request that was in progress at several upstreams. Change: poison counts crashes that follow each other, passes them on with the heartbeats, and forgets them when the request is answered. A suspected request is not repeated by a host. The builders of the platform's data move to standins/platformdata, for the soak to use them as well.

--- a/features/steps/host_peers_steps.py
+++ b/features/steps/host_peers_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from features import host_builders
-from skylarksill.host import _peercodec, eventlog, lookup, peers, records
+from skylarksill.host import _peercodec, eventlog, lookup, peers, poison, records
 
 
 @given('a peer table that heard of "{name}" at {now:g} s')
@@ -45,21 +45,29 @@
 @then("a digest of {count:d} hosts is decoded to the same")
 def step_codec(context, count):
     context.digest = [_build_peer(f"h{index}", 7) for index in range(count)]
-    decoded = _peercodec.decode_digest(_peercodec.encode_digest(context.digest))
-    assert decoded == context.digest
+    crashes = [poison.Crash(b"request", "u1", 7, 99.5)]
+    decoded = _peercodec.decode_digest(
+        _peercodec.encode_digest(context.digest, crashes, 100.0), 100.0
+    )
+    assert decoded == (context.digest, crashes)
 
 
 @then("{count:d} random or damaged datagrams are rejected or harmless")
 def step_fuzz(context, count):
     rng = random.Random(5)
-    whole = _peercodec.encode_digest(context.digest)
+    crash = poison.Crash(b"request", "u1", 7, 99.5)
+    whole = _peercodec.encode_digest(context.digest, [crash], 100.0)
     rejected = 0
     for index in range(count):
         datagram = bytearray(whole if index % 2 else rng.randbytes(rng.randrange(80)))
         if index % 2:
             datagram[rng.randrange(len(datagram))] = rng.randrange(256)
         try:
-            for peer in _peercodec.decode_digest(bytes(datagram)):
+            found, crashes = _peercodec.decode_digest(bytes(datagram), 100.0)
+            poisons = poison.PoisonTable()
+            for crash in crashes:
+                assert not poisons.note_crash(crash, 100.0)
+            for peer in found:
                 assert isinstance(peer.record.host_id, str) and isinstance(peer.heartbeat, int)
                 assert isinstance(peer.state, records.HostState)
         except _peercodec.CodecError:
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -15,10 +15,10 @@
 from behave import given, then, when
 from eventlet.green import socket
 
-from features import host_builders, host_world
+from features import host_builders
 from skylarksill import records as shared
 from skylarksill.host import records
-from standins import metadatastore, worker
+from standins import metadatastore, platformdata, worker
 
 ROOT = host_builders.PLATFORM_FOLDER.parent
 NAMES = (
@@ -56,7 +56,7 @@
 
 @given("the platform's settings file")
 def step_settings(context):
-    context.lines = host_builders.build_settings_lines("127.0.0.1", ("127.0.0.1", 9), 7200, 7300)
+    context.lines = platformdata.build_settings_lines("127.0.0.1", ("127.0.0.1", 9), 7200, 7300)
 
 
 @then("the settings name the zone, the store and the bounds")
@@ -95,7 +95,7 @@
 
 @given("an upstream's entry where {field} is {value}")
 def step_entry(context, field, value):
-    context.spec = host_builders.build_upstream_spec()
+    context.spec = platformdata.build_upstream_spec()
     if value == "missing":
         del context.spec[field]
     else:
@@ -121,10 +121,10 @@
     for _ in range(count):
         for build, decode in (
             (
-                host_builders.build_upstream_spec,
+                platformdata.build_upstream_spec,
                 lambda spec: wire.decode_upstream("a", spec, {"north-a": "north"}),
             ),
-            (host_builders.build_configuration_spec, wire.decode_configuration),
+            (platformdata.build_configuration_spec, wire.decode_configuration),
             (
                 lambda: wire.encode_host(host_builders.build_host_record("h")),
                 lambda spec: wire.decode_host("h", spec),
@@ -143,7 +143,7 @@
 @then("its routes, services and limits have the project's types")
 def step_decoded(context):
     _, wire, _ = host_builders.import_platform()
-    decoded = wire.decode_configuration(host_builders.build_configuration_spec())
+    decoded = wire.decode_configuration(platformdata.build_configuration_spec())
     assert decoded.generation == 7
     by_id = {route.route_id: route for route in decoded.routes}
     assert by_id["r-order"].kind is shared.WorkKind.NON_IDEMPOTENT
@@ -156,7 +156,7 @@
 def step_store(context, count):
     context.store = metadatastore.MetadataStore()
     context.add_cleanup(context.store.stop)
-    context.store.write("config", "main", host_builders.build_configuration_spec())
+    context.store.write("config", "main", platformdata.build_configuration_spec())
     context.workers = [worker.Worker(f"u{index:03}") for index in range(min(count, 2))]
     for item in context.workers:
         context.add_cleanup(item.stop)
@@ -202,7 +202,7 @@
 @when("the store fails for 1 s and configuration {generation:d} is written")
 def step_fails(context, generation):
     context.store.failing_status = 503
-    spec = host_builders.build_configuration_spec(generation)
+    spec = platformdata.build_configuration_spec(generation)
     context.store.write("config", "main", spec)
     eventlet.sleep(1.0)
     context.store.failing_status = None
@@ -243,7 +243,7 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     path = pathlib.Path(folder.name) / "local.conf"
-    lines = host_builders.build_settings_lines(
+    lines = platformdata.build_settings_lines(
         "127.0.0.1", context.store.address, context.ports[0], context.ports[1]
     )
     path.write_text("\n".join(lines), encoding="utf-8")
@@ -269,8 +269,8 @@
 @then("a request through it is answered with {status:d}")
 def step_through(context, status):
     client = socket.create_connection(("127.0.0.1", context.ports[1]))
-    client.sendall(host_world.format_request("GET /read/1", "first"))
-    assert host_world.AnswerReader(client).read()[0] == status
+    client.sendall(platformdata.format_request("GET /read/1", "first"))
+    assert platformdata.AnswerReader(client).read()[0] == status
     client.close()
 
 
@@ -286,12 +286,12 @@
     for item in context.workers:
         item.work_s = 0.6
     client = socket.create_connection(("127.0.0.1", context.ports[1]))
-    client.sendall(host_world.format_request("GET /read/1", "last"))
+    client.sendall(platformdata.format_request("GET /read/1", "last"))
     eventlet.sleep(0.2)
     context.process.send_signal(signal.SIGHUP)
     eventlet.sleep(0.1)
     context.process.send_signal(signal.SIGTERM)
-    context.answer = host_world.AnswerReader(client).read()
+    context.answer = platformdata.AnswerReader(client).read()
 
 
 @then("that request is answered with {status:d} and the program ends with code {code:d}")
@@ -365,7 +365,7 @@
 
 
 def _build_spec(address, **changes):
-    return host_builders.build_upstream_spec(address=address, **changes)
+    return platformdata.build_upstream_spec(address=address, **changes)
 
 
 def _load(lines):
@@ -408,7 +408,7 @@
     except OSError:
         return None, b""
     client.sendall(f"GET {path} HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n".encode())
-    status, _, body = host_world.AnswerReader(client).read()
+    status, _, body = platformdata.AnswerReader(client).read()
     client.close()
     return status, body
 
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -8,7 +8,7 @@
 
 from features import host_builders, host_world
 from skylarksill.host import records, steering
-from standins import worker
+from standins import platformdata, worker
 
 LINES = {"idempotent": "GET /read/1", "non-idempotent": "POST /order/1"}
 HOST_LINE = b"Host: shop.example\r\n"
@@ -77,18 +77,18 @@
 
 @when('the client sends "{line}" with the body "{body}"')
 def step_send_body(context, line, body):
-    _send(context, host_world.format_request(line, "r1", body.encode()))
+    _send(context, platformdata.format_request(line, "r1", body.encode()))
 
 
 @when('the client sends "{line}" without a body')
 def step_send_line(context, line):
-    _send(context, host_world.format_request(line, "r1"))
+    _send(context, platformdata.format_request(line, "r1"))
 
 
 @when('the client sends the body "{body}" in chunks')
 def step_send_chunks(context, body):
     headers = ("Transfer-Encoding: chunked",)
-    head = host_world.format_request("POST /order/1", "r1", headers=headers)
+    head = platformdata.format_request("POST /order/1", "r1", headers=headers)
     chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body.encode())
     _send(context, head + chunks + b"0\r\n\r\n")
 
@@ -97,7 +97,7 @@
 @when("the client sends an {kind} request")
 def step_send_kind(context, kind):
     body = b"deposit" if kind == "non-idempotent" else None
-    _send(context, host_world.format_request(LINES[kind], "r1", body))
+    _send(context, platformdata.format_request(LINES[kind], "r1", body))
 
 
 @when("the client sends the raw bytes {name}")
@@ -110,9 +110,9 @@
     client = context.world.connect()
     context.begun = time.monotonic()
     client.sendall(
-        b"".join(host_world.format_request("GET /read/1", f"r{index}") for index in range(count))
+        b"".join(platformdata.format_request("GET /read/1", f"r{index}") for index in range(count))
     )
-    reader = host_world.AnswerReader(client)
+    reader = platformdata.AnswerReader(client)
     context.answers = [reader.read() for _ in range(count)]
     context.taken_s = time.monotonic() - context.begun
 
@@ -120,17 +120,17 @@
 @when("the client sends {count:d} requests in turn")
 def step_in_turn(context, count):
     client = context.world.connect()
-    reader = host_world.AnswerReader(client)
+    reader = platformdata.AnswerReader(client)
     context.answers = []
     for index in range(count):
-        client.sendall(host_world.format_request("GET /read/1", f"r{index}"))
+        client.sendall(platformdata.format_request("GET /read/1", f"r{index}"))
         context.answers.append(reader.read())
 
 
 @when("the client sends an idempotent request and leaves after {seconds:g} s")
 def step_leave(context, seconds):
     client = context.world.connect()
-    client.sendall(host_world.format_request("GET /read/1", "r1"))
+    client.sendall(platformdata.format_request("GET /read/1", "r1"))
     eventlet.sleep(seconds)
     assert context.world.count_runs() == 1
     client.close()
@@ -139,12 +139,12 @@
 @when("the client sends an idempotent request and the host is told to stop meanwhile")
 def step_stop_meanwhile(context):
     client = context.world.connect()
-    client.sendall(host_world.format_request("GET /read/1", "r1"))
+    client.sendall(platformdata.format_request("GET /read/1", "r1"))
     eventlet.sleep(0.1)
     context.world.server.leave()
     context.world.server.close_idle()
     context.world.server.stop_listening()
-    context.reader = host_world.AnswerReader(client)
+    context.reader = platformdata.AnswerReader(client)
     context.answer = context.reader.read()
 
 
@@ -192,7 +192,7 @@
 def step_told(context):
     for name, item in context.world.workers.items():
         for head in item.heads:
-            fields = worker.parse_fields(head.encode())
+            fields = platformdata.parse_fields(head.encode())
             assert 0 < int(fields["x-skylarksill-deadline-ms"]) <= 1000
             assert fields["x-skylarksill-expect-instance"] == name
 
@@ -251,7 +251,7 @@
     client = context.world.connect()
     begun = time.monotonic()
     client.sendall(data)
-    context.reader = host_world.AnswerReader(client)
+    context.reader = platformdata.AnswerReader(client)
     context.answer = context.reader.read()
     context.taken_s = time.monotonic() - begun
 
@@ -278,8 +278,8 @@
     clients = [context.world.connect() for _ in range(count)]
     for index, client in enumerate(clients):
         body = b"x" * size
-        client.sendall(host_world.format_request("POST /order/1", f"r{index}", body))
-    context.answers = [host_world.AnswerReader(client).read() for client in clients]
+        client.sendall(platformdata.format_request("POST /order/1", f"r{index}", body))
+    context.answers = [platformdata.AnswerReader(client).read() for client in clients]
 
 
 @then("{first:d} are answered with {good:d} and {second:d} with {bad:d}")
@@ -307,7 +307,7 @@
     for _ in range(size // 20_000):
         client.sendall(b"x" * 20_000)
         eventlet.sleep(0.01)
-    context.reader = host_world.AnswerReader(client)
+    context.reader = platformdata.AnswerReader(client)
     context.answer = context.reader.read()
 
 
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -3,9 +3,9 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import fields, peers, records
+from skylarksill.host import fields, peers, poison, records
 
-VERSION = 3
+VERSION = 4
 MAX_DATAGRAM_BYTES = 16_384
 
 
@@ -13,8 +13,8 @@
     """A datagram is not a list of heartbeats."""
 
 
-def encode_digest(peers):
-    """Encodes Peers as one datagram."""
+def encode_digest(peers, crashes, now):
+    """Encodes Peers and poison.Crash records as one datagram; ``now`` is monotonic seconds."""
     entries = [
         (
             peer.record.host_id,
@@ -30,22 +30,30 @@
         )
         for peer in peers
     ]
-    return msgpack.packb((VERSION, entries))
+    news = [
+        (crash.fingerprint, crash.upstream_id, crash.incarnation, int((now - crash.at) * 1000))
+        for crash in crashes
+    ]
+    return msgpack.packb((VERSION, entries, news))
 
 
-def decode_digest(datagram):
+def decode_digest(datagram, now):
     """Decodes a datagram.
 
+    Args:
+      datagram: Its bytes.
+      now: Monotonic seconds, from which the ages of crashes are taken.
     Returns:
-      A list of peers.Peer, heard at 0.
+      A list of peers.Peer, heard at 0, and a list of poison.Crash.
     Raises:
       CodecError: If the datagram is malformed or of another version.
     """
     try:
-        version, entries = msgpack.unpackb(datagram, raw=False)
+        version, *rest = msgpack.unpackb(datagram, raw=False)
         if version != VERSION:
             raise CodecError(f"unknown version {version!r}")
-        return [_decode_entry(entry) for entry in entries]
+        entries, news = rest
+        return [_decode_entry(entry) for entry in entries], [_decode_crash(c, now) for c in news]
     except (ValueError, TypeError, AttributeError, msgpack.exceptions.UnpackException) as error:
         raise CodecError(f"malformed datagram: {error}") from error
 
@@ -72,3 +80,13 @@
         shares,
         fields.check(is_store_lost, bool),
     )
+
+
+def _decode_crash(item, now):
+    fingerprint, upstream_id, incarnation, age_ms = item
+    return poison.Crash(
+        fields.check(fingerprint, bytes),
+        fields.check(upstream_id, str),
+        fields.check(incarnation, int),
+        now - fields.check(age_ms, int) / 1000,
+    )
--- a/skylarksill/host/connector.py
+++ b/skylarksill/host/connector.py
@@ -19,13 +19,15 @@
       pool: The ConnectionPool.
       log: The EventLog.
       counters: The Counters.
+      note_down: Function of a records.Upstream that has become unreachable.
     """
 
-    def __init__(self, fleet, pool, log, counters):
+    def __init__(self, fleet, pool, log, counters, note_down):
         self._fleet = fleet
         self._pool = pool
         self._log = log
         self._counters = counters
+        self._note_down = note_down
 
     def connect(self, state, until):
         """Opens a connection to an upstream.
@@ -83,6 +85,7 @@
         was_unreachable = state.is_unreachable
         wait_s = self._fleet.note_unreachable(state, time.monotonic())
         if not was_unreachable:
+            self._note_down(state.record)
             self._log.write(
                 "upstream.unreachable",
                 upstream=state.record.upstream_id,
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -5,7 +5,7 @@
 
 from skylarksill import records as shared
 from skylarksill import retries
-from skylarksill.host import _upstreamhttp, answers, connector, placement, records, routes
+from skylarksill.host import _upstreamhttp, answers, connector, placement, poison, records, routes
 
 # Added to the time-out before the host answers itself, so that the upstream's own answer at its
 # deadline arrives first. Clients expect an answer within 0.25 s after the time-out.
@@ -19,6 +19,8 @@
 MIN_RETRY_AFTER_S = 0.02
 # Clients honour a Retry-After of up to this share of the time that they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
+# A request that crashes upstreams may return, but not soon.
+BLOCKED_RETRY_AFTER_S = 60.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +30,7 @@
     route: records.Route
     service_id: str
     until: float
+    fingerprint: bytes
     ran_sends: int = 0
     rejected_sends: int = 0
     excluded: set = dataclasses.field(default_factory=set)
@@ -47,6 +50,10 @@
       log: The EventLog.
       counters: The Counters.
       bounds: The records.Bounds; may be replaced at any time.
+
+    Attributes:
+      poisons: PoisonTable of requests that crash upstreams.
+      host_total: Number of hosts that share the retry budgets.
     """
 
     def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds):
@@ -54,7 +61,8 @@
         self._fleet = fleet
         self._steering = steering
         self._pool = pool
-        self._connector = connector.Connector(fleet, pool, log, counters)
+        self.poisons = poison.PoisonTable()
+        self._connector = connector.Connector(fleet, pool, log, counters, self._note_down)
         self._names = names
         self._log = log
         self._counters = counters
@@ -80,11 +88,14 @@
         if route is None:
             self._finish(request, None, 404, "no_route")
             return answers.make_answer(404, b"no route\n")
+        fingerprint = poison.fingerprint_request(request)
+        if self.poisons.is_blocked(fingerprint, request.received_at):
+            return self._reject(request, "blocked", BLOCKED_RETRY_AFTER_S)
         left_s = route.timeout_s
         if request.deadline_s is not None:
             left_s = min(left_s, request.deadline_s)
         service_id = self._splits.choose(route)
-        progress = _Progress(route, service_id, request.received_at + left_s)
+        progress = _Progress(route, service_id, request.received_at + left_s, fingerprint)
         self._find_budget(service_id).count_request(request.received_at)
         answer = self._place_and_send(request, progress, cancellation)
         if cancellation.is_cancelled:
@@ -209,6 +220,7 @@
         progress.excluded.add(choice.upstream.record.upstream_id)
         match outcome:
             case _upstreamhttp.Answered(answer, _):
+                self.poisons.note_answer(progress.fingerprint, time.monotonic())
                 progress.ran_sends += 1
                 progress.last_answer = answer
                 if answer.status >= 500 and is_idempotent and self._may_repeat(progress, choice):
@@ -223,8 +235,11 @@
                     return None
                 rejected = placement.Rejected(reason, max(MIN_RETRY_AFTER_S, choice.wait_s))
                 return self._give_up(request, progress, rejected)
-            case _upstreamhttp.MayHaveRun(reason):
+            case _upstreamhttp.MayHaveRun(reason, is_broken):
                 progress.ran_sends += 1
+                if is_broken:
+                    upstream = choice.upstream.record
+                    self.poisons.note_broken(progress.fingerprint, upstream, time.monotonic())
                 if is_idempotent and self._may_repeat(progress, choice):
                     return None
                 return self._end(request, progress, 502, reason)
@@ -236,10 +251,16 @@
         left_s = progress.until - time.monotonic()
         return (
             progress.ran_sends < progress.route.max_attempts
+            and not self.poisons.is_suspect(progress.fingerprint)
             and left_s > MIN_RETRY_SHARE * choice.work_s
             and self._take_retry(progress)
         )
 
+    def _note_down(self, upstream):
+        """Notes an upstream that no longer accepts connections."""
+        for fingerprint in self.poisons.note_down(upstream, time.monotonic()):
+            self._log.write("request.blocked", fingerprint=fingerprint.hex())
+
     def _take_retry(self, progress):
         return self._find_budget(progress.service_id).take_retry(time.monotonic())
 
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -17,15 +17,17 @@
       address: Own IP address and port.
       seeds: Addresses to try while no peer is known.
       table: The PeerTable.
+      poisons: The PoisonTable.
       log: The EventLog.
       describe_own: Function that returns the own HostState, dict of spill share by service, and
         whether the store is lost.
     """
 
-    def __init__(self, address, seeds, table, log, describe_own):
+    def __init__(self, address, seeds, table, poisons, log, describe_own):
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
         self._table = table
+        self._poisons = poisons
         self._log = log
         self._describe_own = describe_own
         self._socket = None
@@ -44,7 +46,9 @@
         now = time.monotonic()
         state, spill_shares, is_store_lost = self._describe_own()
         self._table.beat(state, now, spill_shares, is_store_lost)
-        datagram = _peercodec.encode_digest(self._table.make_digest(now))
+        datagram = _peercodec.encode_digest(
+            self._table.make_digest(now), self._poisons.list_news(now), now
+        )
         for address in self._table.choose_targets(now) or self._seeds:
             try:
                 self._socket.sendto(datagram, address)
@@ -60,7 +64,8 @@
         while True:
             try:
                 datagram, address = self._socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
-                entries = _peercodec.decode_digest(datagram)
+                now = time.monotonic()
+                entries, crashes = _peercodec.decode_digest(datagram, now)
             except _peercodec.CodecError as error:
                 self._log.write("peer.malformed", peer=str(address), error=str(error))
                 continue
@@ -68,7 +73,9 @@
                 self._log.write("peer.receive_failed", error=str(error))
                 eventlet.sleep(RECEIVE_PAUSE_S)
                 continue
-            now = time.monotonic()
+            for crash in crashes:
+                if self._poisons.note_crash(crash, now):
+                    self._log.write("request.blocked", fingerprint=crash.fingerprint.hex())
             for entry in entries:
                 if self._table.merge(entry, now):
                     peer = entry.record.host_id
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -98,7 +98,12 @@
         self._belief_server = None
         self._entry = None
         self._gossip = gossip.Gossip(
-            settings.gossip, settings.seeds, self.peers, self.log, self._describe_own
+            settings.gossip,
+            settings.seeds,
+            self.peers,
+            self.forwarder.poisons,
+            self.log,
+            self._describe_own,
         )
         self._stopping = eventlet.event.Event()
         self._is_registered = False
--- /dev/null
+++ b/standins/platformdata.py
@@ -0,0 +1,152 @@
+"""Objects, settings and requests as the users' platform spells them, for tests and the soak."""
+
+
+def build_upstream_spec(**changes):
+    """Builds the spec of an upstream's entry as the platform's store holds it."""
+    spec = {
+        "service": "catalogue",
+        "address": "127.0.0.1:8080",
+        "zone": "north-a",
+        "configVersion": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemaining": "0ms",
+        "sequence": 4,
+        "born": 1_700_000_000_000,
+    }
+    return {**spec, **changes}
+
+
+def build_route_spec(path, kind, service="catalogue", **changes):
+    """Builds a route of the operators' configuration as the platform's store holds it."""
+    spec = {
+        "host": "shop.example",
+        "pathPrefix": path,
+        "kind": kind,
+        "timeout": "1000ms",
+        "targetLatency": "400ms",
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "sticky": True,
+        "allowedRegions": [],
+    }
+    return {**spec, **changes}
+
+
+def build_configuration_spec(generation=7, service="catalogue", routes=None):
+    """Builds the spec of the operators' configuration as the platform's store holds it."""
+    fields = {"healthPath": "/health", "maxConnections": 330, "cold": "3s", "coldRateS": 11.0}
+    return {
+        "configVersion": generation,
+        "routes": routes
+        or {
+            "r-read": build_route_spec("/read/", "idempotent", service),
+            "r-order": build_route_spec("/order/", "non_idempotent", service),
+        },
+        "services": {service: fields},
+        "limits": {
+            "maxHeaderBytes": 2_000,
+            "maxBodyBytes": 10_000,
+            "headerTimeout": "300ms",
+            "idleTimeout": "2s",
+        },
+    }
+
+
+def build_settings_lines(ip, store, internal_port, first_port, name="edge-1", **changes):
+    """Builds the lines of a settings file.
+
+    Args:
+      ip: IP address of the host.
+      store: IP address and port of the store.
+      internal_port: First of 16 ports for traffic between hosts.
+      first_port: First of three ports for clients, readiness and look-ups.
+      name: Name of the host.
+      changes: Other values of zone, regions (dict of region by zone) and seeds (addresses).
+    """
+    zone = changes.get("zone", "north-a")
+    regions = changes.get("regions", {"north-a": "north"})
+    seeds = ",".join(f"{host}:{port}" for host, port in changes.get("seeds", ()))
+    return [
+        f"self.node={name}",
+        f"self.ip={ip}",
+        f"self.zone={zone}",
+        f"self.region={regions[zone]}",
+        "self.limits.memoryMb=300",
+        f"network.listen.front={ip}:{first_port}",
+        f"network.listen.ready={ip}:{first_port + 1}",
+        f"network.listen.directory={ip}:{first_port + 2}",
+        f"network.internalPorts={internal_port},{internal_port + 15}",
+        f"network.seeds={seeds}",
+        *[f"network.zones.{known}={region}" for known, region in regions.items()],
+        f"platform.platform.address={store[0]}:{store[1]}",
+        "terms.bounds.contact=4000ms",
+        "terms.bounds.drain=2500ms",
+        "terms.bounds.grace=3s",
+        "terms.bounds.retryBudgetRatio=0.2",
+        "terms.bounds.budgetWindow=10s",
+        "terms.bounds.retryBudgetExtra=58",
+        "terms.bounds.coldOverage=1.5",
+        "terms.bounds.coldTolerance=5",
+        "terms.bounds.ttl_max=5s",
+        "terms.bounds.maxShift=0.15",
+    ]
+
+
+def format_request(line, request_id, body=None, headers=(), key="17"):
+    """Returns the bytes of a client's request with a deadline of 2 s."""
+    lines = [
+        f"{line} HTTP/1.1",
+        "Host: shop.example",
+        f"X-Skylarksill-Request-Id: {request_id}",
+        "X-Skylarksill-Deadline-Ms: 2000",
+        f"Cookie: X-Skylarksill-Affinity-Key={key}",
+        *headers,
+    ]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
+
+
+def parse_fields(head):
+    """Returns the headers of a message's head as a dict of text by lower-case name."""
+    lines = head.decode().split("\r\n")[1:]
+    pairs = (line.partition(":") for line in lines)
+    return {name.strip().lower(): value.strip() for name, _, value in pairs}
+
+
+class AnswerReader:
+    """Reads answers from a client's connection."""
+
+    def __init__(self, client):
+        self._client = client
+        self._data = b""
+
+    def read(self):
+        """Returns status, dict of headers and body of the next answer.
+
+        Raises:
+          EOFError: If the connection ends before the answer does.
+        """
+        while b"\r\n\r\n" not in self._data:
+            self._receive()
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        headers = parse_fields(head)
+        size = int(headers["content-length"])
+        while len(self._data) < size:
+            self._receive()
+        body, self._data = self._data[:size], self._data[size:]
+        return int(head.split()[1]), headers, body
+
+    def is_at_end(self):
+        """Returns True if the host closes the connection and sends nothing more."""
+        if self._data:
+            return False
+        return self._client.recv(1) == b""
+
+    def _receive(self):
+        data = self._client.recv(65536)
+        if not data:
+            raise EOFError(f"connection ended after {self._data!r}")
+        self._data += data
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -6,6 +6,8 @@
 import eventlet
 from eventlet.green import socket
 
+from standins import platformdata
+
 SEAL = "X-Skylarksill-Response-Seal: test.seal"
 
 
@@ -24,6 +26,7 @@
     NO_HTTP = "no_http"
     UNSIGNED = "unsigned"
     ERROR = "error"
+    CRASH = "crash"
 
 
 class Worker:
@@ -77,7 +80,7 @@
                         return
                     data += received
                 head, _, data = data.partition(b"\r\n\r\n")
-                fields = parse_fields(head)
+                fields = platformdata.parse_fields(head)
                 size = int(fields.get("content-length", "0"))
                 while len(data) < size:
                     data += client.recv(65536)
@@ -104,6 +107,9 @@
         if not _wait_while_connected(client, self.work_s):
             return False
         self.ended.append(request_id)
+        if self.fault is Fault.CRASH:
+            self.stop()
+            return _reset(client, echo, "", b"")
         former, self._last_id = self._last_id, request_id
         return _FAULTS[self.fault](client, echo, former, f"{self.worker_id}:{request_id}".encode())
 
@@ -191,10 +197,3 @@
     Fault.UNSIGNED: _answer_unsigned,
     Fault.ERROR: _answer_error,
 }
-
-
-def parse_fields(head):
-    """Returns the headers of a message's head as a dict of text by lower-case name."""
-    lines = head.decode().split("\r\n")[1:]
-    pairs = (line.partition(":") for line in lines)
-    return {name.strip().lower(): value.strip() for name, _, value in pairs}
