Hear hosts that restart after their clock went back

Ruled out: the store's revision as incarnation (a host has none while the store is away). Change: a host that hears of a later former incarnation raises its own; peers accept an earlier one once the later one is dead. Figures: two scenarios of host_peers.feature fail on the code before and pass now.

--- a/features/host_peers.feature
+++ b/features/host_peers.feature
@@ -15,6 +15,19 @@
     When incarnation 2 of "b" sends its first heartbeat at 2.0 s
     Then "b" has incarnation 2
 
+  Scenario: A host that restarts after its clock went back is heard again
+    Given a peer table that heard of incarnation 9000 of "b" at 1.0 s
+    When "b" restarts as incarnation 5000 and hears of its former one
+    And the heartbeat of "b" arrives at 2.0 s
+    Then "b" has incarnation 9001
+
+  Scenario: A host whose clock went back is heard once its former incarnation is dead
+    Given a peer table that heard of incarnation 9000 of "b" at 1.0 s
+    When incarnation 5000 of "b" sends its first heartbeat at 1.5 s
+    Then "b" has incarnation 9000
+    When incarnation 5000 of "b" sends its first heartbeat at 4.5 s
+    Then "b" has incarnation 5000 at 5.0 s
+
   Scenario: Heartbeats survive their encoding and other datagrams are rejected
     Then a digest of 3 hosts is decoded to the same
     And 300 random or damaged datagrams are rejected or harmless
--- a/features/steps/host_peers_steps.py
+++ b/features/steps/host_peers_steps.py
@@ -25,6 +25,28 @@
     context.peers.merge(_build_peer(name, 1, number), now)
 
 
+@given('a peer table that heard of incarnation {number:d} of "{name}" at {now:g} s')
+def step_heard_incarnation(context, number, name, now):
+    context.peers = peers.PeerTable(host_builders.build_host_record("own"), 0.0)
+    context.peers.merge(_build_peer(name, 50, number), now)
+
+
+@when('"{name}" restarts as incarnation {number:d} and hears of its former one')
+def step_restart(context, name, number):
+    record = host_builders.build_host_record(name, incarnation=number)
+    context.restarted = peers.PeerTable(record, 1.2)
+    context.restarted.beat(records.HostState.SERVING, 1.3)
+    for peer in context.peers.make_digest(1.4):
+        context.restarted.merge(peer, 1.4)
+
+
+@when('the heartbeat of "{name}" arrives at {now:g} s')
+def step_heartbeat(context, name, now):
+    context.restarted.beat(records.HostState.SERVING, now)
+    for peer in context.restarted.make_digest(now):
+        context.peers.merge(peer, now)
+
+
 @then('"{name}" is serving at {first:g} s and not at {second:g} s')
 def step_serving(context, name, first, second):
     def list_names(now):
@@ -36,10 +58,15 @@
 
 @then('"{name}" has incarnation {number:d}')
 def step_has_incarnation(context, name, number):
+    step_has_incarnation_at(context, name, number, 2.5)
+
+
+@then('"{name}" has incarnation {number:d} at {now:g} s')
+def step_has_incarnation_at(context, name, number, now):
     found = {
-        peer.record.host_id: peer.record.incarnation for peer in context.peers.list_serving(2.5)
+        peer.record.host_id: peer.record.incarnation for peer in context.peers.list_serving(now)
     }
-    assert found[name] == number
+    assert found.get(name) == number, found
 
 
 @then("a digest of {count:d} hosts is decoded to the same")
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -77,16 +77,25 @@
         """
         host_id = entry.record.host_id
         if host_id == self._own:
+            self._outdate(entry)
             return False
         known = self._peers.get(host_id)
-        if known is not None:
-            order = (known.record.incarnation, known.heartbeat)
-            if (entry.record.incarnation, entry.heartbeat) <= order:
-                return False
         was_alive = known is not None and now - known.heard_at < DEAD_AFTER_S
+        if known is not None and not _is_newer(entry, known, was_alive):
+            return False
         self._peers[host_id] = dataclasses.replace(entry, heard_at=now)
         return not was_alive
 
+    def _outdate(self, former):
+        """Raises the own incarnation above that of a former one.
+
+        Incarnations follow the clock of the host, and peers would ignore one that went back.
+        """
+        own = self._peers[self._own]
+        incarnation = former.record.incarnation
+        if incarnation > own.record.incarnation:
+            own.record = dataclasses.replace(own.record, incarnation=incarnation + 1)
+
     def list_alive(self, now):
         """Returns the Peers with a recent heartbeat, the own host included."""
         return [peer for peer in self._peers.values() if now - peer.heard_at < DEAD_AFTER_S]
@@ -131,3 +140,12 @@
         if len(others) > MAX_ENTRIES - 1:
             others = rng.sample(others, MAX_ENTRIES - 1)
         return [self._peers[self._own], *others]
+
+
+def _is_newer(entry, known, was_alive):
+    """Returns True if an entry replaces the known one of the same host."""
+    if entry.record.incarnation == known.record.incarnation:
+        return entry.heartbeat > known.heartbeat
+    # A host whose clock went back restarts as an earlier incarnation. Nobody passes on heartbeats
+    # of an incarnation that has ended, so it is the living one if the known one is dead.
+    return entry.record.incarnation > known.record.incarnation or not was_alive
