Add a fault soak of the host program

Ruled out: the four daemons' process faults as a base (one disturbance a case, another stand-in); upstreams in processes of their own (their crashes are seen by hosts as broken connections either way). Change: bench/soak plays a seeded schedule of kills, stops, pauses, reloads, disturbed paths to store and upstreams, a failing store, spoilt answers, crashes, drains, configurations and evacuations on four host processes, and checks ten promises from what callers and upstreams see. Each check finds its planted violation (features/soak.feature). make soak SEEDS=50.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PYTHON := $(VENV)/bin/python
 DEPLOYMENT ?= cedarwake
 RUNS ?= 20
+SEEDS ?= 50
 SEED ?= 1
 CASE ?=
 
-.PHONY: test format demo measure faults random process-faults
+.PHONY: test format demo measure faults random process-faults soak
 
 $(VENV)/ready: pyproject.toml
 	python3 -m venv $(VENV)
@@ -35,3 +36,6 @@
 
 process-faults: $(VENV)/ready
 	$(PYTHON) -m bench.process_faults --deployment $(DEPLOYMENT)
+
+soak: $(VENV)/ready
+	$(PYTHON) -m bench.soak --seed $(SEED) --seeds $(SEEDS)
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real host programs on loopback under a seeded series of faults."""
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,50 @@
+Feature: Fault soak
+  Guards against a soak whose checks can't fail, and against the promises themselves in a short run of
+  the real programs.
+
+  Scenario: A schedule depends on its seed only
+    Then the schedules of seeds 1 to 20 are the same twice, and differ from each other
+    And each kind of fault occurs in them
+
+  Scenario: What a calm run has seen violates nothing
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    Then no promise is violated
+
+  Scenario Outline: Each broken promise is found
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When <what> is planted
+    Then exactly the promise about <promise> is violated
+
+    Examples:
+      | what                                        | promise              |
+      | a second run of the non-idempotent request  | ran 2 times          |
+      | a rejection of a request that has run       | has run              |
+      | an answer of another request                | foreign bytes        |
+      | an answer without a signature               | foreign bytes        |
+      | a run outside the home region               | ran in south         |
+      | a request 3.0 s after its upstream left     | after it left        |
+      | a request 5.5 s after an evacuation         | evacuated zone       |
+      | a 404 of a generation 3.0 s after its write | lacks generation     |
+      | a 404 of a generation that was served       | gave up generation   |
+      | a stop that cuts off a request              | was cut off          |
+      | a stop that takes 4.0 s                     | after 4.00 s         |
+      | 70 repeated sends for 2 requests            | repeated sends       |
+      | a host that serves no more                  | did not serve again  |
+      | a traceback of a host                       | host 3: ValueError   |
+
+  Scenario Outline: Trouble that excuses a late request is taken into account
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When a request <late> s after its upstream left is planted
+    And its host had trouble with <trouble> meanwhile
+    Then <count> promises are violated
+
+    Examples:
+      | late | trouble    | count |
+      | 3.0  | store_path | 0     |
+      | 9.0  | store_path | 1     |
+      | 9.0  | process    | 0     |
+      | 9.0  | store      | 0     |
+
+  Scenario: A short run with real programs keeps all promises
+    When the soak plays seed 4 with 3 s of faults
+    Then it served requests under faults and no promise is violated
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -1,5 +1,9 @@
 """Objects, settings and requests as the users' platform spells them, for tests and the soak."""
 
+# Environment variable that names a host's settings file.
+SETTINGS_VARIABLE = "SKYLARKSILL_BOOT"
+READINESS_REQUEST = b"GET /v1/readiness HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n"
+
 
 def build_upstream_spec(**changes):
     """Builds the spec of an upstream's entry as the platform's store holds it."""
@@ -109,6 +113,11 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
 
 
+def is_signed(headers):
+    """Returns True if an answer's headers bear the signature of an upstream."""
+    return "x-skylarksill-response-seal" in headers
+
+
 def parse_fields(head):
     """Returns the headers of a message's head as a dict of text by lower-case name."""
     lines = head.decode().split("\r\n")[1:]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -43,6 +43,7 @@
       ended: Ids of those that it has run to the end.
       heads: Head of each request as text.
       bodies: Body of each request.
+      on_run: Function of a request's id that is called as it begins to run, or None.
     """
 
     def __init__(self, worker_id, work_s=0.0, address=None):
@@ -53,6 +54,7 @@
         self.ended = []
         self.heads = []
         self.bodies = []
+        self.on_run = None
         self.connections = 0
         self._last_id = "none"
         self._socket = eventlet.listen(address or ("127.0.0.1", 0))
@@ -98,20 +100,23 @@
     def _serve_request(self, client, fields):
         request_id = fields.get("x-skylarksill-request-id", "")
         echo = f"X-Skylarksill-Request-Id: {request_id}"
-        if self.fault is Fault.SHED:
+        fault = self.fault
+        if fault is Fault.SHED:
             return _send(client, 503, [echo, "X-Skylarksill-Not-Executed: 1"], b"")
         is_foreign = fields.get("x-skylarksill-expect-instance") != self.worker_id
-        if is_foreign or self.fault is Fault.FOREIGN:
+        if is_foreign or fault is Fault.FOREIGN:
             return _send(client, 421, [echo], b"")
         self.runs.append(request_id)
+        if self.on_run is not None:
+            self.on_run(request_id)
         if not _wait_while_connected(client, self.work_s):
             return False
         self.ended.append(request_id)
-        if self.fault is Fault.CRASH:
+        if fault is Fault.CRASH:
             self.stop()
             return _reset(client, echo, "", b"")
         former, self._last_id = self._last_id, request_id
-        return _FAULTS[self.fault](client, echo, former, f"{self.worker_id}:{request_id}".encode())
+        return _FAULTS[fault](client, echo, former, f"{self.worker_id}:{request_id}".encode())
 
 
 def _wait_while_connected(client, seconds):
