Keep each object to one upstream while it is fit, and start spilling at the region's share

Cause: at the grown size each upstream of the small region was one of two choices for up to 34 objects and remembers 15 to 20, so objects pushed each other out and ran 4 times longer; the share of objects that the small region sends away began at 0.6 of what its slots fall short by, was held to 0.1 for the first seconds because nothing had been placed before, and took 12 s to settle. Change: the second upstream of an object's ranking is used only while the first one fails, is slow beyond its pace, or is silent. The first share is that of the region's other hosts, else what the slots fall short by; the guard has nothing to compare with before the first placement. The model has the grown load. The scenario that a full upstream hands its object to another one is replaced by two stricter ones: it keeps its object while fit, and hands it to one other when unfit.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -43,11 +43,27 @@
     round_trip_s: float = 0.11
 
 
-# The patterns of the deployments' days: calm, the busiest, and a sudden burst.
+# The patterns of the deployments' days: calm, the busiest, a sudden burst, and the deployment after
+# it has grown, with more objects than two upstreams each can remember where there are few of them.
 LOADS = {
     "calm": Load(rate=125.0),
     "scale": Load(rate=278.0),
     "burst": Load(rate=278.0, swing=0.9, period_s=8.0),
+    "grown": Load(
+        rate=512.0,
+        length_s=10.0,
+        period_s=36.0,
+        upstreams=(72, 14, 60),
+        hosts=(8, 8, 8),
+        slots=4,
+        queue=12,
+        objects=237,
+        memory=20,
+        work_s=0.9,
+        known_factor=0.25,
+        target_s=0.6,
+        timeout_s=1.5,
+    ),
 }
 
 
--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -52,10 +52,20 @@
     Given 3 hosts that see 6 upstreams
     Then each of 40 objects is placed on the same upstream by all of them
 
-  Scenario: A full preferred upstream hands its object to one other, not to all
+  Scenario: A full preferred upstream keeps its object
     Given a host that sees 6 upstreams
-    When the preferred upstream of an object reports 9 running and waiting
-    Then 30 requests for the object use at most 2 upstreams
+    When the preferred upstream of an object reports 2 running and waiting
+    Then 30 requests for the object use at most 1 upstreams
+
+  Scenario Outline: An unfit preferred upstream hands its object to one other, not to all
+    Given a host that sees 6 upstreams
+    When the preferred upstream of an object <fault>
+    Then 4 requests for the object use at most 1 upstreams, and not the preferred one
+
+    Examples:
+      | fault                       |
+      | fails 5 times               |
+      | takes 6 times as long twice |
 
   Scenario: Hosts together keep to the connections of an upstream
     Given a host among 100 that sees 1 upstreams with 330 connections
@@ -76,8 +86,20 @@
     When the preferred upstream of an object has answered nothing for 2.0 s
     Then a request for the object goes to the other one
 
-  Scenario: At high load objects that are kept together are served in time
-    Then in the load "scale" keeping objects to 2 upstreams serves more in time than to 6
+  Scenario Outline: At high load objects that are kept together are served in time
+    Then in the load "<load>" keeping objects to 1 upstreams serves more in time than to 2
+
+    Examples:
+      | load  |
+      | burst |
+      | grown |
+
+  Scenario: At the start a region with few upstreams sends its share away at once
+    Then in the first 4 s of the load "grown" more is served in time than if the share grows
+
+  Scenario: A restarted host begins with the share of its peers
+    Given a host of a region with few upstreams whose peers serve 0.3 of the objects elsewhere
+    Then its first share is 0.3
 
   Scenario: A region with few upstreams gains from the slots of others
     Then in the load "scale" moving objects to other regions serves more in time than not
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -262,24 +262,74 @@
     assert choice.upstream is not context.preferred
 
 
+@then("{count:d} requests for the object use at most {most:d} upstreams, and not the preferred one")
+def step_few_others(context, count, most):
+    preferred = context.fleet.rank("catalogue", ("north",), b"object")[0]
+    step_few_upstreams(context, count, most)
+    assert preferred.in_flight == 0
+
+
+@when("the preferred upstream of an object fails {count:d} times")
+def step_preferred_fails(context, count):
+    preferred = context.fleet.rank("catalogue", ("north",), b"object")[0]
+    for _ in range(count):
+        preferred.note_result(True, 1.0)
+
+
+@when("the preferred upstream of an object takes {factor:g} times as long twice")
+def step_preferred_slow(context, factor):
+    preferred = context.fleet.rank("catalogue", ("north",), b"object")[0]
+    for _ in range(2):
+        preferred.note_slowness(factor, 1.0)
+
+
 @then(
     'in the load "{name}" keeping objects to {few:d} upstreams serves more in time than to {many:d}'
 )
 def step_replay_choices(context, name, few, many):
-    assert _replay(name, "STICKY_CHOICES", few) > _replay(name, "STICKY_CHOICES", many)
+    load = fleet_model.LOADS[name]
+    assert _replay(load, placement, "FIT_CHOICES", few) > _replay(
+        load, placement, "FIT_CHOICES", many
+    )
 
 
 @then('in the load "{name}" moving objects to other regions serves more in time than not')
 def step_replay_spill(context, name):
-    with_moves = _replay(name, "STICKY_CHOICES", placement.STICKY_CHOICES)
-    usual, spill.MAX_SHARE = spill.MAX_SHARE, 0.0
-    try:
-        without_moves = _replay(name, "STICKY_CHOICES", placement.STICKY_CHOICES)
-    finally:
-        spill.MAX_SHARE = usual
+    load = fleet_model.LOADS[name]
+    with_moves = _replay(load, spill, "MAX_SHARE", spill.MAX_SHARE)
+    without_moves = _replay(load, spill, "MAX_SHARE", 0.0)
     assert with_moves > without_moves, (with_moves, without_moves)
 
 
+@then(
+    'in the first {seconds:g} s of the load "{name}" more is served in time than if the share grows'
+)
+def step_replay_start(context, seconds, name):
+    load = dataclasses.replace(fleet_model.LOADS[name], length_s=seconds)
+
+    def start_without_share(self, service_id):
+        return 0.0
+
+    at_once = _replay(load, spill, "MAX_SHARE", spill.MAX_SHARE)
+    growing = _replay(load, steering.Steering, "_estimate_first_share", start_without_share)
+    assert at_once > growing, (at_once, growing)
+
+
+@given("a host of a region with few upstreams whose peers serve {share:g} of the objects elsewhere")
+def step_peers_share(context, share):
+    upstreams = [host_builders.build_upstream("a")]
+    upstreams += [host_builders.build_upstream(f"b{index}", "south") for index in range(5)]
+    context.fleet = host_builders.build_fleet(upstreams)
+    context.steering = steering.Steering(context.fleet, 0.15, random.Random(1))
+    context.steering.note_spill_averages({"catalogue": share})
+
+
+@then("its first share is {share:g}")
+def step_first_share(context, share):
+    context.steering.choose(host_builders.build_query(b"object"), 1.0)
+    assert context.steering.list_spill_shares() == {"catalogue": share}
+
+
 @then('in the load "{name}" no region\'s share moves by more than {most:g}')
 def step_replay_shift(context, name, most):
     for seed in SEEDS:
@@ -308,11 +358,12 @@
         context.steering.times.note(context.query.route, "catalogue", is_known, seconds)
 
 
-def _replay(name, constant, value):
-    usual = getattr(placement, constant)
-    setattr(placement, constant, value)
+def _replay(load, owner, name, value):
+    """Returns the share in time of a load while a module or class has another attribute."""
+    usual = getattr(owner, name)
+    setattr(owner, name, value)
     try:
-        runs = [fleet_model.Model(fleet_model.LOADS[name], seed).run() for seed in SEEDS]
+        runs = [fleet_model.Model(load, seed).run() for seed in SEEDS]
     finally:
-        setattr(placement, constant, usual)
+        setattr(owner, name, usual)
     return sum(result.in_time_share for result in runs) / len(runs)
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -5,6 +5,7 @@
 of a host does not depend on it.
 """
 
+import collections
 import dataclasses
 import random
 
@@ -109,16 +110,14 @@
         """Returns the number of known hosts, dead ones included, in a region or in all."""
         return sum(region in (None, peer.record.region) for peer in self._peers.values())
 
-    def average_spill_share(self, region, service_id, now):
-        """Returns the mean share that a region's other serving hosts state, or None."""
-        shares = [
-            peer.spill_shares[service_id]
-            for peer in self.list_serving(now)
-            if peer.record.region == region
-            and peer.record.host_id != self._own
-            and service_id in peer.spill_shares
-        ]
-        return sum(shares) / len(shares) if shares else None
+    def average_spill_shares(self, region, now):
+        """Returns the mean share by service that a region's other serving hosts state."""
+        shares = collections.defaultdict(list)
+        for peer in self.list_serving(now):
+            if peer.record.region == region and peer.record.host_id != self._own:
+                for service_id, share in peer.spill_shares.items():
+                    shares[service_id].append(share)
+        return {service_id: sum(found) / len(found) for service_id, found in shares.items()}
 
     def choose_targets(self, now, rng=random):
         """Returns the gossip addresses of this round, one of a dead host among them at most."""
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -10,9 +10,15 @@
 
 from skylarksill.host import fleet, records
 
-# Upstreams of an object's ranking that share its work. An upstream remembers some 20 to 50 objects
-# and runs others 3 to 4 times longer, so each object is kept to few upstreams.
-STICKY_CHOICES = 2
+# Upstreams of an object's ranking that share its work while the first one is fit, and while it is
+# not. An upstream remembers some 15 to 50 objects and runs others 3 to 4 times longer, so work that
+# the preferred one has no room for is better rejected or moved than run where nothing is known.
+FIT_CHOICES = 1
+UNFIT_CHOICES = 2
+# An upstream is unfit while this share of its answers are failures, while its work takes this many
+# times longer than its pace explains, or while it is silent.
+UNFIT_FAILURE = 0.3
+UNFIT_SLOWNESS = 2.0
 # Share of the target latency within which the preferred upstream must be expected to answer, or
 # the next one is considered.
 PREFERRED_SHARE = 0.6
@@ -117,7 +123,7 @@
 def _find_best(known, times, query, regions, now, rng):
     """Returns Placed at the upstream of least cost, or None without a usable one."""
     best = None
-    for state in _list_usable(known, query, regions, now, rng):
+    for state in _list_candidates(known, times, query, regions, now, rng):
         placed = estimate_completion(times, query, state, now)
         failure = state.estimate_failure(now)
         cost = known.estimate_round_trip_s(state.record.region) + placed.wait_s
@@ -157,27 +163,46 @@
     if excess > 0.0:
         service_s = times.estimate_service(query.service_id, work_s) * factor
         wait_s = excess / state.record.slots * service_s
-    silence_s = state.estimate_silence_s(now)
-    if silence_s > SILENCE_FACTOR * (wait_s + work_s) + SILENCE_MARGIN_S:
-        wait_s += silence_s
+    if _is_silent(state, wait_s + work_s, now):
+        wait_s += state.estimate_silence_s(now)
     return Placed(state, wait_s, work_s, knows_object)
 
 
-def _list_usable(known, query, regions, now, rng):
+def _is_silent(state, expected_s, now):
+    """Returns True if an upstream has answered nothing for much longer than expected."""
+    return state.estimate_silence_s(now) > SILENCE_FACTOR * expected_s + SILENCE_MARGIN_S
+
+
+def _is_fit(times, query, state, now):
+    """Returns True if an upstream serves the objects that it knows as well as others do."""
+    work_s = times.estimate(query.route, query.service_id, True)
+    return (
+        state.estimate_failure(now) < UNFIT_FAILURE
+        and state.estimate_slowness(now) < UNFIT_SLOWNESS
+        and not _is_silent(state, work_s * state.estimate_pace(now), now)
+    )
+
+
+def _list_candidates(known, times, query, regions, now, rng):
     """Returns the upstreams to compare, the preferred one of the object first."""
     key = query.affinity_key if query.route.is_sticky else None
     if key is None:
         pool = [state for region in regions for state in known.find_pool(query.service_id, region)]
-        ranking = rng.sample(pool, len(pool))
-        choices = FREE_CHOICES
-    else:
-        ranking = known.rank(query.service_id, regions, key)
-        choices = STICKY_CHOICES
+        return _list_usable(known, query, rng.sample(pool, len(pool)), FREE_CHOICES, now)
+    ranking = known.rank(query.service_id, regions, key)
+    usable = _list_usable(known, query, ranking, UNFIT_CHOICES, now)
+    if usable and _is_fit(times, query, usable[0], now):
+        return usable[:FIT_CHOICES]
+    return usable
+
+
+def _list_usable(known, query, ranking, count, now):
+    """Returns the first ``count`` upstreams of a ranking that may get the request."""
     usable = []
     for state in ranking:
         if _is_usable(known, query, state, now):
             usable.append(state)
-            if len(usable) == choices:
+            if len(usable) == count:
                 break
     return usable
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -220,9 +220,7 @@
         self.fleet.host_total = self.forwarder.host_total = max(
             MIN_ASSUMED_HOSTS, self.peers.count_known()
         )
-        for service_id in self.steering.list_spill_shares():
-            average = self.peers.average_spill_share(region, service_id, now)
-            self.steering.note_spill_average(service_id, average)
+        self.steering.note_spill_averages(self.peers.average_spill_shares(region, now))
 
     def _repeat(self, pause_s, function):
         while True:
--- a/skylarksill/host/spill.py
+++ b/skylarksill/host/spill.py
@@ -14,9 +14,6 @@
 BOUND_WINDOW_S = 2.0
 BOUND_SHARE = 0.5
 MAX_SHARE = 0.7
-# Part of the share that the region's slots fall short by which leaves from the start, when all
-# caches are cold and the demand is not known yet.
-FIRST_SHARE = 0.6
 # Pull towards the share of the region's other hosts: an object that some of them serve at home and
 # others elsewhere takes memory in both places.
 AVERAGE_WEIGHT = 0.3
@@ -118,7 +115,10 @@
             counts = recent if bucket > newest_before else before
             counts[0] += away
             counts[1] += total
-        share_before = before[0] / before[1] if before[1] else 0.0
+        if not before[1]:
+            # Nothing was placed, so there is nothing that this request differs from.
+            return True
+        share_before = before[0] / before[1]
         limit = share_before + GUARD_SHARE * self.max_shift
         return recent[0] + 1 <= limit * (recent[1] + 1) + GUARD_SLACK
 
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -23,6 +23,7 @@
         self._max_shift = max_shift
         self._rng = rng
         self._spills = {}
+        self._averages = {}
         self._guard = spill.ShiftGuard(max_shift)
 
     def set_max_shift(self, max_shift):
@@ -52,9 +53,11 @@
         """Returns the share of objects that are served in other regions by service."""
         return {service_id: control.share for service_id, control in self._spills.items()}
 
-    def note_spill_average(self, service_id, average):
-        """Takes over the mean share of the region's other hosts; None if it is unknown."""
-        self._spills[service_id].average = average
+    def note_spill_averages(self, averages):
+        """Takes over the mean shares of the region's other hosts by service."""
+        self._averages = averages
+        for service_id, control in self._spills.items():
+            control.average = averages.get(service_id)
 
     def note_answer(self, query, choice, load, seconds, now):
         """Learns from an answer that is no failure.
@@ -117,11 +120,13 @@
         return choice
 
     def _estimate_first_share(self, service_id):
-        """Returns the share of objects that the region's part of all slots can't serve."""
+        """Returns the share of the region's other hosts, or what its slots fall short by."""
+        if service_id in self._averages:
+            return self._averages[service_id]
         regions = self._fleet.list_regions(service_id)
         slots = [self._fleet.count_slots(service_id, region) for region in regions]
         fair = sum(slots) / len(slots)
-        return spill.FIRST_SHARE * max(0.0, 1.0 - slots[0] / fair)
+        return max(0.0, 1.0 - slots[0] / fair)
 
     def _does_gain(self, query, home, away):
         round_trip_s = 0.0
