Name home regions of the soak in the project's words

Ruled out: an exception for the soak; the builders of the platform's data are the place for it. Change: the builder of routes takes regions.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -176,7 +176,7 @@
         routes = {
             "r-read": build("/read/", "idempotent"),
             "r-order": build("/order/", "non_idempotent"),
-            "r-home": build(checks.HOME_PREFIX, "idempotent", allowedRegions=[checks.HOME_REGION]),
+            "r-home": build(checks.HOME_PREFIX, "idempotent", regions=[checks.HOME_REGION]),
         }
         for number in range(1, self.generation + 1):
             routes[f"r-gen-{number}"] = build(f"{checks.GENERATION_PREFIX}{number}/", "idempotent")
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -21,9 +21,16 @@
     return {**spec, **changes}
 
 
-def build_route_spec(path, kind, service="catalogue", **changes):
-    """Builds a route of the operators' configuration as the platform's store holds it."""
-    spec = {
+def build_route_spec(path, kind, service="catalogue", regions=()):
+    """Builds a route of the operators' configuration as the platform's store holds it.
+
+    Args:
+      path: Prefix of the paths.
+      kind: ``idempotent`` or ``non_idempotent``.
+      service: The service that it leads to.
+      regions: Regions that may run its requests; none for all.
+    """
+    return {
         "host": "shop.example",
         "pathPrefix": path,
         "kind": kind,
@@ -33,9 +40,8 @@
         "service": service,
         "maxAttempts": 2,
         "sticky": True,
-        "allowedRegions": [],
+        "allowedRegions": list(regions),
     }
-    return {**spec, **changes}
 
 
 def build_configuration_spec(generation=7, service="catalogue", routes=None):
