Pass on heartbeats instead of whole records, mostly within the region

Cause: each datagram held the whole record of every live host, 3.2 kB six times a second a host at 24 hosts, two thirds of them to other regions: about a third of all bytes between regions. Ruled out: fewer rounds (a dead host must be missed within 3 s). Change: records of new hosts, one other and the own one are sent whole, all others as heartbeats; two targets a round in the own region and one elsewhere. At 24 hosts a host sends 2.8 kB a second, 1.0 kB of it to other regions (scenario, 20 s with lost datagrams and no host missed).

--- a/features/host_peers.feature
+++ b/features/host_peers.feature
@@ -32,6 +32,18 @@
     Then a digest of 3 hosts is decoded to the same
     And 300 random or damaged datagrams are rejected or harmless
 
+  Scenario Outline: Heartbeats reach all hosts and cost little
+    Given <count> hosts in 3 regions that know each other from the store
+    When they exchange heartbeats for 20 s and 1 of 20 datagrams is lost
+    Then from 8 s on no host counts a living one as dead
+    And a host sends at most <bytes> bytes a second, <far> of them to other regions
+
+    Examples:
+      | count | bytes | far   |
+      | 7     | 9000  | 3000  |
+      | 24    | 9000  | 3000  |
+      | 100   | 36000 | 12000 |
+
   Scenario: Clients are sent to serving hosts of their region, those of their zone first
     Given serving hosts in zones north-a, north-b and south-a
     Then a client in north-b is named the hosts of north-b and north-a
--- a/features/steps/host_peers_steps.py
+++ b/features/steps/host_peers_steps.py
@@ -36,15 +36,13 @@
     record = host_builders.build_host_record(name, incarnation=number)
     context.restarted = peers.PeerTable(record, 1.2)
     context.restarted.beat(records.HostState.SERVING, 1.3)
-    for peer in context.peers.make_digest(1.4):
-        context.restarted.merge(peer, 1.4)
+    _send(context.peers, context.restarted, 1.4)
 
 
 @when('the heartbeat of "{name}" arrives at {now:g} s')
 def step_heartbeat(context, name, now):
     context.restarted.beat(records.HostState.SERVING, now)
-    for peer in context.restarted.make_digest(now):
-        context.peers.merge(peer, now)
+    _send(context.restarted, context.peers, now)
 
 
 @then('"{name}" is serving at {first:g} s and not at {second:g} s')
@@ -72,29 +70,30 @@
 @then("a digest of {count:d} hosts is decoded to the same")
 def step_codec(context, count):
     context.digest = [_build_peer(f"h{index}", 7) for index in range(count)]
+    beats = [
+        peers.Beat(f"b{index}", 4, 9, records.HostState.LEAVING, True) for index in range(count)
+    ]
     crashes = [poison.Crash(b"request", "u1", 7, 99.5)]
-    decoded = _peercodec.decode_digest(
-        _peercodec.encode_digest(context.digest, crashes, 100.0), 100.0
-    )
-    assert decoded == (context.digest, crashes)
+    context.whole = _peercodec.Digest(context.digest, beats, crashes)
+    datagram = _peercodec.encode_digest(context.whole, 100.0)
+    assert _peercodec.decode_digest(datagram, 100.0) == context.whole
 
 
 @then("{count:d} random or damaged datagrams are rejected or harmless")
 def step_fuzz(context, count):
     rng = random.Random(5)
-    crash = poison.Crash(b"request", "u1", 7, 99.5)
-    whole = _peercodec.encode_digest(context.digest, [crash], 100.0)
+    whole = _peercodec.encode_digest(context.whole, 100.0)
     rejected = 0
     for index in range(count):
         datagram = bytearray(whole if index % 2 else rng.randbytes(rng.randrange(80)))
         if index % 2:
             datagram[rng.randrange(len(datagram))] = rng.randrange(256)
         try:
-            found, crashes = _peercodec.decode_digest(bytes(datagram), 100.0)
+            found = _peercodec.decode_digest(bytes(datagram), 100.0)
             poisons = poison.PoisonTable()
-            for crash in crashes:
+            for crash in found.crashes:
                 assert not poisons.note_crash(crash, 100.0)
-            for peer in found:
+            for peer in found.peers:
                 assert isinstance(peer.record.host_id, str) and isinstance(peer.heartbeat, int)
                 assert isinstance(peer.state, records.HostState)
         except _peercodec.CodecError:
@@ -159,6 +158,67 @@
     assert lines[-2] == lines[-2] | {"event": "log.dropped", "lines": 10_000 - kept}, lines[-2]
 
 
+@given("{count:d} hosts in 3 regions that know each other from the store")
+def step_many(context, count):
+    context.tables = []
+    names = [f"h{index}" for index in range(count)]
+    built = [
+        records.HostRecord(name, 1, f"z{index % 9}", f"r{index % 3}", (name, 80), (name, 81))
+        for index, name in enumerate(names)
+    ]
+    for record in built:
+        table = peers.PeerTable(record, 0.0)
+        for other in built:
+            if other is not record:
+                table.add_candidate(other, 0.0)
+        context.tables.append(table)
+    context.by_address = dict(zip([(name, 81) for name in names], context.tables, strict=True))
+
+
+@when("they exchange heartbeats for {seconds:d} s and 1 of 20 datagrams is lost")
+def step_exchange(context, seconds):
+    rng = random.Random(4)
+    context.bytes_far = context.bytes_all = 0
+    context.missed = 0
+    for number in range(int(seconds / peers.ROUND_S)):
+        now = number * peers.ROUND_S
+        for table in context.tables:
+            table.beat(records.HostState.SERVING, now, {"catalogue": 0.3})
+            whole, beats = table.make_digest(now, rng)
+            size = len(_peercodec.encode_digest(_peercodec.Digest(whole, beats, []), now))
+            for address in table.choose_targets(now, rng):
+                target = context.by_address[address]
+                is_far = target.own.region != table.own.region
+                context.bytes_all += size
+                context.bytes_far += size * is_far
+                if rng.randrange(20):
+                    _send(table, target, now, (whole, beats))
+        if now >= 8.0:
+            for table in context.tables:
+                context.missed += len(context.tables) - len(table.list_serving(now))
+
+
+@then("from 8 s on no host counts a living one as dead")
+def step_none_dead(context):
+    assert context.missed == 0, context.missed
+
+
+@then("a host sends at most {most:d} bytes a second, {most_far:d} of them to other regions")
+def step_bytes(context, most, most_far):
+    seconds = 20 * len(context.tables)
+    assert context.bytes_all / seconds <= most, context.bytes_all / seconds
+    assert context.bytes_far / seconds <= most_far, context.bytes_far / seconds
+
+
+def _send(sender, receiver, now, digest=None):
+    """Hands a digest of one PeerTable to another."""
+    whole, beats = digest or sender.make_digest(now)
+    for peer in whole:
+        receiver.merge(peer, now)
+    for beat in beats:
+        receiver.merge_beat(beat, now)
+
+
 def _build_peer(name, heartbeat, incarnation=1):
     record = host_builders.build_host_record(name, incarnation=incarnation)
     return peers.Peer(record, heartbeat, records.HostState.SERVING, 0.0, {"catalogue": 0.25})
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -1,11 +1,13 @@
 """Encoding of heartbeats as msgpack datagrams."""
 
+import dataclasses
+
 import msgpack
 
 from skylarksill import records as shared
 from skylarksill.host import fields, peers, poison, records
 
-VERSION = 4
+VERSION = 5
 MAX_DATAGRAM_BYTES = 16_384
 
 
@@ -13,8 +15,23 @@
     """A datagram is not a list of heartbeats."""
 
 
-def encode_digest(peers, crashes, now):
-    """Encodes Peers and poison.Crash records as one datagram; ``now`` is monotonic seconds."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """What a datagram holds.
+
+    Attributes:
+      peers: List of peers.Peer with whole records, heard at 0.
+      beats: List of peers.Beat.
+      crashes: List of poison.Crash.
+    """
+
+    peers: list[peers.Peer]
+    beats: list[peers.Beat]
+    crashes: list[poison.Crash]
+
+
+def encode_digest(digest, now):
+    """Encodes a Digest as one datagram; ``now`` is monotonic seconds."""
     entries = [
         (
             peer.record.host_id,
@@ -28,13 +45,17 @@
             peer.spill_shares,
             peer.is_store_lost,
         )
-        for peer in peers
+        for peer in digest.peers
+    ]
+    beats = [
+        (beat.host_id, beat.incarnation, beat.heartbeat, beat.state.value, beat.is_store_lost)
+        for beat in digest.beats
     ]
     news = [
         (crash.fingerprint, crash.upstream_id, crash.incarnation, int((now - crash.at) * 1000))
-        for crash in crashes
+        for crash in digest.crashes
     ]
-    return msgpack.packb((VERSION, entries, news))
+    return msgpack.packb((VERSION, entries, beats, news))
 
 
 def decode_digest(datagram, now):
@@ -44,7 +65,7 @@
       datagram: Its bytes.
       now: Monotonic seconds, from which the ages of crashes are taken.
     Returns:
-      A list of peers.Peer, heard at 0, and a list of poison.Crash.
+      A Digest.
     Raises:
       CodecError: If the datagram is malformed or of another version.
     """
@@ -52,8 +73,12 @@
         version, *rest = msgpack.unpackb(datagram, raw=False)
         if version != VERSION:
             raise CodecError(f"unknown version {version!r}")
-        entries, news = rest
-        return [_decode_entry(entry) for entry in entries], [_decode_crash(c, now) for c in news]
+        entries, beats, news = rest
+        return Digest(
+            [_decode_entry(entry) for entry in entries],
+            [_decode_beat(beat) for beat in beats],
+            [_decode_crash(crash, now) for crash in news],
+        )
     except (ValueError, TypeError, AttributeError, msgpack.exceptions.UnpackException) as error:
         raise CodecError(f"malformed datagram: {error}") from error
 
@@ -82,6 +107,17 @@
     )
 
 
+def _decode_beat(item):
+    host_id, incarnation, heartbeat, state, is_store_lost = item
+    return peers.Beat(
+        fields.check(host_id, str),
+        fields.check(incarnation, int),
+        fields.check(heartbeat, int),
+        records.HostState(state),
+        fields.check(is_store_lost, bool),
+    )
+
+
 def _decode_crash(item, now):
     fingerprint, upstream_id, incarnation, age_ms = item
     return poison.Crash(
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -46,9 +46,9 @@
         now = time.monotonic()
         state, spill_shares, is_store_lost = self._describe_own()
         self._table.beat(state, now, spill_shares, is_store_lost)
-        datagram = _peercodec.encode_digest(
-            self._table.make_digest(now), self._poisons.list_news(now), now
-        )
+        whole, beats = self._table.make_digest(now)
+        digest = _peercodec.Digest(whole, beats, self._poisons.list_news(now))
+        datagram = _peercodec.encode_digest(digest, now)
         for address in self._table.choose_targets(now) or self._seeds:
             try:
                 self._socket.sendto(datagram, address)
@@ -65,7 +65,7 @@
             try:
                 datagram, address = self._socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
                 now = time.monotonic()
-                entries, crashes = _peercodec.decode_digest(datagram, now)
+                digest = _peercodec.decode_digest(datagram, now)
             except _peercodec.CodecError as error:
                 self._log.write("peer.malformed", peer=str(address), error=str(error))
                 continue
@@ -73,10 +73,13 @@
                 self._log.write("peer.receive_failed", error=str(error))
                 eventlet.sleep(RECEIVE_PAUSE_S)
                 continue
-            for crash in crashes:
-                if self._poisons.note_crash(crash, now):
-                    self._log.write("request.blocked", fingerprint=crash.fingerprint.hex())
-            for entry in entries:
-                if self._table.merge(entry, now):
-                    peer = entry.record.host_id
-                    self._log.write("peer.alive", peer=peer, state=entry.state.value)
+            self._take(digest, now)
+
+    def _take(self, digest, now):
+        for crash in digest.crashes:
+            if self._poisons.note_crash(crash, now):
+                self._log.write("request.blocked", fingerprint=crash.fingerprint.hex())
+        alive = [peer.record.host_id for peer in digest.peers if self._table.merge(peer, now)]
+        alive += [beat.host_id for beat in digest.beats if self._table.merge_beat(beat, now)]
+        for host_id in alive:
+            self._log.write("peer.alive", peer=host_id)
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -1,24 +1,33 @@
 """Which hosts of the system live, learned from heartbeats that peers pass on.
 
-Each host raises its own heartbeat and sends what it knows to a few random peers at a time. News
-reach all hosts in a number of rounds that grows with the logarithm of their count, and the traffic
-of a host does not depend on it.
+Each host raises its own heartbeat and sends what it knows to a few random peers at a time, mostly
+of its own region. News reach all hosts in a number of rounds that grows with the logarithm of their
+count. Answers the load of a large deployment in calm times: most hosts are known, so a datagram
+holds their heartbeats only, and whole records of hosts that are new.
 """
 
 import collections
 import dataclasses
 import random
 
+from skylarksill import records as shared
 from skylarksill.host import records
 
 ROUND_S = 0.5
-FANOUT = 3
+# Hosts of the own region and of others that get a datagram in a round. Bytes between regions cost
+# most, and what reaches one host of a region is passed on there.
+NEAR_FANOUT = 2
+FAR_FANOUT = 1
 # Six rounds without news. Clients may be named a dead host for `contact` + 3 s at most, 6 to 7 s.
 DEAD_AFTER_S = 3.0
 # Dead peers are kept and tried again now and then, so that two halves find each other again.
 FORGET_AFTER_S = 120.0
-# One datagram carries at most this many entries, which keeps it under 4 kB.
-MAX_ENTRIES = 40
+# Whole records that a datagram holds beside the own one: those of hosts that have been known for
+# less than NEW_S, and one other for hosts that have missed it.
+MAX_RECORDS = 6
+NEW_S = 3.0
+# Heartbeats that a datagram holds; each takes about 30 bytes.
+MAX_BEATS = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +36,7 @@
 
     Attributes:
       heard_at: Monotonic time of its last new heartbeat.
+      known_at: Monotonic time at which this incarnation became known.
       spill_shares: Share of the objects that it sends to other regions, by service.
       is_store_lost: True if it can't reach the platform's store.
     """
@@ -37,6 +47,18 @@
     heard_at: float
     spill_shares: dict = dataclasses.field(default_factory=dict)
     is_store_lost: bool = False
+    known_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """A heartbeat of a host whose record the receiver probably knows."""
+
+    host_id: shared.HostId
+    incarnation: int
+    heartbeat: int
+    state: records.HostState
+    is_store_lost: bool
 
 
 class PeerTable:
@@ -51,6 +73,11 @@
         self._own = own.host_id
         self._peers = {own.host_id: Peer(own, 1, records.HostState.STARTING, now)}
 
+    @property
+    def own(self):
+        """The own HostRecord."""
+        return self._peers[self._own].record
+
     def beat(self, state, now, spill_shares=None, is_store_lost=False):
         """Raises the own heartbeat; see Peer for the arguments."""
         peer = self._peers[self._own]
@@ -84,7 +111,27 @@
         was_alive = known is not None and now - known.heard_at < DEAD_AFTER_S
         if known is not None and not _is_newer(entry, known, was_alive):
             return False
-        self._peers[host_id] = dataclasses.replace(entry, heard_at=now)
+        is_same = known is not None and known.record == entry.record
+        known_at = known.known_at if is_same else now
+        self._peers[host_id] = dataclasses.replace(entry, heard_at=now, known_at=known_at)
+        return not was_alive
+
+    def merge_beat(self, beat, now):
+        """Takes over a newer heartbeat of a known incarnation.
+
+        Returns:
+          True if the host was dead before.
+        """
+        known = self._peers.get(beat.host_id)
+        if known is None or beat.host_id == self._own:
+            return False
+        if known.record.incarnation != beat.incarnation or known.heartbeat >= beat.heartbeat:
+            return False
+        was_alive = now - known.heard_at < DEAD_AFTER_S
+        known.heartbeat = beat.heartbeat
+        known.state = beat.state
+        known.is_store_lost = beat.is_store_lost
+        known.heard_at = now
         return not was_alive
 
     def _outdate(self, former):
@@ -121,24 +168,42 @@
 
     def choose_targets(self, now, rng=random):
         """Returns the gossip addresses of this round, one of a dead host among them at most."""
-        alive, dead = [], []
+        own_region = self.own.region
+        near, far, dead = [], [], []
         for host_id, peer in list(self._peers.items()):
             age = now - peer.heard_at
             if host_id == self._own:
                 continue
             if age > FORGET_AFTER_S:
                 del self._peers[host_id]
-                continue
-            (alive if age < DEAD_AFTER_S else dead).append(peer.record.gossip)
-        targets = rng.sample(alive, min(FANOUT, len(alive)))
-        return targets + rng.sample(dead, min(FANOUT if not alive else 1, len(dead)))
+            elif age >= DEAD_AFTER_S:
+                dead.append(peer.record.gossip)
+            else:
+                (near if peer.record.region == own_region else far).append(peer.record.gossip)
+        targets = rng.sample(near, min(NEAR_FANOUT, len(near)))
+        missing = NEAR_FANOUT - len(targets)
+        targets += rng.sample(far, min(FAR_FANOUT + missing, len(far)))
+        dead_count = 1 if targets else NEAR_FANOUT + FAR_FANOUT
+        return targets + rng.sample(dead, min(dead_count, len(dead)))
 
     def make_digest(self, now, rng=random):
-        """Returns the Peers to pass on: the own one and others with recent heartbeats."""
-        others = [peer for peer in self.list_alive(now) if peer.record.host_id != self._own]
-        if len(others) > MAX_ENTRIES - 1:
-            others = rng.sample(others, MAX_ENTRIES - 1)
-        return [self._peers[self._own], *others]
+        """Chooses what to pass on in a round.
+
+        Returns:
+          A list of Peers whose whole record is sent, the own one first, and a list of Beats.
+        """
+        own = self._peers[self._own]
+        others = [peer for peer in self.list_alive(now) if peer is not own]
+        rng.shuffle(others)
+        new = [peer for peer in others if now - peer.known_at < NEW_S]
+        known = [peer for peer in others if now - peer.known_at >= NEW_S]
+        whole = (new[: MAX_RECORDS - 1] + known[:1]) if known else new[:MAX_RECORDS]
+        return [own, *whole], [_make_beat(peer) for peer in known[:MAX_BEATS]]
+
+
+def _make_beat(peer):
+    record = peer.record
+    return Beat(record.host_id, record.incarnation, peer.heartbeat, peer.state, peer.is_store_lost)
 
 
 def _is_newer(entry, known, was_alive):
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -32,8 +32,9 @@
 LISTEN_ON_S = 2.0
 # Idle connections are closed once readiness has been seen to fail.
 CLOSE_IDLE_AFTER_S = 1.2
-# Kept of the time between the request to stop and the kill, for the last answers to leave.
-STOP_RESERVE_S = 0.25
+# Kept of the time between the request to stop and the kill, for the last answers to leave and for the
+# interpreter to end, which takes some tenths of a second on a slowed host.
+STOP_RESERVE_S = 0.6
 # Part of the host's memory that bodies of requests may take. Requests to upstreams are copies, and
 # the program itself takes about 35 MB.
 BUFFER_SHARE = 0.2
