Probe the store, so that nobody relies on a host that it turns away in silence

Ruled out: shorter watches (8 times as many calls at 1 s); more sources (less likely, not impossible); a watch of the configuration by each host (the same holds for upstreams that drain). Change: a host that watches also reads one small object each second, a read that costs a tenth; when that fails it says so to its followers at once, which then watch themselves, and follows others. Both new scenarios fail on the code before.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -79,3 +79,12 @@
     And a request through it is answered with 200
     When the settings name another store
     Then it logs within 3 s that this needs a restart
+
+  Scenario: A host whose watches wait in silence knows soon that the store is lost
+    Given a store with a configuration and 2 upstreams
+    And the host program on it
+    Then it is ready within 10 s and the look-up names it
+    When the store turns silent
+    Then it logs within 2 s that the store does not answer
+    When the store answers again
+    Then it logs within 2 s that the store answers
--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -58,3 +58,10 @@
     Then that host believes in "a" and "c" within 1 s
     When the source stops answering
     Then that host is no longer covered within 2 s
+
+  Scenario: A follower relies no longer on a source that has lost the store
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a host without a store that follows it on a loopback address
+    Then that host believes in "a" and "b" within 2 s and is covered
+    When the source loses the store
+    Then that host is no longer covered within 0.2 s
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -337,6 +337,26 @@
     _wait_for_line(context, seconds, event="host.settings_rejected", error=error)
 
 
+@when("the store turns silent")
+def step_store_silent(context):
+    context.store.is_silent = True
+
+
+@when("the store answers again")
+def step_store_answers(context):
+    context.store.is_silent = False
+
+
+@then("it logs within {seconds:d} s that the store does not answer")
+def step_logs_lost(context, seconds):
+    _wait_for_line(context, seconds, event="store.probe", is_answered=False)
+
+
+@then("it logs within {seconds:d} s that the store answers")
+def step_logs_back(context, seconds):
+    _wait_for_line(context, seconds, event="store.probe", is_answered=True)
+
+
 @then("it logs within {seconds:d} s that this needs a restart")
 def step_needs_restart(context, seconds):
     _wait_for_line(context, seconds, event="host.reload", needs_restart=["store"])
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -7,7 +7,15 @@
 from behave import given, then, when
 
 from features import host_builders
-from skylarksill.host import _beliefcodec, belief, eventlog, following, peers, records, relay
+from skylarksill.host import (
+    _beliefcodec,
+    belief,
+    eventlog,
+    following,
+    peers,
+    records,
+    relay,
+)
 
 UPSTREAMS = records.ObjectKind.UPSTREAMS
 
@@ -165,7 +173,10 @@
 @given("a host without a store that follows it on a loopback address")
 def step_following(context):
     log = eventlog.EventLog("test", len)
-    context.server = following.BeliefServer(("127.0.0.1", 0), context.source, log, lambda: False)
+    context.is_store_lost = False
+    context.server = following.BeliefServer(
+        ("127.0.0.1", 0), context.source, log, lambda: context.is_store_lost
+    )
     context.server.start()
     context.follower = belief.Belief()
     own = host_builders.build_host_record("own")
@@ -198,7 +209,7 @@
 def step_silent(context):
     context.server.stop()
     context.server.note_change()
-    context.server._wait_for_change = lambda sequence, wait_s: eventlet.sleep(10.0)
+    context.server._wait_for_change = lambda wait_s: eventlet.sleep(10.0)
 
 
 @then("that host is no longer covered within {seconds:g} s")
@@ -206,6 +217,12 @@
     _wait(seconds + 0.2, lambda: not context.following.is_covered())
 
 
+@when("the source loses the store")
+def step_source_lost(context):
+    context.is_store_lost = True
+    context.server.note_change()
+
+
 def _wait(seconds, is_reached):
     end = time.monotonic() + seconds
     while not is_reached():
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -57,7 +57,7 @@
         self._socket.close()
 
     def note_change(self):
-        """Wakes the followers that wait; to be called after each change of belief."""
+        """Wakes the followers that wait: belief has changed, or the store is lost or regained."""
         changed, self._changed = self._changed, event.Event()
         changed.send()
 
@@ -78,7 +78,8 @@
                 client.settimeout(None)
                 payload = _read_message(client, _beliefcodec.MAX_REQUEST_BYTES)
                 sequence, generation, wait_s = _beliefcodec.decode_request(payload)
-                self._wait_for_change(sequence, min(wait_s, WAIT_S))
+                if self._belief.sequence == sequence:
+                    self._wait_for_change(min(wait_s, WAIT_S))
                 update = relay.make_update(
                     self._belief, sequence, generation, self._is_store_lost()
                 )
@@ -92,9 +93,7 @@
         finally:
             client.close()
 
-    def _wait_for_change(self, sequence, wait_s):
-        if self._belief.sequence != sequence:
-            return
+    def _wait_for_change(self, wait_s):
         with eventlet.Timeout(wait_s, False):
             self._changed.wait()
 
@@ -151,8 +150,8 @@
             source.close()
 
     def _note_answer(self, update, sequence):
-        if update.is_complete and not update.is_store_lost:
-            self._covered_at = time.monotonic()
+        is_current = update.is_complete and not update.is_store_lost
+        self._covered_at = time.monotonic() if is_current else float("-inf")
         if sequence == relay.UNKNOWN_SEQUENCE:
             self._failures = 0
             peer = self.record.host_id
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -32,8 +32,8 @@
 LISTEN_ON_S = 2.0
 # Idle connections are closed once readiness has been seen to fail.
 CLOSE_IDLE_AFTER_S = 1.2
-# Kept of the time between the request to stop and the kill, for the last answers to leave and for the
-# interpreter to end, which takes some tenths of a second on a slowed host.
+# Kept of the time between the request to stop and the kill, for the last answers to leave and for
+# the interpreter to end, which takes some tenths of a second on a slowed host.
 STOP_RESERVE_S = 0.6
 # Part of the host's memory that bodies of requests may take. Requests to upstreams are copies, and
 # the program itself takes about 35 MB.
@@ -123,7 +123,12 @@
             self.own, self.peers, self.belief, self.log, self._take_changes, self._is_store_lost
         )
         self._watcher = watching.Watcher(
-            store, self.belief, self.log, self._apply_belief, self._following.is_covered
+            store,
+            self.belief,
+            self.log,
+            self._apply_belief,
+            self.settings.host_id,
+            self._following.is_covered,
         )
         self._belief_server = following.BeliefServer(
             self.settings.gossip, self.belief, self.log, self._is_store_lost
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -32,6 +32,10 @@
 COVERED_PAUSE_S = 0.1
 # After the first reads a host waits this long for peers, which may spare it the watches.
 SETTLE_S = 1.5
+# Pause between probes of the store. A store that turns a host away may leave its watches waiting,
+# and followers must not rely on that host for longer: with the time-out of a probe and a watch of
+# their own they are current again within 1.7 s, and upstreams drain for 2.5 s.
+PROBE_S = 1.0
 
 
 class StoreClient(typing.Protocol):
@@ -53,6 +57,9 @@
     def watch(self, kind, revision, wait_s):
         """Returns a tuple of revision and list of decoded events of a kind."""
 
+    def probe(self, host_id):
+        """Returns if the store answers this host at all, soon and at little cost."""
+
     def register_host(self, record):
         """Writes the entry of this host."""
 
@@ -71,22 +78,26 @@
       store: The StoreClient.
       belief: The Belief.
       log: The EventLog.
-      on_change: Function without arguments that is called after each change of belief.
+      on_change: Function without arguments that is called after each change of belief, and when
+        the store is lost or regained.
+      host_id: Name of this host.
       is_covered: Function that returns True while peers keep the belief current.
     """
 
-    def __init__(self, store, belief, log, on_change, is_covered=lambda: False):
+    def __init__(self, store, belief, log, on_change, host_id, is_covered=lambda: False):
         self._store = store
         self._belief = belief
         self._log = log
         self._on_change = on_change
+        self._host_id = host_id
         self._is_covered = is_covered
         self._lost = []
+        self._has_failed_probe = False
 
     @property
     def is_store_lost(self):
-        """True while a call of the store has failed and none has succeeded since."""
-        return bool(self._lost)
+        """True while a watch or the last probe of the store has failed."""
+        return bool(self._lost) or self._has_failed_probe
 
     def start(self):
         """Starts the watches."""
@@ -113,6 +124,7 @@
             ),
         ):
             eventlet.spawn_n(self._follow, kind, read, replace, apply_event)
+        eventlet.spawn_n(self._probe_repeatedly)
 
     def take(self, changes):
         """Logs changes of belief and acts on them."""
@@ -140,6 +152,25 @@
                 failures += 1
                 self._note_failure(kind, failures, error)
 
+    def _probe_repeatedly(self):
+        while True:
+            eventlet.sleep(PROBE_S)
+            if self._is_covered() and not self.is_store_lost:
+                continue
+            error = self._find_probe_error()
+            if (error is not None) != self._has_failed_probe:
+                self._has_failed_probe = error is not None
+                self._log.write("store.probe", is_answered=error is None, error=error)
+                self._on_change()
+
+    def _find_probe_error(self):
+        """Probes the store; returns what went wrong, or None."""
+        try:
+            self._store.probe(self._host_id)
+        except objectstore.StoreError as error:
+            return str(error)
+        return None
+
     def _wait_while_covered(self):
         while self._is_covered():
             eventlet.sleep(COVERED_PAUSE_S)
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -7,6 +7,7 @@
 from eventlet import event, wsgi
 
 PAGE = 50
+SILENCE_POLL_S = 0.05
 _STATUS = {200: "200 OK", 404: "404 Not Found", 409: "409 Conflict", 410: "410 Gone"}
 
 
@@ -16,11 +17,13 @@
     Attributes:
       address: IP address and port.
       failing_status: Status of all answers while it is not None.
+      is_silent: True while calls get no answer.
       calls: Number of calls so far.
     """
 
     def __init__(self):
         self.failing_status = None
+        self.is_silent = False
         self.calls = 0
         self._objects = {}
         self._history = []
@@ -73,6 +76,8 @@
     def _answer(self, environ, start_response):
         self.calls += 1
         status, body = self._serve(environ)
+        while self.is_silent:
+            eventlet.sleep(SILENCE_POLL_S)
         if self.failing_status is not None:
             status, body = self.failing_status, None
         status_line = _STATUS.get(status, f"{status} Status")
@@ -85,8 +90,11 @@
         method = environ["REQUEST_METHOD"]
         if method == "GET" and "watch" in query:
             return self._watch(parts[0], int(query["watch"]), int(query["waitMs"]) / 1000)
-        if method == "GET":
+        if method == "GET" and len(parts) == 1:
             return self._list(parts[0], query.get("after", ""))
+        if method == "GET":
+            found = self._objects.get((parts[0], parts[1]))
+            return (200, found) if found else (404, None)
         body = json.loads(environ["wsgi.input"].read())
         name = body["metadata"]["name"]
         if method == "POST" and (parts[0], name) in self._objects:
