--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -10,6 +10,18 @@
     Then the settings name the zone, the store and the bounds
     And without each required line the error names its field
 
+  Scenario Outline: A malformed figure in the settings is named
+    Given the platform's settings file
+    Then with <field> set to <value> the error names the field
+
+    Examples:
+      | field                         | value |
+      | network.internalPorts         | many  |
+      | self.limits.memoryMb          | much  |
+      | terms.bounds.retryBudgetRatio | some  |
+      | terms.bounds.retryBudgetExtra | nan   |
+      | terms.bounds.maxShift         | -1    |
+
   Scenario: Settings can be checked without starting the host
     Given the platform's settings file
     Then checking it ends with code 0 and names the host
--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -59,6 +59,11 @@
     When the source stops answering
     Then that host is no longer covered within 2 s
 
+  Scenario: A follower that has fallen silent is dropped
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    When a follower connects to it and says nothing
+    Then the source closes the stream within 3.5 s
+
   Scenario: A follower relies no longer on a source that has lost the store
     Given a source with configuration 3, upstreams "a" and "b" at revision 20
     And a host without a store that follows it on a loopback address
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -41,7 +41,14 @@
 # The client of the four daemons' own store speaks the same path; it goes when it moves to the
 # platform's protocol (issue 8).
 KNOWN_NAMES = [("objectstore.py", "/v1/objects")]
-REQUIRED = ("self.node", "self.ip", "self.zone", "platform.platform.address", "terms.bounds.grace")
+REQUIRED = (
+    "self.node",
+    "self.ip",
+    "self.zone",
+    "self.limits.memoryMb",
+    "platform.platform.address",
+    "terms.bounds.grace",
+)
 
 
 @then("no source outside platform/ and the stand-ins contains a name of the platform")
@@ -80,6 +87,18 @@
             raise AssertionError(f"settings without {name} were accepted")
 
 
+@then("with {name} set to {value} the error names the field")
+def step_settings_malformed(context, name, value):
+    hostfile, _, _ = host_builders.import_platform()
+    lines = [line for line in context.lines if not line.startswith(f"{name}=")]
+    try:
+        _load([*lines, f"{name}={value}"])
+    except hostfile.SettingsError as error:
+        assert name in str(error), error
+    else:
+        raise AssertionError(f"{name}={value} was accepted")
+
+
 @then("checking it ends with code {code:d} and names the host")
 def step_check_good(context, code):
     result = _check_settings(context.lines)
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -5,6 +5,7 @@
 
 import eventlet
 from behave import given, then, when
+from eventlet.green import socket
 
 from features import host_builders
 from skylarksill.host import (
@@ -217,6 +218,20 @@
     _wait(seconds + 0.2, lambda: not context.following.is_covered())
 
 
+@when("a follower connects to it and says nothing")
+def step_silent_follower(context):
+    log = eventlog.EventLog("test", len)
+    context.server = following.BeliefServer(("127.0.0.1", 0), context.source, log, lambda: False)
+    context.server.start()
+    context.follower = socket.create_connection(context.server.address)
+
+
+@then("the source closes the stream within {seconds:g} s")
+def step_closed(context, seconds):
+    context.follower.settimeout(seconds)
+    assert context.follower.recv(1) == b""
+
+
 @when("the source loses the store")
 def step_source_lost(context):
     context.is_store_lost = True
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -15,6 +15,9 @@
 COVER_S = 1.5
 CONNECT_TIMEOUT_S = 0.6
 ANSWER_TIMEOUT_S = 1.5
+# Followers ask again at once after each answer; one that does not has gone without closing its
+# stream.
+FOLLOWER_TIMEOUT_S = 3.0
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 2.0
 # Pause between looks at which hosts are the sources.
@@ -75,7 +78,7 @@
         try:
             _set_options(client)
             while True:
-                client.settimeout(None)
+                client.settimeout(FOLLOWER_TIMEOUT_S)
                 payload = _read_message(client, _beliefcodec.MAX_REQUEST_BYTES)
                 sequence, generation, wait_s = _beliefcodec.decode_request(payload)
                 if self._belief.sequence == sequence:
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -84,7 +84,7 @@
       is_covered: Function that returns True while peers keep the belief current.
     """
 
-    def __init__(self, store, belief, log, on_change, host_id, is_covered=lambda: False):
+    def __init__(self, store, belief, log, on_change, host_id, is_covered):
         self._store = store
         self._belief = belief
         self._log = log
