--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -9,7 +9,6 @@
 MAX_FAULT_S = 4.0
 # Pause between the starts of two faults: most of them overlap.
 MEAN_PAUSE_S = 0.7
-RESTART_PAUSE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -28,6 +28,8 @@
 NETWORKS = 200
 DRAIN_SERVE_S = 4.0
 RESTART_PAUSE_S = 0.4
+# A killed process is gone within milliseconds; a paused one ends as well.
+KILL_TIMEOUT_S = 2.0
 POLL_S = 0.02
 
 
@@ -273,7 +275,7 @@
     def _kill(self, host):
         mark = self._mark(records.Trouble.PROCESS, host.index)
         self._signal(host, signal.SIGKILL)
-        self._wait(host, 2.0)
+        self._wait(host, KILL_TIMEOUT_S)
         self._restart(host, mark)
 
     def _stop(self, host):
@@ -292,7 +294,7 @@
         code = self._wait(host, timeout_s)
         if code is None:
             self._signal(host, signal.SIGKILL)
-            self._wait(host, 2.0)
+            self._wait(host, KILL_TIMEOUT_S)
         return code
 
     def _wait(self, host, timeout_s):
--- a/features/host_world.py
+++ b/features/host_world.py
@@ -1,5 +1,8 @@
 """A host's data path on loopback: client server, forwarder and stand-ins of upstreams."""
 
+import time
+
+import eventlet
 from eventlet.green import socket
 
 from features import host_builders
@@ -17,6 +20,7 @@
 from standins import worker
 
 ANSWER_TIMEOUT_S = 5.0
+POLL_S = 0.02
 
 
 class HostWorld:
@@ -84,3 +88,11 @@
     def _write_log(self, data):
         self.log_bytes += data
         return len(data)
+
+
+def wait_until(seconds, is_reached):
+    """Waits until a function returns true; fails if that takes longer than ``seconds``."""
+    end = time.monotonic() + seconds
+    while not is_reached():
+        assert time.monotonic() < end, f"not reached within {seconds} s"
+        eventlet.sleep(POLL_S)
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -9,13 +9,12 @@
 import subprocess
 import sys
 import tempfile
-import time
 
 import eventlet
 from behave import given, then, when
 from eventlet.green import socket
 
-from features import host_builders
+from features import host_builders, host_world
 from skylarksill import records as shared
 from skylarksill.host import records
 from standins import metadatastore, platformdata, worker
@@ -127,7 +126,7 @@
 
 @then("it has logged {count:d} upstreams")
 def step_logged_count(context, count):
-    _wait(2, lambda: len(_list_beliefs(context, "upstream")) == count)
+    host_world.wait_until(2, lambda: len(_list_beliefs(context, "upstream")) == count)
 
 
 @when("an upstream drains, another leaves and a zone is evacuated")
@@ -144,7 +143,7 @@
         is_evacuated = ("north-a", "begun") in _list_beliefs(context, "evacuation")
         return ("u001", "draining") in upstreams and ("u002", "gone") in upstreams and is_evacuated
 
-    _wait(seconds, has_logged)
+    host_world.wait_until(seconds, has_logged)
 
 
 @when("the store forgets its history and an upstream drains")
@@ -156,7 +155,9 @@
 
 @then("it logs that within {seconds:d} s")
 def step_logs_third(context, seconds):
-    _wait(seconds, lambda: ("u003", "draining") in _list_beliefs(context, "upstream"))
+    host_world.wait_until(
+        seconds, lambda: ("u003", "draining") in _list_beliefs(context, "upstream")
+    )
 
 
 @when("the store fails for 1 s and configuration {generation:d} is written")
@@ -173,7 +174,7 @@
     def has_logged():
         return ("main", str(generation)) in _list_beliefs(context, "configuration")
 
-    _wait(seconds, has_logged)
+    host_world.wait_until(seconds, has_logged)
 
 
 @then("a connection to it is probed so that {seconds:d} s of silence end it")
@@ -221,7 +222,7 @@
 @then("it is ready within {seconds:d} s and the look-up names it")
 def step_ready(context, seconds):
     entry, ready, lookup = context.ports[1], context.ports[1] + 1, context.ports[1] + 2
-    _wait(seconds, lambda: _call(ready, "/v1/readiness")[0] == 200)
+    host_world.wait_until(seconds, lambda: _call(ready, "/v1/readiness")[0] == 200)
     status, body = _call(lookup, "/v1/resolve?name=shop.example&region=north&zone=north-a")
     assert status == 200 and json.loads(body)["addresses"] == [f"127.0.0.1:{entry}"], body
 
@@ -257,7 +258,7 @@
 @then("that request is answered with {status:d} and the program ends with code {code:d}")
 def step_ended(context, status, code):
     assert context.answer[0] == status, context.answer
-    _wait(5, lambda: context.process.poll() is not None)
+    host_world.wait_until(5, lambda: context.process.poll() is not None)
     assert context.process.returncode == code, context.process.returncode
 
 
@@ -334,7 +335,7 @@
         lines = [json.loads(line) for line in context.log_path.read_text().splitlines()]
         return any(line == line | wanted for line in lines)
 
-    _wait(seconds, has_logged)
+    host_world.wait_until(seconds, has_logged)
 
 
 def _list_beliefs(context, what):
@@ -377,13 +378,6 @@
     return status, body
 
 
-def _wait(seconds, is_done):
-    end = time.monotonic() + seconds
-    while not is_done():
-        assert time.monotonic() < end, f"not done after {seconds} s"
-        eventlet.sleep(0.02)
-
-
 def _end(process):
     if process.poll() is None:
         process.kill()
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from eventlet.green import socket
 
-from features import host_builders
+from features import host_builders, host_world
 from skylarksill.host import (
     _beliefcodec,
     belief,
@@ -203,7 +203,9 @@
 
 @then("that host believes in {names} within {seconds:g} s")
 def step_learns(context, names, seconds):
-    _wait(seconds, lambda: sorted(context.follower.upstreams) == _parse_names(names))
+    host_world.wait_until(
+        seconds, lambda: sorted(context.follower.upstreams) == _parse_names(names)
+    )
 
 
 @when("the source stops answering")
@@ -215,7 +217,7 @@
 
 @then("that host is no longer covered within {seconds:g} s")
 def step_uncovered(context, seconds):
-    _wait(seconds + 0.2, lambda: not context.following.is_covered())
+    host_world.wait_until(seconds + 0.2, lambda: not context.following.is_covered())
 
 
 @when("a follower connects to it and says nothing")
@@ -238,13 +240,6 @@
     context.server.note_change()
 
 
-def _wait(seconds, is_reached):
-    end = time.monotonic() + seconds
-    while not is_reached():
-        assert time.monotonic() < end, f"not reached within {seconds} s"
-        eventlet.sleep(0.02)
-
-
 def _parse_names(text):
     return sorted(name.strip(' "') for name in text.replace(" and ", ",").split(","))
 
