Bound every read from upstreams, clients and peers in time and memory

Cause: reads looked at no deadline and did not yield while bytes were ready, so an answer without end stalled the whole host; refusals without a request id counted as proof that a request did not run; a switch of protocols (101) escaped as an exception. Change: one reader (_fairreads) with a deadline and a yield; _responsereader bounds head, headers, interim and foreign answers, body, an exchange, and the bodies of all connections together; answers count against the same memory until delivered. Unidentified answers end as 'may have run'. Clients' framing and lingering and peers' messages are bounded as well. Ruled out: truncated heads and bodies; each cut point by FIN and RST already failed before.

--- a/features/host_world.py
+++ b/features/host_world.py
@@ -6,6 +6,7 @@
 from eventlet.green import socket
 
 from features import host_builders
+from skylarksill import limits
 from skylarksill.host import (
     belief,
     clientserver,
@@ -41,7 +42,7 @@
             self.belief,
             self.fleet,
             steering.Steering(self.fleet, host_builders.BOUNDS.max_shift),
-            pool.ConnectionPool(wire.HEADER_NAMES),
+            pool.ConnectionPool(wire.HEADER_NAMES, limits.BufferLimit(64 * 1024 * 1024)),
             wire.HEADER_NAMES,
             log,
             counters.Counters(),
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -4,15 +4,10 @@
 import errno
 import time
 
-import httptools
-from eventlet import hubs
 from eventlet.green import socket
 
-from skylarksill.host import records
+from skylarksill.host import _fairreads, _responsereader, records
 
-READ_BYTES = 65_536
-# An answer is buffered until it is complete, so that a truncated one is never passed on.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # The kernel resets a connection whose bytes stay unacknowledged for this long, so that a peer that
 # no longer responds is noticed.
 USER_TIMEOUT_MS = 4_000
@@ -79,54 +74,6 @@
     reason: str = "timeout"
 
 
-class _ResponseReader:
-    """Parser callbacks that collect the response messages of a connection."""
-
-    def __init__(self, connection):
-        self._connection = connection
-        self.messages = []
-        self._reset()
-
-    def _reset(self):
-        self.reason = b""
-        self.headers = []
-        self.body = []
-        self.size = 0
-        self.is_message_open = False
-        self.is_head_complete = False
-
-    def on_message_begin(self):
-        self._reset()
-        self.is_message_open = True
-
-    def on_status(self, reason):
-        self.reason += reason
-
-    def on_header(self, name, value):
-        self.headers.append((name.lower(), value))
-
-    def on_headers_complete(self):
-        self.is_head_complete = True
-
-    def on_body(self, body):
-        self.size += len(body)
-        if self.size > MAX_ANSWER_BYTES:
-            raise ValueError("answer is too long")
-        self.body.append(body)
-
-    def on_message_complete(self):
-        self.close_message(self._connection.should_keep_alive())
-
-    def close_message(self, is_kept_alive):
-        """Adds the current message to the complete ones; interim (1xx) responses are dropped."""
-        status = self._connection.get_status()
-        if status >= 200:
-            body = b"".join(self.body)
-            message = (status, self.reason, tuple(self.headers), body, is_kept_alive)
-            self.messages.append(message)
-        self._reset()
-
-
 class Connection:
     """A connection to an upstream.
 
@@ -136,23 +83,15 @@
       is_reusable: False after anything that makes the connection unfit for further requests.
     """
 
-    def __init__(self, upstream, sock, names):
+    def __init__(self, upstream, sock, names, buffers):
         self.upstream = upstream
         self.idle_since = 0.0
         self.keep_alive_s = None
         self.is_reusable = True
         self._socket = sock
         self._names = names
-        self._reader = _ResponseReader(self)
-        self._parser = httptools.HttpResponseParser(self._reader)
-
-    def should_keep_alive(self):
-        """Returns True if the connection stays open after the current message."""
-        return self._parser.should_keep_alive()
-
-    def get_status(self):
-        """Returns the status of the current message."""
-        return self._parser.get_status_code()
+        self._reader = _fairreads.FairReader(sock)
+        self._responses = _responsereader.ResponseReader(buffers)
 
     def is_still_open(self):
         """Returns True if the idle connection is open and nothing unexpected has arrived."""
@@ -195,93 +134,86 @@
         except TimeoutError:
             self.is_reusable = False
             return TimedOut()
-        except (OSError, httptools.HttpParserError) as error:
+        except OSError:
             self.is_reusable = False
-            is_broken = isinstance(error, OSError)
-            return MayHaveRun("connection_reset" if is_broken else "malformed_answer", is_broken)
+            return MayHaveRun("connection_reset", True)
+        except _responsereader.ResponseError:
+            self.is_reusable = False
+            return MayHaveRun("malformed_answer")
+        finally:
+            self._responses.end_exchange()
 
     def _read_answer(self, request, deadline):
-        messages = self._reader.messages
+        """Reads until the answer to the request is complete and returns its outcome."""
+        reader = self._responses
+        foreign_count = 0
         while True:
-            while messages:
-                outcome = self._classify_answer(request, *messages.pop(0))
-                if outcome is not None:
-                    if messages or self._reader.is_message_open:
-                        # The upstream sent more than one answer; the rest belongs to no request.
-                        self.is_reusable = False
-                    return outcome
-            data = _receive(self._socket, deadline)
+            while reader.responses:
+                response = reader.responses.popleft()
+                if not _is_foreign(request, response, self._names):
+                    # Further bytes belong to no request.
+                    self.is_reusable = response.is_kept_alive and not (
+                        foreign_count or reader.has_surplus
+                    )
+                    return self._classify_answer(request, response)
+                # A late answer to an earlier request on this connection.
+                foreign_count += 1
+                if foreign_count > _responsereader.MAX_FOREIGN_ANSWERS:
+                    raise _responsereader.ResponseError("too many answers to other requests")
+            data = self._reader.receive(deadline)
             if not data:
                 self.is_reusable = False
-                outcome = self._classify_at_close(request)
-                if outcome is not None:
-                    return outcome
+                reader.end_of_stream()
+                if reader.responses:
+                    continue
                 return MayHaveRun("connection_closed", True)
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserError:
-                self.is_reusable = False
-                if not messages:
-                    raise
-            if request.method == b"HEAD" and self._reader.is_head_complete:
-                self._reader.close_message(False)
-                self.is_reusable = False
+            reader.feed(data)
+            if request.method == b"HEAD" and reader.is_head_complete:
+                reader.complete_response(False)
 
-    def _classify_at_close(self, request):
-        reader = self._reader
-        has_length = any(
-            name in (b"content-length", b"transfer-encoding") for name, _ in reader.headers
-        )
-        if not reader.is_head_complete or has_length:
-            return None
-        # An answer without a length ends when its connection is closed.
-        reader.close_message(False)
-        return self._classify_answer(request, *reader.messages.pop(0)) if reader.messages else None
-
-    def _classify_answer(self, request, status, reason, headers, body, is_kept_alive):
+    def _classify_answer(self, request, response):
+        """Returns the outcome of a response that is not known to belong to another request."""
         names = self._names
-        fields = dict(headers)
-        if not is_kept_alive:
-            self.is_reusable = False
-        answer_request_id = fields.get(names.request_id)
-        if answer_request_id is not None and answer_request_id != request.request_id:
-            # A late answer to an earlier request on this connection.
+        fields = dict(response.headers)
+        if request.request_id is not None and names.request_id not in fields:
+            # Upstreams echo the id, so without one it is unknown which request was answered: a
+            # repeated refusal would make a request that runs look as not run.
             self.is_reusable = False
-            return None
+            return MayHaveRun("unidentified_answer")
         load = parse_load(fields.get(names.load))
         self.keep_alive_s = parse_keep_alive(fields.get(b"keep-alive"))
-        if status == 421:
+        if response.status == 421:
             return NotRun("misdirected", is_misdirected=True)
         if names.not_run in fields:
-            return NotRun("shed", is_shed=status in (429, 503), load=load)
-        if 200 <= status < 300 and (answer_request_id is None or names.signature not in fields):
+            return NotRun("shed", is_shed=response.status in (429, 503), load=load)
+        if 200 <= response.status < 300 and not _is_signed(fields, names):
             self.is_reusable = False
             return MayHaveRun("unsigned_answer")
-        forwarded_headers = filter_headers(headers)
-        return Answered(records.Answer(status, reason, forwarded_headers, body), load)
+        answer = records.Answer(
+            response.status, response.reason, filter_headers(response.headers), response.body
+        )
+        return Answered(answer, load)
 
 
-def _receive(sock, deadline):
-    """Returns the next bytes of a connection, or empty bytes at its end.
+def _is_foreign(request, response, names):
+    """Returns True if a response bears the id of another request."""
+    return bool(response.get_values(names.request_id) - {request.request_id})
 
-    eventlet's own ``recv`` returns empty bytes for a reset too, which would make a truncated answer
-    look like one that ends when its connection is closed.
 
-    Raises:
-      OSError: If the connection was reset.
-      TimeoutError: If nothing arrives before the monotonic time ``deadline``.
-    """
-    while True:
-        try:
-            return sock.fd.recv(READ_BYTES)
-        except BlockingIOError:
-            timeout_s = max(0.001, deadline - time.monotonic())
-            hubs.trampoline(sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+def _is_signed(fields, names):
+    return names.request_id in fields and names.signature in fields
 
 
-def connect(upstream, names, timeout_s):
+def connect(upstream, names, buffers, timeout_s):
     """Opens a connection to an upstream.
 
+    Args:
+      upstream: The records.Upstream.
+      names: The records.HeaderNames.
+      buffers: The limits.BufferLimit of the answers that all connections hold.
+      timeout_s: Seconds after which connecting fails.
+    Returns:
+      A Connection.
     Raises:
       OSError: If connecting fails or takes longer than ``timeout_s``.
     """
@@ -294,7 +226,7 @@
     except BaseException:
         sock.close()
         raise
-    return Connection(upstream, sock, names)
+    return Connection(upstream, sock, names, buffers)
 
 
 def format_request(request, upstream_id, deadline_ms, names):
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -8,20 +8,31 @@
 import httptools
 from eventlet.green import socket
 
-from skylarksill.host import _upstreamhttp, answers, cancellation, records
+from skylarksill import limits
+from skylarksill.host import (
+    _fairreads,
+    _requestfields,
+    _upstreamhttp,
+    answers,
+    cancellation,
+    records,
+)
 
 LISTEN_BACKLOG = 1024
-READ_BYTES = 65_536
 # Requests of one connection that are processed at the same time; further ones stay unread.
 MAX_PIPELINED = 16
 # After the last answer the server goes on reading until the client has sent nothing for this long,
 # since closing a connection with unread bytes resets it, and the client can lose the answer.
 LINGER_TIMEOUT_S = 1.0
+# Longest time for which it reads on after its own last answer, also from a client that sends on.
+MAX_LINGER_S = 5.0
 # A connection whose client accepts no byte of an answer for this long is closed.
 WRITE_TIMEOUT_S = 10.0
 ACCEPT_RETRY_S = 0.05
 # Default limit of the request bodies held in memory; the smallest hosts have 300 MB.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# Bytes outside the head and the body of a request, such as an extension of a chunk's length.
+MAX_FRAMING_BYTES = 16_384
 
 
 class _BadRequestError(Exception):
@@ -52,19 +63,28 @@
       names: The records.HeaderNames.
       log: The EventLog.
       max_buffered_bytes: Bytes of request bodies that all connections may hold together.
+      answer_buffers: The limits.BufferLimit that counts answers until they are delivered.
 
     Attributes:
       buffered_bytes: Bytes of bodies that are being read or served.
     """
 
     def __init__(
-        self, address, handle, find_limits, names, log, max_buffered_bytes=MAX_BUFFERED_BYTES
+        self,
+        address,
+        handle,
+        find_limits,
+        names,
+        log,
+        max_buffered_bytes=MAX_BUFFERED_BYTES,
+        answer_buffers=None,
     ):
         self.handle = handle
         self.find_limits = find_limits
         self.names = names
         self.log = log
         self.max_buffered_bytes = max_buffered_bytes
+        self.answer_buffers = answer_buffers or limits.BufferLimit(max_buffered_bytes)
         self.buffered_bytes = 0
         self.is_leaving = False
         self.connections = set()
@@ -120,6 +140,7 @@
         self.pending = collections.deque()
         self._server = server
         self._socket = client
+        self._reader = _fairreads.FairReader(client)
         self._is_writing = False
         self._is_closing = False
         self._is_disconnected = False
@@ -173,12 +194,10 @@
 
     def _receive(self):
         """Returns the next bytes; none if the connection is to be closed."""
-        limits = self._server.find_limits()
+        client_limits = self._server.find_limits()
         while True:
-            timeout_s = self._find_timeout_s(limits)
-            self._socket.settimeout(timeout_s)
             try:
-                return self._socket.recv(READ_BYTES)
+                return self._reader.receive(time.monotonic() + self._find_timeout_s(client_limits))
             except TimeoutError:
                 if self.pending:
                     continue
@@ -187,23 +206,22 @@
                 self._reject(408)
                 return b""
 
-    def _find_timeout_s(self, limits):
+    def _find_timeout_s(self, client_limits):
         if self._started_at is None:
-            return limits.idle_timeout_s
+            return client_limits.idle_timeout_s
         if self._is_head_complete:
-            return limits.idle_timeout_s
-        return max(0.01, self._started_at + limits.head_timeout_s - time.monotonic())
+            return client_limits.idle_timeout_s
+        return max(0.01, self._started_at + client_limits.head_timeout_s - time.monotonic())
 
     def _feed(self, data):
-        """Parses bytes; counts an unfinished header, which the parser reports only at its end."""
-        is_inside_head = self._started_at is not None and not self._is_head_complete
+        """Parses bytes; counts those that the parser reports only with the rest of their part."""
+        self._unreported_bytes += len(data)
         self._parser.feed_data(data)
-        if not is_inside_head or self._started_at is None or self._is_head_complete:
-            self._unfinished_header_bytes = 0
-            return
-        self._unfinished_header_bytes += len(data)
-        if self._unfinished_header_bytes > self._limits.max_head_bytes:
+        is_inside_head = self._started_at is not None and not self._is_head_complete
+        if is_inside_head and self._unreported_bytes > self._limits.max_head_bytes:
             raise _BadRequestError(431)
+        if not is_inside_head and self._unreported_bytes > MAX_FRAMING_BYTES:
+            raise _BadRequestError(400 if self._started_at is None else 413)
 
     # Callbacks of the parser.
 
@@ -226,6 +244,7 @@
     def on_headers_complete(self):
         """Checks the complete head: the declared length, and answers ``Expect: 100-continue``."""
         self._is_head_complete = True
+        self._unreported_bytes = 0
         fields = dict(self._headers)
         length = fields.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
@@ -235,6 +254,7 @@
 
     def on_body(self, body):
         """Appends a part of the body, within the limits of the server and of the client."""
+        self._unreported_bytes = 0
         self._body_bytes += len(body)
         self._server.buffered_bytes += len(body)
         if self._server.buffered_bytes > self._server.max_buffered_bytes:
@@ -249,7 +269,11 @@
             return
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
-        request = self._make_request(method)
+        request = _requestfields.build_request(
+            method, self._target, self._headers, b"".join(self._body), self._server.names
+        )
+        if request is None:
+            raise _BadRequestError(400)
         item = _PendingRequest(method, cancellation.Cancellation())
         self.pending.append(item)
         self._begin_message()
@@ -264,7 +288,7 @@
         self._target = b""
         self._headers = []
         self._head_bytes = 0
-        self._unfinished_header_bytes = 0
+        self._unreported_bytes = 0
         self._body = []
         self._body_bytes = 0
 
@@ -274,28 +298,11 @@
         self._begin_message()
 
     def _count_head_bytes(self, size):
+        self._unreported_bytes = 0
         self._head_bytes += size
         if self._head_bytes > self._limits.max_head_bytes:
             raise _BadRequestError(431)
 
-    def _make_request(self, method):
-        names = self._server.names
-        fields = dict(self._headers)
-        site = fields.get(b"host")
-        if site is None:
-            raise _BadRequestError(400)
-        return records.Request(
-            method=method,
-            target=self._target,
-            headers=tuple(self._headers),
-            body=b"".join(self._body),
-            request_id=fields.get(names.request_id),
-            site=site.decode("latin-1").rpartition("]")[2].partition(":")[0].lower(),
-            deadline_s=_parse_deadline(fields.get(names.deadline)),
-            affinity_key=find_cookie(fields.get(b"cookie"), names.affinity_cookie),
-            received_at=time.monotonic(),
-        )
-
     def _serve(self, item, request):
         try:
             answer = self._server.handle(request, item.cancellation)
@@ -305,9 +312,17 @@
             return
         if self._server.is_leaving:
             self._is_closing = True
-        item.data = answers.format_answer(answer, item.method, self._is_last(item))
+        self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
         self._write_ready()
 
+    def _set_answer(self, item, data):
+        item.data = data
+        self._server.answer_buffers.hold(len(data))
+
+    def _release_answer(self, item):
+        if item.data is not None:
+            self._server.answer_buffers.release(len(item.data))
+
     def _is_last(self, item):
         return self._is_closing and item is self.pending[-1]
 
@@ -316,7 +331,8 @@
         self._server.log.write("client.refused", status=status)
         self._is_closing = True
         item = _PendingRequest(b"GET", cancellation.Cancellation())
-        item.data = answers.format_answer(answers.make_answer(status, b""), b"GET", True)
+        data = answers.format_answer(answers.make_answer(status, b""), b"GET", True)
+        self._set_answer(item, data)
         self.pending.append(item)
         self._discard_partial_request()
         self._write_ready()
@@ -330,7 +346,8 @@
             while self.pending and self.pending[0].data is not None and not self._is_disconnected:
                 self._socket.settimeout(WRITE_TIMEOUT_S)
                 self._socket.sendall(self.pending[0].data)
-                self.pending.popleft()
+                if self.pending:
+                    self._release_answer(self.pending.popleft())
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
             self._drop_pending()
@@ -343,10 +360,17 @@
 
     def _linger(self):
         """Discards input until the client closes its side, or is idle after the last answer."""
+        answered_at = None
         while not self._is_disconnected:
-            self._socket.settimeout(LINGER_TIMEOUT_S)
+            now = time.monotonic()
+            if self.pending:
+                answered_at = None
+            elif answered_at is None:
+                answered_at = now
+            elif now - answered_at > MAX_LINGER_S:
+                return
             try:
-                if not self._socket.recv(READ_BYTES):
+                if not self._reader.receive(now + LINGER_TIMEOUT_S):
                     return
             except TimeoutError:
                 if not self.pending:
@@ -355,6 +379,7 @@
     def _drop_pending(self):
         self._is_disconnected = True
         for item in self.pending:
+            self._release_answer(item)
             if item.data is None:
                 item.cancellation.cancel()
         self.pending.clear()
@@ -364,16 +389,3 @@
             self._socket.shutdown(how)
         except OSError as error:
             self._server.log.write("client.shutdown_failed", error=str(error))
-
-
-def find_cookie(header, name):
-    """Returns the value of a cookie, or None."""
-    for pair in (header or b"").split(b";"):
-        key, has_value, value = pair.strip().partition(b"=")
-        if has_value and key.lower() == name:
-            return value
-    return None
-
-
-def _parse_deadline(value):
-    return int(value) / 1000 if value is not None and value.isdigit() else None
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -10,7 +10,7 @@
 from eventlet import event
 from eventlet.green import socket
 
-from skylarksill.host import _beliefcodec, relay
+from skylarksill.host import _beliefcodec, _fairreads, relay
 
 # Longest time that a source waits for a change before it answers that there is none.
 LONG_POLL_S = 0.7
@@ -82,9 +82,9 @@
     def _serve(self, client, address):
         try:
             _set_options(client)
+            reader = _fairreads.FairReader(client)
             while True:
-                client.settimeout(FOLLOWER_TIMEOUT_S)
-                payload = _read_message(client, _beliefcodec.MAX_REQUEST_BYTES)
+                payload = _read_message(reader, _beliefcodec.MAX_REQUEST_BYTES, FOLLOWER_TIMEOUT_S)
                 sequence, generation, wait_s = _beliefcodec.decode_request(payload)
                 if self._belief.sequence == sequence:
                     self._wait_for_change(min(wait_s, LONG_POLL_S))
@@ -145,11 +145,12 @@
         try:
             _set_options(source)
             source.settimeout(ANSWER_TIMEOUT_S)
+            reader = _fairreads.FairReader(source)
             sequence = relay.UNKNOWN_SEQUENCE
             while self.is_wanted:
                 generation = self._find_generation()
                 source.sendall(_beliefcodec.encode_request(sequence, generation, LONG_POLL_S))
-                payload = _read_message(source, _beliefcodec.MAX_MESSAGE_BYTES)
+                payload = _read_message(reader, _beliefcodec.MAX_MESSAGE_BYTES, ANSWER_TIMEOUT_S)
                 update = _beliefcodec.decode_update(payload)
                 self._record_answer(update, sequence)
                 self._apply_update(update)
@@ -233,17 +234,8 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def _read_message(stream, limit):
-    header = _read_exactly(stream, _beliefcodec.HEADER_BYTES)
-    return _read_exactly(stream, _beliefcodec.parse_length(header, limit))
-
-
-def _read_exactly(stream, size):
-    """Returns ``size`` bytes; raises EOFError at the end of the stream."""
-    data = bytearray()
-    while len(data) < size:
-        received = stream.recv(size - len(data))
-        if not received:
-            raise EOFError(f"stream ended after {len(data)} of {size} bytes")
-        data += received
-    return bytes(data)
+def _read_message(reader, limit, timeout_s):
+    """Returns the payload of the next message, which must be complete within ``timeout_s``."""
+    deadline = time.monotonic() + timeout_s
+    header = reader.read_exactly(_beliefcodec.HEADER_BYTES, deadline)
+    return reader.read_exactly(_beliefcodec.parse_length(header, limit), deadline)
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -62,6 +62,8 @@
 
     def _receive(self):
         while True:
+            # Datagrams that arrive without a pause must not keep the processor to themselves.
+            eventlet.sleep(0)
             try:
                 datagram, address = self._socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
                 now = time.monotonic()
--- a/skylarksill/host/pool.py
+++ b/skylarksill/host/pool.py
@@ -22,10 +22,12 @@
 
     Args:
       names: The records.HeaderNames.
+      buffers: The limits.BufferLimit of the answers that are being read or delivered.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, buffers):
         self._names = names
+        self._buffers = buffers
         self._idle = collections.defaultdict(collections.deque)
 
     def pop_idle(self, upstream, is_idempotent):
@@ -49,7 +51,7 @@
 
     def open(self, upstream, timeout_s):
         """Opens a new connection; raises OSError if that fails."""
-        return _upstreamhttp.connect(upstream, self._names, timeout_s)
+        return _upstreamhttp.connect(upstream, self._names, self._buffers, timeout_s)
 
     def put_back(self, connection):
         """Keeps a connection for the next request, or closes it if it can't be kept."""
--- a/skylarksill/limits.py
+++ b/skylarksill/limits.py
@@ -51,6 +51,36 @@
             self._times.popleft()
 
 
+class BufferLimit:
+    """Limits the bytes that buffers hold at the same time.
+
+    Args:
+      max_bytes: Limit in bytes; may be changed at any time.
+
+    Attributes:
+      used_bytes: Bytes that are held.
+    """
+
+    def __init__(self, max_bytes):
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+
+    def take(self, size):
+        """Counts ``size`` bytes as held if they fit; returns True if they do."""
+        if self.used_bytes + size > self.max_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def hold(self, size):
+        """Counts ``size`` bytes as held, also beyond the limit, because they exist already."""
+        self.used_bytes += size
+
+    def release(self, size):
+        """Counts ``size`` bytes as no longer held."""
+        self.used_bytes -= size
+
+
 class ByteBudget:
     """Limits the bytes that are sent within any window of 100 ms.
 
