Divide limits among hosts in units that sum to the limit for any number of hosts

Connections of an upstream and budgets used the same rule with a count that is wrong for a moment after a start. Change: quotas.deal_units deals whole units in a rendezvous order of the hosts by upstream; a host uses its part only once it is settled (listed and up for 4 s), also after a freeze. Upstream state moved to tracking.py.

--- a/features/host_builders.py
+++ b/features/host_builders.py
@@ -4,7 +4,7 @@
 import sys
 
 from skylarksill import records as shared
-from skylarksill.host import fleet, placement, records
+from skylarksill.host import fleet, placement, quotas, records
 
 PLATFORM_FOLDER = pathlib.Path(__file__).resolve().parent.parent / "platform"
 BOUNDS = records.Bounds(
@@ -87,6 +87,12 @@
     return upstream_fleet
 
 
+def build_view(own_id, host_ids, is_settled=True):
+    """Builds the HostView of a host that knows hosts of its own region only."""
+    ids = frozenset(host_ids)
+    return quotas.HostView(own_id, ids, ids, is_settled)
+
+
 def build_query(key=None, route=None, rank=0, remaining_s=1.0):
     """Builds a placement.Query."""
     route = route or build_route()
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -112,8 +112,9 @@
 def step_hosts_with_cold(context, count):
     upstream = host_builders.build_upstream("a", cold_s=3.0)
     context.fleets = [host_builders.build_fleet([upstream]) for _ in range(count)]
-    for upstream_fleet in context.fleets:
-        upstream_fleet.region_host_count = count
+    ids = [f"h{index}" for index in range(count)]
+    for own_id, upstream_fleet in zip(ids, context.fleets, strict=True):
+        upstream_fleet.view = host_builders.build_view(own_id, ids)
 
 
 @then("together they send it at most {count:d} requests in any second")
@@ -196,7 +197,7 @@
 def step_host_among(context, hosts, count, most):
     upstreams = [host_builders.build_upstream(f"u{index}", slots=50) for index in range(count)]
     context.fleet = host_builders.build_fleet(upstreams)
-    context.fleet.total_host_count = hosts
+    context.fleet.view = host_builders.build_view("h0", [f"h{index}" for index in range(hosts)])
     context.steering = _make_steering(context.fleet)
     assert host_builders.build_service().max_connections == most
 
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -1,211 +1,28 @@
-"""What a host has learned about the upstreams that it may send to.
-
-A load report is as old as the answer that carried it, so the load of an upstream is estimated as
-the host's own requests in flight plus the load of other hosts at the time of the report, which
-counts less as the report ages.
-"""
+"""The upstreams that a host may send to, and its parts of the limits on what they get."""
 
 import collections
 import hashlib
 
-from skylarksill import limits
-from skylarksill.host import records
-
-# The load of other hosts counts in full up to the first age of a report and not at all from the
-# second on. Requests run for 0.1 to 1.8 s, so an older report says little about the current ones.
-FRESH_REPORT_S = 0.4
-STALE_REPORT_S = 2.0
-# Reported paces change many times a second, so one that is older than this is replaced by the
-# moving mean of the reported paces.
-FRESH_PACE_S = 0.3
-PACE_WEIGHT = 0.1
-# Weight of a new sample of an upstream's slowness, and the half-life of its decay to normal speed.
-SLOWNESS_WEIGHT = 0.25
-SLOWNESS_HALF_LIFE_S = 4.0
-MAX_SLOWNESS = 12.0
-MAX_SAMPLE_FACTOR = 2.0
-FAILURE_WEIGHT = 0.15
-FAILURE_HALF_LIFE_S = 3.0
-# Pause before an unreachable upstream is probed again; it doubles up to the maximum.
-INITIAL_DOWN_S = 0.3
-MAX_DOWN_S = 2.0
-# Number of recent objects that an upstream is assumed to remember; they remember about 18 to 50.
-MAX_KNOWN_OBJECTS = 48
+from skylarksill.host import quotas, records, tracking
+
 MAX_RANKINGS = 4_096
+UNLIMITED = 1_000_000
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that don't know of each other.
 COLD_RATE_SHARE = 0.8
 
 
-class TrackedUpstream:
-    """Learned state of one incarnation of an upstream.
-
-    Attributes:
-      record: The records.Upstream.
-      in_flight: Number of this host's requests to it that have not ended.
-      cold_until: Monotonic time until which the upstream is treated as cold.
-      down_until: Monotonic time of the next probe while the upstream is unreachable.
-      down_s: Pause before the next probe in seconds.
-      is_misdirected: True once another upstream answered at its address.
-      is_unreachable: True from a failed connection until one succeeds.
-      is_probed: True while probes try to connect to the upstream in the background.
-      cold_limit: The WindowLimit of this host's sends while the upstream is cold.
-    """
-
-    __slots__ = (
-        "record",
-        "in_flight",
-        "cold_until",
-        "down_until",
-        "down_s",
-        "is_misdirected",
-        "is_probed",
-        "is_unreachable",
-        "_waiting_since",
-        "_answered_at",
-        "_other_load",
-        "_reported_at",
-        "_pace",
-        "_pace_mean",
-        "_slowness",
-        "_slowness_at",
-        "_failure_share",
-        "_failure_at",
-        "_recent_objects",
-        "cold_limit",
-    )
-
-    def __init__(self, record, cold_until):
-        self.record = record
-        self.in_flight = 0
-        self.cold_until = cold_until
-        self.down_until = 0.0
-        self.down_s = INITIAL_DOWN_S
-        self.is_misdirected = False
-        self.is_probed = False
-        self.is_unreachable = False
-        self._waiting_since = 0.0
-        self._answered_at = 0.0
-        self._other_load = 0.0
-        self._reported_at = 0.0
-        self._pace = 1.0
-        self._pace_mean = 1.0
-        self._slowness = 1.0
-        self._slowness_at = 0.0
-        self._failure_share = 0.0
-        self._failure_at = 0.0
-        self._recent_objects = collections.OrderedDict()
-        self.cold_limit = limits.WindowLimit(0)
-
-    def estimate_load(self, now):
-        """Returns the estimated number of requests that run or wait at the upstream."""
-        age = now - self._reported_at
-        if age <= FRESH_REPORT_S:
-            return self.in_flight + self._other_load
-        if age >= STALE_REPORT_S:
-            return float(self.in_flight)
-        report_weight = (STALE_REPORT_S - age) / (STALE_REPORT_S - FRESH_REPORT_S)
-        return self.in_flight + self._other_load * report_weight
-
-    def get_report_age_s(self, now):
-        """Returns the age of the last load report in seconds."""
-        return now - self._reported_at
-
-    def estimate_pace(self, now):
-        """Returns the factor by which requests take longer than usual on the upstream's machine."""
-        return self._pace if now - self._reported_at <= FRESH_PACE_S else self._pace_mean
-
-    def estimate_slowness(self, now):
-        """Returns the factor by which requests take longer than the reported pace explains."""
-        return _decay(self._slowness, 1.0, now - self._slowness_at, SLOWNESS_HALF_LIFE_S)
-
-    def estimate_silence_s(self, now):
-        """Returns the seconds without any answer while requests are in flight, or 0 without any."""
-        return now - self._waiting_since if self.in_flight else 0.0
-
-    def record_send(self, now):
-        """Counts a request as in flight."""
-        if self.in_flight == 0:
-            self._waiting_since = now
-        self.in_flight += 1
-
-    def record_end(self, has_answered, now):
-        """Counts the end of a request; ``has_answered`` if the upstream answered it."""
-        self.in_flight -= 1
-        if has_answered:
-            self._waiting_since = now
-            self._answered_at = now
-
-    def has_answered_since(self, begun):
-        """Returns True if the upstream has answered any request since a monotonic time."""
-        return self._answered_at >= begun
-
-    def estimate_failure_share(self, now):
-        """Returns the share of recent answers that were failures."""
-        return _decay(self._failure_share, 0.0, now - self._failure_at, FAILURE_HALF_LIFE_S)
-
-    def has_object(self, key):
-        """Returns True if the upstream recently handled the object with this affinity key."""
-        return key in self._recent_objects
-
-    def is_cold(self, now):
-        """Returns True while only a limited rate of requests may be sent to the upstream."""
-        return now < self.cold_until
-
-    def apply_report(self, report, now):
-        """Applies the LoadReport of an answer.
-
-        The report and ``in_flight`` both still count the answered request.
-        """
-        self._other_load = max(0.0, report.running + report.waiting - self.in_flight)
-        self._reported_at = now
-        self._pace = report.pace
-        self._pace_mean += PACE_WEIGHT * (report.pace - self._pace_mean)
-
-    def mark_full(self, now):
-        """Marks the slots and the queue of the upstream as full, because it shed a request."""
-        self._other_load = max(0.0, 2.0 * self.record.slots - self.in_flight)
-        self._reported_at = now
-
-    def record_slowness(self, ratio, now):
-        """Adds a sample of the ratio of the actual to the expected service time."""
-        current = self.estimate_slowness(now)
-        # A single request that runs many times longer than usual says little about the upstream.
-        sample = min(MAX_SLOWNESS, MAX_SAMPLE_FACTOR * current + 1.0, max(0.5, ratio))
-        self._slowness = current + SLOWNESS_WEIGHT * (sample - current)
-        self._slowness_at = now
-
-    def record_result(self, has_failed, now):
-        """Counts an answer as a success or a failure."""
-        current = self.estimate_failure_share(now)
-        self._failure_share = current + FAILURE_WEIGHT * (float(has_failed) - current)
-        self._failure_at = now
-
-    def record_object(self, key):
-        """Records that the upstream handled an object."""
-        self._recent_objects[key] = None
-        self._recent_objects.move_to_end(key)
-        if len(self._recent_objects) > MAX_KNOWN_OBJECTS:
-            self._recent_objects.popitem(last=False)
-
-    def forget_objects(self):
-        """Clears the recently handled objects, which a cold upstream no longer remembers."""
-        self._recent_objects.clear()
-
-
 class Fleet:
     """The upstreams that the store lists, by service and region.
 
     Attributes:
       region: Region of this host.
-      region_host_count: Number of hosts in the region, which share the rates of cold upstreams.
-      total_host_count: Number of hosts in all regions, which share the connections of upstreams.
+      view: The quotas.HostView of the hosts that share the limits of upstreams.
     """
 
     def __init__(self, region):
         self.region = region
-        self.region_host_count = 1
-        self.total_host_count = 1
+        self.view = quotas.HostView("", frozenset({""}), frozenset({""}), True)
         self._upstream_states = {}
         self._pools = {}
         self._regions = {}
@@ -232,6 +49,8 @@
         self._services = services
         self._evacuated = frozenset(evacuated)
         self._bounds = bounds
+        for state in self._upstream_states.values():
+            state.cold_limit_view = None
         for upstream_id in [item for item in self._upstream_states if item not in upstreams]:
             del self._upstream_states[upstream_id]
         for upstream in upstreams.values():
@@ -315,14 +134,14 @@
         state.is_unreachable = True
         if now >= state.down_until:
             state.down_until = now + state.down_s
-            state.down_s = min(MAX_DOWN_S, 2 * state.down_s)
+            state.down_s = min(tracking.MAX_DOWN_S, 2 * state.down_s)
         return state.down_until - now
 
     def mark_reachable(self, state, now):
         """Marks an unreachable upstream as reachable again and treats it as cold, as it may be."""
         state.is_unreachable = False
         state.down_until = 0.0
-        state.down_s = INITIAL_DOWN_S
+        state.down_s = tracking.INITIAL_DOWN_S
         self.mark_cold(state, self._find_cold_s(state.record), now)
 
     def has_connection_capacity(self, state):
@@ -333,7 +152,7 @@
         service = self._services.get(state.record.service_id)
         if service is None:
             return True
-        return state.in_flight < max(1, service.max_connections // self.total_host_count)
+        return state.in_flight < self._count_connections(state.record, service)
 
     def has_cold_capacity(self, state, now):
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
@@ -346,16 +165,32 @@
 
     def _find_cold_limit(self, state):
         """Returns the WindowLimit of an upstream, set to this host's part of the rate."""
-        state.cold_limit.limit = self._compute_cold_limit(state.record)
+        if state.cold_limit_view is not self.view:
+            state.cold_limit_view = self.view
+            state.cold_limit.limit = self._compute_cold_limit(state.record)
         return state.cold_limit
 
     def _compute_cold_limit(self, record):
+        """Returns the requests that this host may send to a cold upstream within a second."""
         service = self._services.get(record.service_id)
         if service is None or not service.cold_rate or self._bounds is None:
-            return 1_000_000
+            return UNLIMITED
+        view = self.view
+        if not view.is_settled:
+            return 0
         bounds = self._bounds
         total = service.cold_rate * bounds.cold_overage + bounds.cold_tolerance
-        return max(1, int(COLD_RATE_SHARE * total / self.region_host_count))
+        return quotas.deal_units(
+            int(COLD_RATE_SHARE * total), view.own_id, view.region_ids, record.upstream_id
+        )
+
+    def _count_connections(self, record, service):
+        """Returns this host's part of the connections that an upstream accepts."""
+        view = self.view
+        if view.is_settled:
+            total = service.max_connections
+            return quotas.deal_units(total, view.own_id, view.all_ids, record.upstream_id)
+        return max(1, service.max_connections // view.count_assumed_hosts())
 
     def _find_cold_s(self, record):
         service = self._services.get(record.service_id)
@@ -364,7 +199,7 @@
     def _apply_upstream(self, upstream, now):
         state = self._upstream_states.get(upstream.upstream_id)
         if state is None or state.record.incarnation != upstream.incarnation:
-            state = TrackedUpstream(upstream, now + upstream.cold_s)
+            state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
             self._upstream_states[upstream.upstream_id] = state
         if state.record.address != upstream.address:
             state.is_misdirected = False
@@ -385,9 +220,3 @@
 
 def _hash_upstream(upstream_id, key):
     return hashlib.blake2b(upstream_id.encode() + b"\0" + key, digest_size=8).digest()
-
-
-def _decay(value, baseline, age, half_life_s):
-    if age <= 0.0 or value == baseline:
-        return value
-    return baseline + (value - baseline) * 0.5 ** (age / half_life_s)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -65,7 +65,6 @@
 
     Attributes:
       poisons: PoisonTable of requests that crash upstreams.
-      total_host_count: Number of hosts that share the retry budgets.
     """
 
     def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds):
@@ -84,7 +83,6 @@
         self._splits = routes.SplitTable()
         self._budgets = {}
         self._priorities = (None, {})
-        self.total_host_count = 1
 
     def serve(self, request, cancellation):
         """Serves a request.
@@ -296,7 +294,9 @@
             budget = self._budgets[service_id] = retries.RetryBudget(
                 RETRY_BUDGET_SHARE * bounds.retry_ratio, bounds.retry_window_s
             )
-        budget.extra = RETRY_BUDGET_SHARE * self.bounds.retry_extra / self.total_host_count
+        view = self._fleet.view
+        extra = RETRY_BUDGET_SHARE * self.bounds.retry_extra / len(view.all_ids)
+        budget.extra = extra if view.is_settled else 0.0
         return budget
 
     def _find_priority_rank(self, route, service_id):
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -160,9 +160,11 @@
         serving = records.HostState.SERVING
         return [peer for peer in self.list_alive(now) if peer.state is serving]
 
-    def count_known(self, region=None):
-        """Returns the number of known hosts, dead ones included, in a region or in all."""
-        return sum(region in (None, peer.record.region) for peer in self._peers.values())
+    def list_known_ids(self, region=None):
+        """Returns the names of the known hosts, dead ones included, in a region or in all."""
+        return frozenset(
+            host_id for host_id, peer in self._peers.items() if region in (None, peer.record.region)
+        )
 
     def average_spill_shares(self, region, now):
         """Returns the mean spill share by service of a region's other serving hosts."""
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -9,7 +9,7 @@
 import dataclasses
 import random
 
-from skylarksill.host import fleet, records
+from skylarksill.host import records, tracking
 
 # Number of upstreams in an object's ranking that serve it while the first one is fit, and while it
 # is not. An upstream remembers some 15 to 50 objects and runs others 3 to 4 times longer, so a
@@ -72,7 +72,7 @@
 class Placement:
     """The chosen upstream with the expected wait and service time in seconds."""
 
-    upstream: fleet.TrackedUpstream
+    upstream: tracking.TrackedUpstream
     wait_s: float
     service_time_s: float
     knows_object: bool
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from skylarksill import objectstore
+from skylarksill import limits, objectstore
 from skylarksill import records as shared
 from skylarksill.host import (
     answers,
@@ -22,6 +22,7 @@
     lookup,
     peers,
     pool,
+    quotas,
     records,
     steering,
     watching,
@@ -38,6 +39,8 @@
 # Fraction of the host's memory that request bodies may occupy. Requests to upstreams are copies of
 # them, and the program itself takes about 35 MB.
 BODY_MEMORY_FRACTION = 0.2
+# Fraction of the host's memory that answers may occupy between upstreams and clients.
+ANSWER_MEMORY_FRACTION = 0.2
 HOUSEKEEPING_INTERVAL_S = 0.25
 LOG_FLUSH_INTERVAL_S = 0.1
 REGISTER_RETRY_S = 0.5
@@ -45,8 +48,6 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 # Settings that take effect without a restart; sockets and peers depend on the others.
 RELOADABLE_SETTINGS = ("bounds", "memory_bytes")
-# Least number of hosts that are assumed to share budgets until the store has listed them.
-MIN_ASSUMED_HOSTS = 8
 
 
 class Host:
@@ -64,7 +65,10 @@
         self.counters = counters.Counters()
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet(settings.region)
-        self.pool = pool.ConnectionPool(names)
+        self.answer_buffers = limits.BufferLimit(
+            int(ANSWER_MEMORY_FRACTION * settings.memory_bytes)
+        )
+        self.pool = pool.ConnectionPool(names, self.answer_buffers)
         self.steering = steering.Steering(self.fleet, settings.bounds.max_shift)
         self.forwarder = forwarder.Forwarder(
             self.belief,
@@ -107,7 +111,7 @@
             self._describe_own,
         )
         self._stopping = eventlet.event.Event()
-        self._is_registered = False
+        self._settling = quotas.SettleTimer(time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def run(self, store, load_settings):
         """Runs until SIGTERM or SIGINT; returns after the last answer is sent or the time is up.
@@ -157,7 +161,6 @@
 
     def _listen(self):
         settings = self.settings
-        limits = self._find_limits
         for address, handle in (
             (settings.entry, self.forwarder.serve),
             (settings.readiness, self._answer_readiness),
@@ -166,8 +169,15 @@
         ):
             if address is None:
                 continue
-            server = clientserver.ClientServer(address, handle, limits, self._names, self.log)
-            server.max_buffered_bytes = self._compute_max_buffered()
+            server = clientserver.ClientServer(
+                address,
+                handle,
+                self._find_limits,
+                self._names,
+                self.log,
+                self._compute_max_buffered(),
+                self.answer_buffers,
+            )
             server.start()
             if address == settings.entry:
                 self._entry = server
@@ -226,13 +236,33 @@
             self._handle_belief_changes(changes)
         self.pool.drop_stale(self.belief.upstreams)
         region = self.settings.region
-        min_hosts = 1 if self._is_registered else MIN_ASSUMED_HOSTS
-        self.fleet.region_host_count = max(min_hosts, self.peers.count_known(region))
-        self.fleet.total_host_count = self.forwarder.total_host_count = max(
-            MIN_ASSUMED_HOSTS, self.peers.count_known()
-        )
+        self._update_view()
         self.steering.set_peer_averages(self.peers.average_spill_shares(region, now))
 
+    def _update_view(self):
+        """Updates the hosts that share limits, after a freeze once the store has listed them."""
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        if self._settling.observe(now):
+            self.log.write("host.frozen")
+            eventlet.spawn_n(self._register)
+        view = quotas.HostView(
+            self.settings.host_id,
+            self.peers.list_known_ids(self.settings.region),
+            self.peers.list_known_ids(),
+            self._settling.is_settled(now),
+        )
+        before = self.fleet.view
+        if view == before:
+            return
+        self.fleet.view = view
+        if (len(view.all_ids), view.is_settled) != (len(before.all_ids), before.is_settled):
+            self.log.write(
+                "quota.view",
+                region_hosts=len(view.region_ids),
+                all_hosts=len(view.all_ids),
+                is_settled=view.is_settled,
+            )
+
     def _repeat(self, interval_s, function):
         while True:
             eventlet.sleep(interval_s)
@@ -245,7 +275,7 @@
                 self._store.register_host(self.own)
                 for record in self._store.list_hosts():
                     self.peers.add_candidate(record, time.monotonic())
-                self._is_registered = True
+                self._settling.is_listed = True
                 self.log.write("host.registered")
                 return
             except objectstore.StoreError as error:
@@ -290,6 +320,7 @@
         self.forwarder.bounds = self.settings.bounds
         self.steering.set_max_shift(self.settings.bounds.max_shift)
         self._entry.max_buffered_bytes = self._compute_max_buffered()
+        self.answer_buffers.max_bytes = int(ANSWER_MEMORY_FRACTION * self.settings.memory_bytes)
         self._apply_belief()
 
     def _stop_gracefully(self, stop_requested_at):
