--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -15,7 +15,6 @@
     _upstreamhttp,
     answers,
     cancellation,
-    records,
 )
 
 LISTEN_BACKLOG = 1024
