Add repeated refusals, truncated heads and endless answers to the soak's upstreams

Cause: the soak's upstreams knew none of the faults that operators of similar systems reported: an earlier refusal written again on a kept connection, a head that breaks off, bytes without end. Change: four faults of the stand-in, drawn by the soak and covered through the whole host.

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -129,7 +129,19 @@
 
 
 _MODES = ("delay", "silent", "one_way", "reset")
-_FAULTS = ("shed", "reset_after_run", "late_extra", "extra_bytes", "truncated", "no_http", "error")
+_FAULTS = (
+    "shed",
+    "reset_after_run",
+    "late_extra",
+    "late_refusal",
+    "extra_bytes",
+    "truncated",
+    "truncated_head",
+    "endless_head",
+    "endless_body",
+    "no_http",
+    "error",
+)
 
 _WEIGHTED_MAKERS = (
     (2, lambda rng, duration_s, hosts, *_: KillHost(rng.randrange(hosts))),
--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -33,6 +33,9 @@
       | reset_after_run | idempotent     | 502    | 2    |
       | truncated       | non-idempotent | 502    | 1    |
       | truncated       | idempotent     | 502    | 2    |
+      | truncated_head  | non-idempotent | 502    | 1    |
+      | endless_head    | non-idempotent | 502    | 1    |
+      | endless_body    | non-idempotent | 504    | 1    |
       | unframed_reset  | non-idempotent | 502    | 1    |
       | no_http         | non-idempotent | 502    | 1    |
       | unsigned        | non-idempotent | 502    | 1    |
@@ -53,9 +56,10 @@
     Then all of them are answered with 200 and their own bodies
 
     Examples:
-      | fault       |
-      | late_extra  |
-      | extra_bytes |
+      | fault        |
+      | late_extra   |
+      | late_refusal |
+      | extra_bytes  |
 
   Scenario: A request is cancelled when its client disconnects
     Given the upstreams take 1.0 s
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -9,6 +9,9 @@
 from standins import platformdata
 
 SIGNATURE_HEADER = "X-Skylarksill-Response-Seal: test.seal"
+# The pause between portions of an endless answer leaves processor time to the tests beside it.
+ENDLESS_PORTION_BYTES = 16_384
+ENDLESS_PAUSE_S = 0.005
 
 
 class Fault(enum.Enum):
@@ -19,10 +22,14 @@
     FOREIGN = "foreign"
     RESET_AFTER_RUN = "reset_after_run"
     LATE_EXTRA = "late_extra"
+    LATE_REFUSAL = "late_refusal"
     EXTRA_BYTES = "extra_bytes"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed_reset"
     TRUNCATED = "truncated"
+    TRUNCATED_HEAD = "truncated_head"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_BODY = "endless_body"
     NO_HTTP = "no_http"
     UNSIGNED = "unsigned"
     ERROR = "error"
@@ -167,6 +174,12 @@
     return _answer(client, echo, previous_id, body)
 
 
+def _answer_after_stale_refusal(client, echo, previous_id, body):
+    previous_echo = f"X-Skylarksill-Request-Id: {previous_id}"
+    _send(client, 503, [previous_echo, "X-Skylarksill-Not-Executed: 1"], b"")
+    return _answer(client, echo, previous_id, body)
+
+
 def _answer_with_extra_bytes(client, echo, previous_id, body):
     _answer(client, echo, previous_id, body)
     client.sendall(b"bytes that belong to nothing")
@@ -190,6 +203,30 @@
     return False
 
 
+def _answer_with_truncated_head(client, echo, previous_id, body):
+    client.sendall(f"HTTP/1.1 200 OK\r\n{echo}\r\n{SIGNATURE_HEADER}\r\nConte".encode())
+    return False
+
+
+def _answer_with_endless_head(client, echo, previous_id, body):
+    client.sendall(f"HTTP/1.1 200 OK\r\n{echo}\r\n{SIGNATURE_HEADER}\r\nX-Filler: ".encode())
+    return _send_without_end(client, b"x")
+
+
+def _answer_with_endless_body(client, echo, previous_id, body):
+    lines = ["HTTP/1.1 200 OK", echo, SIGNATURE_HEADER, "Transfer-Encoding: chunked"]
+    client.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+    return _send_without_end(client, b"1\r\nx\r\n")
+
+
+def _send_without_end(client, unit):
+    """Sends a unit again and again until the client closes the connection."""
+    portion = unit * (ENDLESS_PORTION_BYTES // len(unit))
+    while True:
+        client.sendall(portion)
+        eventlet.sleep(ENDLESS_PAUSE_S)
+
+
 def _answer_without_http(client, echo, previous_id, body):
     client.sendall(b"this is no answer\r\n\r\n")
     return False
@@ -199,10 +236,14 @@
     Fault.NONE: _answer,
     Fault.RESET_AFTER_RUN: _reset,
     Fault.LATE_EXTRA: _answer_after_stale_answer,
+    Fault.LATE_REFUSAL: _answer_after_stale_refusal,
     Fault.EXTRA_BYTES: _answer_with_extra_bytes,
     Fault.UNFRAMED: _answer_unframed,
     Fault.UNFRAMED_RESET: _answer_unframed_and_reset,
     Fault.TRUNCATED: _answer_truncated,
+    Fault.TRUNCATED_HEAD: _answer_with_truncated_head,
+    Fault.ENDLESS_HEAD: _answer_with_endless_head,
+    Fault.ENDLESS_BODY: _answer_with_endless_body,
     Fault.NO_HTTP: _answer_without_http,
     Fault.UNSIGNED: _answer_unsigned,
     Fault.ERROR: _answer_error,
