Count requests shed by an upstream with free slots as failures, not as a full upstream

Change: a refusal whose load report shows a free slot updates the load and counts as a failure; one that shows none marks the upstream full, at the reported load if that is higher. Measured: two scenarios of host_decisions.feature failed before and pass (28 passed).

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -202,7 +202,7 @@
         elif len(upstream.waiting) < self._load.queue:
             upstream.waiting.append(run)
         else:
-            self._shed(now, run)
+            self._shed(now, upstream, run)
 
     def _start(self, now, upstream, run):
         upstream.running += 1
@@ -214,13 +214,14 @@
         self._runs[run[5], int(now / 2.0)][upstream.record.region] += 1
         self._schedule(now + run_s * upstream.compute_slowdown(now), self._complete, upstream, run)
 
-    def _complete(self, now, upstream, run):
-        report = records.LoadReport(
-            upstream.running,
-            len(upstream.waiting),
-            self._load.slots,
-            upstream.compute_slowdown(now),
+    def _report_load(self, upstream, now):
+        slowdown = upstream.compute_slowdown(now)
+        return records.LoadReport(
+            upstream.running, len(upstream.waiting), self._load.slots, slowdown
         )
+
+    def _complete(self, now, upstream, run):
+        report = self._report_load(upstream, now)
         upstream.running -= 1
         if upstream.waiting:
             self._start(now, upstream, upstream.waiting.popleft())
@@ -240,9 +241,10 @@
         else:
             self.result.failed += 1
 
-    def _shed(self, now, run):
+    def _shed(self, now, upstream, run):
         (_, host_steering), _, choice, _, _, _ = run
-        host_steering.record_shed(choice, now)
+        report = self._report_load(upstream, now)
+        host_steering.record_shed(choice, report, now)
         choice.upstream.record_end(False, now)
         self.result.rejected += 1
 
--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -76,6 +76,16 @@
     When all upstreams report 12 running and waiting
     Then a request is rejected with a retry delay above 0 s
 
+  Scenario: An upstream that sheds requests because it is full gets none for a while
+    Given a host that sees 1 upstreams
+    When the preferred upstream of an object sheds a request and reports 16 running and waiting
+    Then a request is rejected with a retry delay above 0 s
+
+  Scenario: An upstream that sheds requests at random is not taken for a full one
+    Given a host that sees 6 upstreams
+    When 40 requests a second arrive for 8 s and each upstream sheds 55 of 100 with slots to spare
+    Then no request is rejected before it was offered to an upstream
+
   Scenario: Less urgent requests leave the last slots to more urgent ones
     Given a host that sees 1 upstreams
     When all upstreams report 9 running and waiting
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -18,6 +18,7 @@
 )
 
 SEEDS = (1, 2, 3)
+WORK_S = 0.2
 
 
 @given('routes with the prefixes "{first}", "{second}" and "{third}"')
@@ -236,6 +237,47 @@
         state.apply_report(records.LoadReport(4, count - 4, 4, 1.0), 1.0)
 
 
+@when("the preferred upstream of an object sheds a request and reports {count:d} running and waiting")
+def step_preferred_sheds(context, count):
+    choice = context.steering.choose(context.query, 1.0)
+    report = records.LoadReport(min(4, count), max(0, count - 4), 4, 1.0)
+    context.steering.record_shed(choice, report, 1.0)
+
+
+@when(
+    "{rate:d} requests a second arrive for {seconds:d} s"
+    " and each upstream sheds {sheds:d} of 100 with slots to spare"
+)
+def step_random_sheds(context, rate, seconds, sheds):
+    rng = random.Random(5)
+    running = []
+    context.rejections = []
+    for number in range(rate * seconds):
+        now = number / rate
+        for _, query, choice in [item for item in running if item[0] <= now]:
+            load = records.LoadReport(choice.upstream.in_flight, 0, 4, 1.0)
+            context.steering.record_success(query, choice, load, WORK_S, now)
+            choice.upstream.record_end(True, now)
+        running = [item for item in running if item[0] > now]
+        query = host_builders.build_query(b"object-%d" % rng.randrange(24), rank=1)
+        choice = context.steering.choose(query, now)
+        if isinstance(choice, placement.Rejection):
+            context.rejections.append((now, choice))
+            continue
+        choice.upstream.record_send(now)
+        if rng.randrange(100) >= sheds:
+            running.append((now + WORK_S, query, choice))
+            continue
+        load = records.LoadReport(choice.upstream.in_flight - 1, 0, 4, 1.0)
+        context.steering.record_shed(choice, load, now)
+        choice.upstream.record_end(False, now)
+
+
+@then("no request is rejected before it was offered to an upstream")
+def step_no_rejection(context):
+    assert not context.rejections, (len(context.rejections), context.rejections[0])
+
+
 @then("a request is rejected with a retry delay above 0 s")
 def step_rejected(context):
     choice = context.steering.choose(context.query, 1.0)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -205,8 +205,8 @@
                 self._steering.record_success(query, choice, load, seconds, now)
             case _upstreamhttp.Answered(_, load):
                 self._steering.record_failure(choice, load, now)
-            case _upstreamhttp.NotRun(is_shed=True):
-                self._steering.record_shed(choice, now)
+            case _upstreamhttp.NotRun(is_shed=True, load=load):
+                self._steering.record_shed(choice, load, now)
             case _upstreamhttp.NotRun(is_misdirected=True):
                 choice.upstream.is_misdirected = True
                 upstream_id = choice.upstream.record.upstream_id
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -95,9 +95,23 @@
         if load is not None:
             choice.upstream.apply_report(load, now)
 
-    def record_shed(self, choice, now):
-        """Updates the estimates after an upstream shed a request because it was full."""
-        choice.upstream.mark_full(now)
+    def record_shed(self, choice, load, now):
+        """Updates the estimates after an upstream shed a request.
+
+        Most upstreams shed because their slots and queue are full. One that reports a free slot
+        sheds at random: it can run the next request, so the shed one counts as a failure of it.
+
+        Args:
+          choice: The placement.Placement that was chosen for the request.
+          load: The LoadReport of the answer, or None.
+          now: Monotonic seconds.
+        """
+        state = choice.upstream
+        if load is None or load.running >= load.slots:
+            state.mark_full(load, now)
+            return
+        state.apply_report(load, now)
+        state.record_result(True, now)
 
     def record_timeout(self, choice, seconds, now):
         """Updates the estimates after a request got no answer within ``seconds``."""
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -24,6 +24,8 @@
 MAX_SAMPLE_FACTOR = 2.0
 FAILURE_WEIGHT = 0.15
 FAILURE_HALF_LIFE_S = 3.0
+# Least load of an upstream that sheds requests because it is full, as a multiple of its slots.
+FULL_LOAD_FACTOR = 2.0
 # Pause before an unreachable upstream is probed again; it doubles up to the maximum.
 INITIAL_DOWN_S = 0.3
 MAX_DOWN_S = 2.0
@@ -159,9 +161,16 @@
         self._pace = report.pace
         self._pace_mean += PACE_WEIGHT * (report.pace - self._pace_mean)
 
-    def mark_full(self, now):
-        """Marks the slots and the queue of the upstream as full, because it shed a request."""
-        self._other_load = max(0.0, 2.0 * self.record.slots - self.in_flight)
+    def mark_full(self, load, now):
+        """Marks the slots and the queue of the upstream as full, because it shed a request.
+
+        Args:
+          load: The LoadReport of the answer that says so, or None.
+          now: Monotonic seconds.
+        """
+        reported = load.running + load.waiting if load is not None else 0
+        full_load = max(FULL_LOAD_FACTOR * self.record.slots, reported)
+        self._other_load = max(0.0, full_load - self.in_flight)
         self._reported_at = now
 
     def record_slowness(self, ratio, now):
