--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -237,7 +237,9 @@
         state.apply_report(records.LoadReport(4, count - 4, 4, 1.0), 1.0)
 
 
-@when("the preferred upstream of an object sheds a request and reports {count:d} running and waiting")
+@when(
+    "the preferred upstream of an object sheds a request and reports {count:d} running and waiting"
+)
 def step_preferred_sheds(context, count):
     choice = context.steering.choose(context.query, 1.0)
     report = records.LoadReport(min(4, count), max(0, count - 4), 4, 1.0)
