Authenticate datagrams and streams between hosts with keys that can be replaced

A key in the store would lock out hosts that restart while the store is down. Change: keyring seals messages for a context; envelope binds a datagram to the receiver's process and numbers it; updates are sealed for the random number of their request. Ruled out: a time stamp in datagrams, which fails on clocks that are set wrong.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -14,6 +14,7 @@
 from standins import metadatastore, platformdata, worker
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PEER_KEYS = ROOT / "deploy" / "peer-keys.example.ini"
 ZONES = ("north-a", "north-b", "south-a", "south-b")
 REGIONS = {zone: zone.partition("-")[0] for zone in ZONES}
 UPSTREAMS_PER_ZONE = 2
@@ -67,7 +68,12 @@
             self.error_path.open("ab") as errors,
         ):
             self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "start.py")],
+                [
+                    sys.executable,
+                    str(ROOT / "platform" / "start.py"),
+                    "--peer-keys",
+                    str(PEER_KEYS),
+                ],
                 env={**os.environ, platformdata.SETTINGS_VARIABLE: str(self._settings)},
                 stdout=log,
                 stderr=errors,
--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -50,6 +50,12 @@
     Then an encoded update is decoded to the same update
     And 400 random or damaged updates and requests are rejected or harmless
 
+  Scenario: An update of many upstreams is compressed, and decompressing it is bounded
+    Given a source with 500 upstreams
+    Then an encoded update is decoded to the same update
+    And it takes less than half of the bytes that it takes without compression
+    And updates that decompress to 5 MB or are cut off are rejected
+
   Scenario: A host that cannot reach the store is kept up to date by its source
     Given a source with configuration 3, upstreams "a" and "b" at revision 20
     And a host without the store that follows the source over loopback
--- a/features/host_settings.feature
+++ b/features/host_settings.feature
@@ -23,3 +23,12 @@
     Given the platform's settings file
     Then checking it exits with code 0 and names the host
     And checking it without its zone exits with code 2 and names the field
+
+  Scenario: A host that is told to reload while it still starts goes on starting
+    Given the platform's settings file
+    Then a reload signal during its imports doesn't end it
+
+  Scenario: Settings and keys can be checked together
+    Given the platform's settings file
+    Then checking it with the example keys exits with code 0 and names the key that seals
+    And checking it with a missing file of keys exits with code 2 and names that file
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -2,8 +2,10 @@
 
 import random
 import time
+import zlib
 
 import eventlet
+import msgpack
 from behave import given, then, when
 from eventlet.green import socket
 
@@ -13,6 +15,7 @@
     belief,
     eventlog,
     following,
+    keyring,
     peers,
     records,
     relay,
@@ -86,9 +89,7 @@
     local_belief = context.follower
     generation = local_belief.configuration.generation if local_belief.configuration else 0
     update = relay.make_update(context.source, context.sequence, generation, False)
-    context.update = _beliefcodec.decode_update(
-        _beliefcodec.encode_update(update)[_beliefcodec.HEADER_BYTES :]
-    )
+    context.update = _beliefcodec.decode_update(_beliefcodec.encode_update(update))
     relay.apply_update(local_belief, context.update, 0.0)
     context.sequence = context.update.sequence
 
@@ -150,15 +151,42 @@
 @then("an encoded update is decoded to the same update")
 def step_codec(context):
     context.update = relay.make_update(context.source, relay.UNKNOWN_SEQUENCE, 0, True)
-    payload = _beliefcodec.encode_update(context.update)[_beliefcodec.HEADER_BYTES :]
+    payload = _beliefcodec.encode_update(context.update)
     assert _beliefcodec.decode_update(payload) == context.update
 
 
+@given("a source with {count:d} upstreams")
+def step_large_source(context, count):
+    # Ids of upstreams are random on the platform, so they compress badly.
+    rng = random.Random(8)
+    context.source = _build_belief([f"i-{rng.randbytes(5).hex()}" for _ in range(count)], 20)
+    context.source.accept_configuration(host_builders.build_configuration(3))
+
+
+@then("it takes less than half of the bytes that it takes without compression")
+def step_compressed(context):
+    compressed = len(_beliefcodec.encode_update(context.update))
+    plain = len(_beliefcodec._pack_update(context.update))
+    assert 2 * compressed < plain, (compressed, plain)
+
+
+@then("updates that decompress to {size:d} MB or are cut off are rejected")
+def step_bomb(context, size):
+    bomb = zlib.compress(bytes(size * 1024 * 1024))
+    whole = zlib.compress(_beliefcodec._pack_update(context.update))
+    for packed in (bomb, whole[:-1], whole[: len(whole) // 2]):
+        try:
+            _beliefcodec.decode_update(msgpack.packb((True, packed)))
+        except _beliefcodec.CodecError:
+            continue
+        raise AssertionError(f"accepted {len(packed)} bytes")
+
+
 @then("{count:d} random or damaged updates and requests are rejected or harmless")
 def step_fuzz(context, count):
     rng = random.Random(3)
-    whole = _beliefcodec.encode_update(context.update)[_beliefcodec.HEADER_BYTES :]
-    request = _beliefcodec.encode_request(5, 3, 0.7)[_beliefcodec.HEADER_BYTES :]
+    whole = _beliefcodec.encode_update(context.update)
+    request = _beliefcodec.encode_request(_beliefcodec.Request(5, 3, 0.7, bytes(16)))
     rejected = 0
     for index in range(count):
         payload = bytearray((whole, request, rng.randbytes(rng.randrange(60)))[index % 3])
@@ -180,7 +208,11 @@
     log = eventlog.EventLog("test", len)
     context.is_store_lost = False
     context.server = following.BeliefServer(
-        ("127.0.0.1", 0), context.source, log, lambda: context.is_store_lost
+        ("127.0.0.1", 0),
+        context.source,
+        log,
+        lambda: context.is_store_lost,
+        keyring.Keyring,
     )
     context.server.start()
     context.follower = belief.Belief()
@@ -194,7 +226,13 @@
     table.increment_heartbeat(records.HostState.SERVING, time.monotonic(), None, True)
     table.merge(entry, time.monotonic())
     context.belief_follower = following.BeliefFollower(
-        own, table, context.follower, log, lambda changes: None, lambda: True
+        own,
+        table,
+        context.follower,
+        log,
+        lambda changes: None,
+        lambda: True,
+        keyring.Keyring,
     )
     context.belief_follower.start()
 
@@ -227,7 +265,9 @@
 @when("a follower connects to it and sends nothing")
 def step_silent_follower(context):
     log = eventlog.EventLog("test", len)
-    context.server = following.BeliefServer(("127.0.0.1", 0), context.source, log, lambda: False)
+    context.server = following.BeliefServer(
+        ("127.0.0.1", 0), context.source, log, lambda: False, keyring.Keyring
+    )
     context.server.start()
     context.follower = socket.create_connection(context.server.address)
 
--- a/features/steps/host_settings_steps.py
+++ b/features/steps/host_settings_steps.py
@@ -10,6 +10,22 @@
 from standins import platformdata
 
 START_SCRIPT = host_builders.PLATFORM_FOLDER / "start.py"
+EXAMPLE_KEYS = host_builders.PLATFORM_FOLDER.parent / "deploy" / "peer-keys.example.ini"
+# Runs the start script and sends SIGHUP to it when it imports its first library.
+SIGNALED_START = """
+import os, runpy, signal, sys
+
+class Signaler:
+    def find_spec(self, name, path, target=None):
+        if name == "eventlet":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+script = sys.argv[1]
+sys.argv = sys.argv[1:]
+sys.path.insert(0, os.path.dirname(script))
+sys.meta_path.insert(0, Signaler())
+runpy.run_path(script, run_name="__main__")
+"""
 REQUIRED_FIELDS = (
     "self.node",
     "self.ip",
@@ -71,6 +87,24 @@
     assert result.returncode == code and "self.zone" in result.stderr, result
 
 
+@then("a reload signal during its imports doesn't end it")
+def step_reload_while_starting(context):
+    ended = _check_settings(context.lines, "-c", SIGNALED_START, str(START_SCRIPT))
+    assert ended.returncode == 0 and "are valid" in ended.stdout, ended
+
+
+@then("checking it with the example keys exits with code 0 and names the key that seals")
+def step_check_keys(context):
+    ended = _check_settings(context.lines, str(START_SCRIPT), "--peer-keys", str(EXAMPLE_KEYS))
+    assert ended.returncode == 0 and "seals with example-1" in ended.stdout, ended
+
+
+@then("checking it with a missing file of keys exits with code 2 and names that file")
+def step_check_missing_keys(context):
+    ended = _check_settings(context.lines, str(START_SCRIPT), "--peer-keys", "/missing/keys.ini")
+    assert ended.returncode == 2 and "/missing/keys.ini" in ended.stderr, ended
+
+
 def _load(lines):
     hostfile, _, _ = host_builders.import_platform()
     with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
@@ -79,9 +113,17 @@
         return hostfile.load_settings(file.name)
 
 
-def _check_settings(lines):
+def _check_settings(lines, *arguments):
+    """Runs the start script with ``--check`` on a settings file.
+
+    Args:
+      lines: Lines of the settings file.
+      arguments: Arguments of the interpreter that name the script; the script alone by default.
+    Returns:
+      The ended process.
+    """
     with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
         file.write("\n".join(lines))
         file.flush()
-        command = [sys.executable, str(START_SCRIPT), "--check", file.name]
+        command = [sys.executable, *(arguments or [str(START_SCRIPT)]), "--check", file.name]
         return subprocess.run(command, capture_output=True, text=True, timeout=30)
--- a/features/steps/host_wire_steps.py
+++ b/features/steps/host_wire_steps.py
@@ -10,7 +10,7 @@
 
 from features import wire_builders
 from skylarksill import limits
-from skylarksill.host import _upstreamhttp, belief, eventlog, following
+from skylarksill.host import _upstreamhttp, belief, eventlog, following, keyring
 from standins import rawpeer
 
 TICK_S = 0.01
@@ -263,7 +263,9 @@
 @given("a source of belief")
 def step_source(context):
     log = eventlog.EventLog("test", len)
-    context.source = following.BeliefServer(("127.0.0.1", 0), belief.Belief(), log, lambda: False)
+    context.source = following.BeliefServer(
+        ("127.0.0.1", 0), belief.Belief(), log, lambda: False, keyring.Keyring
+    )
     context.source.start()
     context.add_cleanup(context.source.stop)
 
--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -1,17 +1,24 @@
-"""Codec of the stream between a source and a follower: length-prefixed msgpack messages."""
+"""Codec of the stream between a source and a follower: msgpack messages with a length before."""
 
+import dataclasses
 import struct
+import zlib
 
 import msgpack
 
 from skylarksill import records as shared
 from skylarksill.host import fields, records, relay
 
-VERSION = 1
+VERSION = 2
 # A configuration with 500 routes, together with 500 upstreams, takes about 150 kB.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-# A follower's request holds a version and three small numbers.
+# A follower's request holds a version, three small numbers, a nonce and a seal.
 MAX_REQUEST_BYTES = 256
+NONCE_BYTES = 16
+# Updates of this size and more are compressed: the entries of upstreams resemble each other, and
+# followers in other zones get the same ones from two sources.
+MIN_COMPRESSED_BYTES = 512
+COMPRESSION_LEVEL = 1
 
 _LENGTH = struct.Struct(">I")
 HEADER_BYTES = _LENGTH.size
@@ -33,28 +40,59 @@
     return length
 
 
-def encode_request(sequence, generation, wait_s):
-    """Encodes a follower's request for the changes since ``sequence``."""
-    return _frame((VERSION, sequence, generation, int(wait_s * 1000)))
+def frame(message):
+    """Puts the length of a message before it."""
+    return _LENGTH.pack(len(message)) + message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A follower's request for changes.
+
+    Attributes:
+      sequence: Sequence number of the source's belief up to which the follower has all changes.
+      generation: Generation of the follower's configuration; 0 without one.
+      wait_s: Longest time to wait for a change, in seconds.
+      nonce: Random bytes for which the source seals its answer.
+    """
+
+    sequence: int
+    generation: int
+    wait_s: float
+    nonce: bytes
+
+
+def encode_request(request):
+    """Encodes a Request."""
+    wait_ms = int(request.wait_s * 1000)
+    return msgpack.packb((VERSION, request.sequence, request.generation, wait_ms, request.nonce))
 
 
 def decode_request(payload):
-    """Returns sequence, generation and wait in seconds of a follower's request.
+    """Decodes a Request.
 
     Raises:
       CodecError: If the request is malformed.
     """
     try:
-        sequence, generation, wait_ms = _unpack(payload)
+        sequence, generation, wait_ms, nonce = _unpack(payload)
         numbers = [fields.check(number, int) for number in (sequence, generation, wait_ms)]
+        fields.check(nonce, bytes)
     except (ValueError, TypeError) as error:
         raise CodecError(f"malformed request: {error}") from error
-    return numbers[0], numbers[1], numbers[2] / 1000
+    return Request(numbers[0], numbers[1], numbers[2] / 1000, nonce)
 
 
 def encode_update(update):
-    """Encodes a relay.BeliefUpdate."""
-    return _frame(
+    """Encodes a relay.BeliefUpdate; the result is compressed if it is large."""
+    payload = _pack_update(update)
+    if len(payload) < MIN_COMPRESSED_BYTES:
+        return msgpack.packb((False, payload))
+    return msgpack.packb((True, zlib.compress(payload, COMPRESSION_LEVEL)))
+
+
+def _pack_update(update):
+    return msgpack.packb(
         (
             VERSION,
             update.sequence,
@@ -77,7 +115,10 @@
       CodecError: If the message is malformed.
     """
     try:
-        sequence, revisions, is_complete, is_store_lost, *rest = _unpack(payload)
+        is_compressed, packed = msgpack.unpackb(payload)
+        if fields.check(is_compressed, bool):
+            packed = _decompress(packed)
+        sequence, revisions, is_complete, is_store_lost, *rest = _unpack(packed)
         configuration, is_snapshot, upstreams, removed_ids, evacuated = rest
         return relay.BeliefUpdate(
             sequence=fields.check(sequence, int),
@@ -92,13 +133,28 @@
             removed_ids=tuple(fields.check(item, str) for item in fields.check(removed_ids, list)),
             evacuated=tuple(fields.check(item, str) for item in fields.check(evacuated, list)),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        zlib.error,
+        msgpack.exceptions.UnpackException,
+    ) as error:
         raise CodecError(f"malformed update: {error!r}") from error
 
 
-def _frame(message):
-    payload = msgpack.packb(message)
-    return _LENGTH.pack(len(payload)) + payload
+def _decompress(packed):
+    """Returns the decompressed bytes, which are at most MAX_MESSAGE_BYTES.
+
+    Raises:
+      ValueError: If they would be more, or are cut off.
+    """
+    decompressor = zlib.decompressobj()
+    payload = decompressor.decompress(fields.check(packed, bytes), MAX_MESSAGE_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"compressed update is cut off or exceeds {MAX_MESSAGE_BYTES} bytes")
+    return payload
 
 
 def _unpack(payload):
--- a/skylarksill/host/exchange.py
+++ b/skylarksill/host/exchange.py
@@ -46,6 +46,11 @@
     return Reception(tuple(newly_alive), reply)
 
 
+def make_introduction(table):
+    """Makes the answer to a sender that doesn't know this process: the own record."""
+    return _peercodec.Digest([table.own_peer], [], [])
+
+
 def make_messages(table, crashes, seeds, now, rng=random):
     """Makes what a host sends in a round.
 
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -1,16 +1,19 @@
 """Streams between hosts on which sources send changes of their belief to followers.
 
 A source is a host that watches the store; the others follow the sources chosen for their region.
-A follower asks by long polling, and its source answers with the changes that it lacks.
+A follower asks by long polling, and its source answers with the changes that it lacks. Requests are
+sealed for their source and answers for the nonce of their request, so neither can be forged, and an
+answer can't be repeated.
 """
 
+import os
 import time
 
 import eventlet
 from eventlet import event
 from eventlet.green import socket
 
-from skylarksill.host import _beliefcodec, _fairreads, relay
+from skylarksill.host import _beliefcodec, _fairreads, keyring, relay
 
 # Longest time that a source waits for a change before it answers that there is none.
 LONG_POLL_S = 0.7
@@ -30,6 +33,8 @@
 # The kernel resets a connection whose bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 2_000
 LISTEN_BACKLOG = 256
+REQUEST_PURPOSE = "belief request"
+UPDATE_PURPOSE = "belief update"
 
 
 class BeliefServer:
@@ -40,12 +45,15 @@
       belief: The belief.Belief.
       log: The EventLog.
       is_store_lost: Function that returns True while the store can't be reached.
+      get_keyring: Function that returns the current keyring.Keyring.
     """
 
-    def __init__(self, address, belief, log, is_store_lost):
+    def __init__(self, address, belief, log, is_store_lost, get_keyring):
         self._belief = belief
         self._log = log
         self._is_store_lost = is_store_lost
+        self._get_keyring = get_keyring
+        self._encoded = (None, b"")
         self._changed = event.Event()
         self._socket = eventlet.listen(address, backlog=LISTEN_BACKLOG)
         self._thread = None
@@ -84,23 +92,35 @@
             _set_options(client)
             reader = _fairreads.FairReader(client)
             while True:
-                payload = _read_message(reader, _beliefcodec.MAX_REQUEST_BYTES, FOLLOWER_TIMEOUT_S)
-                sequence, generation, wait_s = _beliefcodec.decode_request(payload)
-                if self._belief.sequence == sequence:
-                    self._wait_for_change(min(wait_s, LONG_POLL_S))
-                update = relay.make_update(
-                    self._belief, sequence, generation, self._is_store_lost()
-                )
+                message = _read_message(reader, _beliefcodec.MAX_REQUEST_BYTES, FOLLOWER_TIMEOUT_S)
+                context = (REQUEST_PURPOSE, *self.address)
+                payload = keyring.unseal(self._get_keyring(), context, message)
+                request = _beliefcodec.decode_request(payload)
+                if self._belief.sequence == request.sequence:
+                    self._wait_for_change(min(request.wait_s, LONG_POLL_S))
+                payload = self._encode_update(request.sequence, request.generation)
+                context = (UPDATE_PURPOSE, request.nonce)
+                sealed = keyring.seal(self._get_keyring(), context, payload)
                 client.settimeout(ANSWER_TIMEOUT_S)
-                client.sendall(_beliefcodec.encode_update(update))
+                client.sendall(_beliefcodec.frame(sealed))
         except EOFError:
             # The follower has closed the stream.
             return
-        except (OSError, _beliefcodec.CodecError) as error:
+        except (OSError, _beliefcodec.CodecError, keyring.SealError) as error:
             self._log.write("relay.follower_lost", peer=str(address), error=str(error))
         finally:
             client.close()
 
+    def _encode_update(self, sequence, generation):
+        """Returns the encoded update for a follower; most followers lack the same changes."""
+        is_store_lost = self._is_store_lost()
+        revisions = tuple(self._belief.revisions.values())
+        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost)
+        if self._encoded[0] != key:
+            update = relay.make_update(self._belief, sequence, generation, is_store_lost)
+            self._encoded = (key, _beliefcodec.encode_update(update))
+        return self._encoded[1]
+
     def _wait_for_change(self, wait_s):
         with eventlet.Timeout(wait_s, False):
             self._changed.wait()
@@ -114,14 +134,16 @@
       apply_update: Function that applies a BeliefUpdate to this host's belief.
       find_generation: Function that returns the generation of this host's configuration.
       log: The EventLog.
+      get_keyring: Function that returns the current keyring.Keyring.
     """
 
-    def __init__(self, record, apply_update, find_generation, log):
+    def __init__(self, record, apply_update, find_generation, log, get_keyring):
         self.record = record
         self.is_wanted = True
         self._apply_update = apply_update
         self._find_generation = find_generation
         self._log = log
+        self._get_keyring = get_keyring
         self._current_at = float("-inf")
         self._failures = 0
 
@@ -134,7 +156,7 @@
         while self.is_wanted:
             try:
                 self._follow()
-            except (OSError, EOFError, _beliefcodec.CodecError) as error:
+            except (OSError, EOFError, _beliefcodec.CodecError, keyring.SealError) as error:
                 self._failures += 1
                 if self._failures == 1:
                     self._log.write("relay.lost", peer=self.record.host_id, error=str(error))
@@ -148,16 +170,30 @@
             reader = _fairreads.FairReader(source)
             sequence = relay.UNKNOWN_SEQUENCE
             while self.is_wanted:
-                generation = self._find_generation()
-                source.sendall(_beliefcodec.encode_request(sequence, generation, LONG_POLL_S))
-                payload = _read_message(reader, _beliefcodec.MAX_MESSAGE_BYTES, ANSWER_TIMEOUT_S)
-                update = _beliefcodec.decode_update(payload)
+                request = _beliefcodec.Request(
+                    sequence,
+                    self._find_generation(),
+                    LONG_POLL_S,
+                    os.urandom(_beliefcodec.NONCE_BYTES),
+                )
+                update = self._exchange(source, reader, request)
                 self._record_answer(update, sequence)
                 self._apply_update(update)
                 sequence = update.sequence
         finally:
             source.close()
 
+    def _exchange(self, source, reader, request):
+        """Sends a request on the stream; returns the BeliefUpdate that answers it."""
+        context = (REQUEST_PURPOSE, *self.record.gossip)
+        payload = _beliefcodec.encode_request(request)
+        sealed = keyring.seal(self._get_keyring(), context, payload)
+        source.sendall(_beliefcodec.frame(sealed))
+        message = _read_message(reader, _beliefcodec.MAX_MESSAGE_BYTES, ANSWER_TIMEOUT_S)
+        context = (UPDATE_PURPOSE, request.nonce)
+        payload = keyring.unseal(self._get_keyring(), context, message)
+        return _beliefcodec.decode_update(payload)
+
     def _record_answer(self, update, sequence):
         is_current = update.is_complete and not update.is_store_lost
         self._current_at = time.monotonic() if is_current else float("-inf")
@@ -178,15 +214,17 @@
       handle_changes: Function of a tuple of belief.Change that is called after each update with
         changes.
       is_store_lost: Function that returns True while the store can't be reached.
+      get_keyring: Function that returns the current keyring.Keyring.
     """
 
-    def __init__(self, own, table, belief, log, handle_changes, is_store_lost):
+    def __init__(self, own, table, belief, log, handle_changes, is_store_lost, get_keyring):
         self._own = own
         self._table = table
         self._belief = belief
         self._log = log
         self._handle_changes = handle_changes
         self._is_store_lost = is_store_lost
+        self._get_keyring = get_keyring
         self._streams = {}
 
     def has_current_source(self):
@@ -215,7 +253,13 @@
             self._streams.pop(address).is_wanted = False
         for address, record in wanted.items():
             if address not in self._streams:
-                stream = _SourceStream(record, self._apply_update, self._find_generation, self._log)
+                stream = _SourceStream(
+                    record,
+                    self._apply_update,
+                    self._find_generation,
+                    self._log,
+                    self._get_keyring,
+                )
                 self._streams[address] = stream
                 eventlet.spawn_n(stream.run)
 
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -5,9 +5,11 @@
 import eventlet
 from eventlet.green import socket
 
-from skylarksill.host import _peercodec, exchange, peers
+from skylarksill.host import _peercodec, envelope, exchange, peers
 
 RECEIVE_RETRY_S = 0.25
+# Datagrams that are not authentic are counted, and at most one line is logged in this time.
+REJECTION_LOG_INTERVAL_S = 1.0
 
 
 class Gossip:
@@ -19,18 +21,23 @@
       table: The PeerTable.
       poisons: The PoisonTable.
       log: The EventLog.
+      counters: The Counters.
       describe_own: Function that returns this host's HostState, its dict of spill shares by
         service, and whether the store is lost.
+      get_keyring: Function that returns the current keyring.Keyring.
     """
 
-    def __init__(self, address, seeds, table, poisons, log, describe_own):
+    def __init__(self, address, seeds, table, poisons, log, counters, describe_own, get_keyring):
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
         self._table = table
         self._poisons = poisons
         self._log = log
+        self._counters = counters
         self._describe_own = describe_own
+        self._mailbox = envelope.Mailbox(address, get_keyring)
         self._socket = None
+        self._rejection_logged_at = float("-inf")
 
     def start(self):
         """Starts receiving, and sending at regular intervals."""
@@ -48,14 +55,16 @@
         self._table.increment_heartbeat(state, now, spill_shares, is_store_lost)
         crashes = self._poisons.list_recent_crashes(now)
         for digest, addresses in exchange.make_messages(self._table, crashes, self._seeds, now):
-            self._send_datagram(_peercodec.encode_digest(digest, now), addresses)
+            payload = _peercodec.encode_digest(digest, now)
+            for address in addresses:
+                self._send_datagram(payload, address, self._table.find_incarnation(address))
 
-    def _send_datagram(self, datagram, addresses):
-        for address in addresses:
-            try:
-                self._socket.sendto(datagram, address)
-            except OSError as error:
-                self._log.write("peer.send_failed", peer=str(address), error=str(error))
+    def _send_datagram(self, payload, address, incarnation):
+        datagram = self._mailbox.seal(payload, self._table.own, address, incarnation)
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError as error:
+            self._log.write("peer.send_failed", peer=str(address), error=str(error))
 
     def _send_rounds(self):
         while True:
@@ -68,23 +77,38 @@
             eventlet.sleep(0)
             try:
                 datagram, address = self._socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
-                now = time.monotonic()
-                digest = _peercodec.decode_digest(datagram, now)
-            except _peercodec.CodecError as error:
-                self._log.write("peer.malformed", peer=str(address), error=str(error))
-                continue
+                self._handle_datagram(datagram, address, time.monotonic())
+            except (_peercodec.CodecError, envelope.EnvelopeError) as error:
+                self._reject(address, error)
             except OSError as error:
                 self._log.write("peer.receive_failed", error=str(error))
                 eventlet.sleep(RECEIVE_RETRY_S)
-                continue
-            self._apply_digest(digest, address, now)
 
-    def _apply_digest(self, digest, address, now):
+    def _handle_datagram(self, datagram, address, now):
+        opened = self._mailbox.open(datagram, self._table.own)
+        if opened.payload is None:
+            reply = exchange.make_introduction(self._table)
+        else:
+            digest = _peercodec.decode_digest(opened.payload, now)
+            reply = self._apply_digest(digest, now)
+        if reply is not None:
+            payload = _peercodec.encode_digest(reply, now)
+            self._send_datagram(payload, address, opened.sender.incarnation)
+
+    def _apply_digest(self, digest, now):
+        """Applies a digest; returns the Digest to answer with, or None."""
         for crash in digest.crashes:
             if self._poisons.record_crash(crash, now):
                 self._log.write("request.blocked", fingerprint=crash.fingerprint.hex())
         reception = exchange.receive_digest(self._table, digest, now)
         for host_id in reception.newly_alive:
             self._log.write("peer.alive", peer=host_id)
-        if reception.reply is not None:
-            self._send_datagram(_peercodec.encode_digest(reception.reply, now), [address])
+        return reception.reply
+
+    def _reject(self, address, error):
+        """Counts a datagram that is malformed or not authentic."""
+        self._counters.count("peer_rejections", "datagram")
+        now = time.monotonic()
+        if now - self._rejection_logged_at >= REJECTION_LOG_INTERVAL_S:
+            self._rejection_logged_at = now
+            self._log.write("peer.rejected", peer=str(address), error=str(error))
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -104,6 +104,7 @@
         self._region = own.region
         self._peers = {}
         self._ids_by_key = {}
+        self._ids_by_address = {}
         self._asked_at = collections.OrderedDict()
         self._round = 0
         self._put(Peer(own, 1, records.HostState.STARTING, now))
@@ -118,6 +119,11 @@
         """The own Peer."""
         return self._peers[self._own_id]
 
+    def find_incarnation(self, address):
+        """Returns the incarnation of the host with a gossip address; 0 if it is unknown."""
+        host_id = self._ids_by_address.get(address)
+        return self._peers[host_id].record.incarnation if host_id in self._peers else 0
+
     def increment_heartbeat(self, state, now, spill_shares=None, is_store_lost=False):
         """Increments the own heartbeat and updates the own entry; see Peer for the arguments."""
         peer = self._peers[self._own_id]
@@ -240,6 +246,7 @@
             self._ids_by_key.pop(compute_key(known.record), None)
         self._peers[host_id] = peer
         self._ids_by_key[compute_key(peer.record)] = host_id
+        self._ids_by_address[peer.record.gossip] = host_id
         self._update_dead_after()
 
     def _is_alive(self, peer, now):
@@ -344,6 +351,7 @@
             if host_id != self._own_id and now - peer.last_heartbeat_at > FORGET_AFTER_S:
                 del self._peers[host_id]
                 self._ids_by_key.pop(compute_key(peer.record), None)
+                self._ids_by_address.pop(peer.record.gossip, None)
 
 
 def compute_dead_after_s(host_count):
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -47,7 +47,7 @@
 # The settings file may change without a SIGHUP; reading it takes less than a millisecond.
 SETTINGS_POLL_INTERVAL_S = 1.0
 # Settings that take effect without a restart; sockets and peers depend on the others.
-RELOADABLE_SETTINGS = ("bounds", "memory_bytes")
+RELOADABLE_SETTINGS = ("bounds", "memory_bytes", "peer_keys")
 
 
 class Host:
@@ -108,7 +108,9 @@
             self.peers,
             self.forwarder.poisons,
             self.log,
+            self.counters,
             self._describe_own,
+            self._get_keyring,
         )
         self._stopping = eventlet.event.Event()
         self._settling = quotas.SettleTimer(time.clock_gettime(time.CLOCK_BOOTTIME))
@@ -130,6 +132,7 @@
             self.log,
             self._handle_belief_changes,
             self._is_store_lost,
+            self._get_keyring,
         )
         self._watcher = watching.Watcher(
             store,
@@ -140,9 +143,18 @@
             self._belief_follower.has_current_source,
         )
         self._belief_server = following.BeliefServer(
-            self.settings.gossip, self.belief, self.log, self._is_store_lost
+            self.settings.gossip,
+            self.belief,
+            self.log,
+            self._is_store_lost,
+            self._get_keyring,
+        )
+        self.log.write(
+            "host.start",
+            zone=self.settings.zone,
+            incarnation=self.own.incarnation,
+            peer_keys=self.settings.peer_keys.ids,
         )
-        self.log.write("host.start", zone=self.settings.zone, incarnation=self.own.incarnation)
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
@@ -204,6 +216,9 @@
     def _handle_belief_changes(self, changes):
         self._watcher.handle_changes(changes)
 
+    def _get_keyring(self):
+        return self.settings.peer_keys
+
     def _is_store_lost(self):
         return self._watcher.is_store_lost
 
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -8,6 +8,7 @@
 import typing
 
 from skylarksill import records
+from skylarksill.host import keyring
 
 RouteId = typing.NewType("RouteId", str)
 Address = tuple[str, int]
@@ -186,7 +187,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostSettings:
-    """Validated settings of one host process."""
+    """Validated settings of one host process.
+
+    Attributes:
+      regions: Region of each availability zone.
+      memory_bytes: Memory that the process may use.
+      peer_keys: Keys that authenticate what hosts send to each other.
+    """
 
     host_id: records.HostId
     zone: records.ZoneId
@@ -201,6 +208,7 @@
     regions: dict[records.ZoneId, records.RegionId]
     bounds: Bounds
     memory_bytes: int
+    peer_keys: keyring.Keyring = keyring.Keyring()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
