Raise the incarnation of a host whose clock went back as soon as a peer names its former one

Cause: found by reading: datagrams for an earlier process are not applied since they are bound to their receiver's incarnation, so a host that restarted with a clock set back no longer learned of its earlier incarnation from digests, and its peers ignored it until that one was dead, 3 to 5 s. Change: the envelope tells which incarnation the sender knows; a higher one is superseded at once. Measured: a loopback test in host_keys.feature fails without the change and passes with it.

--- a/features/host_keys.feature
+++ b/features/host_keys.feature
@@ -30,6 +30,11 @@
     When "b" restarts and "a" sends heartbeats to it
     Then "b" answers the first with its own record and applies the second
 
+  Scenario: A host that restarts after its clock went back is heard at once
+    Given hosts "a" and "b" over loopback with the keys one
+    When "b" restarts with a clock that went back by 60 s
+    Then both count each other as alive within 1.5 s, "b" with a later incarnation than before
+
   Scenario Outline: Hosts stay connected while their keys are replaced in steps
     Given hosts "a" and "b" over loopback with the keys <before>
     When "a" gets the keys <after>
--- a/features/key_builders.py
+++ b/features/key_builders.py
@@ -85,12 +85,13 @@
 def build_loopback_hosts(names, ring, now):
     """Builds and starts a LoopbackHost for each name, which know each other's addresses."""
     addresses = {name: _find_free_address() for name in names}
-    return {name: _start_host(name, addresses, ring, now) for name in names}
+    return {name: start_host(name, addresses, ring, now, int(now * 1000)) for name in names}
 
 
-def _start_host(name, addresses, ring, now):
+def start_host(name, addresses, ring, now, incarnation):
+    """Builds and starts a LoopbackHost; ``addresses`` are those of all hosts by name."""
     record = dataclasses.replace(
-        host_builders.build_host_record(name), gossip=addresses[name], incarnation=int(now * 1000)
+        host_builders.build_host_record(name), gossip=addresses[name], incarnation=incarnation
     )
     table = peers.PeerTable(record, now)
     counts = counters.Counters()
--- a/features/steps/host_keys_steps.py
+++ b/features/steps/host_keys_steps.py
@@ -156,6 +156,36 @@
     host_world.wait_until(3.0, lambda: _are_alive(context.hosts))
 
 
+@when('"{name}" restarts with a clock that went back by {seconds:d} s')
+def step_restart_back(context, name, seconds):
+    host = context.hosts[name]
+    context.former = host.table.own
+    host.gossip.stop()
+    addresses = {item.name: item.table.own.gossip for item in context.hosts.values()}
+    incarnation = context.former.incarnation - 1000 * seconds
+    context.hosts[name] = key_builders.start_host(
+        name, addresses, host.ring, time.monotonic(), incarnation
+    )
+
+
+@then(
+    'both count each other as alive within {seconds:g} s, "{name}" with a later incarnation'
+    " than before"
+)
+def step_alive_again(context, seconds, name):
+    def is_later():
+        now = time.monotonic()
+        known = [
+            peer.record.incarnation
+            for host in context.hosts.values()
+            for peer in host.table.list_alive(now)
+            if peer.record.host_id == name
+        ]
+        return len(known) == 2 and min(known) > context.former.incarnation
+
+    host_world.wait_until(seconds, lambda: is_later() and _are_alive(context.hosts))
+
+
 @when('"{name}" gets the keys {names}')
 def step_change_keys(context, name, names):
     context.hosts[name].ring = key_builders.build_keyring(names)
--- a/skylarksill/host/envelope.py
+++ b/skylarksill/host/envelope.py
@@ -40,11 +40,13 @@
 
     Attributes:
       sender: The Sender.
-      payload: The bytes sent; None if they were sent to an earlier process of this host or to an
-        unknown one, so that they may be a repetition.
+      receiver: Incarnation of this host that the sender knows, or UNKNOWN_INCARNATION.
+      payload: The bytes sent; None if the receiver is not this process, so that they may be a
+        repetition.
     """
 
     sender: Sender
+    receiver: int
     payload: bytes | None
 
 
@@ -93,20 +95,21 @@
             host_id, incarnation, number, receiver, payload = msgpack.unpackb(content)
             sender = Sender(fields.check(host_id, str), fields.check(incarnation, int))
             fields.check(number, int)
+            fields.check(receiver, int)
             fields.check(payload, bytes)
         except keyring.SealError as error:
             raise EnvelopeError(str(error)) from error
         except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
             raise EnvelopeError(f"malformed envelope: {error}") from error
         if receiver != own.incarnation:
-            return Opened(sender, None)
+            return Opened(sender, receiver, None)
         if number <= self._last_numbers.get(sender, 0):
             raise EnvelopeError(f"datagram {number} of host {host_id} has been received before")
         self._last_numbers[sender] = number
         self._last_numbers.move_to_end(sender)
         if len(self._last_numbers) > MAX_SENDERS:
             self._last_numbers.popitem(last=False)
-        return Opened(sender, payload)
+        return Opened(sender, receiver, payload)
 
 
 def _make_context(address):
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -37,14 +37,21 @@
         self._describe_own = describe_own
         self._mailbox = envelope.Mailbox(address, get_keyring)
         self._socket = None
+        self._threads = []
         self._rejection_logged_at = float("-inf")
 
     def start(self):
         """Starts receiving, and sending at regular intervals."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(self._address)
-        eventlet.spawn_n(self._receive)
-        eventlet.spawn_n(self._send_rounds)
+        self._threads = [eventlet.spawn(self._receive), eventlet.spawn(self._send_rounds)]
+
+    def stop(self):
+        """Stops receiving and sending."""
+        for thread in self._threads:
+            thread.kill()
+        self._socket.close()
+        self._socket = None
 
     def send(self):
         """Sends a digest with a new heartbeat to some peers; also called after a state change."""
@@ -87,6 +94,8 @@
     def _handle_datagram(self, datagram, address, now):
         opened = self._mailbox.open(datagram, self._table.own)
         if opened.payload is None:
+            # The sender knows a process of this host that started before its clock was set back.
+            self._table.supersede(opened.receiver)
             reply = exchange.make_introduction(self._table)
         else:
             digest = _peercodec.decode_digest(opened.payload, now)
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -151,7 +151,7 @@
         """
         host_id = entry.record.host_id
         if host_id == self._own_id:
-            self._supersede_earlier(entry)
+            self.supersede(entry.record.incarnation)
             return False
         known = self._peers.get(host_id)
         was_alive = known is not None and self._is_alive(known, now)
@@ -227,14 +227,13 @@
         overdue.sort(key=lambda peer: peer.last_heartbeat_at)
         return overdue[:MAX_PROBES]
 
-    def _supersede_earlier(self, earlier):
+    def supersede(self, incarnation):
         """Raises the own incarnation above that of an earlier process of this host.
 
         Incarnations follow the clock of the host. If the clock was set back, peers would ignore
         the lower incarnation.
         """
         own = self._peers[self._own_id]
-        incarnation = earlier.record.incarnation
         if incarnation > own.record.incarnation:
             record = dataclasses.replace(own.record, incarnation=incarnation + 1)
             self._put(dataclasses.replace(own, record=record))
