Use the next upstream for requests of popular objects while most slots are free

Change: a request whose preferred upstream is full goes to one of the next two of its ranking with a free slot, while at most half of the slots of the service are in use; otherwise it is rejected as before. The scenario 'a full preferred upstream keeps its object' held for any load; it now says so for more than half of the slots in use, and a second one bounds the spread at low load to three upstreams.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -52,11 +52,17 @@
     Given 3 hosts that see 6 upstreams
     Then each of 40 objects is placed on the same upstream by all of them
 
-  Scenario: A full preferred upstream keeps its object
+  Scenario: A full preferred upstream keeps its object while most slots are in use
     Given a host that sees 6 upstreams
-    When the preferred upstream of an object reports 2 running and waiting
+    When all upstreams report 3 running and waiting
+    And the preferred upstream of an object reports 2 running and waiting
     Then 30 requests for the object use at most 1 upstreams
 
+  Scenario: A full preferred upstream shares its object with two others while most slots are free
+    Given a host that sees 6 upstreams
+    When the preferred upstream of an object reports 2 running and waiting
+    Then 30 requests for the object use at most 3 upstreams
+
   Scenario Outline: The object of an unfit preferred upstream goes to one other upstream, not to all
     Given a host that sees 6 upstreams
     When the preferred upstream of an object <fault>
@@ -96,6 +102,17 @@
     When the preferred upstream of an object has answered nothing for 2.0 s
     Then a request for the object goes to the other one
 
+  Scenario: A request whose preferred upstream is full goes to the next one while most slots are free
+    Given a host that sees 6 upstreams
+    When the preferred upstream of an object reports 12 running and waiting
+    Then 4 requests for the object use at most 2 upstreams, and not the preferred one
+    When all upstreams report 3 running and waiting
+    And the preferred upstream of an object reports 12 running and waiting
+    Then a request for the object is rejected
+
+  Scenario: More requests for a very popular object are in time if the next upstream helps out
+    Then in the load "popular" more is served in time and less rejected than without spare upstreams
+
   Scenario Outline: At high load more requests are in time if an object stays on one upstream
     Then in the load "<load>" 1 upstreams per object serve more in time than 2
 
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -336,6 +336,22 @@
     )
 
 
+@then("a request for the object is rejected")
+def step_object_rejected(context):
+    choice = context.steering.choose(context.query, 1.0)
+    assert isinstance(choice, placement.Rejection) and choice.reason == "busy", choice
+
+
+@then('in the load "{name}" more is served in time and less rejected than without spare upstreams')
+def step_replay_spare(context, name):
+    load = fleet_model.LOADS[name]
+    with_spare = _replay_results(load, placement, "MAX_SPARE_BUSY_SHARE", 0.5)
+    without = _replay_results(load, placement, "MAX_SPARE_BUSY_SHARE", -1.0)
+    in_time = [sum(result.in_time for result in results) for results in (with_spare, without)]
+    rejected = [sum(result.rejected for result in results) for results in (with_spare, without)]
+    assert in_time[0] > in_time[1] and rejected[0] < rejected[1], (in_time, rejected)
+
+
 @then('in the load "{name}" moving objects to other regions serves more in time than not')
 def step_replay_spill(context, name):
     load = fleet_model.LOADS[name]
@@ -406,10 +422,15 @@
 
 def _replay(load, owner, name, value):
     """Returns the mean share of requests in time with a replaced module or class attribute."""
+    runs = _replay_results(load, owner, name, value)
+    return sum(result.in_time_share for result in runs) / len(runs)
+
+
+def _replay_results(load, owner, name, value):
+    """Returns the Result of each seed with a replaced module or class attribute."""
     usual = getattr(owner, name)
     setattr(owner, name, value)
     try:
-        runs = [fleet_model.Model(load, seed).run() for seed in SEEDS]
+        return [fleet_model.Model(load, seed).run() for seed in SEEDS]
     finally:
         setattr(owner, name, usual)
-    return sum(result.in_time_share for result in runs) / len(runs)
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -115,6 +115,13 @@
         slots = self.count_slots(service_id, region)
         return sum(state.estimate_load(now) for state in pool) / slots if slots else 1.0
 
+    def estimate_busy_share(self, service_id, region, now):
+        """Returns the share of the slots of a service's upstreams in a region that are in use."""
+        pool = self.find_pool(service_id, region)
+        slots = self.count_slots(service_id, region)
+        busy = sum(min(state.estimate_load(now), state.record.slots) for state in pool)
+        return busy / slots if slots else 1.0
+
     def estimate_round_trip_s(self, region):
         """Returns the round-trip time to a region in seconds; 0 if unknown."""
         return self._round_trips.get(region, 0.0)
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -24,6 +24,11 @@
 # The next upstream is considered if the expected cost of the preferred one exceeds this share of
 # the target latency.
 PREFERRED_TARGET_SHARE = 0.6
+# While at most this share of the slots of a service is in use, a request whose preferred upstream
+# is full goes to the first of the next ones of its ranking with a free slot: the longer run there
+# takes no slot from others.
+MAX_SPARE_BUSY_SHARE = 0.5
+SPARE_CHOICES = 2
 # Number of upstreams that are compared for a request without an affinity key.
 UNKEYED_CHOICES = 4
 # Added cost of an upstream whose answers are all failures, as a multiple of the service time.
@@ -105,12 +110,36 @@
         return Rejection("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
     limit_s = compute_wait_limit_s(query, placed.service_time_s)
     if placed.wait_s > limit_s:
+        spare = _find_spare(upstream_fleet, service_times, query, regions, now)
+        if spare is not None:
+            return spare
         return Rejection("busy", max(MIN_RETRY_AFTER_S, placed.wait_s - limit_s), placed.wait_s)
     if placed.wait_s > 0.0 and placed.wait_s + placed.service_time_s > query.remaining_s:
         return Rejection("too_late", max(MIN_RETRY_AFTER_S, placed.wait_s), placed.wait_s)
     return placed
 
 
+def _find_spare(upstream_fleet, service_times, query, regions, now):
+    """Returns the Placement of a request whose preferred upstream is full, or None to reject it.
+
+    Answers a load of few, very popular objects: their upstreams are full while most others of the
+    service are idle.
+    """
+    if query.affinity_key is None or not query.route.is_sticky:
+        return None
+    ranking = upstream_fleet.rank(query.service_id, regions, query.affinity_key)
+    for state in _list_usable(upstream_fleet, query, ranking, 1 + SPARE_CHOICES, now)[1:]:
+        placed = estimate_completion(service_times, query, state, now)
+        if placed.wait_s <= 0.0 and placed.service_time_s < query.remaining_s:
+            is_spare = all(
+                upstream_fleet.estimate_busy_share(query.service_id, region, now)
+                <= MAX_SPARE_BUSY_SHARE
+                for region in regions
+            )
+            return placed if is_spare else None
+    return None
+
+
 def compute_wait_limit_s(query, service_time_s):
     """Returns the longest permitted wait of a request for a slot, in seconds.
 
