Add the command that makes and replaces the keys of the hosts

Cause: replacing a key took edits by hand in three steps; a wrong one separates the hosts. Change: 'skylarksill keys' shows, adds, promotes and removes keys of a file, refuses to remove the key that seals, and replaces the file at once with mode 600.

--- a/features/host_keys.feature
+++ b/features/host_keys.feature
@@ -78,5 +78,25 @@
       | a long id             | is not of 1 to 16             |
       | no file               | No such file or directory     |
 
+  Scenario: A key is replaced by commands, one step at a time
+    Given a file of keys with no file
+    When the keys are changed by "--add k1", "--add k2", "--promote k2" and "--remove k1"
+    Then the command prints "k1: seals", "k1: seals k2: accepted", "k2: seals k1: accepted" and "k2: seals"
+    And only the owner may read the file of keys
+
+  Scenario Outline: A step that would separate the hosts is refused and changes nothing
+    Given a file of keys with two keys
+    When the command that changes the keys gets "<options>"
+    Then it fails with "<message>" and the file is as before
+
+    Examples:
+      | options                 | message                                        |
+      | --remove k1             | key k1 seals; promote another one on all hosts |
+      | --remove k3             | there is no key k3; the keys are k1, k2        |
+      | --promote k3            | there is no key k3; the keys are k1, k2        |
+      | --add k2                | there is a key k2 already                      |
+      | --add K3                | is not of 1 to 16 lower-case letters           |
+      | --add k3 --remove k2    | one step at a time                             |
+
   Scenario: The example file of keys is valid and its keys stay out of texts
     Then the keys of "deploy/peer-keys.example.ini" are read and not part of the settings' text
--- a/features/steps/host_keys_steps.py
+++ b/features/steps/host_keys_steps.py
@@ -7,9 +7,11 @@
 
 import eventlet
 from behave import given, then, when
+from cleo.testers import command_tester
 from eventlet.green import socket
 
 from features import host_builders, host_world, key_builders
+from skylarksill.console import application
 from skylarksill.host import (
     _beliefcodec,
     belief,
@@ -29,6 +31,7 @@
     "a short key": "[peer-keys]\nk1 = abababab\n",
     "a key of other digits": f"[peer-keys]\nk1 = {'xy' * keyring.KEY_BYTES}\n",
     "the same key twice": f"[peer-keys]\nk1 = {DIGITS}\nk2 = {DIGITS}\n",
+    "two keys": f"[peer-keys]\nk1 = {DIGITS}\nk2 = {'cd' * keyring.KEY_BYTES}\n",
     "a long id": f"[peer-keys]\n{'k' * 17} = {DIGITS}\n",
     "no file": None,
 }
@@ -279,6 +282,39 @@
     raise AssertionError("the file was accepted")
 
 
+@when('the keys are changed by "{first}", "{second}", "{third}" and "{fourth}"')
+def step_change_keys_file(context, first, second, third, fourth):
+    context.printed = []
+    for options in (first, second, third, fourth):
+        ended = _run_keys_command(context.path, options)
+        assert ended.status_code == 0, ended.io.fetch_error()
+        context.printed.append(" ".join(ended.io.fetch_output().split()))
+
+
+@then('the command prints "{first}", "{second}", "{third}" and "{fourth}"')
+def step_printed(context, first, second, third, fourth):
+    assert context.printed == [first, second, third, fourth], context.printed
+
+
+@then("only the owner may read the file of keys")
+def step_file_mode(context):
+    assert context.path.stat().st_mode & 0o777 == 0o600
+
+
+@when('the command that changes the keys gets "{options}"')
+def step_keys_command(context, options):
+    context.content = context.path.read_text(encoding="utf-8")
+    context.ended = _run_keys_command(context.path, options)
+
+
+@then('it fails with "{message}" and the file is as before')
+def step_keys_command_fails(context, message):
+    error = context.ended.io.fetch_error()
+    assert context.ended.status_code == 1 and message in error, error
+    assert context.path.read_text(encoding="utf-8") == context.content
+    assert DIGITS not in error
+
+
 @then('the keys of "{path}" are read and not part of the settings\' text')
 def step_example_keys(context, path):
     hostfile, _, _ = host_builders.import_platform()
@@ -287,6 +323,13 @@
     assert ring.keys[0][1].hex() not in repr(ring) and repr(ring.keys[0][1]) not in repr(ring)
 
 
+def _run_keys_command(path, options):
+    """Runs the command ``keys`` on a file; returns its tester."""
+    tester = command_tester.CommandTester(application.make_application().find("keys"))
+    tester.execute(f"{path} {options}")
+    return tester
+
+
 def _receive(host, datagram):
     """Returns the Opened of a datagram, or the EnvelopeError."""
     try:
--- a/skylarksill/console/application.py
+++ b/skylarksill/console/application.py
@@ -4,7 +4,15 @@
 
 import skylarksill
 from skylarksill import logs
-from skylarksill.console import _drains, _explaining, _generating, _publishing, _status, _tracing
+from skylarksill.console import (
+    _drains,
+    _explaining,
+    _generating,
+    _keys,
+    _publishing,
+    _status,
+    _tracing,
+)
 
 COMMANDS = (
     _generating.QuestionnaireCommand,
@@ -17,6 +25,7 @@
     _drains.ShiftCommand,
     _explaining.ExplainCommand,
     _tracing.TraceCommand,
+    _keys.KeysCommand,
 )
 
 
--- a/skylarksill/host/keyring.py
+++ b/skylarksill/host/keyring.py
@@ -8,6 +8,7 @@
 import dataclasses
 import hmac
 import re
+import secrets
 import typing
 
 import msgpack
@@ -58,16 +59,52 @@
       KeyringError: If a key is malformed, or there are too many; the message names the key.
     """
     keys = tuple((KeyId(key_id), _parse_key(key_id, text)) for key_id, text in pairs)
-    if not 1 <= len(keys) <= MAX_KEYS:
-        raise KeyringError(f"{len(keys)} keys are given; use 1 to {MAX_KEYS}")
     if len({key for _, key in keys}) != len(keys):
         raise KeyringError("two ids have the same key; generate a new key for one of them")
+    return _make_ring(keys)
+
+
+def add_key(ring, key_id):
+    """Returns a Keyring with a new random key behind the others; raises KeyringError."""
+    if key_id in ring.ids:
+        raise KeyringError(f"there is a key {key_id} already")
+    _check_id(key_id)
+    return _make_ring((*ring.keys, (KeyId(key_id), secrets.token_bytes(KEY_BYTES))))
+
+
+def promote_key(ring, key_id):
+    """Returns a Keyring whose sealing key is the given one; raises KeyringError."""
+    key = _find_key(ring, key_id)
+    return _make_ring(((key_id, key), *(item for item in ring.keys if item[0] != key_id)))
+
+
+def remove_key(ring, key_id):
+    """Returns a Keyring without a key, which must not be the sealing one; raises KeyringError."""
+    _find_key(ring, key_id)
+    if key_id == ring.ids[0]:
+        raise KeyringError(f"key {key_id} seals; promote another one on all hosts first")
+    return _make_ring(tuple(item for item in ring.keys if item[0] != key_id))
+
+
+def _find_key(ring, key_id):
+    if key_id not in ring.ids:
+        raise KeyringError(f"there is no key {key_id}; the keys are {', '.join(ring.ids)}")
+    return dict(ring.keys)[key_id]
+
+
+def _make_ring(keys):
+    if not 1 <= len(keys) <= MAX_KEYS:
+        raise KeyringError(f"{len(keys)} keys are given; use 1 to {MAX_KEYS}")
     return Keyring(keys)
 
 
-def _parse_key(key_id, text):
+def _check_id(key_id):
     if not KEY_ID_FORM.fullmatch(key_id):
         raise KeyringError(f"key id {key_id!r} is not of 1 to 16 lower-case letters, digits and -")
+
+
+def _parse_key(key_id, text):
+    _check_id(key_id)
     try:
         key = bytes.fromhex(text)
     except ValueError as error:
