--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -17,7 +17,7 @@
 import math
 import random
 
-from skylarksill.host import records
+from skylarksill.host import _gossiptargets, records
 
 ROUND_S = 0.5
 # Number of hosts in the own region and in other regions that get a datagram in a round. Bytes
@@ -52,7 +52,6 @@
 MAX_REGION_HEARTBEATS = 300
 MAX_REMOTE_HEARTBEATS = 55
 KEY_BYTES = 5
-GOLDEN_RATIO = (math.sqrt(5.0) - 1.0) / 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -305,12 +304,15 @@
         own_peer = self._peers[self._own_id]
         region_peers = by_region.pop(self._region)
         position = region_peers.index(own_peer)
-        local = _choose_local(region_peers, position, self._round, rng)
+        local = _gossiptargets.choose_local(
+            region_peers, position, self._round, OWN_REGION_FANOUT, rng
+        )
         remote = []
         if by_region:
             far_peers = by_region[sorted(by_region)[self._round % len(by_region)]]
             remote_round = self._round // len(by_region)
-            remote = [_choose_remote(far_peers, position / len(region_peers), remote_round)]
+            share = position / len(region_peers)
+            remote = [_gossiptargets.choose_remote(far_peers, share, remote_round)]
         unused_fanout = OWN_REGION_FANOUT - len(local)
         if unused_fanout and by_region:
             others = [peer for found in by_region.values() for peer in found if peer not in remote]
@@ -342,7 +344,7 @@
         beating = beating[:MAX_REGION_HEARTBEATS]
         if is_local:
             remote = [peer for peer in rest if peer.record.region != self._region]
-            beating += _sample_remote(remote)
+            beating += _gossiptargets.sample_remote(remote, MAX_REMOTE_HEARTBEATS)
         return [own, *full], [_make_heartbeat(peer, now) for peer in beating]
 
     def _forget_dead(self, now):
@@ -363,48 +365,6 @@
     return min(REMOTE_DEAD_AFTER_S, DEAD_AFTER_S + DOUBLING_S * doublings)
 
 
-def _choose_local(region_peers, position, round_number, rng):
-    """Returns the Peers of the own region that get a datagram in a round.
-
-    The first is as far behind the sender as a power of two, so that a heartbeat reaches all hosts
-    in as many rounds as a binary number has digits; the other ones are random.
-    """
-    count = len(region_peers)
-    if count == 1:
-        return []
-    step = 2 ** (round_number % max(1, math.ceil(math.log2(count))))
-    scheduled = region_peers[(position + step) % count]
-    own = region_peers[position]
-    rest = [peer for peer in region_peers if peer is not scheduled and peer is not own]
-    return [scheduled, *rng.sample(rest, min(OWN_REGION_FANOUT - 1, len(rest)))]
-
-
-def _choose_remote(far_peers, share, round_number):
-    """Returns the Peer of another region that gets a datagram in a round.
-
-    Args:
-      far_peers: The live Peers of that region.
-      share: Place of the sender in its region, from 0 to 1.
-      round_number: Number of earlier rounds in which this region was the target.
-    """
-    # Steps of the golden ratio spread the senders of successive rounds evenly.
-    place = (share + round_number * GOLDEN_RATIO) % 1.0
-    return far_peers[int(place * len(far_peers))]
-
-
-def _sample_remote(remote):
-    """Returns the Peers of other regions whose heartbeats are sent, half of them the newest ones.
-
-    Args:
-      remote: Peers in random order.
-    """
-    newest = sorted(remote, key=lambda peer: -peer.last_heartbeat_at)
-    chosen = newest[: MAX_REMOTE_HEARTBEATS // 2]
-    chosen_ids = {peer.record.host_id for peer in chosen}
-    rest = [peer for peer in remote if peer.record.host_id not in chosen_ids]
-    return chosen + rest[: MAX_REMOTE_HEARTBEATS - len(chosen)]
-
-
 def _get_name(peer):
     return peer.record.host_id
 
