Test that a running host applies a changed file of keys

Cause: only the reload of bounds was tested with the real program. Change: the program of host_platform.feature runs with a file of keys, to which a key is added.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -64,6 +64,8 @@
     Then it is ready within 10 s and lookup lists it
     When the retry budget in the settings changes without a signal
     Then it logs within 3 s that it applied the bounds
+    When a second key is added to the file of keys
+    Then it logs within 3 s that it applied the keys
     When the zone is missing from the settings
     Then it logs within 3 s that it rejected them, naming the field
     And a request through it is answered with 200
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -20,6 +20,8 @@
 from standins import metadatastore, platformdata, worker
 
 ROOT = host_builders.PLATFORM_FOLDER.parent
+START_SCRIPT = ROOT / "platform" / "start.py"
+EXAMPLE_KEYS = ROOT / "deploy" / "peer-keys.example.ini"
 PLATFORM_NAMES = (
     "x-skylarksill-",
     "configversion",
@@ -210,8 +212,10 @@
     path.write_text("\n".join(lines), encoding="utf-8")
     context.settings_path, context.lines = path, lines
     context.log_path = pathlib.Path(folder.name) / "log"
+    context.keys_path = pathlib.Path(folder.name) / "peer-keys.ini"
+    context.keys_path.write_text(EXAMPLE_KEYS.read_text(encoding="utf-8"), encoding="utf-8")
     context.process = subprocess.Popen(
-        [sys.executable, str(ROOT / "platform" / "start.py")],
+        [sys.executable, str(START_SCRIPT), "--peer-keys", str(context.keys_path)],
         env={**os.environ, "SKYLARKSILL_BOOT": str(path)},
         stdout=context.log_path.open("w"),
         cwd=ROOT,
@@ -277,6 +281,17 @@
     _write_settings(context, {"terms.bounds.retryBudgetExtra": "70"})
 
 
+@when("a second key is added to the file of keys")
+def step_add_key(context):
+    with context.keys_path.open("a", encoding="utf-8") as file:
+        file.write(f"second = {'ab' * 32}\n")
+
+
+@then("it logs within {seconds:d} s that it applied the keys")
+def step_applied_keys(context, seconds):
+    _wait_for_line(context, seconds, event="host.reload", changed=["peer_keys"])
+
+
 @when("the zone is missing from the settings")
 def step_remove_zone(context):
     _write_settings(context, {"self.zone": ""})
