Replace the key of the hosts all along in the soak

Cause: the soak ran with one key, so a gap while keys are replaced would not show under faults. SoakHost moved to a module of its own.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -37,11 +37,13 @@
     try:
         soak_world.start()
         load.start()
+        key_changes = eventlet.spawn(soak_world.replace_keys)
         threads = []
         for at, event in events:
             threads.append(eventlet.spawn_after(at, soak_world.apply, event))
         for thread in threads:
             thread.wait()
+        key_changes.kill()
         soak_world.check_recovery(load.probe)
         load.finish()
     finally:
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.green import socket
 
-from bench.soak import checks, records, world
+from bench.soak import checks, hosts, records
 from standins import platformdata
 
 CLIENT_COUNT = 12
@@ -77,7 +77,7 @@
 
     def _connect(self, host):
         try:
-            address = (self._world.hosts[host].ip, world.FIRST_PORT)
+            address = (self._world.hosts[host].ip, hosts.FIRST_PORT)
             return socket.create_connection(address, CONNECT_TIMEOUT_S)
         except OSError:
             # The host is down: by a fault of the schedule, or the recovery check will report it.
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,20 +1,15 @@
 """Starts the processes, stand-ins and proxies of a soak run and injects faults into them."""
 
-import os
-import pathlib
+import itertools
 import signal
-import subprocess
-import sys
 import time
 
 import eventlet
-from eventlet.green import socket
 
-from bench.soak import checks, proxies, records, schedule
+from bench.soak import checks, hosts, proxies, records, schedule
+from skylarksill.host import keyfile, keyring
 from standins import metadatastore, platformdata, worker
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-PEER_KEYS = ROOT / "deploy" / "peer-keys.example.ini"
 ZONES = ("north-a", "north-b", "south-a", "south-b")
 REGIONS = {zone: zone.partition("-")[0] for zone in ZONES}
 UPSTREAMS_PER_ZONE = 2
@@ -22,8 +17,6 @@
 READY_TIMEOUT_S = 20.0
 # The required bound for the recovery of a whole system.
 RECOVERY_TIMEOUT_S = 15.0
-FIRST_PORT = 8381
-INTERNAL_PORT = 7200
 # Each run has its own network within the loopback range.
 FIRST_NETWORK = 20
 NETWORK_COUNT = 200
@@ -32,63 +25,8 @@
 # SIGKILL ends a process within milliseconds, also while it is stopped by SIGSTOP.
 KILL_TIMEOUT_S = 2.0
 POLL_S = 0.02
-
-
-class SoakHost:
-    """One host process that reaches the store through its own proxy."""
-
-    def __init__(self, index, ip, zone, store, folder, seeds):
-        self.index = index
-        self.ip = ip
-        self.store_proxy = proxies.Proxy(store, ip)
-        self.process = None
-        self._folder = folder
-        self._settings = folder / f"host-{index}.conf"
-        lines = platformdata.build_settings_lines(
-            ip,
-            self.store_proxy.address,
-            INTERNAL_PORT,
-            FIRST_PORT,
-            f"host-{index}",
-            zone=zone,
-            regions=REGIONS,
-            seeds=seeds,
-        )
-        self._settings.write_text("\n".join(lines), encoding="utf-8")
-
-    @property
-    def error_path(self):
-        """File that receives the standard error of the process."""
-        return self._folder / f"host-{self.index}.err"
-
-    def start(self):
-        """Starts the process without waiting for it."""
-        with (
-            (self._folder / f"host-{self.index}.log").open("ab") as log,
-            self.error_path.open("ab") as errors,
-        ):
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    str(ROOT / "platform" / "start.py"),
-                    "--peer-keys",
-                    str(PEER_KEYS),
-                ],
-                env={**os.environ, platformdata.SETTINGS_VARIABLE: str(self._settings)},
-                stdout=log,
-                stderr=errors,
-                cwd=ROOT,
-            )
-
-    def is_ready(self):
-        """Returns True if the readiness endpoint of the host answers 200."""
-        try:
-            with socket.create_connection((self.ip, FIRST_PORT + 1), 1.0) as client:
-                client.settimeout(1.0)
-                client.sendall(platformdata.READINESS_REQUEST)
-                return platformdata.AnswerReader(client).read()[0] == 200
-        except (OSError, EOFError):
-            return False
+# Hosts read the file of keys each second.
+KEY_STEP_S = 2.0
 
 
 class SoakUpstream:
@@ -148,11 +86,13 @@
         self.observations = records.Observations()
         self.store = metadatastore.MetadataStore()
         self.generation = 0
+        self._keys_path = folder / hosts.KEYS_NAME
+        self._write_keys(keyring.add_key(keyring.Keyring(), "k0"))
         network = FIRST_NETWORK + seed % NETWORK_COUNT
         ips = [f"127.0.{network}.{10 + index}" for index in range(len(ZONES))]
-        seeds = [(ip, INTERNAL_PORT) for ip in ips[:2]]
+        seeds = [(ip, hosts.INTERNAL_PORT) for ip in ips[:2]]
         self.hosts = [
-            SoakHost(index, ip, ZONES[index], self.store.address, folder, seeds)
+            hosts.SoakHost(index, ip, ZONES[index], REGIONS, self.store.address, folder, seeds)
             for index, ip in enumerate(ips)
         ]
         self.upstreams = [
@@ -192,6 +132,23 @@
         self.store.write("config", "main", spec)
         self.observations.generations[self.generation] = time.monotonic()
 
+    def replace_keys(self):
+        """Replaces the key of the hosts again and again, in the steps that operators use."""
+        for number in itertools.count(1):
+            old, new = f"k{number - 1}", f"k{number}"
+            for change, key_id in (
+                (keyring.add_key, new),
+                (keyring.promote_key, new),
+                (keyring.remove_key, old),
+            ):
+                eventlet.sleep(KEY_STEP_S)
+                self._write_keys(change(keyfile.read_keys(self._keys_path), key_id))
+
+    def _write_keys(self, ring):
+        partial = self._keys_path.with_suffix(".new")
+        partial.write_text(keyfile.format_keys(ring), encoding="utf-8")
+        partial.replace(self._keys_path)
+
     def apply(self, event):
         """Injects one fault and waits until it ends; runs in a green thread of its own."""
         match event:
