--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from bench import fleet_model
+from bench import experiment, fleet_model
 from features import host_builders
 from skylarksill import retries
 from skylarksill.host import (
@@ -428,9 +428,5 @@
 
 def _replay_results(load, owner, name, value):
     """Returns the Result of each seed with a replaced module or class attribute."""
-    usual = getattr(owner, name)
-    setattr(owner, name, value)
-    try:
-        return [fleet_model.Model(load, seed).run() for seed in SEEDS]
-    finally:
-        setattr(owner, name, usual)
+    policy = experiment.Policy(name, ((owner, name, value),))
+    return experiment.run_policy(policy, load, SEEDS)
