--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 CASE ?=
 
-.PHONY: test format demo measure faults random process-faults soak
+.PHONY: test format demo measure faults random process-faults soak experiment
 
 $(VENV)/ready: pyproject.toml
 	python3 -m venv $(VENV)
@@ -39,3 +39,6 @@
 
 soak: $(VENV)/ready
 	$(PYTHON) -m bench.soak --seed $(SEED) --seeds $(SEEDS)
+
+experiment: $(VENV)/ready
+	$(PYTHON) -m bench.experiment --chart docs/policies.svg
