Limit requests to upstreams that may have restarted, and count them when they are sent

What callers saw: a cold upstream got more requests in a second than it tolerates (FAILBACK) and crashed again.

Cause, three ways in which the hosts' count of requests was not the upstream's: an upstream that restarted under its id while the store told nothing was cold only for hosts whose connection attempts had failed meanwhile, others opened new connections and sent at the full rate; requests were counted before their connections were open, so those of several seconds could be sent in one; requests in the second before a host learned that the upstream is cold, and a cold time that an entry states anew under the same incarnation, were not counted at all.

Change: requests are counted when they are sent, on warm upstreams too. A connection leads to the process that accepted it, so requests on connections that are older than the last sign of life of the known process are free. After a connection that ended early, requests on younger connections are limited as if the upstream were cold, until an answer on an old one shows that it runs on.

--- a/features/host_world.py
+++ b/features/host_world.py
@@ -29,20 +29,24 @@
 
     Args:
       names: Ids of the upstreams.
+      workers: Dict of running workers by upstream id that other hosts use too; new ones if None.
+      routes: The records.Route tuple of the configuration; the builder's routes if None.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, workers=None, routes=None):
         _, wire, _ = host_builders.import_platform()
-        self.workers = {name: worker.Worker(name) for name in names}
+        self.workers = workers or {name: worker.Worker(name) for name in names}
+        self._routes = routes
         self.log_bytes = bytearray()
         log = eventlog.EventLog("test", self._write_log)
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet("north")
+        self.pool = pool.ConnectionPool(wire.HEADER_NAMES, limits.BufferLimit(64 * 1024 * 1024))
         self.forwarder = forwarder.Forwarder(
             self.belief,
             self.fleet,
             steering.Steering(self.fleet, host_builders.BOUNDS.max_shift),
-            pool.ConnectionPool(wire.HEADER_NAMES, limits.BufferLimit(64 * 1024 * 1024)),
+            self.pool,
             wire.HEADER_NAMES,
             log,
             counters.Counters(),
@@ -61,7 +65,7 @@
             name: host_builders.build_upstream(name, address=item.address)
             for name, item in self.workers.items()
         }
-        self.belief.accept_configuration(host_builders.build_configuration())
+        self.belief.accept_configuration(host_builders.build_configuration(routes=self._routes))
         self.belief.replace_upstreams(upstreams, 0.0)
         services = self.belief.configuration.services
         self.fleet.apply(upstreams, services, (), host_builders.BOUNDS, 0.0)
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -46,12 +46,14 @@
       is_shed: True if the upstream rejected the request for lack of capacity.
       is_misdirected: True if another upstream answered at the address.
       is_unreachable: True if no connection could be opened.
+      is_unsent: True if the host did not send the request, as a limit of the upstream was used up.
     """
 
     reason: str
     is_shed: bool = False
     is_misdirected: bool = False
     is_unreachable: bool = False
+    is_unsent: bool = False
     load: records.LoadReport | None = None
 
 
@@ -78,6 +80,7 @@
     """A connection to an upstream.
 
     Attributes:
+      opened_at: Monotonic time at which the upstream had accepted the connection.
       idle_since: Monotonic time since which the connection is idle.
       keep_alive_s: Longest idle time that the upstream announces, or None.
       is_reusable: False after anything that makes the connection unfit for further requests.
@@ -85,6 +88,7 @@
 
     def __init__(self, upstream, sock, names, buffers):
         self.upstream = upstream
+        self.opened_at = time.monotonic()
         self.idle_since = 0.0
         self.keep_alive_s = None
         self.is_reusable = True
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import math
 
 from skylarksill.host import quotas, records, tracking
 
@@ -10,6 +11,9 @@
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that don't know of each other.
 COLD_RATE_SHARE = 0.8
+# Window in which sends to a cold upstream are counted. The rate holds for each second; the rest
+# covers the time between the count and the send on a host that lacks processor time.
+COLD_WINDOW_S = tracking.SEND_WINDOW_S
 
 
 class Fleet:
@@ -50,7 +54,7 @@
         self._evacuated = frozenset(evacuated)
         self._bounds = bounds
         for state in self._upstream_states.values():
-            state.cold_limit_view = None
+            state.part_view = None
         for upstream_id in [item for item in self._upstream_states if item not in upstreams]:
             del self._upstream_states[upstream_id]
         for upstream in upstreams.values():
@@ -132,9 +136,17 @@
         self._round_trips[region] = seconds if current_s is None else min(current_s * 1.05, seconds)
 
     def mark_cold(self, state, cold_s, now):
-        """Treats an upstream as cold for ``cold_s`` seconds from now."""
-        state.cold_until = max(state.cold_until, now + cold_s)
-        state.forget_objects()
+        """Treats an upstream as cold for ``cold_s`` seconds from ``now`` on."""
+        if state.cold_until < now + cold_s:
+            state.cold_until = now + cold_s
+            state.forget_objects()
+
+    def suspect_restart(self, state, now):
+        """Limits requests to an upstream that may have restarted, as if it were cold.
+
+        The store tells of a restart late, or not at all while it is away.
+        """
+        state.suspect_until = now + self._find_cold_s(state.record)
 
     def mark_unreachable(self, state, now):
         """Marks an upstream as unreachable; returns the seconds until the next probe."""
@@ -163,22 +175,33 @@
 
     def has_cold_capacity(self, state, now):
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
-        wait_s = self._find_cold_limit(state).compute_wait_s(now)
-        return wait_s is not None and wait_s <= 0.0
-
-    def admit_send(self, state, now):
-        """Returns True if a send to an upstream is permitted; a send to a cold one is counted."""
-        return not state.is_cold(now) or self._find_cold_limit(state).take(now)
-
-    def _find_cold_limit(self, state):
-        """Returns the WindowLimit of an upstream, set to this host's part of the rate."""
-        if state.cold_limit_view is not self.view:
-            state.cold_limit_view = self.view
-            state.cold_limit.limit = self._compute_cold_limit(state.record)
-        return state.cold_limit
-
-    def _compute_cold_limit(self, record):
-        """Returns the requests that this host may send to a cold upstream within a second."""
+        return state.sends.count(COLD_WINDOW_S, now) < self._find_cold_part(state)
+
+    def admit_send(self, state, now, opened_at=math.inf):
+        """Counts a send to an upstream if it is permitted.
+
+        Args:
+          state: The TrackedUpstream.
+          now: Monotonic seconds.
+          opened_at: Monotonic time at which the connection of the send was opened.
+        Returns:
+          True if the send is permitted and counted.
+        """
+        is_limited = now < state.cold_until
+        is_limited = is_limited or (now < state.suspect_until and not state.is_proven(opened_at))
+        if is_limited and not self.has_cold_capacity(state, now):
+            return False
+        state.sends.add(now)
+        return True
+
+    def _find_cold_part(self, state):
+        """Returns this host's part of the permitted rate of a cold upstream."""
+        if state.part_view is not self.view:
+            state.part_view = self.view
+            state.cold_part = self._compute_cold_part(state.record)
+        return state.cold_part
+
+    def _compute_cold_part(self, record):
         service = self._services.get(record.service_id)
         if service is None or not service.cold_rate or self._bounds is None:
             return UNLIMITED
@@ -208,6 +231,8 @@
         if state is None or state.record.incarnation != upstream.incarnation:
             state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
             self._upstream_states[upstream.upstream_id] = state
+        elif state.record.cold_s < upstream.cold_s:
+            self.mark_cold(state, upstream.cold_s, now)
         if state.record.address != upstream.address:
             state.is_misdirected = False
         state.record = upstream
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -123,9 +123,6 @@
             choice = self._steering.choose(query, now)
             if isinstance(choice, placement.Rejection):
                 return self._end_unplaced(request, progress, choice)
-            if not self._fleet.admit_send(choice.upstream, now):
-                progress.excluded.add(choice.upstream.record.upstream_id)
-                continue
             outcome = self._send(request, progress, query, choice, cancellation)
             if cancellation.is_cancelled:
                 break
@@ -153,7 +150,9 @@
         outcome = None
         try:
             is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
-            connection = self._pool.pop_idle(upstream, is_idempotent)
+            connection, has_lost = self._pool.pop_idle(upstream, is_idempotent)
+            if has_lost:
+                self._suspect_restart(state, "closed")
             is_reused = connection is not None
             if connection is None:
                 connection = self._connector.connect(state, progress.deadline_at)
@@ -165,11 +164,14 @@
             if not self._fleet.is_available(state):
                 return _upstreamhttp.NotRun("left_meanwhile")
             begun = time.monotonic()
+            if not self._fleet.admit_send(state, begun, connection.opened_at):
+                return _upstreamhttp.NotRun("cold", is_unsent=True)
             outcome = self._exchange(request, progress, choice, connection)
             # A cancelled send says nothing about the upstream.
             if not cancellation.is_cancelled:
                 self._record_outcome(query, choice, outcome, begun)
                 self._probe_if_suspect(state, outcome, begun, is_reused)
+                self._check_continuity(state, connection, outcome)
             return outcome
         finally:
             state.record_end(isinstance(outcome, _upstreamhttp.Answered), time.monotonic())
@@ -228,6 +230,20 @@
             case _upstreamhttp.TimedOut() if not state.has_answered_since(begun):
                 self._connector.start_probe(state)
 
+    def _check_continuity(self, state, connection, outcome):
+        """Records whether the upstream runs on, or may have restarted."""
+        match outcome:
+            case _upstreamhttp.Answered() | _upstreamhttp.NotRun(is_shed=True):
+                state.record_alive(connection.opened_at, time.monotonic())
+            case _upstreamhttp.MayHaveRun(is_broken=True):
+                self._suspect_restart(state, "broken")
+
+    def _suspect_restart(self, state, cause):
+        now = time.monotonic()
+        if now >= state.suspect_until:
+            self._log.write("upstream.suspect", upstream=state.record.upstream_id, cause=cause)
+        self._fleet.suspect_restart(state, now)
+
     def _handle_outcome(self, request, progress, choice, outcome):
         """Returns the answer to the client, or None if the request is to be placed again."""
         is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
@@ -244,7 +260,7 @@
                 ):
                     return None
                 return self._end_run(request, progress, answer.status, "answered")
-            case _upstreamhttp.NotRun(is_unreachable=True):
+            case _upstreamhttp.NotRun(is_unreachable=True) | _upstreamhttp.NotRun(is_unsent=True):
                 return None
             case _upstreamhttp.NotRun(reason):
                 progress.rejected_sends += 1
@@ -373,6 +389,7 @@
         "upstream": state.record.upstream_id,
         "expected_ms": int((choice.wait_s + choice.service_time_s) * 1000),
         "known_object": choice.knows_object,
+        "is_cold": state.is_cold(now),
         "load": round(state.estimate_load(now), 1),
         "slots": state.record.slots,
         "pace": round(state.estimate_pace(now), 2),
--- a/skylarksill/host/pool.py
+++ b/skylarksill/host/pool.py
@@ -31,7 +31,16 @@
         self._idle = collections.defaultdict(collections.deque)
 
     def pop_idle(self, upstream, is_idempotent):
-        """Removes an idle Connection to an upstream from the pool and returns it, or None."""
+        """Removes an idle connection to an upstream from the pool.
+
+        Args:
+          upstream: The records.Upstream.
+          is_idempotent: True if the next request on the connection is idempotent.
+        Returns:
+          A tuple of the Connection, or None, and whether the upstream has closed a connection
+          before the time that it had stated.
+        """
+        has_lost = False
         idle = self._idle.get(upstream.upstream_id)
         share = IDEMPOTENT_IDLE_SHARE if is_idempotent else NON_IDEMPOTENT_IDLE_SHARE
         while idle:
@@ -42,12 +51,13 @@
                 idle.pop().close()
             elif _is_stale(connection, share):
                 # The others are older; this one may still serve idempotent requests.
-                return None
+                return None, has_lost
             elif idle.pop().is_still_open():
-                return connection
+                return connection, has_lost
             else:
                 connection.close()
-        return None
+                has_lost = has_lost or connection.keep_alive_s is not None
+        return None, has_lost
 
     def open(self, upstream, timeout_s):
         """Opens a new connection; raises OSError if that fails."""
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -31,6 +31,8 @@
 MAX_DOWN_S = 2.0
 # Number of recent objects that an upstream is assumed to remember; they remember about 18 to 50.
 MAX_KNOWN_OBJECTS = 48
+# Longest window in which sends are counted.
+SEND_WINDOW_S = 1.2
 
 
 class TrackedUpstream:
@@ -45,8 +47,11 @@
       is_misdirected: True once another upstream answered at its address.
       is_unreachable: True from a failed connection until one succeeds.
       is_probed: True while probes try to connect to the upstream in the background.
-      cold_limit: The WindowLimit of this host's sends while the upstream is cold.
-      cold_limit_view: The quotas.HostView from which the limit was computed, or None.
+      suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
+        requests on connections that may be younger than the restart are limited as if it were cold.
+      sends: The limits.SlidingCount of this host's sends.
+      cold_part: Requests that this host may send within a window while the upstream is cold.
+      part_view: The quotas.HostView from which the part was computed, or None.
     """
 
     __slots__ = (
@@ -69,8 +74,11 @@
         "_failure_share",
         "_failure_at",
         "_recent_objects",
-        "cold_limit",
-        "cold_limit_view",
+        "suspect_until",
+        "sends",
+        "cold_part",
+        "part_view",
+        "_proven_at",
     )
 
     def __init__(self, record, cold_until):
@@ -93,8 +101,11 @@
         self._failure_share = 0.0
         self._failure_at = 0.0
         self._recent_objects = collections.OrderedDict()
-        self.cold_limit = limits.WindowLimit(0)
-        self.cold_limit_view = None
+        self.suspect_until = 0.0
+        self.sends = limits.SlidingCount(SEND_WINDOW_S)
+        self.cold_part = 0
+        self.part_view = None
+        self._proven_at = 0.0
 
     def estimate_load(self, now):
         """Returns the estimated number of requests that run or wait at the upstream."""
@@ -149,7 +160,25 @@
 
     def is_cold(self, now):
         """Returns True while only a limited rate of requests may be sent to the upstream."""
-        return now < self.cold_until
+        return now < self.cold_until or now < self.suspect_until
+
+    def is_proven(self, opened_at):
+        """Returns True if a connection leads to the process that this host knows.
+
+        A connection can only reach the process that accepted it, and that process has answered
+        since. So a request on it can't reach one that has started later.
+
+        Args:
+          opened_at: Monotonic time at which the connection was opened.
+        """
+        return opened_at <= self._proven_at
+
+    def record_alive(self, opened_at, now):
+        """Records an answer on a connection; it shows whether a suspected restart happened."""
+        if self.is_proven(opened_at):
+            self.suspect_until = 0.0
+        if now >= self.suspect_until:
+            self._proven_at = now
 
     def apply_report(self, report, now):
         """Applies the LoadReport of an answer.
--- a/skylarksill/limits.py
+++ b/skylarksill/limits.py
@@ -51,6 +51,33 @@
             self._times.popleft()
 
 
+class SlidingCount:
+    """Counts events in windows that end now.
+
+    Args:
+      max_window_s: Length of the longest window in seconds.
+    """
+
+    def __init__(self, max_window_s):
+        self._max_window_s = max_window_s
+        self._times = collections.deque()
+
+    def add(self, now):
+        """Counts an event."""
+        self._times.append(now)
+        while self._times[0] <= now - self._max_window_s:
+            self._times.popleft()
+
+    def count(self, window_s, now):
+        """Returns the number of events in the last ``window_s`` seconds."""
+        count = 0
+        for at in reversed(self._times):
+            if at <= now - window_s:
+                break
+            count += 1
+        return count
+
+
 class BufferLimit:
     """Limits the bytes that buffers hold at the same time.
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -63,6 +63,7 @@
         self.bodies = []
         self.on_run = None
         self.connections = 0
+        self._clients = []
         self._last_request_id = "none"
         self._socket = eventlet.listen(address or ("127.0.0.1", 0))
         self.address = self._socket.getsockname()
@@ -73,6 +74,16 @@
         self._thread.kill()
         self._socket.close()
 
+    def shut_down(self):
+        """Stops accepting connections and closes all open ones, as the end of a process does."""
+        self.stop()
+        for client in list(self._clients):
+            client.shutdown(socket.SHUT_RDWR)
+
+    def close_newest(self):
+        """Closes the connection that was accepted last."""
+        self._clients[-1].shutdown(socket.SHUT_RDWR)
+
     def _accept(self):
         while True:
             client, _ = self._socket.accept()
@@ -81,6 +92,7 @@
 
     def _serve_connection(self, client):
         data = b""
+        self._clients.append(client)
         try:
             while True:
                 while b"\r\n\r\n" not in data:
@@ -102,6 +114,7 @@
             # The client has closed the connection, which cancels the request.
             return
         finally:
+            self._clients.remove(client)
             client.close()
 
     def _serve_request(self, client, fields):
