Treat the upstreams of an evacuated zone as cold on hosts that saw no end of the evacuation

Cause: a host took upstreams as cold if a zone left its set of evacuated zones between two updates. A host that was cut off, or got the begin and the end in one batch, saw no difference.

Change: belief keeps when an evacuation ended, and sources pass the age of that on, so each host treats the upstreams as cold for the same time.

Evidence: the two new scenarios of features/host_cold.feature cannot run on the code before, which has no ends of evacuations; its comparison of two sets gives no difference for them.

--- a/features/host_builders.py
+++ b/features/host_builders.py
@@ -87,6 +87,12 @@
     return upstream_fleet
 
 
+def apply_belief(upstream_fleet, own, now):
+    """Applies a Belief to a Fleet as a host does after each change."""
+    services = {"catalogue": build_service()}
+    upstream_fleet.apply(own.upstreams, services, own.evacuated, BOUNDS, now, own.evacuation_ends)
+
+
 def build_view(own_id, host_ids, is_settled=True):
     """Builds the HostView of a host that knows hosts of its own region only."""
     ids = frozenset(host_ids)
--- a/features/host_cold.feature
+++ b/features/host_cold.feature
@@ -23,3 +23,13 @@
     Given a host that sent 17 requests to upstream "a" at 10.0 s
     When the entry of the same incarnation states at 10.1 s that it is cold for 3 s
     Then it gets nothing from the host at 10.2 s, then 17 requests at 11.5 s
+
+  Scenario Outline: The upstreams of a zone whose evacuation has ended are cold for each host
+    Given a host that learns of evacuations from <origin>
+    When an evacuation of "north-a" begins and ends between two updates of the host
+    Then the upstreams of "north-a" are cold for the host
+
+    Examples:
+      | origin      |
+      | the store   |
+      | a source    |
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -88,7 +88,7 @@
 def step_update(context):
     local_belief = context.follower
     generation = local_belief.configuration.generation if local_belief.configuration else 0
-    update = relay.make_update(context.source, context.sequence, generation, False)
+    update = relay.make_update(context.source, context.sequence, generation, False, 100.0)
     context.update = _beliefcodec.decode_update(_beliefcodec.encode_update(update))
     relay.apply_update(local_belief, context.update, 0.0)
     context.sequence = context.update.sequence
@@ -96,7 +96,7 @@
 
 @when("the follower is updated by the older source")
 def step_update_older(context):
-    update = relay.make_update(context.older, relay.UNKNOWN_SEQUENCE, 0, False)
+    update = relay.make_update(context.older, relay.UNKNOWN_SEQUENCE, 0, False, 100.0)
     assert relay.apply_update(context.follower, update, 0.0) == ()
 
 
@@ -110,7 +110,7 @@
     source.set_upstream(drains)
     source.remove_upstream("b", 100.0)
     source.set_upstream(host_builders.build_upstream("c"))
-    source.replace_evacuated({"north-a"})
+    source.replace_evacuated({"north-a"}, 100.0)
     _set_revisions(source, revision)
     if "server" in context:
         context.server.wake_followers()
@@ -150,7 +150,7 @@
 
 @then("an encoded update is decoded to the same update")
 def step_codec(context):
-    context.update = relay.make_update(context.source, relay.UNKNOWN_SEQUENCE, 0, True)
+    context.update = relay.make_update(context.source, relay.UNKNOWN_SEQUENCE, 0, True, 100.0)
     payload = _beliefcodec.encode_update(context.update)
     assert _beliefcodec.decode_update(payload) == context.update
 
--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -9,7 +9,7 @@
 from skylarksill import records as shared
 from skylarksill.host import fields, records, relay
 
-VERSION = 2
+VERSION = 3
 # A configuration with 500 routes, together with 500 upstreams, takes about 150 kB.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # A follower's request holds a version, three small numbers, a nonce and a seal.
@@ -104,6 +104,7 @@
             [_encode_upstream(upstream) for upstream in update.upstreams],
             update.removed_ids,
             update.evacuated,
+            update.evacuation_ages,
         )
     )
 
@@ -119,7 +120,7 @@
         if fields.check(is_compressed, bool):
             packed = _decompress(packed)
         sequence, revisions, is_complete, is_store_lost, *rest = _unpack(packed)
-        configuration, is_snapshot, upstreams, removed_ids, evacuated = rest
+        configuration, is_snapshot, upstreams, removed_ids, evacuated, ages = rest
         return relay.BeliefUpdate(
             sequence=fields.check(sequence, int),
             revisions={
@@ -132,6 +133,10 @@
             upstreams=tuple(_decode_upstream(item) for item in fields.check(upstreams, list)),
             removed_ids=tuple(fields.check(item, str) for item in fields.check(removed_ids, list)),
             evacuated=tuple(fields.check(item, str) for item in fields.check(evacuated, list)),
+            evacuation_ages={
+                fields.check(zone, str): fields.check(age_s, float)
+                for zone, age_s in fields.check(ages, dict).items()
+            },
         )
     except (
         ValueError,
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -14,6 +14,11 @@
 # Changes of upstreams that are kept for followers; a follower that is further behind gets all
 # upstreams.
 MAX_LOGGED_CHANGES = 1_024
+# Ended evacuations are passed on for this long, so that hosts which saw neither their begin nor
+# their end learn of them; the upstreams of the zone are cold for seconds.
+EVACUATION_END_TTL_S = 60.0
+# Two times of the same end, as hosts learn it from the store and from each other, differ by less.
+EVACUATION_END_TOLERANCE_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +38,7 @@
       route_table: RouteTable of the accepted configuration.
       upstreams: Dict of Upstream by id.
       evacuated: Set of zones whose upstreams get no requests.
+      evacuation_ends: Dict of the monotonic time at which a zone's last evacuation ended.
       has_upstreams: True once the store's list of upstreams has been read.
       revisions: The store's revision up to which each kind of object is known.
       sequence: Number of changes of belief since the start of this process.
@@ -43,6 +49,7 @@
         self.route_table = routes.RouteTable(())
         self.upstreams = {}
         self.evacuated = set()
+        self.evacuation_ends = {}
         self.has_upstreams = False
         self.revisions = dict.fromkeys(records.ObjectKind, 0)
         self.sequence = 0
@@ -138,14 +145,37 @@
             changes += self.forget_upstream(upstream_id)
         return tuple(changes)
 
-    def replace_evacuated(self, zones):
+    def replace_evacuated(self, zones, now):
         """Replaces the set of evacuated zones; returns a tuple of Change."""
         before, self.evacuated = self.evacuated, set(zones)
         self.sequence += before != self.evacuated
+        self.evacuation_ends.update(dict.fromkeys(before - self.evacuated, now))
         begun = [Change("evacuation", zone, "begun") for zone in sorted(self.evacuated - before)]
         ended = [Change("evacuation", zone, "ended") for zone in sorted(before - self.evacuated)]
         return tuple(begun + ended)
 
+    def merge_evacuation_ends(self, ages):
+        """Adds ends of evacuations that this host may not have seen.
+
+        Args:
+          ages: Dict of the monotonic time of an evacuation's end by zone.
+        Returns:
+          A tuple of Change.
+        """
+        changes = []
+        for zone, ended_at in ages.items():
+            known_at = self.evacuation_ends.get(zone, float("-inf"))
+            if ended_at > known_at + EVACUATION_END_TOLERANCE_S:
+                self.evacuation_ends[zone] = ended_at
+                changes.append(Change("evacuation", zone, "ended"))
+        self.sequence += bool(changes)
+        return tuple(changes)
+
+    def list_evacuation_ages(self, now):
+        """Returns a dict of the seconds since a zone's last evacuation ended, recent ones only."""
+        ages = {zone: now - ended_at for zone, ended_at in self.evacuation_ends.items()}
+        return {zone: age_s for zone, age_s in ages.items() if age_s < EVACUATION_END_TTL_S}
+
     def list_changed(self, sequence):
         """Returns the ids of the upstreams that have changed since an earlier sequence number.
 
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -39,7 +39,7 @@
     def __iter__(self):
         return iter(self._upstream_states.values())
 
-    def apply(self, upstreams, services, evacuated, bounds, now):
+    def apply(self, upstreams, services, evacuated, bounds, now, evacuation_ends=None):
         """Applies the current belief of the host about upstreams, services and zones.
 
         Args:
@@ -48,8 +48,8 @@
           evacuated: Zones whose upstreams get no requests.
           bounds: The records.Bounds.
           now: Monotonic seconds.
+          evacuation_ends: Dict of the monotonic time at which a zone's last evacuation ended.
         """
-        restored_zones = self._evacuated - frozenset(evacuated)
         self._services = services
         self._evacuated = frozenset(evacuated)
         self._bounds = bounds
@@ -59,9 +59,8 @@
             del self._upstream_states[upstream_id]
         for upstream in upstreams.values():
             self._apply_upstream(upstream, now)
-        for state in self._upstream_states.values():
-            if state.record.zone in restored_zones:
-                self.mark_cold(state, self._find_cold_s(state.record), now)
+        for zone, ended_at in (evacuation_ends or {}).items():
+            self._apply_evacuation_end(zone, ended_at)
         self._rebuild_pools()
 
     def find(self, upstream_id):
@@ -237,6 +236,12 @@
             state.is_misdirected = False
         state.record = upstream
 
+    def _apply_evacuation_end(self, zone, ended_at):
+        """Treats the upstreams of a zone as cold from the end of its evacuation on."""
+        for state in self._upstream_states.values():
+            if state.record.zone == zone:
+                self.mark_cold(state, self._find_cold_s(state.record), ended_at)
+
     def _rebuild_pools(self):
         self._rankings.clear()
         pools = collections.defaultdict(list)
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -115,9 +115,11 @@
         """Returns the encoded update for a follower; most followers lack the same changes."""
         is_store_lost = self._is_store_lost()
         revisions = tuple(self._belief.revisions.values())
-        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost)
+        now = time.monotonic()
+        # Ages in an update are valid when it is sent, so it is encoded anew after a while.
+        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost, int(now))
         if self._encoded[0] != key:
-            update = relay.make_update(self._belief, sequence, generation, is_store_lost)
+            update = relay.make_update(self._belief, sequence, generation, is_store_lost, now)
             self._encoded = (key, _beliefcodec.encode_update(update))
         return self._encoded[1]
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -232,6 +232,7 @@
             self.belief.evacuated,
             self.settings.bounds,
             time.monotonic(),
+            self.belief.evacuation_ends,
         )
         if self.belief.is_complete and self.state is records.HostState.STARTING:
             self._set_state(records.HostState.SERVING)
--- a/skylarksill/host/relay.py
+++ b/skylarksill/host/relay.py
@@ -30,6 +30,7 @@
       upstreams: Tuple of records.Upstream.
       removed_ids: Ids of the upstreams that have been removed since the follower's last update.
       evacuated: All zones whose upstreams get no requests.
+      evacuation_ages: Dict of the seconds since a zone's last evacuation ended.
     """
 
     sequence: int
@@ -41,6 +42,7 @@
     upstreams: tuple[records.Upstream, ...]
     removed_ids: tuple[str, ...]
     evacuated: tuple[str, ...]
+    evacuation_ages: dict[str, float]
 
 
 def choose_sources(serving, region):
@@ -57,7 +59,7 @@
     return tuple(_spread_over_zones(local or connected)[:SOURCES_PER_REGION])
 
 
-def make_update(own, sequence, generation, is_store_lost):
+def make_update(own, sequence, generation, is_store_lost, now):
     """Makes the update for a follower.
 
     Args:
@@ -65,6 +67,7 @@
       sequence: Sequence number of the follower's last update.
       generation: Generation of the follower's configuration; 0 without one.
       is_store_lost: True if the source can't reach the store.
+      now: Monotonic seconds.
     Returns:
       A BeliefUpdate.
     """
@@ -84,6 +87,7 @@
         upstreams=tuple(own.upstreams[upstream_id] for upstream_id in ids),
         removed_ids=() if is_snapshot else tuple(changed - own.upstreams.keys()),
         evacuated=tuple(own.evacuated),
+        evacuation_ages=own.list_evacuation_ages(now),
     )
 
 
@@ -106,7 +110,9 @@
     if update.is_complete and _advance_revision(own, update, records.ObjectKind.UPSTREAMS):
         changes += _apply_upstreams(own, update, now)
     if _advance_revision(own, update, records.ObjectKind.EVACUATIONS):
-        changes += own.replace_evacuated(update.evacuated)
+        changes += own.replace_evacuated(update.evacuated, now)
+    ends = {zone: now - age_s for zone, age_s in update.evacuation_ages.items()}
+    changes += own.merge_evacuation_ends(ends)
     return tuple(changes)
 
 
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -131,7 +131,7 @@
             (
                 kinds.EVACUATIONS,
                 store.list_evacuations,
-                self._belief.replace_evacuated,
+                self._replace_evacuated,
                 self._apply_evacuation,
             ),
         ):
@@ -281,4 +281,7 @@
     def _apply_evacuation(self, zone, is_present):
         evacuated = self._belief.evacuated
         zones = evacuated | {zone} if is_present else evacuated - {zone}
-        return self._belief.replace_evacuated(zones)
+        return self._replace_evacuated(zones)
+
+    def _replace_evacuated(self, zones):
+        return self._belief.replace_evacuated(zones, time.monotonic())
