Respect the rate limit that an upstream states, over all hosts together

Cause: the header was not read. It belongs to the class of limits that all hosts share.

Change: each answer's limit is applied at once and lifted by an answer without one. Hosts of the upstream's region deal the requests of 4 s among themselves like the rate of a cold upstream; all sends count, those before the limit was stated too. A host without a part sends one request in a time that grows with the number of hosts, and so learns when the limit has gone. Requests that no upstream takes are rejected at once with the time until the first one takes requests again.

--- a/features/host_builders.py
+++ b/features/host_builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for the host program."""
 
 import pathlib
+import random
 import sys
 
 from skylarksill import records as shared
@@ -79,9 +80,9 @@
     return records.Upstream(**{**fields, **changes})
 
 
-def build_fleet(upstreams, region="north", now=0.0):
+def build_fleet(upstreams, region="north", now=0.0, rng=random):
     """Builds the Fleet of a host in ``region`` that knows some upstreams."""
-    upstream_fleet = fleet.Fleet(region)
+    upstream_fleet = fleet.Fleet(region, rng)
     by_id = {upstream.upstream_id: upstream for upstream in upstreams}
     upstream_fleet.apply(by_id, {"catalogue": build_service()}, (), BOUNDS, now)
     return upstream_fleet
--- /dev/null
+++ b/features/host_demands.feature
@@ -0,0 +1,27 @@
+Feature: Limits and pauses that upstreams ask for in their answers
+  Guards against an upstream in need that gets more requests than it takes, from hosts that each
+  respect its limit or that do not know of each other.
+
+  Scenario Outline: Hosts respect the rate limit that an upstream states, all together
+    Given <hosts> hosts that send all they may to an upstream with a limit of <rate> a second
+    When some of the hosts restart and others join within 40 s
+    Then the upstream gets at most <most> requests in any 4 s from hosts that know the limit
+    And it gets at least half of its limit over the whole time
+
+    Examples:
+      | hosts | rate | most |
+      | 1     | 4.8  | 33   |
+      | 7     | 4.8  | 33   |
+      | 7     | 18.2 | 114  |
+      | 26    | 0.5  | 8    |
+      | 300   | 2.0  | 17   |
+
+  Scenario: Hosts send at the full rate again once an upstream states no limit any more
+    Given 7 hosts that send all they may to an upstream with a limit of 4.8 a second
+    When the upstream states no limit from 20 s on
+    Then each host may send without a limit at 25 s
+
+  Scenario: A request beyond the rate limit of all upstreams is rejected with the time to return
+    Given a host with an upstream that states a limit of 1 a second
+    When the host gets 8 requests in turn
+    Then 4 of them are served, and the others get 503 with a Retry-After of at most 1.4 s
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import errno
+import math
 import time
 
 from eventlet.green import socket
@@ -30,12 +31,24 @@
 _BODILESS_STATUSES = (204, 304)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demands:
+    """What an upstream asks of the hosts in an answer.
+
+    Attributes:
+      rate_limit: Requests a second that it takes from all hosts together, or None without a limit.
+    """
+
+    rate_limit: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
     """A complete answer from the addressed upstream, with the load that it reports."""
 
     answer: records.Answer
     load: records.LoadReport | None
+    demands: Demands = Demands()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +68,7 @@
     is_unreachable: bool = False
     is_unsent: bool = False
     load: records.LoadReport | None = None
+    demands: Demands = Demands()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,15 +202,17 @@
         self.keep_alive_s = parse_keep_alive(fields.get(b"keep-alive"))
         if response.status == 421:
             return NotRun("misdirected", is_misdirected=True)
+        demands = Demands(parse_rate_limit(fields.get(names.rate_limit)))
         if names.not_run in fields:
-            return NotRun("shed", is_shed=response.status in (429, 503), load=load)
+            is_shed = response.status in (429, 503)
+            return NotRun("shed", is_shed=is_shed, load=load, demands=demands)
         if 200 <= response.status < 300 and not _is_signed(fields, names):
             self.is_reusable = False
             return MayHaveRun("unsigned_answer")
         answer = records.Answer(
             response.status, response.reason, filter_headers(response.headers), response.body
         )
-        return Answered(answer, load)
+        return Answered(answer, load, demands)
 
 
 def _is_foreign(request, response, names):
@@ -280,6 +296,15 @@
     return records.LoadReport(running, waiting, slots, pace)
 
 
+def parse_rate_limit(value):
+    """Parses a rate limit in requests a second; returns None if it is missing or malformed."""
+    try:
+        limit = float(value) if value is not None else None
+    except ValueError:
+        return None
+    return limit if limit is not None and 0.0 <= limit < math.inf else None
+
+
 def parse_keep_alive(value):
     """Returns the idle timeout of a Keep-Alive header in seconds, or None without one."""
     for field in (value or b"").split(b","):
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -3,6 +3,7 @@
 import collections
 import hashlib
 import math
+import random
 
 from skylarksill.host import quotas, records, tracking
 
@@ -13,19 +14,31 @@
 COLD_RATE_SHARE = 0.8
 # Window in which sends to a cold upstream are counted. The rate holds for each second; the rest
 # covers the time between the count and the send on a host that lacks processor time.
-COLD_WINDOW_S = tracking.SEND_WINDOW_S
+COLD_WINDOW_S = 1.2
+# Window in which sends to an upstream that states a rate limit are counted: the longer it is, the
+# more hosts have a part of a low limit.
+LIMIT_WINDOW_S = tracking.MAX_SEND_WINDOW_S
+# Part of a rate limit that all hosts without a part of their own use together to find out whether
+# the limit still holds. Each of them sends one request in a time that grows with their number.
+LIMIT_PROBE_SHARE = 0.1
+MIN_LIMIT_PROBE_S = 5.0
+MIN_LIMIT_PROBE_RATE = 0.01
 
 
 class Fleet:
     """The upstreams that the store lists, by service and region.
 
+    Args:
+      rng: Source of randomness.
+
     Attributes:
       region: Region of this host.
       view: The quotas.HostView of the hosts that share the limits of upstreams.
     """
 
-    def __init__(self, region):
+    def __init__(self, region, rng=random):
         self.region = region
+        self._rng = rng
         self.view = quotas.HostView("", frozenset({""}), frozenset({""}), True)
         self._upstream_states = {}
         self._pools = {}
@@ -174,7 +187,29 @@
 
     def has_cold_capacity(self, state, now):
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
-        return state.sends.count(COLD_WINDOW_S, now) < self._find_cold_part(state)
+        return state.sends.count(COLD_WINDOW_S, now) < self._find_parts(state).cold_part
+
+    def set_rate_limit(self, state, rate_limit, now):
+        """Applies the limit that an answer of an upstream states, or None if it states none.
+
+        Returns:
+          True if the limit has changed.
+        """
+        if rate_limit is not None:
+            state.limit_probe_at = now + self._draw_probe_interval_s(rate_limit)
+        if state.rate_limit == rate_limit:
+            return False
+        state.rate_limit = rate_limit
+        state.part_view = None
+        return True
+
+    def compute_limit_wait_s(self, state, now):
+        """Returns the seconds until the rate limit of an upstream permits a send by this host."""
+        if state.rate_limit is None:
+            return 0.0
+        part = self._find_parts(state).limit_part
+        wait_s = state.sends.compute_wait_s(part, LIMIT_WINDOW_S, now)
+        return max(0.0, state.limit_probe_at - now) if wait_s is None else wait_s
 
     def admit_send(self, state, now, opened_at=math.inf):
         """Counts a send to an upstream if it is permitted.
@@ -190,15 +225,39 @@
         is_limited = is_limited or (now < state.suspect_until and not state.is_proven(opened_at))
         if is_limited and not self.has_cold_capacity(state, now):
             return False
+        if self.compute_limit_wait_s(state, now) > 0.0:
+            return False
+        if state.rate_limit is not None:
+            state.limit_probe_at = now + self._draw_probe_interval_s(state.rate_limit)
         state.sends.add(now)
         return True
 
-    def _find_cold_part(self, state):
-        """Returns this host's part of the permitted rate of a cold upstream."""
+    def _find_parts(self, state):
+        """Returns a TrackedUpstream whose parts of shared limits are those of the current view."""
         if state.part_view is not self.view:
             state.part_view = self.view
             state.cold_part = self._compute_cold_part(state.record)
-        return state.cold_part
+            state.limit_part = self._compute_limit_part(state)
+        return state
+
+    def _compute_limit_part(self, state):
+        """Returns the requests that this host may send within LIMIT_WINDOW_S.
+
+        As with cold upstreams, hosts of other regions have no part.
+        """
+        record = state.record
+        if state.rate_limit is None or record.region != self.region:
+            return 0
+        view = self.view
+        total = int(min(state.rate_limit * LIMIT_WINDOW_S, UNLIMITED))
+        if not view.is_settled:
+            return total // view.count_assumed_hosts()
+        return quotas.deal_units(total, view.own_id, view.region_ids, record.upstream_id)
+
+    def _draw_probe_interval_s(self, rate_limit):
+        rate = max(LIMIT_PROBE_SHARE * rate_limit, MIN_LIMIT_PROBE_RATE)
+        interval_s = len(self.view.all_ids) / rate * self._rng.uniform(1.0, 2.0)
+        return max(MIN_LIMIT_PROBE_S, interval_s)
 
     def _compute_cold_part(self, record):
         service = self._services.get(record.service_id)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -172,6 +172,7 @@
                 self._record_outcome(query, choice, outcome, begun)
                 self._probe_if_suspect(state, outcome, begun, is_reused)
                 self._check_continuity(state, connection, outcome)
+                self._apply_demands(state, outcome)
             return outcome
         finally:
             state.record_end(isinstance(outcome, _upstreamhttp.Answered), time.monotonic())
@@ -201,11 +202,11 @@
         now = time.monotonic()
         seconds = now - begun
         match outcome:
-            case _upstreamhttp.Answered(answer, _) if answer.status == 504:
+            case _upstreamhttp.Answered(answer) if answer.status == 504:
                 self._steering.record_timeout(choice, seconds, now)
             case _upstreamhttp.Answered(answer, load) if answer.status < 500:
                 self._steering.record_success(query, choice, load, seconds, now)
-            case _upstreamhttp.Answered(_, load):
+            case _upstreamhttp.Answered(load=load):
                 self._steering.record_failure(choice, load, now)
             case _upstreamhttp.NotRun(is_shed=True, load=load):
                 self._steering.record_shed(choice, load, now)
@@ -238,6 +239,22 @@
             case _upstreamhttp.MayHaveRun(is_broken=True):
                 self._suspect_restart(state, "broken")
 
+    def _apply_demands(self, state, outcome):
+        """Applies what the upstream asks of the hosts in its answer."""
+        match outcome:
+            case _upstreamhttp.Answered(demands=demands):
+                pass
+            case _upstreamhttp.NotRun(is_shed=True, demands=demands):
+                pass
+            case _:
+                return
+        if self._fleet.set_rate_limit(state, demands.rate_limit, time.monotonic()):
+            self._log.write(
+                "upstream.limit",
+                upstream=state.record.upstream_id,
+                rate_limit=demands.rate_limit,
+            )
+
     def _suspect_restart(self, state, cause):
         now = time.monotonic()
         if now >= state.suspect_until:
@@ -249,7 +266,7 @@
         is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
         progress.excluded.add(choice.upstream.record.upstream_id)
         match outcome:
-            case _upstreamhttp.Answered(answer, _):
+            case _upstreamhttp.Answered(answer):
                 self.poisons.record_answer(progress.fingerprint, time.monotonic())
                 progress.attempts += 1
                 progress.last_answer = answer
@@ -399,7 +416,7 @@
 
 def _format_outcome(outcome):
     match outcome:
-        case _upstreamhttp.Answered(answer, _):
+        case _upstreamhttp.Answered(answer):
             return str(answer.status)
         case _upstreamhttp.NotRun(reason) | _upstreamhttp.MayHaveRun(reason):
             return reason
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -107,7 +107,7 @@
     """
     placed = _find_best(upstream_fleet, service_times, query, regions, now, rng)
     if placed is None:
-        return Rejection("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
+        return _reject_unplaced(upstream_fleet, query, regions, now)
     limit_s = compute_wait_limit_s(query, placed.service_time_s)
     if placed.wait_s > limit_s:
         spare = _find_spare(upstream_fleet, service_times, query, regions, now)
@@ -119,6 +119,24 @@
     return placed
 
 
+def _reject_unplaced(upstream_fleet, query, regions, now):
+    """Returns the Rejection of a request that no upstream may get now.
+
+    Answers a load beyond the rates that upstreams state: the client returns when the first of
+    them takes requests again.
+    """
+    waits_s = [
+        upstream_fleet.compute_limit_wait_s(state, now)
+        for region in regions
+        for state in upstream_fleet.find_pool(query.service_id, region)
+        if not state.is_unreachable and state.record.upstream_id not in query.excluded
+    ]
+    limited_s = [wait_s for wait_s in waits_s if wait_s > 0.0]
+    if limited_s:
+        return Rejection("limited", max(MIN_RETRY_AFTER_S, min(limited_s)))
+    return Rejection("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
+
+
 def _find_spare(upstream_fleet, service_times, query, regions, now):
     """Returns the Placement of a request whose preferred upstream is full, or None to reject it.
 
@@ -258,6 +276,8 @@
         return False
     if not upstream_fleet.has_connection_capacity(state):
         return False
+    if upstream_fleet.compute_limit_wait_s(state, now) > 0.0:
+        return False
     if not state.is_cold(now):
         return True
     # Only the hosts of a cold upstream's own region send to it and share its permitted rate.
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -221,6 +221,7 @@
     signature: bytes
     not_run: bytes
     load: bytes
+    rate_limit: bytes
     affinity_cookie: bytes
 
 
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -32,7 +32,7 @@
 # Number of recent objects that an upstream is assumed to remember; they remember about 18 to 50.
 MAX_KNOWN_OBJECTS = 48
 # Longest window in which sends are counted.
-SEND_WINDOW_S = 1.2
+MAX_SEND_WINDOW_S = 4.0
 
 
 class TrackedUpstream:
@@ -50,8 +50,13 @@
       suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
         requests on connections that may be younger than the restart are limited as if it were cold.
       sends: The limits.SlidingCount of this host's sends.
+      rate_limit: Requests a second that the upstream takes from all hosts together, as its last
+        answer says; None without a limit.
+      limit_probe_at: Monotonic time from which a host without a part of the limit may send one
+        request, whose answer tells whether the limit still holds.
       cold_part: Requests that this host may send within a window while the upstream is cold.
-      part_view: The quotas.HostView from which the part was computed, or None.
+      limit_part: Requests that this host may send within a window of the limit.
+      part_view: The quotas.HostView from which the parts were computed, or None.
     """
 
     __slots__ = (
@@ -76,7 +81,10 @@
         "_recent_objects",
         "suspect_until",
         "sends",
+        "rate_limit",
+        "limit_probe_at",
         "cold_part",
+        "limit_part",
         "part_view",
         "_proven_at",
     )
@@ -102,8 +110,11 @@
         self._failure_at = 0.0
         self._recent_objects = collections.OrderedDict()
         self.suspect_until = 0.0
-        self.sends = limits.SlidingCount(SEND_WINDOW_S)
+        self.sends = limits.SlidingCount(MAX_SEND_WINDOW_S)
+        self.rate_limit = None
+        self.limit_probe_at = 0.0
         self.cold_part = 0
+        self.limit_part = 0
         self.part_view = None
         self._proven_at = 0.0
 
--- a/skylarksill/limits.py
+++ b/skylarksill/limits.py
@@ -77,6 +77,19 @@
             count += 1
         return count
 
+    def compute_wait_s(self, limit, window_s, now):
+        """Returns the seconds until fewer than ``limit`` events are in the window, 0 if they are.
+
+        Returns:
+          Seconds, or None if the limit permits no event.
+        """
+        if limit <= 0:
+            return None
+        excess = self.count(window_s, now) - limit
+        if excess < 0:
+            return 0.0
+        return self._times[len(self._times) - limit] + window_s - now
+
 
 class BufferLimit:
     """Limits the bytes that buffers hold at the same time.
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -50,6 +50,7 @@
       ended: Ids of the requests that it has completed.
       heads: Head of each request as text.
       bodies: Body of each request.
+      extra_headers: Header lines that each answer has besides its own.
       on_run: Function called with the id of each request that starts, or None.
     """
 
@@ -61,6 +62,7 @@
         self.ended = []
         self.heads = []
         self.bodies = []
+        self.extra_headers = []
         self.on_run = None
         self.connections = 0
         self._clients = []
@@ -121,8 +123,11 @@
         request_id = fields.get("x-skylarksill-request-id", "")
         echo = f"X-Skylarksill-Request-Id: {request_id}"
         fault = self.fault
+        if self.extra_headers and fault is Fault.NONE:
+            echo = "\r\n".join([echo, *self.extra_headers])
         if fault is Fault.SHED:
-            return _send(client, 503, [echo, "X-Skylarksill-Not-Executed: 1"], b"")
+            headers = [echo, "X-Skylarksill-Not-Executed: 1", *self.extra_headers]
+            return _send(client, 503, headers, b"")
         is_foreign = fields.get("x-skylarksill-expect-instance") != self.worker_id
         if is_foreign or fault is Fault.FOREIGN:
             return _send(client, 421, [echo], b"")
