Send nothing more to an upstream whose answer says that it leaves

Cause: the header was not read.

Change: from the first such answer on the incarnation gets nothing, also if its entry vanishes and comes back, which would have made a new state of it.

Evidence: the new scenario of features/host_demands.feature failed before, upstream a got 7 of 12 requests; it passes now with 1.

--- a/features/host_demands.feature
+++ b/features/host_demands.feature
@@ -25,3 +25,12 @@
     Given a host with an upstream that states a limit of 1 a second
     When the host gets 8 requests in turn
     Then 4 of them are served, and the others get 503 with a Retry-After of at most 1.4 s
+
+  Scenario: An upstream whose answer says that it leaves gets nothing more, not even after its entry is back
+    Given a host with upstreams "a" and "b"
+    And each answer of upstream "a" has the header "Server-Leaving: 1"
+    When the client sends 12 requests for different objects
+    Then upstream "a" has got 1 request, and all 12 are answered with 200
+    When the entry of upstream "a" vanishes and comes back
+    And the client sends 12 requests for different objects
+    Then upstream "a" has got 1 request, and all 12 are answered with 200
--- a/features/steps/host_demands_steps.py
+++ b/features/steps/host_demands_steps.py
@@ -149,3 +149,34 @@
     assert statuses == [200] * count + [503] * (len(statuses) - count), statuses
     for _, headers, _ in context.answers[count:]:
         assert 0.0 < float(headers["retry-after"]) <= most, headers
+
+
+@given('each answer of upstream "{name}" has the header "{line}"')
+def step_header(context, name, line):
+    context.world.workers[name].extra_headers = [line]
+
+
+@when("the client sends {count:d} requests for different objects")
+def step_send_objects(context, count):
+    context.answers = []
+    for index in range(count):
+        client = context.world.connect()
+        client.sendall(platformdata.format_request("GET /read/1", f"r{index}", key=str(index)))
+        context.answers.append(platformdata.AnswerReader(client).read())
+        client.close()
+
+
+@then('upstream "{name}" has got {some:d} request, and all {count:d} are answered with {status:d}')
+def step_got(context, name, some, count, status):
+    assert [answer[0] for answer in context.answers] == [status] * count, context.answers
+    assert len(context.world.workers[name].heads) == some, context.world.workers[name].heads
+
+
+@when('the entry of upstream "{name}" vanishes and comes back')
+def step_back(context, name):
+    world = context.world
+    upstreams = dict(world.belief.upstreams)
+    removed = upstreams.pop(name)
+    for current in (upstreams, {**upstreams, name: removed}):
+        world.belief.replace_upstreams(current, 0.0)
+        host_builders.apply_belief(world.fleet, world.belief, 0.0)
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -36,9 +36,11 @@
     """What an upstream asks of the hosts in an answer.
 
     Attributes:
+      is_leaving: True if it is to get no further requests.
       rate_limit: Requests a second that it takes from all hosts together, or None without a limit.
     """
 
+    is_leaving: bool = False
     rate_limit: float | None = None
 
 
@@ -202,7 +204,7 @@
         self.keep_alive_s = parse_keep_alive(fields.get(b"keep-alive"))
         if response.status == 421:
             return NotRun("misdirected", is_misdirected=True)
-        demands = Demands(parse_rate_limit(fields.get(names.rate_limit)))
+        demands = _parse_demands(fields, names)
         if names.not_run in fields:
             is_shed = response.status in (429, 503)
             return NotRun("shed", is_shed=is_shed, load=load, demands=demands)
@@ -296,6 +298,14 @@
     return records.LoadReport(running, waiting, slots, pace)
 
 
+def _parse_demands(fields, names):
+    """Returns the Demands that the headers of an answer state."""
+    return Demands(
+        is_leaving=fields.get(names.leaving, b"0").strip() not in (b"", b"0"),
+        rate_limit=parse_rate_limit(fields.get(names.rate_limit)),
+    )
+
+
 def parse_rate_limit(value):
     """Parses a rate limit in requests a second; returns None if it is missing or malformed."""
     try:
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -8,6 +8,8 @@
 from skylarksill.host import quotas, records, tracking
 
 MAX_RANKINGS = 4_096
+# Incarnations of upstreams that said that they leave, remembered beyond their entries.
+MAX_LEFT_UPSTREAMS = 4_096
 UNLIMITED = 1_000_000
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that don't know of each other.
@@ -48,6 +50,7 @@
         self._evacuated = frozenset()
         self._bounds = None
         self._round_trips = {}
+        self._left = collections.OrderedDict()
 
     def __iter__(self):
         return iter(self._upstream_states.values())
@@ -91,6 +94,7 @@
             and record.state is records.UpstreamState.READY
             and record.zone not in self._evacuated
             and not state.is_misdirected
+            and not state.is_leaving
         )
 
     def find_pool(self, service_id, region):
@@ -189,6 +193,23 @@
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
         return state.sends.count(COLD_WINDOW_S, now) < self._find_parts(state).cold_part
 
+    def mark_leaving(self, state):
+        """Sends nothing more to an incarnation of an upstream whose answer says that it leaves.
+
+        That holds also if its entry vanishes from the store and comes back.
+
+        Returns:
+          True if that was not known.
+        """
+        if state.is_leaving:
+            return False
+        state.is_leaving = True
+        self._left[_identify(state.record)] = None
+        if len(self._left) > MAX_LEFT_UPSTREAMS:
+            self._left.popitem(last=False)
+        self._rebuild_pools()
+        return True
+
     def set_rate_limit(self, state, rate_limit, now):
         """Applies the limit that an answer of an upstream states, or None if it states none.
 
@@ -288,6 +309,7 @@
         state = self._upstream_states.get(upstream.upstream_id)
         if state is None or state.record.incarnation != upstream.incarnation:
             state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
+            state.is_leaving = _identify(upstream) in self._left
             self._upstream_states[upstream.upstream_id] = state
         elif state.record.cold_s < upstream.cold_s:
             self.mark_cold(state, upstream.cold_s, now)
@@ -314,5 +336,9 @@
         self._regions = {service_id: tuple(found) for service_id, found in regions.items()}
 
 
+def _identify(record):
+    return record.upstream_id, record.incarnation, record.address
+
+
 def _hash_upstream(upstream_id, key):
     return hashlib.blake2b(upstream_id.encode() + b"\0" + key, digest_size=8).digest()
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -248,6 +248,8 @@
                 pass
             case _:
                 return
+        if demands.is_leaving and self._fleet.mark_leaving(state):
+            self._log.write("upstream.leaving", upstream=state.record.upstream_id)
         if self._fleet.set_rate_limit(state, demands.rate_limit, time.monotonic()):
             self._log.write(
                 "upstream.limit",
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -270,7 +270,7 @@
 
 
 def _is_usable(upstream_fleet, query, state, now):
-    if state.is_unreachable or state.is_misdirected:
+    if state.is_unreachable or state.is_misdirected or state.is_leaving:
         return False
     if state.record.upstream_id in query.excluded:
         return False
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -222,6 +222,7 @@
     not_run: bytes
     load: bytes
     rate_limit: bytes
+    leaving: bytes
     affinity_cookie: bytes
 
 
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -44,6 +44,7 @@
       cold_until: Monotonic time until which the upstream is treated as cold.
       down_until: Monotonic time of the next probe while the upstream is unreachable.
       down_s: Pause before the next probe in seconds.
+      is_leaving: True once an answer of the upstream has said that it leaves.
       is_misdirected: True once another upstream answered at its address.
       is_unreachable: True from a failed connection until one succeeds.
       is_probed: True while probes try to connect to the upstream in the background.
@@ -65,6 +66,7 @@
         "cold_until",
         "down_until",
         "down_s",
+        "is_leaving",
         "is_misdirected",
         "is_probed",
         "is_unreachable",
@@ -95,6 +97,7 @@
         self.cold_until = cold_until
         self.down_until = 0.0
         self.down_s = INITIAL_DOWN_S
+        self.is_leaving = False
         self.is_misdirected = False
         self.is_probed = False
         self.is_unreachable = False
