Send nothing to an upstream that sheds for as long as its Retry-After says

Cause: the header was not read; a shed request only marked the slots of the upstream as used.

Change: a 503 with Retry-After pauses the upstream for this host, up to 600 s; if all upstreams of a service are paused, the client is told when the first one takes requests again.

Evidence: the new scenario of features/host_demands.feature failed before (a got more than 1 of 12 requests) and passes now.

--- a/features/host_demands.feature
+++ b/features/host_demands.feature
@@ -34,3 +34,13 @@
     When the entry of upstream "a" vanishes and comes back
     And the client sends 12 requests for different objects
     Then upstream "a" has got 1 request, and all 12 are answered with 200
+
+  Scenario: An upstream that sheds with a Retry-After gets nothing until that time has passed
+    Given a host with upstreams "a" and "b"
+    And upstream "a" has the fault shed
+    And each answer of upstream "a" has the header "Retry-After: 0.6"
+    When the client sends 12 requests for different objects
+    Then upstream "a" has got 1 request, and all 12 are answered with 200
+    When the clients wait for 0.7 s
+    And the client sends 12 requests for different objects
+    Then upstream "a" has got 2 request, and all 12 are answered with 200
--- a/features/steps/host_demands_steps.py
+++ b/features/steps/host_demands_steps.py
@@ -2,6 +2,7 @@
 
 import random
 
+import eventlet
 from behave import given, then, when
 
 from features import host_builders, host_world
@@ -180,3 +181,8 @@
     for current in (upstreams, {**upstreams, name: removed}):
         world.belief.replace_upstreams(current, 0.0)
         host_builders.apply_belief(world.fleet, world.belief, 0.0)
+
+
+@when("the clients wait for {seconds:g} s")
+def step_pass(context, seconds):
+    eventlet.sleep(seconds)
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -38,10 +38,12 @@
     Attributes:
       is_leaving: True if it is to get no further requests.
       rate_limit: Requests a second that it takes from all hosts together, or None without a limit.
+      pause_s: Seconds for which it is to get nothing from this host, 0 if it can go on.
     """
 
     is_leaving: bool = False
     rate_limit: float | None = None
+    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,7 +206,7 @@
         self.keep_alive_s = parse_keep_alive(fields.get(b"keep-alive"))
         if response.status == 421:
             return NotRun("misdirected", is_misdirected=True)
-        demands = _parse_demands(fields, names)
+        demands = _parse_demands(response.status, fields, names)
         if names.not_run in fields:
             is_shed = response.status in (429, 503)
             return NotRun("shed", is_shed=is_shed, load=load, demands=demands)
@@ -298,21 +300,22 @@
     return records.LoadReport(running, waiting, slots, pace)
 
 
-def _parse_demands(fields, names):
+def _parse_demands(status, fields, names):
     """Returns the Demands that the headers of an answer state."""
     return Demands(
         is_leaving=fields.get(names.leaving, b"0").strip() not in (b"", b"0"),
-        rate_limit=parse_rate_limit(fields.get(names.rate_limit)),
+        rate_limit=_parse_number(fields.get(names.rate_limit)),
+        pause_s=(_parse_number(fields.get(b"retry-after")) or 0.0) if status == 503 else 0.0,
     )
 
 
-def parse_rate_limit(value):
-    """Parses a rate limit in requests a second; returns None if it is missing or malformed."""
+def _parse_number(value):
+    """Parses a number that is not negative; returns None if it is missing or malformed."""
     try:
-        limit = float(value) if value is not None else None
+        number = float(value) if value is not None else None
     except ValueError:
         return None
-    return limit if limit is not None and 0.0 <= limit < math.inf else None
+    return number if number is not None and 0.0 <= number < math.inf else None
 
 
 def parse_keep_alive(value):
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -25,6 +25,8 @@
 LIMIT_PROBE_SHARE = 0.1
 MIN_LIMIT_PROBE_S = 5.0
 MIN_LIMIT_PROBE_RATE = 0.01
+# Longest pause that an upstream can ask for.
+MAX_PAUSE_S = 600.0
 
 
 class Fleet:
@@ -224,13 +226,20 @@
         state.part_view = None
         return True
 
-    def compute_limit_wait_s(self, state, now):
-        """Returns the seconds until the rate limit of an upstream permits a send by this host."""
+    def pause(self, state, pause_s, now):
+        """Sends nothing to an upstream for ``pause_s`` seconds, as its answer asks for."""
+        state.paused_until = max(state.paused_until, now + min(pause_s, MAX_PAUSE_S))
+
+    def compute_wait_s(self, state, now):
+        """Returns the seconds until what an upstream asks for permits a send by this host."""
+        pause_s = max(0.0, state.paused_until - now)
         if state.rate_limit is None:
-            return 0.0
+            return pause_s
         part = self._find_parts(state).limit_part
         wait_s = state.sends.compute_wait_s(part, LIMIT_WINDOW_S, now)
-        return max(0.0, state.limit_probe_at - now) if wait_s is None else wait_s
+        if wait_s is None:
+            wait_s = state.limit_probe_at - now
+        return max(pause_s, wait_s)
 
     def admit_send(self, state, now, opened_at=math.inf):
         """Counts a send to an upstream if it is permitted.
@@ -246,7 +255,7 @@
         is_limited = is_limited or (now < state.suspect_until and not state.is_proven(opened_at))
         if is_limited and not self.has_cold_capacity(state, now):
             return False
-        if self.compute_limit_wait_s(state, now) > 0.0:
+        if self.compute_wait_s(state, now) > 0.0:
             return False
         if state.rate_limit is not None:
             state.limit_probe_at = now + self._draw_probe_interval_s(state.rate_limit)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -250,6 +250,11 @@
                 return
         if demands.is_leaving and self._fleet.mark_leaving(state):
             self._log.write("upstream.leaving", upstream=state.record.upstream_id)
+        if demands.pause_s:
+            self._fleet.pause(state, demands.pause_s, time.monotonic())
+            self._log.write(
+                "upstream.pause", upstream=state.record.upstream_id, pause_s=demands.pause_s
+            )
         if self._fleet.set_rate_limit(state, demands.rate_limit, time.monotonic()):
             self._log.write(
                 "upstream.limit",
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -122,11 +122,11 @@
 def _reject_unplaced(upstream_fleet, query, regions, now):
     """Returns the Rejection of a request that no upstream may get now.
 
-    Answers a load beyond the rates that upstreams state: the client returns when the first of
+    Answers a load beyond what upstreams say that they take: the client returns when the first of
     them takes requests again.
     """
     waits_s = [
-        upstream_fleet.compute_limit_wait_s(state, now)
+        upstream_fleet.compute_wait_s(state, now)
         for region in regions
         for state in upstream_fleet.find_pool(query.service_id, region)
         if not state.is_unreachable and state.record.upstream_id not in query.excluded
@@ -276,7 +276,7 @@
         return False
     if not upstream_fleet.has_connection_capacity(state):
         return False
-    if upstream_fleet.compute_limit_wait_s(state, now) > 0.0:
+    if upstream_fleet.compute_wait_s(state, now) > 0.0:
         return False
     if not state.is_cold(now):
         return True
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -51,6 +51,7 @@
       suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
         requests on connections that may be younger than the restart are limited as if it were cold.
       sends: The limits.SlidingCount of this host's sends.
+      paused_until: Monotonic time until which the upstream takes nothing from this host.
       rate_limit: Requests a second that the upstream takes from all hosts together, as its last
         answer says; None without a limit.
       limit_probe_at: Monotonic time from which a host without a part of the limit may send one
@@ -83,6 +84,7 @@
         "_recent_objects",
         "suspect_until",
         "sends",
+        "paused_until",
         "rate_limit",
         "limit_probe_at",
         "cold_part",
@@ -114,6 +116,7 @@
         self._recent_objects = collections.OrderedDict()
         self.suspect_until = 0.0
         self.sends = limits.SlidingCount(MAX_SEND_WINDOW_S)
+        self.paused_until = 0.0
         self.rate_limit = None
         self.limit_probe_at = 0.0
         self.cold_part = 0
