Follow the store whatever another writer puts into one of its entries

What callers saw (reported by another operator): one odd entry among those of the workers, very deeply nested, with a number too large or with a port out of range, ended machines again and again or stopped them from following the list.

Cause here: a deeply nested value raised RecursionError, which ended the green thread of the watch for good; an integer of more than 4,300 digits made the whole answer unreadable; a port out of range and a line break in an id raised errors that no caller of a connection expects; integers beyond 64 bits and lone surrogates could not be encoded for followers.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -11,6 +11,14 @@
 
     Examples:
       | field         | value      |
+      | address       | "1.2.3.4:99999" |
+      | address       | "1.2.3.4:0" |
+      | address       | "1.2.3.400:80" |
+      | address       | "worker.example:80" |
+      | slots         | 1000000000000000000000000000000 |
+      | born          | 1000000000000000000000000000000 |
+      | born          | -1 |
+      | service       | "\ud800" |
       | service       | missing    |
       | service       | 5          |
       | address       | "nowhere"  |
@@ -44,6 +52,28 @@
     When the store fails for 1 s and configuration 9 is written
     Then it logs configuration 9 within 3 s
 
+  Scenario Outline: One odd entry among the upstreams neither ends a host nor stops it from following
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store
+    Then it is ready within 10 s and lookup lists it
+    When another writer adds an upstream's entry with <value>
+    Then 6 requests through the host are answered with 200
+    When upstream "u002" drains
+    Then the host logs that "u002" drains within 3 s
+    When the store discards its history and an upstream drains
+    Then it logs the draining upstream within 3 s
+    And 6 requests through the host are answered with 200
+    And the host has ended no green thread by an error
+
+    Examples:
+      | value                        |
+      | a deeply nested field        |
+      | a number of 5000 digits      |
+      | a start time of 30 digits    |
+      | a port out of range          |
+      | a line break in its name     |
+      | a lone surrogate as service  |
+
   Scenario: A dead connection to the store is closed within 3 s
     Given a store with a configuration and 2 upstreams
     Then TCP keepalive is set to close a dead connection to it within 3 s
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -212,12 +212,14 @@
     path.write_text("\n".join(lines), encoding="utf-8")
     context.settings_path, context.lines = path, lines
     context.log_path = pathlib.Path(folder.name) / "log"
+    context.error_path = pathlib.Path(folder.name) / "errors"
     context.keys_path = pathlib.Path(folder.name) / "peer-keys.ini"
     context.keys_path.write_text(EXAMPLE_KEYS.read_text(encoding="utf-8"), encoding="utf-8")
     context.process = subprocess.Popen(
         [sys.executable, str(START_SCRIPT), "--peer-keys", str(context.keys_path)],
         env={**os.environ, "SKYLARKSILL_BOOT": str(path)},
         stdout=context.log_path.open("w"),
+        stderr=context.error_path.open("w"),
         cwd=ROOT,
     )
     context.add_cleanup(_kill_process, context.process)
--- a/skylarksill/host/fields.py
+++ b/skylarksill/host/fields.py
@@ -1,4 +1,9 @@
-"""Type checks of the fields of decoded messages."""
+"""Checks of the fields of decoded messages."""
+
+import ipaddress
+import reprlib
+
+MAX_PORT = 65_535
 
 
 def check(value, kind):
@@ -8,10 +13,40 @@
       ValueError: If the value has another type.
     """
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise ValueError(f"expected {kind.__name__}, got {value!r}")
+        raise ValueError(f"expected {kind.__name__}, got {reprlib.repr(value)}")
+    return value
+
+
+def check_range(value, least, most):
+    """Returns the value if it is an integer from ``least`` to ``most``.
+
+    Raises:
+      ValueError: If it is not.
+    """
+    if not least <= check(value, int) <= most:
+        raise ValueError(f"{value} is not between {least} and {most}")
     return value
 
 
+def check_text(value):
+    """Returns the value if it is a string that can be encoded.
+
+    Raises:
+      ValueError: If it is not, for example because it holds half of a surrogate pair.
+    """
+    check(value, str).encode()
+    return value
+
+
+def check_address(ip, port):
+    """Returns the pair of an IPv4 address as text and a port to connect to.
+
+    Raises:
+      ValueError: If the address or the port is none.
+    """
+    return str(ipaddress.IPv4Address(check(ip, str))), check_range(port, 1, MAX_PORT)
+
+
 def decode_address(value):
     """Returns the IP address and port of a decoded pair.
 
@@ -19,4 +54,4 @@
       ValueError: If the value is not such a pair.
     """
     ip, port = value
-    return check(ip, str), check(port, int)
+    return check_address(ip, port)
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -18,6 +18,8 @@
       failing_status: HTTP status of all answers, or None for normal service.
       is_silent: True while calls are received but not answered, nor later.
       calls: Number of calls received.
+      raw_values: Dict of the bytes that replace a string in all answers, for values that
+        ``json.dumps`` does not write.
     """
 
     def __init__(self):
@@ -25,6 +27,7 @@
         self._silences = 0
         self._is_silent = False
         self.calls = 0
+        self.raw_values = {}
         self._objects = {}
         self._history = []
         self._oldest_revision = 0
@@ -93,7 +96,10 @@
             status, body = self.failing_status, None
         status_line = _STATUS.get(status, f"{status} Status")
         start_response(status_line, [("Content-Type", "application/json")])
-        return [json.dumps(body).encode()]
+        data = json.dumps(body).encode()
+        for text, raw in self.raw_values.items():
+            data = data.replace(json.dumps(text).encode(), raw)
+        return [data]
 
     def _serve(self, environ):
         parts = environ["PATH_INFO"].split("/")[3:]
