Refuse requests that arrive too late in a stop, and answer those that still run at its end

Cause here: a request whose body completed late, or that was pipelined on a busy connection, was passed on whatever time was left; requests that still ran at the end were cut off silently. The sleeps before the end could also exceed a short grace period.

Change: after the stop signal a request is passed on only if all of its time ends before the host must end, else it gets 503 at once, as it has not run. What was taken before and still runs gets 504 before the connections close.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -52,6 +52,21 @@
     When the store fails for 1 s and configuration 9 is written
     Then it logs configuration 9 within 3 s
 
+  Scenario: A request that arrives too late in a stop to be answered is refused and not run
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store
+    Then it is ready within 10 s and lookup lists it
+    When its upstreams take 0.9 s, and it is signaled to stop during a slow upload
+    And the upload completes 1.8 s later, with 0.6 s left of the grace period
+    Then the client gets 503 and no upstream has run the request
+
+  Scenario: A request that is still running at the end of a stop gets an answer
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store, with a grace period of 1 s
+    Then it is ready within 10 s and lookup lists it
+    When its upstreams take 0.9 s, and it is signaled to stop during a request
+    Then the client gets 504 before the program ends
+
   Scenario Outline: One odd entry among the upstreams neither ends a host nor stops it from following
     Given a store with a configuration and 2 upstreams
     And a host program that uses the store
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -121,6 +121,11 @@
             if not connection.is_busy:
                 connection.end()
 
+    def end_requests(self, status):
+        """Answers all requests that have no answer yet, and ends what runs for them."""
+        for connection in list(self.connections):
+            connection.end_requests(status)
+
     def _accept(self):
         while True:
             try:
@@ -173,6 +178,15 @@
         self._is_closing = True
         self._shut_down(socket.SHUT_RDWR)
 
+    def end_requests(self, status):
+        """Answers the requests of the connection that have no answer yet."""
+        self._is_closing = True
+        for item in [item for item in self.pending if item.data is None]:
+            answer = answers.make_answer(status, b"host stops\n")
+            self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
+            item.cancellation.cancel()
+        self._write_ready()
+
     def _read_requests(self):
         while not self._is_closing:
             while len(self.pending) >= MAX_PIPELINED and not self._is_closing:
@@ -307,7 +321,7 @@
             answer = self._server.handle(request, item.cancellation)
         finally:
             self._server.buffered_bytes -= len(request.body)
-        if answer is None or self._is_disconnected:
+        if answer is None or item.data is not None or self._is_disconnected:
             return
         if self._server.is_leaving:
             self._is_closing = True
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of requests: route, placement, sends to upstreams, and the answer to the client."""
 
 import dataclasses
+import math
 import time
 
 from skylarksill import records as shared
@@ -24,6 +25,8 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 # A request that crashes upstreams may be retried, but only after a long delay.
 BLOCKED_RETRY_AFTER_S = 60.0
+# A client whose request arrives late in a stop is to try another host at once.
+STOPPING_RETRY_AFTER_S = 0.02
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +68,7 @@
 
     Attributes:
       poisons: PoisonTable of requests that crash upstreams.
+      ends_at: Monotonic time by which all answers must be given, as the host stops; else infinity.
     """
 
     def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds):
@@ -73,6 +77,7 @@
         self._steering = steering
         self._pool = pool
         self.poisons = poison.PoisonTable()
+        self.ends_at = math.inf
         self._connector = connector.Connector(
             fleet, pool, log, counters, self._handle_upstream_down
         )
@@ -106,6 +111,8 @@
         remaining_s = route.timeout_s
         if request.deadline_s is not None:
             remaining_s = min(remaining_s, request.deadline_s)
+        if request.received_at + remaining_s + TIMEOUT_GRACE_S > self.ends_at:
+            return self._reject(request, "stopping", STOPPING_RETRY_AFTER_S)
         service_id = self._splits.choose(route)
         progress = _Progress(route, service_id, request.received_at + remaining_s, fingerprint)
         self._find_budget(service_id).count_request(request.received_at)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -36,6 +36,10 @@
 # Part of the time between the stop signal and the kill that is reserved for sending the last
 # answers and ending the interpreter, which takes some tenths of a second on a slowed host.
 SHUTDOWN_RESERVE_S = 0.6
+# Requests that were taken before the stop and still run get an answer of the host this long before
+# the reserve begins, so that it is sent.
+LAST_ANSWERS_S = 0.15
+STOP_POLL_S = 0.05
 # Fraction of the host's memory that request bodies may occupy. Requests to upstreams are copies of
 # them, and the program itself takes about 35 MB.
 BODY_MEMORY_FRACTION = 0.2
@@ -344,18 +348,28 @@
         self._set_state(records.HostState.LEAVING)
         self._entry.begin_shutdown()
         deadline = stop_requested_at + self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
-        eventlet.sleep(IDLE_CLOSE_DELAY_S)
+        ends_at = self.forwarder.ends_at = deadline - LAST_ANSWERS_S
+        _sleep_until(min(stop_requested_at + IDLE_CLOSE_DELAY_S, ends_at))
         self._entry.close_idle()
-        eventlet.sleep(max(0.0, stop_requested_at + LISTEN_AFTER_STOP_S - time.monotonic()))
+        _sleep_until(min(stop_requested_at + LISTEN_AFTER_STOP_S, ends_at))
         self._entry.stop_listening()
-        while time.monotonic() < deadline:
-            self._entry.close_idle()
-            if not self._entry.connections:
-                break
-            eventlet.sleep(0.05)
-        self.log.write("host.stop", cut_off=self._entry.in_flight)
+        self._wait_for_connections(ends_at)
+        cut_off = self._entry.in_flight
+        self._entry.end_requests(504)
+        self._wait_for_connections(deadline)
+        self.log.write("host.stop", cut_off=cut_off)
         self.log.flush()
 
+    def _wait_for_connections(self, deadline):
+        """Closes idle connections until none is left, or until a monotonic time."""
+        while time.monotonic() < deadline and self._entry.connections:
+            self._entry.close_idle()
+            eventlet.sleep(STOP_POLL_S)
+
+
+def _sleep_until(at):
+    eventlet.sleep(max(0.0, at - time.monotonic()))
+
 
 def _list_changed_settings(before, after):
     names = [field.name for field in dataclasses.fields(before)]
