--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from bench.soak import records
+from bench.soak import demandchecks, records
 
 # Bounds from the settings of the soak (see standins.platformdata) and from the requirements.
 CONTACT_S = 4.0
@@ -40,6 +40,7 @@
         check_stops,
         check_retries,
         check_recovery,
+        *demandchecks.CHECKS,
     )
     return [text for check in checks for text in check(observations)] + observations.crashes
 
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -71,6 +71,33 @@
     end: float = float("inf")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that an upstream refused; ``at`` is in monotonic seconds."""
+
+    request_id: str
+    upstream_id: str
+    at: float
+
+
+class DemandKind(enum.Enum):
+    """What an upstream asks for in its answers."""
+
+    LIMIT = "limit"
+    LEAVING = "leaving"
+    PAUSE = "pause"
+
+
+@dataclasses.dataclass(slots=True)
+class Demand:
+    """A time span in which an upstream asks for something in its answers."""
+
+    kind: DemandKind
+    upstream_id: str
+    begin: float
+    end: float = float("inf")
+
+
 @dataclasses.dataclass(slots=True)
 class Observations:
     """All input of the checks.
@@ -80,6 +107,9 @@
       generations: Time at which the store had acknowledged a generation, by number; each one adds
         a route.
       upstream_faults: Pairs of begin and end of the faults of an upstream, by id.
+      refusals: The requests that upstreams refused, with a time to return.
+      demands: What upstreams asked for.
+      restarts: Pairs of an upstream's id and the time at which it restarted under that id.
       recovered: Whether a host served again after the last fault, by host.
       crashes: Descriptions of processes that ended by themselves or wrote a traceback.
     """
@@ -92,5 +122,8 @@
     leave_times: dict[str, float] = dataclasses.field(default_factory=dict)
     generations: dict[int, float] = dataclasses.field(default_factory=dict)
     upstream_faults: dict[str, list[tuple[float, float]]] = dataclasses.field(default_factory=dict)
+    refusals: list[Refusal] = dataclasses.field(default_factory=list)
+    demands: list[Demand] = dataclasses.field(default_factory=list)
+    restarts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     recovered: dict[int, bool] = dataclasses.field(default_factory=dict)
     crashes: list[str] = dataclasses.field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+from bench.soak import records
+
 # A host is ready about 1 s after its start; faults begin after all hosts have served requests.
 FIRST_FAULT_S = 1.0
 MIN_FAULT_DURATION_S = 0.4
@@ -103,6 +105,22 @@
     length_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateDemand:
+    """Makes an upstream ask for something in its answers; see records.DemandKind."""
+
+    upstream: int
+    kind: str
+    length_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartUpstream:
+    """Resets the connections of an upstream, which goes on cold under the same id and address."""
+
+    upstream: int
+
+
 def make_schedule(seed, length_s, host_count, upstream_count, zone_count):
     """Draws the faults of a run.
 
@@ -125,7 +143,25 @@
         event = make(rng, duration_s, host_count, upstream_count, zone_count)
         schedule.append((round(at, 3), event))
         at += rng.expovariate(1.0 / MEAN_PAUSE_S)
-    return schedule
+    return sorted(schedule + _make_upstream_events(seed, length_s, upstream_count), key=_get_start)
+
+
+def _make_upstream_events(seed, length_s, upstream_count):
+    """Draws what upstreams ask for and how they restart, beside the other faults of a seed."""
+    rng = random.Random(f"{seed} upstreams")
+    events = []
+    for kind in records.DemandKind:
+        at = round(rng.uniform(0.1, 0.2) * length_s, 3)
+        event = StateDemand(rng.randrange(upstream_count), kind.value, length_s - at)
+        events.append((at, event))
+    for share in (0.4, 0.7):
+        at = round(rng.uniform(share, share + 0.2) * length_s, 3)
+        events.append((at, RestartUpstream(rng.randrange(upstream_count))))
+    return events
+
+
+def _get_start(item):
+    return item[0]
 
 
 _MODES = ("delay", "silent", "one_way", "reset")
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from bench.soak import checks, hosts, proxies, records, schedule
+from bench.soak import checks, demandchecks, hosts, proxies, records, schedule
 from skylarksill.host import keyfile, keyring
 from standins import metadatastore, platformdata, worker
 
@@ -27,6 +27,12 @@
 POLL_S = 0.02
 # Hosts read the file of keys each second.
 KEY_STEP_S = 2.0
+RESTART_RESET_S = 0.05
+DEMAND_HEADERS = {
+    records.DemandKind.LIMIT: f"Server-Limit: {demandchecks.LIMIT}",
+    records.DemandKind.LEAVING: "Server-Leaving: 1",
+    records.DemandKind.PAUSE: f"Retry-After: {demandchecks.PAUSE_S}",
+}
 
 
 class SoakUpstream:
@@ -50,6 +56,7 @@
         self.incarnation += 1
         self.worker = worker.Worker(self.upstream_id, WORK_S)
         self.worker.on_run = self._record_run
+        self.worker.on_refuse = self._record_refusal
         self.proxy = proxies.Proxy(self.worker.address)
         self.register("ready")
 
@@ -68,6 +75,10 @@
         self.proxy.stop()
         self.worker.stop()
 
+    def _record_refusal(self, request_id):
+        refusal = records.Refusal(request_id, self.upstream_id, time.monotonic())
+        self._world.observations.refusals.append(refusal)
+
     def _record_run(self, request_id):
         region = REGIONS[self.zone]
         run = records.Run(request_id, self.upstream_id, self.zone, region, time.monotonic())
@@ -129,6 +140,7 @@
         for number in range(1, self.generation + 1):
             routes[f"r-gen-{number}"] = build(f"{checks.GENERATION_PREFIX}{number}/", "idempotent")
         spec = platformdata.build_configuration_spec(self.generation, routes=routes)
+        spec["services"]["catalogue"]["coldRateS"] = demandchecks.COLD_RATE
         self.store.write("config", "main", spec)
         self.observations.generations[self.generation] = time.monotonic()
 
@@ -180,6 +192,10 @@
                 self._run_exclusively(("up", index), self._crash, self.upstreams[index], length_s)
             case schedule.DrainUpstream(index, length_s):
                 self._run_exclusively(("up", index), self._drain, self.upstreams[index], length_s)
+            case schedule.StateDemand(index, kind, length_s):
+                self._state_demand(self.upstreams[index], records.DemandKind(kind), length_s)
+            case schedule.RestartUpstream(index):
+                self._run_exclusively(("up", index), self._restart_upstream, self.upstreams[index])
             case schedule.ChangeConfiguration():
                 self.write_configuration()
             case schedule.EvacuateZone(index, length_s):
@@ -319,6 +335,29 @@
         upstream.worker.fault = worker.Fault.NONE
         record_end()
 
+    def _state_demand(self, upstream, kind, length_s):
+        item = upstream.worker
+        demand = records.Demand(kind, upstream.upstream_id, time.monotonic())
+        self.observations.demands.append(demand)
+        item.extra_headers = [DEMAND_HEADERS[kind]]
+        if kind is records.DemandKind.PAUSE:
+            self._record_upstream_fault(upstream)
+            item.fault = worker.Fault.SHED
+        eventlet.sleep(length_s)
+        demand.end = time.monotonic()
+        if kind is not records.DemandKind.LEAVING:
+            item.extra_headers = []
+        if kind is records.DemandKind.PAUSE:
+            item.fault = worker.Fault.NONE
+
+    def _restart_upstream(self, upstream):
+        record_end = self._record_upstream_fault(upstream)
+        upstream.proxy.set_mode(proxies.Mode.RESET)
+        eventlet.sleep(RESTART_RESET_S)
+        self.observations.restarts.append((upstream.upstream_id, time.monotonic()))
+        upstream.proxy.set_mode(proxies.Mode.PASS)
+        record_end()
+
     def _crash(self, upstream, length_s):
         self._record_upstream_fault(upstream)
         upstream.shut_down()
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,10 @@
       | 70 repeated sends for 2 requests            | repeated sends       |
       | a host that serves no more                  | did not serve again  |
       | a traceback of a host                       | host 3: ValueError   |
+      | 20 requests beyond a limit                  | beyond its limit     |
+      | a request to an upstream that said it leaves | says that it leaves  |
+      | 4 requests before the time to return        | time to return       |
+      | 10 requests after a restart under its id    | after its restart    |
 
   Scenario Outline: Trouble that excuses a late request is taken into account
     Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -29,7 +29,7 @@
 @then("each kind of fault occurs in them")
 def step_kinds(context):
     kinds = {type(event) for events in context.schedules for _, event in events}
-    assert len(kinds) == 12, kinds
+    assert len(kinds) == 14, kinds
     assert all(0.0 < at < 10.0 for events in context.schedules for at, _ in events)
 
 
@@ -130,6 +130,34 @@
     context.observations.crashes.append("host 3: ValueError: planted")
 
 
+@when("{count:d} requests beyond a limit is planted")
+def step_beyond_limit(context, count):
+    _add_demand(context, records.DemandKind.LIMIT)
+    for index in range(count):
+        _add_served(context.observations, f"more-{index}", "/read/1", True, NOW + 5 + index / 10)
+
+
+@when("a request to an upstream that said it leaves is planted")
+def step_said_leaving(context):
+    _add_demand(context, records.DemandKind.LEAVING)
+    _add_served(context.observations, "late", "/read/1", True, NOW + 3.0)
+
+
+@when("{count:d} requests before the time to return is planted")
+def step_before_return(context, count):
+    _add_demand(context, records.DemandKind.PAUSE)
+    context.observations.refusals.append(records.Refusal("read", "u1.1", NOW))
+    for index in range(count):
+        _add_served(context.observations, f"early-{index}", "/read/1", True, NOW + 0.6 + index / 10)
+
+
+@when("{count:d} requests after a restart under its id is planted")
+def step_after_restart(context, count):
+    context.observations.restarts.append(("u1.1", NOW + 1.0))
+    for index in range(count):
+        _add_served(context.observations, f"cold-{index}", "/read/1", True, NOW + 1.1 + index / 20)
+
+
 @then("no promise is violated")
 def step_none(context):
     step_count(context, 0)
@@ -179,6 +207,10 @@
     return request
 
 
+def _add_demand(context, kind):
+    context.observations.demands.append(records.Demand(kind, "u1.1", NOW - 1.0))
+
+
 def _add_run(observations, request_id, at, zone="north-a"):
     region = zone.partition("-")[0]
     observations.runs.append(records.Run(request_id, "u1.1", zone, region, at))
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -51,6 +51,7 @@
       heads: Head of each request as text.
       bodies: Body of each request.
       extra_headers: Header lines that each answer has besides its own.
+      on_refuse: Function called with the id of each request that it refuses, or None.
       on_run: Function called with the id of each request that starts, or None.
     """
 
@@ -64,6 +65,7 @@
         self.bodies = []
         self.extra_headers = []
         self.on_run = None
+        self.on_refuse = None
         self.connections = 0
         self._clients = []
         self._last_request_id = "none"
@@ -126,6 +128,8 @@
         if self.extra_headers and fault is Fault.NONE:
             echo = "\r\n".join([echo, *self.extra_headers])
         if fault is Fault.SHED:
+            if self.on_refuse is not None:
+                self.on_refuse(request_id)
             headers = [echo, "X-Skylarksill-Not-Executed: 1", *self.extra_headers]
             return _send(client, 503, headers, b"")
         is_foreign = fields.get("x-skylarksill-expect-instance") != self.worker_id
