Take no retry for a request that was not sent because its upstream left meanwhile

What callers saw: with the retry budget used up, 503 for a request of which nothing had been sent. Cause: the host counted the new placement as a retry. Found by reading; the scenarios of the host's requests were not changed.

--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -63,7 +63,7 @@
       is_shed: True if the upstream rejected the request for lack of capacity.
       is_misdirected: True if another upstream answered at the address.
       is_unreachable: True if no connection could be opened.
-      is_unsent: True if the host did not send the request, as a limit of the upstream was used up.
+      is_unsent: True if nothing was sent: the upstream has left or a limit of it is used up.
     """
 
     reason: str
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -169,10 +169,10 @@
             if cancellation.is_cancelled:
                 return _upstreamhttp.NotRun("client_gone")
             if not self._fleet.is_available(state):
-                return _upstreamhttp.NotRun("left_meanwhile")
+                return _upstreamhttp.NotRun("left_meanwhile", is_unsent=True)
             begun = time.monotonic()
             if not self._fleet.admit_send(state, begun, connection.opened_at):
-                return _upstreamhttp.NotRun("cold", is_unsent=True)
+                return _upstreamhttp.NotRun("limit_used_up", is_unsent=True)
             outcome = self._exchange(request, progress, choice, connection)
             # A cancelled send says nothing about the upstream.
             if not cancellation.is_cancelled:
