Keep what an upstream asked for while its entry is away

What callers saw: nothing reported; found by reading the change. An entry that vanishes and comes back under the same incarnation, as after an outage of the store, gave a new state, which forgot pauses, rate limits, cold times and what had been sent.

Change: states of vanished entries are kept (1,024) and used again; an unreachable upstream whose entry is back is tried again, as a cold one.

--- a/features/host_demands.feature
+++ b/features/host_demands.feature
@@ -44,3 +44,19 @@
     When the clients wait for 0.7 s
     And the client sends 12 requests for different objects
     Then upstream "a" has got 2 request, and all 12 are answered with 200
+
+  Scenario Outline: What an upstream asked for holds after its entry was away for a moment
+    Given a host that knows an upstream which <state>
+    When the entry of the upstream vanishes at 10.0 s and comes back at 10.5 s
+    Then the host sends nothing to the upstream at 10.6 s
+
+    Examples:
+      | state                        |
+      | asked for a pause of 5 s     |
+      | has got all that its limit permits |
+      | has got all that it tolerates while it is cold |
+
+  Scenario: An upstream that was unreachable is tried again, as a cold one, after its entry was away
+    Given a host that knows an upstream which was unreachable
+    When the entry of the upstream vanishes at 10.0 s and comes back at 10.5 s
+    Then the host takes the upstream for reachable and cold at 10.6 s
--- a/features/steps/host_demands_steps.py
+++ b/features/steps/host_demands_steps.py
@@ -186,3 +186,48 @@
 @when("the clients wait for {seconds:g} s")
 def step_pass(context, seconds):
     eventlet.sleep(seconds)
+
+
+def _use_up_limit(upstream_fleet, state):
+    upstream_fleet.set_rate_limit(state, 1.0, 9.9)
+    while upstream_fleet.admit_send(state, 9.9):
+        pass
+
+
+def _use_up_cold_rate(upstream_fleet, state):
+    upstream_fleet.mark_cold(state, 5.0, 9.9)
+    while upstream_fleet.admit_send(state, 9.9):
+        pass
+
+
+UPSTREAM_STATES = {
+    "asked for a pause of 5 s": lambda fleet, state: fleet.pause(state, 5.0, 9.9),
+    "has got all that its limit permits": _use_up_limit,
+    "has got all that it tolerates while it is cold": _use_up_cold_rate,
+    "was unreachable": lambda fleet, state: fleet.mark_unreachable(state, 9.9),
+}
+
+
+@given("a host that knows an upstream which {description}")
+def step_known_upstream(context, description):
+    context.upstream = host_builders.build_upstream("a")
+    context.fleet = host_builders.build_fleet([context.upstream])
+    UPSTREAM_STATES[description](context.fleet, context.fleet.find("a"))
+
+
+@when("the entry of the upstream vanishes at {gone:g} s and comes back at {back:g} s")
+def step_entry_away(context, gone, back):
+    services = {"catalogue": host_builders.build_service()}
+    for upstreams, now in (({}, gone), ({"a": context.upstream}, back)):
+        context.fleet.apply(upstreams, services, (), host_builders.BOUNDS, now)
+
+
+@then("the host sends nothing to the upstream at {now:g} s")
+def step_nothing(context, now):
+    assert not context.fleet.admit_send(context.fleet.find("a"), now)
+
+
+@then("the host takes the upstream for reachable and cold at {now:g} s")
+def step_reachable(context, now):
+    state = context.fleet.find("a")
+    assert not state.is_unreachable and state.is_cold(now)
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -8,8 +8,8 @@
 from skylarksill.host import quotas, records, tracking
 
 MAX_RANKINGS = 4_096
-# Incarnations of upstreams that said that they leave, remembered beyond their entries.
-MAX_LEFT_UPSTREAMS = 4_096
+# Incarnations of upstreams whose entries have vanished, and may come back with what they asked for.
+MAX_FORMER_UPSTREAMS = 1_024
 UNLIMITED = 1_000_000
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that don't know of each other.
@@ -52,7 +52,7 @@
         self._evacuated = frozenset()
         self._bounds = None
         self._round_trips = {}
-        self._left = collections.OrderedDict()
+        self._former = collections.OrderedDict()
 
     def __iter__(self):
         return iter(self._upstream_states.values())
@@ -74,7 +74,7 @@
         for state in self._upstream_states.values():
             state.part_view = None
         for upstream_id in [item for item in self._upstream_states if item not in upstreams]:
-            del self._upstream_states[upstream_id]
+            self._remove_upstream(upstream_id)
         for upstream in upstreams.values():
             self._apply_upstream(upstream, now)
         for zone, ended_at in (evacuation_ends or {}).items():
@@ -193,22 +193,18 @@
 
     def has_cold_capacity(self, state, now):
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
-        return state.sends.count(COLD_WINDOW_S, now) < self._find_parts(state).cold_part
+        self._update_parts(state)
+        return state.sends.count(COLD_WINDOW_S, now) < state.cold_part
 
     def mark_leaving(self, state):
         """Sends nothing more to an incarnation of an upstream whose answer says that it leaves.
 
-        That holds also if its entry vanishes from the store and comes back.
-
         Returns:
           True if that was not known.
         """
         if state.is_leaving:
             return False
         state.is_leaving = True
-        self._left[_identify(state.record)] = None
-        if len(self._left) > MAX_LEFT_UPSTREAMS:
-            self._left.popitem(last=False)
         self._rebuild_pools()
         return True
 
@@ -235,8 +231,8 @@
         pause_s = max(0.0, state.paused_until - now)
         if state.rate_limit is None:
             return pause_s
-        part = self._find_parts(state).limit_part
-        wait_s = state.sends.compute_wait_s(part, LIMIT_WINDOW_S, now)
+        self._update_parts(state)
+        wait_s = state.sends.compute_wait_s(state.limit_part, LIMIT_WINDOW_S, now)
         if wait_s is None:
             wait_s = state.limit_probe_at - now
         return max(pause_s, wait_s)
@@ -262,13 +258,12 @@
         state.sends.add(now)
         return True
 
-    def _find_parts(self, state):
-        """Returns a TrackedUpstream whose parts of shared limits are those of the current view."""
+    def _update_parts(self, state):
+        """Sets this host's parts of an upstream's limits, if the known hosts have changed."""
         if state.part_view is not self.view:
             state.part_view = self.view
             state.cold_part = self._compute_cold_part(state.record)
             state.limit_part = self._compute_limit_part(state)
-        return state
 
     def _compute_limit_part(self, state):
         """Returns the requests that this host may send within LIMIT_WINDOW_S.
@@ -317,8 +312,9 @@
     def _apply_upstream(self, upstream, now):
         state = self._upstream_states.get(upstream.upstream_id)
         if state is None or state.record.incarnation != upstream.incarnation:
-            state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
-            state.is_leaving = _identify(upstream) in self._left
+            state = self._restore_upstream(upstream, now)
+            if state is None:
+                state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
             self._upstream_states[upstream.upstream_id] = state
         elif state.record.cold_s < upstream.cold_s:
             self.mark_cold(state, upstream.cold_s, now)
@@ -326,6 +322,25 @@
             state.is_misdirected = False
         state.record = upstream
 
+    def _remove_upstream(self, upstream_id):
+        state = self._upstream_states.pop(upstream_id)
+        self._former[_identify(state.record)] = state
+        if len(self._former) > MAX_FORMER_UPSTREAMS:
+            self._former.popitem(last=False)
+
+    def _restore_upstream(self, upstream, now):
+        """Returns the state of an upstream whose entry has come back, or None.
+
+        What it asked for, and what it has got, still counts. That its entry is back shows that it
+        runs, so connections are tried again; it may have restarted before.
+        """
+        state = self._former.pop(_identify(upstream), None)
+        if state is not None:
+            state.is_misdirected = False
+            if state.is_unreachable:
+                self.mark_reachable(state, now)
+        return state
+
     def _apply_evacuation_end(self, zone, ended_at):
         """Treats the upstreams of a zone as cold from the end of its evacuation on."""
         for state in self._upstream_states.values():
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -116,8 +116,9 @@
         is_store_lost = self._is_store_lost()
         revisions = tuple(self._belief.revisions.values())
         now = time.monotonic()
-        # Ages in an update are valid when it is sent, so it is encoded anew after a while.
-        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost, int(now))
+        # An update with ages is encoded anew each second.
+        second = int(now) if self._belief.evacuation_ends else 0
+        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost, second)
         if self._encoded[0] != key:
             update = relay.make_update(self._belief, sequence, generation, is_store_lost, now)
             self._encoded = (key, _beliefcodec.encode_update(update))
