Pass suspected restarts of upstreams on between hosts

A host that had just started had no connection to the upstream that could end, took the word of the store's entry, and sent at the full rate: 16 requests in a second where 8 are permitted, while a peer had noticed the restart 0.1 s before the host began.

Change: hosts pass on which upstreams they suspect, and when the process that they knew had last answered, with their datagrams for 4 s. A host whose own last answer is older suspects it too; an answer on an old connection clears that as before.

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -150,9 +150,10 @@
     """Draws what upstreams ask for and how they restart, beside the other faults of a seed."""
     rng = random.Random(f"{seed} upstreams")
     events = []
-    for kind in records.DemandKind:
+    kinds = list(records.DemandKind)
+    for kind, index in zip(kinds, rng.sample(range(upstream_count), len(kinds)), strict=True):
         at = round(rng.uniform(0.1, 0.2) * length_s, 3)
-        event = StateDemand(rng.randrange(upstream_count), kind.value, length_s - at)
+        event = StateDemand(index, kind.value, length_s - at)
         events.append((at, event))
     for share in (0.4, 0.7):
         at = round(rng.uniform(share, share + 0.2) * length_s, 3)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -139,8 +139,9 @@
         }
         for number in range(1, self.generation + 1):
             routes[f"r-gen-{number}"] = build(f"{checks.GENERATION_PREFIX}{number}/", "idempotent")
-        spec = platformdata.build_configuration_spec(self.generation, routes=routes)
-        spec["services"]["catalogue"]["coldRateS"] = demandchecks.COLD_RATE
+        spec = platformdata.build_configuration_spec(
+            self.generation, routes=routes, cold_rate=demandchecks.COLD_RATE
+        )
         self.store.write("config", "main", spec)
         self.observations.generations[self.generation] = time.monotonic()
 
--- a/features/host_cold.feature
+++ b/features/host_cold.feature
@@ -33,3 +33,14 @@
       | origin      |
       | the store   |
       | a source    |
+
+  Scenario Outline: A host learns of a restart that only its peers have noticed
+    Given a host <experience>
+    When a peer reports at 10.0 s that "a" ended a connection and had answered at 9.8 s
+    Then the upstream counts as <state> for requests on new connections at 10.2 s
+
+    Examples:
+      | experience                                | state |
+      | that has never sent to upstream "a"       | cold  |
+      | that got an answer of upstream "a" at 9 s | cold  |
+      | that got an answer of upstream "a" at 9.9 s | warm |
--- a/features/steps/host_cold_steps.py
+++ b/features/steps/host_cold_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features import host_builders, host_world
-from skylarksill.host import belief, relay
+from skylarksill.host import _peercodec, belief, relay, restarts
 from standins import platformdata, worker
 
 WINDOW_S = 1.0
@@ -188,3 +188,30 @@
     now = time.monotonic()
     states = [state for state in context.fleet if state.record.zone == zone]
     assert states and all(state.is_cold(now) for state in states)
+
+
+@given('a host that has never sent to upstream "a"')
+def step_inexperienced(context):
+    context.fleet = host_builders.build_fleet([host_builders.build_upstream("a")])
+
+
+@given('a host that got an answer of upstream "a" at {at:g} s')
+def step_experienced(context, at):
+    step_inexperienced(context)
+    context.fleet.find("a").record_alive(8.0, at)
+
+
+@when('a peer reports at {at:g} s that "a" ended a connection and had answered at {last:g} s')
+def step_report(context, at, last):
+    digest = _peercodec.Digest([], [], [], [], [restarts.RestartReport("a", 1, at, last)])
+    decoded = _peercodec.decode_digest(_peercodec.encode_digest(digest, at + 0.1), at + 0.1)
+    reports = restarts.RestartReports()
+    (report,) = decoded.restart_reports
+    assert reports.add(report) and not reports.add(report)
+    assert reports.list_recent(at + 0.2) == [report]
+    context.fleet.apply_restart_report(report, at + 0.1)
+
+
+@then("the upstream counts as {state} for requests on new connections at {now:g} s")
+def step_state(context, state, now):
+    assert context.fleet.find("a").is_cold(now) == (state == "cold")
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -6,9 +6,9 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import fields, peers, poison, records
+from skylarksill.host import fields, peers, poison, records, restarts
 
-VERSION = 7
+VERSION = 8
 MAX_DATAGRAM_BYTES = 16_384
 # Key, heartbeat, and a byte of the state's number in the low bits, a bit for a lost store, and the
 # age in the high bits. The heartbeats of a datagram follow each other without separators.
@@ -35,12 +35,14 @@
       beats: List of peers.Heartbeat, the heartbeats of hosts without their records.
       crashes: List of poison.Crash.
       wanted: List of keys of incarnations whose full records the sender asks for.
+      restart_reports: List of restarts.RestartReport.
     """
 
     peers: list[peers.Peer]
     beats: list[peers.Heartbeat]
     crashes: list[poison.Crash]
     wanted: list[bytes] = dataclasses.field(default_factory=list)
+    restart_reports: list[restarts.RestartReport] = dataclasses.field(default_factory=list)
 
 
 def encode_digest(digest, now):
@@ -66,7 +68,17 @@
         (crash.fingerprint, crash.upstream_id, crash.incarnation, int((now - crash.at) * 1000))
         for crash in digest.crashes
     ]
-    return msgpack.packb((VERSION, entries, beats, crash_items, b"".join(digest.wanted)))
+    restart_items = [
+        (
+            report.upstream_id,
+            report.incarnation,
+            _encode_ms(report.at, now),
+            _encode_ms(report.alive_at, now),
+        )
+        for report in digest.restart_reports
+    ]
+    wanted = b"".join(digest.wanted)
+    return msgpack.packb((VERSION, entries, beats, crash_items, wanted, restart_items))
 
 
 def decode_digest(datagram, now):
@@ -84,12 +96,13 @@
         version, *rest = msgpack.unpackb(datagram, raw=False)
         if version != VERSION:
             raise CodecError(f"unknown version {version!r}")
-        entries, beats, crash_items, wanted = rest
+        entries, beats, crash_items, wanted, restart_items = rest
         return Digest(
             [_decode_peer(entry, now) for entry in entries],
             _decode_heartbeats(beats),
             [_decode_crash(crash, now) for crash in crash_items],
             [key for (key,) in _KEY.iter_unpack(fields.check(wanted, bytes))],
+            [_decode_restart(item, now) for item in restart_items],
         )
     except (
         ValueError,
@@ -155,6 +168,20 @@
     return age * AGE_UNIT_S
 
 
+def _encode_ms(at, now):
+    return int((now - at) * 1000)
+
+
+def _decode_restart(item, now):
+    upstream_id, incarnation, age_ms, alive_age_ms = item
+    return restarts.RestartReport(
+        fields.check(upstream_id, str),
+        fields.check(incarnation, int),
+        now - fields.check(age_ms, int) / 1000,
+        now - fields.check(alive_age_ms, int) / 1000,
+    )
+
+
 def _decode_crash(item, now):
     fingerprint, upstream_id, incarnation, age_ms = item
     return poison.Crash(
--- a/skylarksill/host/exchange.py
+++ b/skylarksill/host/exchange.py
@@ -51,7 +51,7 @@
     return _peercodec.Digest([table.own_peer], [], [])
 
 
-def make_messages(table, crashes, seeds, now, rng=random):
+def make_messages(table, crashes, seeds, now, rng=random, restarts=()):
     """Makes what a host sends in a round.
 
     Args:
@@ -60,6 +60,7 @@
       seeds: Addresses to send to while no peer is known.
       now: Monotonic seconds.
       rng: Source of randomness.
+      restarts: Recent restarts.RestartReport.
     Returns:
       A list of pairs of a _peercodec.Digest and the list of the addresses that get it.
     """
@@ -76,5 +77,6 @@
     for is_local, addresses in ((True, local), (False, remote)):
         if addresses:
             whole, beats = table.make_digest(now, rng, is_local)
-            messages.append((_peercodec.Digest(whole, beats, crashes), addresses))
+            digest = _peercodec.Digest(whole, beats, crashes, [], list(restarts))
+            messages.append((digest, addresses))
     return messages
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -166,6 +166,18 @@
         """
         state.suspect_until = now + self._find_cold_s(state.record)
 
+    def apply_restart_report(self, report, now):
+        """Suspects an upstream of the restart that a peer reports.
+
+        A host that has got answers later than the peer knows better.
+        """
+        state = self._upstream_states.get(report.upstream_id)
+        if state is None or state.record.incarnation != report.incarnation:
+            return
+        until = report.at + self._find_cold_s(state.record)
+        if until > now and not state.is_proven(report.alive_at):
+            state.suspect_until = max(state.suspect_until, until)
+
     def mark_unreachable(self, state, now):
         """Marks an upstream as unreachable; returns the seconds until the next probe."""
         state.is_unreachable = True
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -6,7 +6,16 @@
 
 from skylarksill import records as shared
 from skylarksill import retries
-from skylarksill.host import _upstreamhttp, answers, connector, placement, poison, records, routes
+from skylarksill.host import (
+    _upstreamhttp,
+    answers,
+    connector,
+    placement,
+    poison,
+    records,
+    restarts,
+    routes,
+)
 
 # Time after a request's deadline before the host answers with a time-out itself, so that an answer
 # which the upstream gives at the deadline arrives first. Clients expect an answer within 0.25 s
@@ -68,6 +77,7 @@
 
     Attributes:
       poisons: PoisonTable of requests that crash upstreams.
+      restart_reports: The restarts.RestartReports.
       ends_at: Monotonic time by which all answers must be given, as the host stops; else infinity.
     """
 
@@ -77,6 +87,7 @@
         self._steering = steering
         self._pool = pool
         self.poisons = poison.PoisonTable()
+        self.restart_reports = restarts.RestartReports()
         self.ends_at = math.inf
         self._connector = connector.Connector(
             fleet, pool, log, counters, self._handle_upstream_down
@@ -274,6 +285,11 @@
         if now >= state.suspect_until:
             self._log.write("upstream.suspect", upstream=state.record.upstream_id, cause=cause)
         self._fleet.suspect_restart(state, now)
+        record = state.record
+        report = restarts.RestartReport(
+            record.upstream_id, record.incarnation, now, state.proven_at
+        )
+        self.restart_reports.add(report)
 
     def _handle_outcome(self, request, progress, choice, outcome):
         """Returns the answer to the client, or None if the request is to be placed again."""
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -5,7 +5,7 @@
 import eventlet
 from eventlet.green import socket
 
-from skylarksill.host import _peercodec, envelope, exchange, peers
+from skylarksill.host import _peercodec, envelope, exchange, peers, restarts
 
 RECEIVE_RETRY_S = 0.25
 # Datagrams that are not authentic are counted, and at most one line is logged in this time.
@@ -25,9 +25,23 @@
       describe_own: Function that returns this host's HostState, its dict of spill shares by
         service, and whether the store is lost.
       get_keyring: Function that returns the current keyring.Keyring.
+      reports: The restarts.RestartReports.
+      on_restart: Function of a RestartReport of a peer that is news.
     """
 
-    def __init__(self, address, seeds, table, poisons, log, counters, describe_own, get_keyring):
+    def __init__(
+        self,
+        address,
+        seeds,
+        table,
+        poisons,
+        log,
+        counters,
+        describe_own,
+        get_keyring,
+        reports=None,
+        on_restart=None,
+    ):
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
         self._table = table
@@ -35,6 +49,8 @@
         self._log = log
         self._counters = counters
         self._describe_own = describe_own
+        self._reports = reports or restarts.RestartReports()
+        self._on_restart = on_restart
         self._mailbox = envelope.Mailbox(address, get_keyring)
         self._socket = None
         self._threads = []
@@ -61,7 +77,9 @@
         state, spill_shares, is_store_lost = self._describe_own()
         self._table.increment_heartbeat(state, now, spill_shares, is_store_lost)
         crashes = self._poisons.list_recent_crashes(now)
-        for digest, addresses in exchange.make_messages(self._table, crashes, self._seeds, now):
+        reports = self._reports.list_recent(now)
+        messages = exchange.make_messages(self._table, crashes, self._seeds, now, restarts=reports)
+        for digest, addresses in messages:
             payload = _peercodec.encode_digest(digest, now)
             for address in addresses:
                 self._send_datagram(payload, address, self._table.find_incarnation(address))
@@ -109,6 +127,9 @@
         for crash in digest.crashes:
             if self._poisons.record_crash(crash, now):
                 self._log.write("request.blocked", fingerprint=crash.fingerprint.hex())
+        for report in digest.restart_reports:
+            if self._reports.add(report) and self._on_restart is not None:
+                self._on_restart(report)
         reception = exchange.receive_digest(self._table, digest, now)
         for host_id in reception.newly_alive:
             self._log.write("peer.alive", peer=host_id)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -115,6 +115,8 @@
             self.counters,
             self._describe_own,
             self._get_keyring,
+            self.forwarder.restart_reports,
+            self._handle_restart_report,
         )
         self._stopping = eventlet.event.Event()
         self._settling = quotas.SettleTimer(time.clock_gettime(time.CLOCK_BOOTTIME))
@@ -220,6 +222,9 @@
     def _handle_belief_changes(self, changes):
         self._watcher.handle_changes(changes)
 
+    def _handle_restart_report(self, report):
+        self.fleet.apply_restart_report(report, time.monotonic())
+
     def _get_keyring(self):
         return self.settings.peer_keys
 
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -190,6 +190,11 @@
         """
         return opened_at <= self._proven_at
 
+    @property
+    def proven_at(self):
+        """Monotonic time at which the process that this host knows last answered, 0 if never."""
+        return self._proven_at
+
     def record_alive(self, opened_at, now):
         """Records an answer on a connection; it shows whether a suspected restart happened."""
         if self.is_proven(opened_at):
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -44,9 +44,9 @@
     }
 
 
-def build_configuration_spec(generation=7, service="catalogue", routes=None):
+def build_configuration_spec(generation=7, service="catalogue", routes=None, cold_rate=11.0):
     """Builds the spec of the operators' configuration in the format of the platform's store."""
-    fields = {"healthPath": "/health", "maxConnections": 330, "cold": "3s", "coldRateS": 11.0}
+    fields = {"healthPath": "/health", "maxConnections": 330, "cold": "3s", "coldRateS": cold_rate}
     return {
         "configVersion": generation,
         "routes": routes
