--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -50,6 +50,7 @@
       is_probed: True while probes try to connect to the upstream in the background.
       suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
         requests on connections that may be younger than the restart are limited as if it were cold.
+      proven_at: Monotonic time at which the process that this host knows last answered, 0 if never.
       sends: The limits.SlidingCount of this host's sends.
       paused_until: Monotonic time until which the upstream takes nothing from this host.
       rate_limit: Requests a second that the upstream takes from all hosts together, as its last
@@ -90,7 +91,7 @@
         "cold_part",
         "limit_part",
         "part_view",
-        "_proven_at",
+        "proven_at",
     )
 
     def __init__(self, record, cold_until):
@@ -122,7 +123,7 @@
         self.cold_part = 0
         self.limit_part = 0
         self.part_view = None
-        self._proven_at = 0.0
+        self.proven_at = 0.0
 
     def estimate_load(self, now):
         """Returns the estimated number of requests that run or wait at the upstream."""
@@ -188,19 +189,14 @@
         Args:
           opened_at: Monotonic time at which the connection was opened.
         """
-        return opened_at <= self._proven_at
-
-    @property
-    def proven_at(self):
-        """Monotonic time at which the process that this host knows last answered, 0 if never."""
-        return self._proven_at
+        return opened_at <= self.proven_at
 
     def record_alive(self, opened_at, now):
         """Records an answer on a connection; it shows whether a suspected restart happened."""
         if self.is_proven(opened_at):
             self.suspect_until = 0.0
         if now >= self.suspect_until:
-            self._proven_at = now
+            self.proven_at = now
 
     def apply_report(self, report, now):
         """Applies the LoadReport of an answer.
