--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -67,6 +67,8 @@
             zone=self.zone,
             state=state,
             born=1_700_000_000_000 + self.incarnation,
+            # Upstreams that start during traffic are cold.
+            coldRemaining=f"{demandchecks.COLD_S}s" if self.incarnation > 1 else "0s",
         )
         self._world.store.write("servers", self.upstream_id, spec)
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -125,7 +125,7 @@
         request_id = fields.get("x-skylarksill-request-id", "")
         echo = f"X-Skylarksill-Request-Id: {request_id}"
         fault = self.fault
-        if self.extra_headers and fault is Fault.NONE:
+        if self.extra_headers:
             echo = "\r\n".join([echo, *self.extra_headers])
         if fault is Fault.SHED:
             if self.on_refuse is not None:
