--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -68,7 +68,7 @@
             state=state,
             born=1_700_000_000_000 + self.incarnation,
             # Upstreams that start during traffic are cold.
-            coldRemaining=f"{demandchecks.COLD_S}s" if self.incarnation > 1 else "0s",
+            **platformdata.build_cold_fields(demandchecks.COLD_S if self.incarnation > 1 else 0.0),
         )
         self._world.store.write("servers", self.upstream_id, spec)
 
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -21,6 +21,11 @@
     return {**spec, **changes}
 
 
+def build_cold_fields(cold_s):
+    """Builds the fields of an upstream's entry that say for how many seconds it is still cold."""
+    return {"coldRemaining": f"{cold_s}s"}
+
+
 def build_route_spec(path, kind, service="catalogue", regions=()):
     """Builds a route of the operators' configuration in the format of the platform's store.
 
