Parse bytes in portions, and let connections whose bytes cost much time take turns

Seen (users' report): 100 bodies without end in chunks of one byte kept all other requests of a host waiting for 1.4 s.

Cause: connections yielded between reads of 64 KB, but parsed each read whole. 64 KB hold 10,900 chunks of one byte, and all connections parsed theirs in one round of the hub.

Change: bytes are parsed in portions of about 0.5 ms. A connection that takes more than a small part of the time needs a turn for each portion, one for all connections, and leaves as much time to the others. The line "100 Continue" is sent after the parsing, which may wait for nothing.

--- a/features/host_wire.feature
+++ b/features/host_wire.feature
@@ -104,3 +104,26 @@
     Given a source of belief
     When a follower sends a byte of its request each 0.5 s
     Then the source ends the stream within 4.0 s
+
+  # Guards against a host that parses what it has read of each connection in turn: 100 bodies in chunks
+  # of one byte kept the requests of all other clients waiting for 1.4 s.
+  Scenario Outline: Bytes without end on 100 connections leave other requests their time
+    Given a host with upstreams "a" and "b"
+    When 100 <senders> send <bytes> without end
+    And 50 requests of other clients are sent one after the other
+    Then each of them is answered with 200 within 0.25 s
+
+    Examples:
+      | senders   | bytes             |
+      | upstreams | a chunked body    |
+      | upstreams | headers           |
+      | upstreams | interim responses |
+      | upstreams | foreign answers   |
+      | upstreams | a body            |
+      | clients   | a chunked body    |
+      | clients   | trailers          |
+
+  Scenario: A body in chunks of one byte is delivered whole
+    Given an upstream whose answer has 20000 chunks of one byte
+    When a request with 2.0 s left is sent to it
+    Then it is answered with 20000 bytes
--- a/features/steps/host_wire_steps.py
+++ b/features/steps/host_wire_steps.py
@@ -8,33 +8,14 @@
 from behave import given, then, when
 from hypothesis import strategies
 
-from features import wire_builders
+from features import ticker, wire_builders
 from skylarksill import limits
 from skylarksill.host import _upstreamhttp, belief, eventlog, following, keyring
 from standins import rawpeer
 
-TICK_S = 0.01
 BUFFER_BYTES = 64 * 1024 * 1024
 
 
-class Ticker:
-    """Measures for how long other green threads have to wait."""
-
-    def __init__(self):
-        self.longest_wait_s = 0.0
-        self._thread = eventlet.spawn(self._run)
-
-    def stop(self):
-        """Stops the measurement."""
-        self._thread.kill()
-
-    def _run(self):
-        while True:
-            started_at = time.monotonic()
-            eventlet.sleep(TICK_S)
-            self.longest_wait_s = max(self.longest_wait_s, time.monotonic() - started_at - TICK_S)
-
-
 def _serve(context, portions, **options):
     context.peer = rawpeer.RawPeer(portions, **options)
     context.add_cleanup(context.peer.join)
@@ -72,7 +53,7 @@
 
 @when("a request with {seconds:g} s left is sent to it")
 def step_exchange(context, seconds):
-    context.ticker = Ticker()
+    context.ticker = ticker.Ticker()
     _exchange(context, seconds)
     context.ticker.stop()
 
@@ -113,6 +94,18 @@
     assert context.outcome.answer.body == body.encode()
 
 
+@given("an upstream whose answer has {count:d} chunks of one byte")
+def step_small_chunks(context, count):
+    head, unit = wire_builders.ENDLESS["a chunked body"]
+    _serve(context, [head + unit * count + b"0\r\n\r\n"], pause_s=2.0)
+
+
+@then("it is answered with {count:d} bytes")
+def step_answered_whole(context, count):
+    assert isinstance(context.outcome, _upstreamhttp.Answered), context.outcome
+    assert len(context.outcome.answer.body) == count
+
+
 @then("the connection is not used again")
 def step_not_reused(context):
     assert not context.connection.is_reusable
@@ -226,7 +219,7 @@
 
 
 def _connect_endless_client(context, head, unit):
-    context.ticker = Ticker()
+    context.ticker = ticker.Ticker()
     context.client = wire_builders.EndlessClient(context.world.server.address, head, unit)
     context.add_cleanup(context.client.stop)
 
@@ -272,7 +265,7 @@
 
 @when("a follower sends a byte of its request each {seconds:g} s")
 def step_slow_follower(context, seconds):
-    context.ticker = Ticker()
+    context.ticker = ticker.Ticker()
     portions = (b"\0" for _ in range(100))
     context.client = wire_builders.EndlessClient(
         context.source.address, b"", b"\0", pause_s=seconds, portions=portions
--- a/features/wire_builders.py
+++ b/features/wire_builders.py
@@ -68,6 +68,8 @@
 }
 CLIENT_HEADS = {
     "a chunk extension": b"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n" + CHUNKED + b"1;",
+    "a chunked body": b"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n" + CHUNKED,
+    "trailers": b"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n" + CHUNKED + b"0\r\n",
     "line breaks": b"",
 }
 # Parts from which the fuzz test composes upstreams' bytes.
--- a/skylarksill/host/_fairreads.py
+++ b/skylarksill/host/_fairreads.py
@@ -3,14 +3,91 @@
 import time
 
 import eventlet
-from eventlet import hubs
+from eventlet import hubs, semaphore
 
 READ_BYTES = 65_536
+# Bytes that are parsed first. Framing may cost a thousand times as much a byte as a plain body, so
+# the size of further portions follows from the time that the one before took.
+FIRST_PORTION_BYTES = 1_024
+# Time that the parsing of one portion may take, about what a request costs a host.
+PORTION_S = 0.0005
+# Parsing time of a connection that needs no turn, and the part of the time in which it grows back.
+# Connections of ordinary requests stay below it.
+FREE_PARSING_S = 0.0005
+FREE_PARSING_SHARE = 0.002
 # Reads after the deadline, for bytes that are ready when a delayed green thread wakes up.
 MAX_LATE_READS = 4
 MIN_WAIT_S = 0.001
 
 
+# Connections beyond their free parsing time take turns, one portion at a time for all of them.
+_turn = semaphore.Semaphore()
+
+
+class FairParsing:
+    """Passes the bytes of one connection to its parser without delaying other connections.
+
+    Answers the load of many connections whose bytes cost much time to parse, such as bodies in
+    chunks of one byte: if each parsed all that it has read before others run, a round of all of
+    them would take seconds.
+
+    Args:
+      feed: Function that parses bytes without waiting for anything.
+    """
+
+    def __init__(self, feed):
+        self._feed = feed
+        self._spent_s = 0.0
+        self._spent_at = time.monotonic()
+
+    def parse(self, data, deadline=None):
+        """Parses bytes in portions and yields between them.
+
+        Args:
+          data: The bytes.
+          deadline: Monotonic time at which the wait for a turn ends; None to wait for any time.
+        Raises:
+          TimeoutError: If not all bytes are parsed by the deadline.
+        """
+        size = FIRST_PORTION_BYTES
+        start = 0
+        while start < len(data):
+            if start and deadline is not None and time.monotonic() >= deadline:
+                raise TimeoutError("bytes take too long to parse")
+            portion = data[start : start + size]
+            elapsed_s = self._parse_portion(portion, deadline)
+            start += len(portion)
+            affordable = int(len(portion) * PORTION_S / max(elapsed_s, 1e-6))
+            size = min(READ_BYTES, max(FIRST_PORTION_BYTES, affordable))
+
+    def _parse_portion(self, portion, deadline):
+        if self._spent_s < FREE_PARSING_S:
+            elapsed_s = self._measure(portion)
+            if elapsed_s >= PORTION_S:
+                eventlet.sleep(0)
+            return elapsed_s
+        wait_s = None if deadline is None else max(MIN_WAIT_S, deadline - time.monotonic())
+        if not _turn.acquire(timeout=wait_s):
+            raise TimeoutError("no turn to parse before the deadline")
+        try:
+            elapsed_s = self._measure(portion)
+            # Leaves as much time to all others.
+            eventlet.sleep(elapsed_s)
+            return elapsed_s
+        finally:
+            _turn.release()
+
+    def _measure(self, portion):
+        """Parses a portion; returns the time that it took in seconds."""
+        started_at = time.monotonic()
+        self._feed(portion)
+        ended_at = time.monotonic()
+        regained_s = FREE_PARSING_SHARE * (started_at - self._spent_at)
+        self._spent_s = max(0.0, self._spent_s - regained_s) + ended_at - started_at
+        self._spent_at = ended_at
+        return ended_at - started_at
+
+
 class FairReader:
     """Reads a socket up to a deadline and yields while bytes arrive without a pause.
 
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -114,6 +114,7 @@
         self._names = names
         self._reader = _fairreads.FairReader(sock)
         self._responses = _responsereader.ResponseReader(buffers)
+        self._parsing = _fairreads.FairParsing(self._responses.feed)
 
     def is_still_open(self):
         """Returns True if the idle connection is open and nothing unexpected has arrived."""
@@ -189,7 +190,7 @@
                 if reader.responses:
                     continue
                 return MayHaveRun("connection_closed", True)
-            reader.feed(data)
+            self._parsing.parse(data, deadline)
             if request.method == b"HEAD" and reader.is_head_complete:
                 reader.complete_response(False)
 
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -145,6 +145,7 @@
         self._server = server
         self._socket = client
         self._reader = _fairreads.FairReader(client)
+        self._parsing = _fairreads.FairParsing(self._feed)
         self._is_writing = False
         self._is_closing = False
         self._is_disconnected = False
@@ -195,7 +196,8 @@
             if not data:
                 return
             try:
-                self._feed(data)
+                self._parsing.parse(data)
+                self._send_continue()
             except _BadRequestError as error:
                 self._reject(error.status)
             except httptools.HttpParserCallbackError as error:
@@ -236,6 +238,12 @@
         if not is_inside_head and self._unreported_bytes > MAX_FRAMING_BYTES:
             raise _BadRequestError(400 if self._started_at is None else 413)
 
+    def _send_continue(self):
+        """Sends what the head of a request whose body is still due asks for."""
+        if self._owes_continue:
+            self._owes_continue = False
+            self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     # Callbacks of the parser.
 
     def on_message_begin(self):
@@ -263,7 +271,7 @@
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
             raise _BadRequestError(413)
         if fields.get(b"expect", b"").lower() == b"100-continue" and not self.pending:
-            self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._owes_continue = True
 
     def on_body(self, body):
         """Appends a part of the body, within the limits of the server and of the client."""
@@ -302,6 +310,7 @@
         self._headers = []
         self._head_bytes = 0
         self._unreported_bytes = 0
+        self._owes_continue = False
         self._body = []
         self._body_bytes = 0
 
