Bound the answers of the store in time and size

Seen: no case of the users; found while all readers were looked at for the report on bodies without end. A host that lists the configuration from a store that sends interim responses, or a body in chunks of one byte, without end did not return within 20 s and ran nothing else meanwhile.

Cause: urllib3 waits anew for each part of an answer, reads on whatever the size, and never yields while bytes are ready.

Change: the sockets of its pool give each answer its time-out as a whole and 16 MB, and leave other green threads as much time as each part took to parse.

--- /dev/null
+++ b/skylarksill/host/boundedpool.py
@@ -0,0 +1,90 @@
+"""Connection pool for urllib3 whose answers are bounded in time and size and read fairly.
+
+urllib3 and the library below it wait anew for each part of an answer, keep reading interim answers
+and bodies without end, and never yield while bytes are ready.
+"""
+
+import time
+
+import eventlet
+import urllib3
+from eventlet import greenio
+from eventlet.green import socket
+
+# The largest answer lists a page of objects of 1 MB in all, or the changes of some seconds.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class BoundedSocket(greenio.GreenSocket):
+    """A socket on which each answer has to arrive within the time-out that is set, as a whole.
+
+    Args:
+      connected: The connected green socket.
+    """
+
+    def __init__(self, connected):
+        super().__init__(connected.fd)
+        # The file descriptor is closed with the object that opened it.
+        self._connected = connected
+        self._deadline = None
+        self._received_bytes = 0
+        self._returned_at = None
+
+    def sendall(self, data, flags=0):
+        """Sends a request or a part of it; the next bytes that are read begin its answer."""
+        self._deadline = None
+        self._received_bytes = 0
+        return super().sendall(data, flags)
+
+    def recv_into(self, buffer, nbytes=0, flags=0):
+        """Receives a part of the answer and leaves time to other green threads.
+
+        Raises:
+          TimeoutError: If the time of the whole answer has passed.
+          ConnectionError: If the answer is too long.
+        """
+        self._leave_time()
+        now = time.monotonic()
+        timeout_s = self.gettimeout()
+        if self._deadline is None and timeout_s is not None:
+            self._deadline = now + timeout_s
+        if self._deadline is not None:
+            if now >= self._deadline:
+                raise TimeoutError("the answer was not complete in time")
+            self.settimeout(self._deadline - now)
+        try:
+            size = super().recv_into(buffer, nbytes, flags)
+        finally:
+            self.settimeout(timeout_s)
+        self._received_bytes += size
+        if self._received_bytes > MAX_ANSWER_BYTES:
+            raise ConnectionError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+        self._returned_at = time.monotonic()
+        return size
+
+    def _leave_time(self):
+        """Leaves others as much time as the part received before took to parse."""
+        if self._deadline is not None and self._returned_at is not None:
+            eventlet.sleep(time.monotonic() - self._returned_at)
+
+
+class BoundedConnection(urllib3.connection.HTTPConnection):
+    """An HTTP connection on a BoundedSocket."""
+
+    def _new_conn(self):
+        try:
+            connected = socket.create_connection((self.host, self.port), self.timeout)
+        except TimeoutError as error:
+            detail = f"no connection within {self.timeout} s"
+            raise urllib3.exceptions.ConnectTimeoutError(self, detail) from error
+        except OSError as error:
+            raise urllib3.exceptions.NewConnectionError(self, f"no connection: {error}") from error
+        for option in self.socket_options or ():
+            connected.setsockopt(*option)
+        return BoundedSocket(connected)
+
+
+class BoundedPool(urllib3.HTTPConnectionPool):
+    """A pool of BoundedConnections."""
+
+    ConnectionCls = BoundedConnection
