Tell followers which upstreams are kept though their entries are gone

Cause: a source that keeps an upstream whose entry has lapsed passed it on like a live one. A host that had forgotten it took it back, and a source that followed others for a moment kept it for good.

Change: updates between hosts (version 4) hold for how long the source keeps such upstreams; followers forget them on their own clock, and don't take back what they have forgotten.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -167,3 +167,16 @@
     Then the host logs that "u001" drains within 2.5 s
     When configuration 9 is written
     Then it logs configuration 9 within 2.5 s
+
+  # Guards against DRAIN: each cut-off watch counted as an outage of the store, so hosts kept removed
+  # upstreams, and told their followers that they had lost the store.
+  Scenario: A store that cuts off waiting watches again and again delays no removal
+    Given a store with a configuration and 3 upstreams
+    And a host program that uses the store
+    Then it is ready within 10 s and lookup lists it
+    When its watches wait
+    And the store cuts off its waiting watches each 0.7 s
+    And 5 s have passed
+    And the entry of "u002" is deleted
+    Then the host logs that "u002" is gone within 1.5 s
+    And it has never logged that it lost the store
--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -45,6 +45,46 @@
     And the store is lost and regained at 11.9 s
     Then "a" is still known at 11.9 s and not at 12.1 s
 
+  # Guards against DRAIN: a source that kept a lapsed upstream handed it to followers as a live one, and
+  # hosts passed upstreams round that had long left.
+  Scenario: A lapsed upstream does not return to a follower that has forgotten it
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When the follower is updated
+    And the store is lost and regained at the source at 99.0 s
+    And "b" is removed at the source at 100.0 s and revision 25
+    And the follower learns elsewhere that "b" is gone at revision 25
+    And the follower connects anew and is updated
+    Then it knows upstreams "a", configuration 3 and revision 25
+
+  Scenario: A follower forgets a lapsed upstream when its source would have done so
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When the follower is updated
+    And the store is lost and regained at the source at 99.0 s
+    And "b" is removed at the source at 100.0 s and revision 25
+    And the follower is updated
+    Then the follower still knows "b" after 0.9 s and no longer after 1.1 s
+
+  Scenario: A new follower gets a lapsed upstream for as long as its source keeps it
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When the store is lost and regained at the source at 99.0 s
+    And "b" is removed at the source at 100.0 s and revision 25
+    And the follower is updated
+    Then the follower still knows "b" after 0.9 s and no longer after 1.1 s
+
+  Scenario: A lapsed upstream that registers again stays at the followers
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When the follower is updated
+    And the store is lost and regained at the source at 99.0 s
+    And "b" is removed at the source at 100.0 s and revision 25
+    And the follower is updated
+    And "b" registers again at the source at revision 26
+    And the follower is updated
+    Then the follower still knows "b" after 5 s
+
   Scenario: Decoding restores an encoded update, and damaged updates are rejected or harmless
     Given a source with configuration 3, upstreams "a" and "b" at revision 20
     Then an encoded update is decoded to the same update
--- a/features/steps/host_watching_steps.py
+++ b/features/steps/host_watching_steps.py
@@ -1,7 +1,9 @@
 """Steps of host_platform.feature about watches of the store."""
 
+import json
+
 import eventlet
-from behave import when
+from behave import then, when
 
 from features import host_world
 from standins import platformdata
@@ -53,3 +55,39 @@
 @when("the connections of its waiting watches go silent")
 def step_silent_connections(context):
     context.store.silence_waiting_connections()
+
+
+@when("the store cuts off its waiting watches each {seconds:g} s")
+def step_cut_off(context, seconds):
+    def cut_off_repeatedly():
+        while True:
+            eventlet.sleep(seconds)
+            context.store.cut_off_watches()
+
+    context.add_cleanup(eventlet.spawn(cut_off_repeatedly).kill)
+
+
+@when('the entry of "{name}" is deleted')
+def step_delete(context, name):
+    context.store.delete("servers", name)
+
+
+@then('the host logs that "{name}" is gone within {seconds:g} s')
+def step_logs_gone(context, name, seconds):
+    host_world.wait_until(
+        seconds,
+        lambda: any(
+            line["event"] == "belief.upstream"
+            and (line["subject"], line["value"]) == (name, "gone")
+            for line in _read_log(context)
+        ),
+    )
+
+
+@then("it has never logged that it lost the store")
+def step_never_lost(context):
+    assert not [line for line in _read_log(context) if line["event"] == "store.lost"]
+
+
+def _read_log(context):
+    return [json.loads(line) for line in context.log_path.read_text().splitlines()]
--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -9,7 +9,7 @@
 from skylarksill import records as shared
 from skylarksill.host import fields, records, relay
 
-VERSION = 3
+VERSION = 4
 # A configuration with 500 routes, together with 500 upstreams, takes about 150 kB.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # A follower's request holds a version, three small numbers, a nonce and a seal.
@@ -102,6 +102,7 @@
             _encode_configuration(update.configuration),
             update.is_snapshot,
             [_encode_upstream(upstream) for upstream in update.upstreams],
+            update.lapses,
             update.removed_ids,
             update.evacuated,
             update.evacuation_ages,
@@ -120,7 +121,7 @@
         if fields.check(is_compressed, bool):
             packed = _decompress(packed)
         sequence, revisions, is_complete, is_store_lost, *rest = _unpack(packed)
-        configuration, is_snapshot, upstreams, removed_ids, evacuated, ages = rest
+        configuration, is_snapshot, upstreams, lapses, removed_ids, evacuated, ages = rest
         return relay.BeliefUpdate(
             sequence=fields.check(sequence, int),
             revisions={
@@ -131,12 +132,10 @@
             configuration=_decode_configuration(configuration),
             is_snapshot=fields.check(is_snapshot, bool),
             upstreams=tuple(_decode_upstream(item) for item in fields.check(upstreams, list)),
+            lapses=_decode_times(lapses),
             removed_ids=tuple(fields.check(item, str) for item in fields.check(removed_ids, list)),
             evacuated=tuple(fields.check(item, str) for item in fields.check(evacuated, list)),
-            evacuation_ages={
-                fields.check(zone, str): fields.check(age_s, float)
-                for zone, age_s in fields.check(ages, dict).items()
-            },
+            evacuation_ages=_decode_times(ages),
         )
     except (
         ValueError,
@@ -149,6 +148,14 @@
         raise CodecError(f"malformed update: {error!r}") from error
 
 
+def _decode_times(times):
+    """Returns a dict of seconds by name."""
+    return {
+        fields.check(name, str): fields.check(seconds, float)
+        for name, seconds in fields.check(times, dict).items()
+    }
+
+
 def _decompress(packed):
     """Returns the decompressed bytes, which are at most MAX_MESSAGE_BYTES.
 
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -88,18 +88,20 @@
         self.route_table = routes.RouteTable(configuration.routes)
         return (Change("configuration", "main", str(configuration.generation)),)
 
-    def replace_upstreams(self, upstreams, now):
+    def replace_upstreams(self, upstreams, now, lapsed_ids=()):
         """Replaces all upstreams; missing ones are removed as in ``remove_upstream``.
 
         Args:
           upstreams: Dict of Upstream by id.
           now: Monotonic seconds.
+          lapsed_ids: Ids that are not in ``upstreams`` and stay as they are.
         Returns:
           A tuple of Change.
         """
         self.has_upstreams = True
         changes = []
-        for upstream_id in [item for item in self.upstreams if item not in upstreams]:
+        kept = upstreams.keys() | set(lapsed_ids)
+        for upstream_id in [item for item in self.upstreams if item not in kept]:
             changes += self.remove_upstream(upstream_id, now)
         for upstream in upstreams.values():
             changes += self.set_upstream(upstream)
@@ -107,8 +109,10 @@
 
     def set_upstream(self, upstream):
         """Adds or updates one upstream; returns a tuple of Change."""
-        self._lapse_deadlines.pop(upstream.upstream_id, None)
+        was_lapsed = self._lapse_deadlines.pop(upstream.upstream_id, None) is not None
         if self.upstreams.get(upstream.upstream_id) == upstream:
+            if was_lapsed:
+                self._record_change(upstream.upstream_id)
             return ()
         self.upstreams[upstream.upstream_id] = upstream
         self._record_change(upstream.upstream_id)
@@ -123,10 +127,43 @@
         if upstream_id not in self.upstreams:
             return ()
         if now < self._grace_until:
-            self._lapse_deadlines.setdefault(upstream_id, self._grace_until)
-            return (Change("upstream", upstream_id, "lapsed"),)
+            return self._hold_back(upstream_id, self._grace_until)
         return self.forget_upstream(upstream_id)
 
+    def set_lapsed_upstream(self, upstream, until):
+        """Takes over an upstream whose entry is gone, and which a source keeps for a while.
+
+        Args:
+          upstream: The records.Upstream.
+          until: Monotonic time until which it is kept.
+        Returns:
+          A tuple of Change.
+        """
+        if self.has_upstreams and upstream.upstream_id not in self.upstreams:
+            # This host has forgotten it already.
+            return ()
+        changes = ()
+        if upstream.upstream_id not in self._lapse_deadlines:
+            changes = self.set_upstream(upstream)
+        return changes + self._hold_back(upstream.upstream_id, until)
+
+    def list_lapses(self, now):
+        """Returns a dict of the seconds for which each lapsed upstream is still kept, by its id."""
+        return {
+            upstream_id: max(0.0, until - now)
+            for upstream_id, until in self._lapse_deadlines.items()
+        }
+
+    def _hold_back(self, upstream_id, until):
+        """Keeps an upstream until a time; returns a tuple of Change."""
+        known_until = self._lapse_deadlines.get(upstream_id)
+        if known_until is not None:
+            self._lapse_deadlines[upstream_id] = min(known_until, until)
+            return ()
+        self._lapse_deadlines[upstream_id] = until
+        self._record_change(upstream_id)
+        return (Change("upstream", upstream_id, "lapsed"),)
+
     def forget_upstream(self, upstream_id):
         """Removes an upstream at once; returns a tuple of Change."""
         self._lapse_deadlines.pop(upstream_id, None)
--- a/skylarksill/host/relay.py
+++ b/skylarksill/host/relay.py
@@ -28,6 +28,7 @@
       configuration: A records.Configuration, or None if the follower has it.
       is_snapshot: True if ``upstreams`` holds all upstreams rather than the changed ones.
       upstreams: Tuple of records.Upstream.
+      lapses: Dict of the seconds for which the source still keeps an upstream whose entry is gone.
       removed_ids: Ids of the upstreams that have been removed since the follower's last update.
       evacuated: All zones whose upstreams get no requests.
       evacuation_ages: Dict of the seconds since a zone's last evacuation ended.
@@ -40,6 +41,7 @@
     configuration: records.Configuration | None
     is_snapshot: bool
     upstreams: tuple[records.Upstream, ...]
+    lapses: dict[str, float]
     removed_ids: tuple[str, ...]
     evacuated: tuple[str, ...]
     evacuation_ages: dict[str, float]
@@ -77,6 +79,7 @@
     changed = own.list_changed(sequence)
     is_snapshot = changed is None
     ids = own.upstreams if is_snapshot else changed & own.upstreams.keys()
+    lapses = own.list_lapses(now)
     return BeliefUpdate(
         sequence=own.sequence,
         revisions=dict(own.revisions),
@@ -85,6 +88,7 @@
         configuration=configuration,
         is_snapshot=is_snapshot,
         upstreams=tuple(own.upstreams[upstream_id] for upstream_id in ids),
+        lapses={upstream_id: lapses[upstream_id] for upstream_id in ids if upstream_id in lapses},
         removed_ids=() if is_snapshot else tuple(changed - own.upstreams.keys()),
         evacuated=tuple(own.evacuated),
         evacuation_ages=own.list_evacuation_ages(now),
@@ -125,10 +129,15 @@
 
 
 def _apply_upstreams(own, update, now):
+    changes: list[belief.Change] = []
     upstreams = {upstream.upstream_id: upstream for upstream in update.upstreams}
+    for upstream_id, remaining_s in update.lapses.items():
+        if upstream_id in upstreams:
+            lapsed = upstreams.pop(upstream_id)
+            changes += own.set_lapsed_upstream(lapsed, now + remaining_s)
     if update.is_snapshot:
-        return own.replace_upstreams(upstreams, now)
-    changes: list[belief.Change] = []
+        changes += own.replace_upstreams(upstreams, now, update.lapses.keys())
+        return changes
     for upstream in upstreams.values():
         changes += own.set_upstream(upstream)
     for upstream_id in update.removed_ids:
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -5,6 +5,7 @@
 
 import eventlet
 from eventlet import event, wsgi
+from eventlet.green import socket
 
 PAGE_SIZE = 50
 _STATUS = {200: "200 OK", 404: "404 Not Found", 409: "409 Conflict", 410: "410 Gone"}
@@ -33,6 +34,7 @@
         self._oldest_revision = 0
         self._revision = 10
         self._changed = event.Event()
+        self._cuts = 0
         self._waiting_ports = set()
         self._silent_ports = set()
         self._socket = eventlet.listen(("127.0.0.1", 0))
@@ -55,6 +57,11 @@
         """Never answers again on the connections on which a watch waits now."""
         self._silent_ports |= self._waiting_ports
 
+    def cut_off_watches(self):
+        """Closes the connections on which a watch waits, without an answer."""
+        self._cuts += 1
+        self._notify_watches()
+
     def count_waiting(self):
         """Returns the number of connections on which a watch waits."""
         return len(self._waiting_ports)
@@ -101,6 +108,9 @@
         is_lost, silences = self.is_silent, self._silences
         port = environ["REMOTE_PORT"]
         status, body = self._serve(environ)
+        if status is None:
+            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+            return []
         if is_lost or silences != self._silences or port in self._silent_ports:
             event.Event().wait()
         if self.failing_status is not None:
@@ -142,9 +152,12 @@
         return 200, {"items": items, "hasMore": has_more, "storeRevision": self._revision}
 
     def _watch(self, kind, revision, wait_s):
+        cuts = self._cuts
         with eventlet.Timeout(wait_s, False):
             while revision >= self._oldest_revision and not self._list_events(kind, revision):
                 self._changed.wait()
+                if cuts != self._cuts:
+                    return None, None
         if revision < self._oldest_revision:
             return 410, None
         events = self._list_events(kind, revision)
