Need no turn to parse ordinary requests

Cause: any parsing time of a connection counted, so a kept connection of ordinary requests needed a turn for each request after some milliseconds in all, and the hub's rounds would have limited all of them under load.

Change: portions that take up to 0.2 ms cost nothing.

--- a/features/host_wire.feature
+++ b/features/host_wire.feature
@@ -135,3 +135,9 @@
     When a client sends 0.9 MB in chunks of 8 bytes and its memory is measured
     Then the request is answered with 200
     And less than 6 MB were in use meanwhile
+
+  Scenario: A kept connection of ordinary requests never waits for a turn to parse
+    Given a host with upstreams "a" and "b"
+    When the turn to parse is taken
+    And 300 requests of one client are sent on a kept connection
+    Then each of them is answered with 200 within 0.25 s
--- a/features/steps/host_flood_steps.py
+++ b/features/steps/host_flood_steps.py
@@ -11,7 +11,7 @@
 
 from features import wire_builders
 from skylarksill import limits
-from skylarksill.host import records
+from skylarksill.host import _fairreads, records
 from standins import flood, platformdata
 
 BUFFER_BYTES = 64 * 1024 * 1024
@@ -76,6 +76,24 @@
         eventlet.sleep(GAP_S)
 
 
+@when("the turn to parse is taken")
+def step_turn_taken(context):
+    _fairreads._turn.acquire()
+    context.add_cleanup(_fairreads._turn.release)
+
+
+@when("{count:d} requests of one client are sent on a kept connection")
+def step_kept_connection(context, count):
+    context.answers = []
+    client = context.world.connect()
+    reader = platformdata.AnswerReader(client)
+    for number in range(count):
+        started_at = time.monotonic()
+        client.sendall(platformdata.format_request("GET /read/1", f"kept-{number}"))
+        context.answers.append((reader.read()[0], time.monotonic() - started_at))
+    client.close()
+
+
 @then("each of them is answered with {status:d} within {seconds:g} s")
 def step_all_answered(context, status, seconds):
     slow = [item for item in context.answers if item[0] != status or item[1] > seconds]
--- a/skylarksill/host/_fairreads.py
+++ b/skylarksill/host/_fairreads.py
@@ -11,8 +11,10 @@
 FIRST_PORTION_BYTES = 1_024
 # Time that the parsing of one portion may take, about what a request costs a host.
 PORTION_S = 0.0005
-# Parsing time of a connection that needs no turn, and the part of the time in which it grows back.
-# Connections of ordinary requests stay below it.
+# Portions that take less cost nothing, as the bytes of an ordinary request or answer do.
+CHEAP_PORTION_S = 0.0002
+# Parsing time beyond that for which a connection needs no turn, and the part of the time in which
+# it grows back.
 FREE_PARSING_S = 0.0005
 FREE_PARSING_SHARE = 0.002
 # Reads after the deadline, for bytes that are ready when a delayed green thread wakes up.
@@ -63,7 +65,7 @@
     def _parse_portion(self, portion, deadline):
         if self._spent_s < FREE_PARSING_S:
             elapsed_s = self._measure(portion)
-            if elapsed_s >= PORTION_S:
+            if elapsed_s >= CHEAP_PORTION_S:
                 eventlet.sleep(0)
             return elapsed_s
         wait_s = None if deadline is None else max(MIN_WAIT_S, deadline - time.monotonic())
@@ -83,9 +85,11 @@
         self._feed(portion)
         ended_at = time.monotonic()
         regained_s = FREE_PARSING_SHARE * (started_at - self._spent_at)
-        self._spent_s = max(0.0, self._spent_s - regained_s) + ended_at - started_at
+        elapsed_s = ended_at - started_at
+        cost_s = max(0.0, elapsed_s - CHEAP_PORTION_S)
+        self._spent_s = max(0.0, self._spent_s - regained_s) + cost_s
         self._spent_at = ended_at
-        return ended_at - started_at
+        return elapsed_s
 
 
 class FairReader:
