Apply changed bounds to the asks for the store's revision

Cause: the pause between asks followed from the bounds at the start, and settings may change later.

Change: a reload sets it anew. store.regained is logged once, also when several asks are answered.

--- a/features/host_storecontact.feature
+++ b/features/host_storecontact.feature
@@ -24,6 +24,13 @@
       | 0.2     | 61   |
       | 0.4     | 122  |
 
+  Scenario: Changed bounds change the pause between asks
+    Given a host in a deployment with `contact` 3 s, `drain` 2.5 s and `configApply` 2.5 s
+    When its bounds change to a `drain` of 1 s
+    And each ask is answered after 0.1 s for 60 s
+    Then it has never lost the store and has asked at most 151 times
+    And it has asked at least 100 times
+
   Scenario: A store that refuses a host is lost at once
     Given a host in a deployment with `contact` 3 s, `drain` 2.5 s and `configApply` 2.5 s
     When each ask is refused
--- a/features/steps/host_storecontact_steps.py
+++ b/features/steps/host_storecontact_steps.py
@@ -57,6 +57,16 @@
     assert 10 < len(context.simulation.asked_at) <= count, len(context.simulation.asked_at)
 
 
+@when("its bounds change to a `drain` of {drain:g} s")
+def step_bounds(context, drain):
+    context.simulation.contact.set_bounds(dataclasses.replace(context.bounds, drain_s=drain))
+
+
+@then("it has asked at least {count:d} times")
+def step_asked_often(context, count):
+    assert len(context.simulation.asked_at) >= count, len(context.simulation.asked_at)
+
+
 @when("each ask is refused")
 def step_refused(context):
     context.simulation.is_refusing = True
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -343,6 +343,7 @@
 
     def _apply_settings(self):
         self.forwarder.bounds = self.settings.bounds
+        self._watcher.set_bounds(self.settings.bounds)
         self.steering.set_max_shift(self.settings.bounds.max_shift)
         self._entry.max_buffered_bytes = self._compute_max_buffered()
         self.answer_buffers.max_bytes = int(ANSWER_MEMORY_FRACTION * self.settings.memory_bytes)
--- a/skylarksill/host/storecontact.py
+++ b/skylarksill/host/storecontact.py
@@ -51,8 +51,8 @@
     def __init__(self, bounds, now, rng=random):
         self.is_lost = False
         self.answered_at = float("-inf")
-        self._interval_s = ASK_SHARE * min(bounds.contact_s, bounds.drain_s, bounds.apply_s)
         self._rng = rng
+        self.set_bounds(bounds)
         self._unanswered = []
         self._refusals = 0
         self._asked_at = float("-inf")
@@ -65,6 +65,10 @@
         """True while an ask has no answer yet."""
         return bool(self._unanswered)
 
+    def set_bounds(self, bounds):
+        """Derives the pause between asks from the records.Bounds."""
+        self._interval_s = ASK_SHARE * min(bounds.contact_s, bounds.drain_s, bounds.apply_s)
+
     def is_ask_due(self, now, has_source):
         """Returns True if the host is to ask now.
 
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -117,6 +117,10 @@
             eventlet.spawn_n(self._run_watch, kind, read, replace)
         eventlet.spawn_n(self._ask_repeatedly)
 
+    def set_bounds(self, bounds):
+        """Applies changed records.Bounds."""
+        self._contact.set_bounds(bounds)
+
     def handle_changes(self, changes):
         """Logs changes of belief and calls ``on_change``."""
         for change in changes:
@@ -249,7 +253,6 @@
 
     def _ask(self, asked_at):
         """Asks for the store's revision and catches up with it."""
-        was_lost = self._contact.is_lost
         try:
             revision, zones = self._store.list_evacuations()
             changes = self._replace_objects(
@@ -267,6 +270,7 @@
         if not is_current:
             self._contact.record_incomplete(asked_at, now)
             return
+        was_lost = self._contact.is_lost
         meaning = self._contact.record_answer(asked_at, now)
         if meaning is storecontact.AnswerMeaning.EARLIER_LOST:
             self._abandon_calls(asked_at)
