--- /dev/null
+++ b/features/host_reads.feature
@@ -0,0 +1,13 @@
+Feature: Reads from sockets
+  Guards against bytes that have arrived and are taken for missing, because the process got no
+  processor time until the deadline of the read.
+
+  Scenario: Bytes that arrived before the deadline of a delayed read are lost
+    Given a green thread that waits 0.1 s for bytes
+    When the bytes arrive at once and the process gets no processor time for 0.3 s
+    Then it has read the bytes
+
+  Scenario: A read without bytes ends at its deadline
+    Given a green thread that waits 0.1 s for bytes
+    When the process gets no processor time for 0.3 s
+    Then its read has timed out
