Deliver answers that arrived before their deadline, whatever their size

What callers saw: 504 for a request whose upstream had answered in time, on a host that got no processor time for a while.

Cause: the parsing of an answer ends at the deadline of the request between two portions, and the first portion holds 1,024 bytes. So an answer of up to 1,024 bytes that was read late was delivered, and a longer one was not.

Change: bytes that have been read may be parsed for 20 ms more.

Test: the answer of 30,000 bytes in host_reads.feature fails on the code before and passes now; host_wire with its floods passes (41 scenarios).

--- a/features/host_reads.feature
+++ b/features/host_reads.feature
@@ -11,3 +11,13 @@
     Given a green thread that waits 0.1 s for bytes
     When the process gets no processor time for 0.3 s
     Then its read has timed out
+
+  Scenario Outline: An answer that arrived before the deadline of its request is lost by a delay
+    Given an upstream that answers with <size> bytes after 0.1 s
+    When a request with 0.2 s left is sent to it and the process gets no processor time for 0.4 s
+    Then the client gets <size> bytes
+
+    Examples:
+      | size  |
+      | 10    |
+      | 30000 |
--- a/features/steps/host_reads_steps.py
+++ b/features/steps/host_reads_steps.py
@@ -7,7 +7,10 @@
 from eventlet.green import socket
 from eventlet.patcher import original
 
-from skylarksill.host import _fairreads
+from features import wire_builders
+from skylarksill import limits
+from skylarksill.host import _fairreads, _upstreamhttp
+from standins import rawpeer
 
 # The unpatched sleep blocks all green threads, like a process that gets no processor time.
 _block = original("time").sleep
@@ -61,3 +64,35 @@
 @then("its read has timed out")
 def step_timed_out(context):
     assert context.thread.wait() is None
+
+
+@given("an upstream that answers with {size:d} bytes after {seconds:g} s")
+def step_upstream(context, size, seconds):
+    def answer():
+        _block(seconds)
+        yield wire_builders.format_answer("a length", b"x" * size)
+
+    # The peer has a thread of its own, which the blocked green threads don't hold up.
+    context.peer = rawpeer.RawPeer(answer())
+    context.add_cleanup(context.peer.join)
+    buffers = limits.BufferLimit(1_000_000)
+    context.connection = wire_builders.build_connection(context.peer.own_end, buffers)
+
+
+@when(
+    "a request with {left:g} s left is sent to it"
+    " and the process gets no processor time for {seconds:g} s"
+)
+def step_exchange(context, left, seconds):
+    request = wire_builders.build_request()
+    deadline = time.monotonic() + left
+    thread = eventlet.spawn(context.connection.exchange, request, wire_builders.REQUEST, deadline)
+    eventlet.sleep(0)
+    _block_while_reading(seconds, lambda: None)
+    context.outcome = thread.wait()
+
+
+@then("the client gets {size:d} bytes")
+def step_delivered(context, size):
+    assert isinstance(context.outcome, _upstreamhttp.Answered), context.outcome
+    assert len(context.outcome.answer.body) == size
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -12,6 +12,8 @@
 # The kernel resets a connection whose bytes stay unacknowledged for this long, so that a peer that
 # no longer responds is noticed.
 USER_TIMEOUT_MS = 4_000
+# Time to parse bytes that had arrived by the deadline of a request, but were read after it.
+LATE_PARSING_S = 0.02
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -190,7 +192,7 @@
                 if reader.responses:
                     continue
                 return MayHaveRun("connection_closed", True)
-            self._parsing.parse(data, deadline)
+            self._parsing.parse(data, max(deadline, time.monotonic() + LATE_PARSING_S))
             if request.method == b"HEAD" and reader.is_head_complete:
                 reader.complete_response(False)
 
