Answer the requests on which the host itself fails, and those behind them

What callers saw: a request whose handling raised an exception, and all behind it on the connection, got no answer until the client gave up; the connection stayed open, bodies and sends stayed counted, and the log had no line about it.

Cause: neither the handler of a connection nor the forwarder caught an exception, so it ended the green thread that owed the answer.

Change: EventLog.write_exception logs an exception as host.exception with its traceback, counts it, and prints the traceback once for each line of code to standard error, where the soak finds it. The forwarder answers 503 only if no send has begun, else the upstream's answer if it has one, else 502; what it learns from an answer can't cost the client that answer, and a connection whose exchange failed serves no other request. The server answers 502 for any other handler that fails. If sending fails, or the green thread is ended, the connection is closed rather than left silent.

HostWorld now fails a scenario in which a host logs an exception that the test hasn't planted.

--- a/features/host_world.py
+++ b/features/host_world.py
@@ -31,6 +31,9 @@
       names: Ids of the upstreams.
       workers: Dict of running workers by upstream id that other hosts use too; new ones if None.
       routes: The records.Route tuple of the configuration; the builder's routes if None.
+
+    Attributes:
+      expects_exceptions: True if the test plants a fault that the host is to log.
     """
 
     def __init__(self, names, workers=None, routes=None):
@@ -38,6 +41,7 @@
         self.workers = workers or {name: worker.Worker(name) for name in names}
         self._routes = routes
         self.log_bytes = bytearray()
+        self.expects_exceptions = False
         log = eventlog.EventLog("test", self._write_log)
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet("north")
@@ -71,10 +75,13 @@
         self.fleet.apply(upstreams, services, (), host_builders.BOUNDS, 0.0)
 
     def stop(self):
-        """Stops the host and the upstreams."""
+        """Stops the host and the upstreams; fails if the host has logged an exception."""
         self.server.stop_listening()
         for item in self.workers.values():
             item.stop()
+        self.log.flush()
+        is_sound = b'"host.exception"' not in self.log_bytes
+        assert is_sound or self.expects_exceptions, bytes(self.log_bytes)
 
     def connect(self):
         """Opens a connection of a client to the host."""
--- /dev/null
+++ b/features/steps/host_exceptions_steps.py
@@ -0,0 +1,173 @@
+"""Steps of host_exceptions.feature about requests."""
+
+import json
+
+import greenlet
+from behave import given, then, when
+
+from features import host_world
+from skylarksill.host import _upstreamhttp, records
+from standins import platformdata
+
+SETTLE_S = 1.0
+
+
+class PlantedError(Exception):
+    """The planted exception."""
+
+
+def _fail(*arguments, **options):
+    raise PlantedError("planted")
+
+
+@given('the handler {fault} the request "{request_id}"')
+def step_faulty_handler(context, fault, request_id):
+    handle = context.world.server.handle
+    context.world.expects_exceptions = True
+
+    def handle_or_fail(request, cancellation):
+        if request.request_id != request_id.encode():
+            return handle(request, cancellation)
+        return _fail() if fault.startswith("raises") else records.Answer(200, b"", (), None)
+
+    context.world.server.handle = handle_or_fail
+
+
+@given('the green thread of the request "{request_id}" is ended')
+def step_end_thread(context, request_id):
+    handle = context.world.server.handle
+
+    def handle_or_end(request, cancellation):
+        if request.request_id == request_id.encode():
+            raise greenlet.GreenletExit
+        return handle(request, cancellation)
+
+    context.world.server.handle = handle_or_end
+
+
+@given('sending the answer to the request "{request_id}" raises an exception')
+def step_faulty_send(context, request_id):
+    context.world.expects_exceptions = True
+    context.planted_id = request_id
+
+
+@when("the client sends {count:d} requests at once until the connection ends")
+def step_pipeline_to_end(context, count):
+    client = context.world.connect()
+    host_world.wait_until(SETTLE_S, lambda: context.world.server.connections)
+    if hasattr(context, "planted_id"):
+        (connection,) = context.world.server.connections
+        connection._socket = _FaultySocket(connection._socket, context.planted_id.encode())
+    client.sendall(
+        b"".join(platformdata.format_request("GET /read/1", f"r{index}") for index in range(count))
+    )
+    context.received = b""
+    try:
+        while data := client.recv(65_536):
+            context.received += data
+        context.ended = True
+    except TimeoutError:
+        context.ended = False
+    except ConnectionError:
+        context.ended = True
+
+
+class _FaultySocket:
+    """A green socket that fails as it sends the answer to one request."""
+
+    def __init__(self, sock, request_id):
+        self._sock = sock
+        self._request_id = request_id
+
+    def sendall(self, data):
+        if b": " + self._request_id + b"\r\n" in data:
+            _fail()
+        return self._sock.sendall(data)
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
+@given("the forwarder fails {when_it_fails}")
+def step_faulty_forwarder(context, when_it_fails):
+    world = context.world
+    world.expects_exceptions = True
+    forwarder = world.forwarder
+    match when_it_fails:
+        case "before it has chosen a route":
+            world.belief.route_table.find = _fail
+        case "while it chooses an upstream":
+            forwarder._steering.choose = _fail
+        case "while it connects":
+            world.pool.open = _fail
+        case "while it reads the answer":
+            _fail_while_reading(context)
+        case "while it learns from the answer":
+            forwarder._steering.record_success = _fail
+        case "after it has got the answer":
+            forwarder.poisons.record_answer = _fail
+        case "while it logs the end":
+            forwarder._record_end = _fail
+
+
+def _fail_while_reading(context):
+    read_answer = _upstreamhttp.Connection._read_answer
+
+    def read_and_fail(connection, request, deadline):
+        read_answer(connection, request, deadline)
+        _fail()
+
+    _upstreamhttp.Connection._read_answer = read_and_fail
+    context.add_cleanup(setattr, _upstreamhttp.Connection, "_read_answer", read_answer)
+
+
+@then('all {count:d} requests are answered, and "{request_id}" with {status:d}')
+def step_all_answered(context, count, request_id, status):
+    position = int(request_id.removeprefix("r"))
+    expected = [200] * count
+    expected[position] = status
+    assert [answer[0] for answer in context.answers] == expected, context.answers
+
+
+@then('the connection has ended, and the answer to "{request_id}" did not arrive')
+def step_ended_without(context, request_id):
+    assert context.ended
+    assert b": " + request_id.encode() + b"\r\n" not in context.received, context.received
+
+
+@then("nothing of the requests is left in the host")
+def step_nothing_left(context):
+    world = context.world
+
+    def is_released():
+        in_flight = sum(state.in_flight for state in world.fleet)
+        return not (world.server.in_flight or world.server.buffered_bytes or in_flight)
+
+    host_world.wait_until(SETTLE_S, is_released)
+
+
+@then('the log has one exception of "{task}" with its traceback')
+def step_one_exception(context, task):
+    assert len(_list_exceptions(context, task)) == 1, bytes(context.world.log_bytes)
+
+
+@then('the log has an exception of "{task}" with its traceback')
+def step_exception(context, task):
+    assert _list_exceptions(context, task), bytes(context.world.log_bytes)
+
+
+def _list_exceptions(context, task):
+    context.world.log.flush()
+    events = [json.loads(line) for line in context.world.log_bytes.splitlines()]
+    return [
+        event
+        for event in events
+        if event["event"] == "host.exception"
+        and event["task"] == task
+        and "Traceback (most recent call last)" in event["traceback"]
+    ]
+
+
+@then("no connection to an upstream is kept")
+def step_none_kept(context):
+    assert not any(context.world.pool._idle.values())
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -163,6 +163,10 @@
         except _responsereader.ResponseError:
             self.is_reusable = False
             return MayHaveRun("malformed_answer")
+        except BaseException:
+            # The rest of an answer may still arrive on the connection.
+            self.is_reusable = False
+            raise
         finally:
             self._responses.end_exchange()
 
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -30,6 +30,8 @@
 ACCEPT_RETRY_S = 0.05
 # Default limit of the request bodies held in memory; the smallest hosts have 300 MB.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# Answer to a request whose handler failed. It promises nothing, as the request may have run.
+FAILED_STATUS = 502
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
 
@@ -327,14 +329,51 @@
 
     def _serve(self, item, request):
         try:
-            answer = self._server.handle(request, item.cancellation)
+            answer = self._handle(item, request)
+        except BaseException:
+            # The green thread is ended, so the answers behind this one can't be sent in order.
+            self._abandon()
+            raise
         finally:
             self._server.buffered_bytes -= len(request.body)
+        try:
+            self._answer(item, answer)
+        except Exception as error:
+            self._server.log.write_exception("client.answer", error)
+            self._abandon()
+
+    def _handle(self, item, request):
+        """Returns the handler's answer, or one that promises nothing if the handler fails."""
+        try:
+            return self._server.handle(request, item.cancellation)
+        except Exception as error:
+            return self._handle_failure("client.handle", error)
+
+    def _format(self, item, answer):
+        """Encodes a handler's answer, or one that promises nothing if that fails."""
+        is_last = self._is_last(item)
+        try:
+            return answers.format_answer(answer, item.method, is_last)
+        except Exception as error:
+            answer = self._handle_failure("client.format", error)
+            return answers.format_answer(answer, item.method, is_last)
+
+    def _handle_failure(self, task, error):
+        self._server.log.write_exception(task, error)
+        return answers.make_answer(FAILED_STATUS, b"host failed\n")
+
+    def _abandon(self):
+        """Ends the connection, with all requests that have no answer yet."""
+        self._is_closing = True
+        self._drop_pending()
+        self._shut_down(socket.SHUT_RDWR)
+
+    def _answer(self, item, answer):
         if answer is None or item.data is not None or self._is_disconnected:
             return
         if self._server.is_leaving:
             self._is_closing = True
-        self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
+        self._set_answer(item, self._format(item, answer))
         self._write_ready()
 
     def _set_answer(self, item, data):
--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -9,11 +9,17 @@
 import os
 import sys
 import time
+import traceback
 
 # Token bucket: lines a second and the size of a burst. A host takes some hundred requests a second.
 LINES_PER_S = 2_000
 BURST_LINES = 4_000
 MAX_BUFFER_BYTES = 1_048_576
+# Characters of a traceback that are logged; its end names the cause.
+MAX_TRACEBACK_CHARACTERS = 4_000
+# Tracebacks on standard error, one for each task and line of code. A pipe that nobody reads holds
+# 64 KB, and writes to a full one would wait for ever.
+MAX_PRINTED_TRACEBACKS = 12
 
 
 class EventLog:
@@ -24,9 +30,13 @@
       write: Function of bytes that returns how many it has written; standard output if None.
       now: Function that returns monotonic seconds.
       unix: Function that returns Unix time in seconds.
+      counters: The Counters that count exceptions, or None.
+
+    Attributes:
+      exception_count: Number of exceptions that were logged.
     """
 
-    def __init__(self, host_id, write=None, now=time.monotonic, unix=time.time):
+    def __init__(self, host_id, write=None, now=time.monotonic, unix=time.time, counters=None):
         self._prefix = f'"host":{json.dumps(host_id)}'
         self._write = write or _make_writer()
         self._now = now
@@ -35,6 +45,9 @@
         self._refilled_at = now()
         self._buffer = bytearray()
         self._dropped = 0
+        self._counters = counters
+        self._printed = set()
+        self.exception_count = 0
 
     def write(self, event, **fields):
         """Logs an event; fields are strings, numbers, booleans or None."""
@@ -46,6 +59,25 @@
             self._append("log.dropped", {"lines": dropped})
         self._append(event, fields)
 
+    def write_exception(self, task, error):
+        """Logs and counts an exception that shows a fault of the program.
+
+        Its traceback also goes to standard error, once for each task and line of code.
+
+        Args:
+          task: Name of what has failed.
+          error: The exception.
+        """
+        self.exception_count += 1
+        if self._counters is not None:
+            self._counters.count("exceptions", task)
+        text = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARACTERS:]
+        self.write("host.exception", task=task, error=repr(error)[:300], traceback=text)
+        key = (task, _find_line(error))
+        if key not in self._printed and len(self._printed) < MAX_PRINTED_TRACEBACKS:
+            self._printed.add(key)
+            _print_error(f"exception in {task}\n{text}")
+
     def flush(self):
         """Writes as much of the buffer as the output accepts without blocking."""
         while self._buffer:
@@ -70,6 +102,20 @@
         return True
 
 
+def _find_line(error):
+    """Returns the file and the line of code that raised an exception, or None."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return (frames[-1].filename, frames[-1].lineno) if frames else None
+
+
+def _print_error(text):
+    try:
+        print(text, file=sys.stderr, flush=True)
+    except OSError:
+        # Nobody reads standard error; the log has the traceback.
+        return
+
+
 def _make_writer():
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -36,6 +36,8 @@
 BLOCKED_RETRY_AFTER_S = 60.0
 # A client whose request arrives late in a stop is to try another host at once.
 STOPPING_RETRY_AFTER_S = 0.02
+# Reason of the end of a request on which the host itself has failed.
+FAILED_REASON = "host_failed"
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,6 +111,24 @@
         Returns:
           The records.Answer, or None if the request was cancelled.
         """
+        progress = None
+        try:
+            progress = self._begin(request)
+            if isinstance(progress, records.Answer):
+                return progress
+            answer = self._place_and_send(request, progress, cancellation)
+        except Exception as error:
+            # The request still ends with an answer, and releases what it holds.
+            self._log.write_exception("request", error)
+            if not cancellation.is_cancelled:
+                return self._end_failed(request, progress)
+        if cancellation.is_cancelled:
+            self._record_end(request, progress, 0, "client_gone")
+            return None
+        return answer
+
+    def _begin(self, request):
+        """Returns the _Progress of a new request, or its Answer if it goes to no upstream."""
         belief = self._belief
         if not belief.is_complete:
             return self._reject(request, "no_configuration", placement.UNAVAILABLE_RETRY_AFTER_S)
@@ -125,13 +145,8 @@
         if request.received_at + remaining_s + TIMEOUT_GRACE_S > self.ends_at:
             return self._reject(request, "stopping", STOPPING_RETRY_AFTER_S)
         service_id = self._splits.choose(route)
-        progress = _Progress(route, service_id, request.received_at + remaining_s, fingerprint)
         self._find_budget(service_id).count_request(request.received_at)
-        answer = self._place_and_send(request, progress, cancellation)
-        if cancellation.is_cancelled:
-            self._record_end(request, progress, 0, "client_gone")
-            return None
-        return answer
+        return _Progress(route, service_id, request.received_at + remaining_s, fingerprint)
 
     def _place_and_send(self, request, progress, cancellation):
         """Returns the answer to the client, or None if the request was cancelled."""
@@ -187,10 +202,7 @@
             outcome = self._exchange(request, progress, choice, connection)
             # A cancelled send says nothing about the upstream.
             if not cancellation.is_cancelled:
-                self._record_outcome(query, choice, outcome, begun)
-                self._probe_if_suspect(state, outcome, begun, is_reused)
-                self._check_continuity(state, connection, outcome)
-                self._apply_demands(state, outcome)
+                self._learn(query, choice, outcome, connection, begun, is_reused)
             return outcome
         finally:
             state.record_end(isinstance(outcome, _upstreamhttp.Answered), time.monotonic())
@@ -210,11 +222,26 @@
         )
         trace = _describe_choice(choice, begun)
         progress.trace.append(trace)
-        outcome = connection.exchange(request, message, progress.deadline_at + TIMEOUT_GRACE_S)
+        try:
+            outcome = connection.exchange(request, message, progress.deadline_at + TIMEOUT_GRACE_S)
+        except Exception as error:
+            self._log.write_exception("request.exchange", error)
+            outcome = _upstreamhttp.MayHaveRun(FAILED_REASON)
         trace["outcome"] = _format_outcome(outcome)
         trace["ms"] = int((time.monotonic() - begun) * 1000)
         return outcome
 
+    def _learn(self, query, choice, outcome, connection, begun, is_reused):
+        """Learns from the outcome of a send; a fault there must not cost the client its answer."""
+        state = choice.upstream
+        try:
+            self._record_outcome(query, choice, outcome, begun)
+            self._probe_if_suspect(state, outcome, begun, is_reused)
+            self._check_continuity(state, connection, outcome)
+            self._apply_demands(state, outcome)
+        except Exception as error:
+            self._log.write_exception("request.learn", error)
+
     def _record_outcome(self, query, choice, outcome, begun):
         """Updates the estimates of the upstream with the outcome of a send."""
         now = time.monotonic()
@@ -297,9 +324,9 @@
         progress.excluded.add(choice.upstream.record.upstream_id)
         match outcome:
             case _upstreamhttp.Answered(answer):
-                self.poisons.record_answer(progress.fingerprint, time.monotonic())
                 progress.attempts += 1
                 progress.last_answer = answer
+                self.poisons.record_answer(progress.fingerprint, time.monotonic())
                 if (
                     answer.status >= 500
                     and is_idempotent
@@ -380,6 +407,13 @@
             return self._end_run(request, progress, 502, rejection.reason)
         return self._reject(request, rejection.reason, rejection.retry_after_s, progress, rejection)
 
+    def _end_failed(self, request, progress):
+        """Ends a request on which the host itself has failed."""
+        if progress is not None and progress.trace:
+            return self._end_run(request, progress, 502, FAILED_REASON)
+        retry_after_s = placement.UNAVAILABLE_RETRY_AFTER_S
+        return self._reject(request, FAILED_REASON, retry_after_s, progress)
+
     def _end_run(self, request, progress, status, reason):
         """Ends a request that may have run.
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -65,8 +65,8 @@
 
     def __init__(self, settings, names, lookup_codec):
         self.settings = settings
-        self.log = eventlog.EventLog(settings.host_id)
         self.counters = counters.Counters()
+        self.log = eventlog.EventLog(settings.host_id, counters=self.counters)
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet(settings.region)
         self.answer_buffers = limits.BufferLimit(
