Log why each connection of a client ended, with what was left unanswered

Connections that are left as the process ends are reported too.

host_requests and host_endings pass.

--- a/features/host_world.py
+++ b/features/host_world.py
@@ -52,8 +52,14 @@
             counters.Counters(),
             host_builders.BOUNDS,
         )
+        self.counters = counters.Counters()
         self.server = clientserver.ClientServer(
-            ("127.0.0.1", 0), self.forwarder.serve, self._find_limits, wire.HEADER_NAMES, log
+            ("127.0.0.1", 0),
+            self.forwarder.serve,
+            self._find_limits,
+            wire.HEADER_NAMES,
+            log,
+            counts=self.counters,
         )
         self.server.start()
         self.log = log
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -2,6 +2,10 @@
 
 import collections
 import dataclasses
+import enum
+import fcntl
+import struct
+import termios
 import time
 
 import eventlet
@@ -15,6 +19,7 @@
     _upstreamhttp,
     answers,
     cancellation,
+    counters,
 )
 
 LISTEN_BACKLOG = 1024
@@ -34,6 +39,19 @@
 MAX_FRAMING_BYTES = 16_384
 
 
+class Cause(enum.StrEnum):
+    """Why a connection ended, for logs and counters."""
+
+    CLIENT_LEFT = "client_left"
+    RESET = "reset"
+    IDLE_TIMEOUT = "idle_timeout"
+    LAST_ANSWER = "last_answer"
+    WRITE_FAILED = "write_failed"
+    STOP_IDLE = "stop_idle"
+    STOP_DEADLINE = "stop_deadline"
+    ERROR = "error"
+
+
 class _BadRequestError(Exception):
     """A request can't be served; ``status`` is the HTTP status to answer with."""
 
@@ -63,6 +81,7 @@
       log: The EventLog.
       max_buffered_bytes: Bytes of request bodies that all connections may hold together.
       answer_buffers: The limits.BufferLimit that counts answers until they are delivered.
+      counts: The counters.Counters of ended connections and unanswered requests.
 
     Attributes:
       buffered_bytes: Bytes of bodies that are being read or served.
@@ -77,6 +96,7 @@
         log,
         max_buffered_bytes=MAX_BUFFERED_BYTES,
         answer_buffers=None,
+        counts=None,
     ):
         self.handle = handle
         self.find_limits = find_limits
@@ -84,6 +104,7 @@
         self.log = log
         self.max_buffered_bytes = max_buffered_bytes
         self.answer_buffers = answer_buffers or limits.BufferLimit(max_buffered_bytes)
+        self.counters = counts or counters.Counters()
         self.buffered_bytes = 0
         self.is_leaving = False
         self.connections = set()
@@ -126,6 +147,11 @@
         for connection in list(self.connections):
             connection.end_requests(status)
 
+    def end(self):
+        """Ends what is left of all connections as the process ends."""
+        for connection in list(self.connections):
+            connection.report_end(Cause.STOP_DEADLINE)
+
     def _accept(self):
         while True:
             try:
@@ -149,6 +175,9 @@
         self._is_writing = False
         self._is_closing = False
         self._is_disconnected = False
+        self._cause = None
+        self._dropped = 0
+        self._unparsed_bytes = 0
         self._begin_message()
         self._parser = httptools.HttpRequestParser(self)
 
@@ -168,7 +197,9 @@
             self._read_requests()
         except OSError as error:
             self._server.log.write("client.connection_lost", error=str(error))
+            self._set_cause(Cause.RESET)
         finally:
+            self.report_end(Cause.ERROR)
             self._discard_partial_request()
             self._drop_pending()
             self._server.connections.discard(self)
@@ -176,9 +207,36 @@
 
     def end(self):
         """Closes an idle connection from another green thread."""
+        self._set_cause(Cause.STOP_IDLE)
         self._is_closing = True
         self._shut_down(socket.SHUT_RDWR)
 
+    def report_end(self, cause):
+        """Counts the end of the connection, and logs it if bytes of requests or answers are lost.
+
+        Args:
+          cause: The Cause if none is known yet.
+        """
+        self._set_cause(cause)
+        unanswered = self._dropped + len(self.pending)
+        unsent_bytes = _count_unsent_bytes(self._socket)
+        self._server.counters.count("connections_ended", self._cause.value)
+        self._server.counters.count("requests_unanswered", self._cause.value, unanswered)
+        if unanswered or unsent_bytes or self._unparsed_bytes or self._started_at is not None:
+            self._server.log.write(
+                "client.closed",
+                cause=self._cause.value,
+                unanswered=unanswered,
+                unparsed_bytes=self._unparsed_bytes,
+                is_reading=self._started_at is not None,
+                unsent_bytes=unsent_bytes,
+                is_leaving=self._server.is_leaving,
+            )
+
+    def _set_cause(self, cause):
+        """Notes why the connection ends; the first cause counts."""
+        self._cause = self._cause or cause
+
     def end_requests(self, status):
         """Answers the requests of the connection that have no answer yet."""
         self._is_closing = True
@@ -194,7 +252,9 @@
                 eventlet.sleep(0.01)
             data = self._receive()
             if not data:
+                self._set_cause(Cause.CLIENT_LEFT)
                 return
+            self._unparsed_bytes = len(data)
             try:
                 self._parsing.parse(data)
                 self._send_continue()
@@ -206,6 +266,7 @@
             except (httptools.HttpParserError, httptools.HttpParserUpgrade):
                 self._reject(400)
         self._linger()
+        self._set_cause(Cause.LAST_ANSWER)
 
     def _receive(self):
         """Returns the next bytes; none if the connection is to be closed."""
@@ -217,6 +278,7 @@
                 if self.pending:
                     continue
                 if self._started_at is None:
+                    self._set_cause(Cause.IDLE_TIMEOUT)
                     return b""
                 self._reject(408)
                 return b""
@@ -230,6 +292,7 @@
 
     def _feed(self, data):
         """Parses bytes; counts those that the parser reports only with the rest of their part."""
+        self._unparsed_bytes -= len(data)
         self._unreported_bytes += len(data)
         self._parser.feed_data(data)
         is_inside_head = self._started_at is not None and not self._is_head_complete
@@ -372,6 +435,7 @@
                     self._release_answer(self.pending.popleft())
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
+            self._set_cause(Cause.WRITE_FAILED)
             self._drop_pending()
             self._shut_down(socket.SHUT_RDWR)
             return
@@ -382,6 +446,7 @@
 
     def _linger(self):
         """Discards input until the client closes its side, or is idle after the last answer."""
+        self._unparsed_bytes = 0
         answered_at = None
         while not self._is_disconnected:
             now = time.monotonic()
@@ -393,6 +458,7 @@
                 return
             try:
                 if not self._reader.receive(now + LINGER_TIMEOUT_S):
+                    self._set_cause(Cause.CLIENT_LEFT if self.pending else Cause.LAST_ANSWER)
                     return
             except TimeoutError:
                 if not self.pending:
@@ -400,6 +466,7 @@
 
     def _drop_pending(self):
         self._is_disconnected = True
+        self._dropped += len(self.pending)
         for item in self.pending:
             self._release_answer(item)
             if item.data is None:
@@ -411,3 +478,11 @@
             self._socket.shutdown(how)
         except OSError as error:
             self._server.log.write("client.shutdown_failed", error=str(error))
+
+
+def _count_unsent_bytes(sock):
+    """Returns the bytes that the other side has not acknowledged; 0 if the socket is closed."""
+    try:
+        return struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+    except (OSError, ValueError):
+        return 0
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -195,6 +195,7 @@
                 self.log,
                 self._compute_max_buffered(),
                 self.answer_buffers,
+                self.counters,
             )
             server.start()
             if address == settings.entry:
@@ -363,6 +364,7 @@
         cut_off = self._entry.in_flight
         self._entry.end_requests(504)
         self._wait_for_connections(deadline)
+        self._entry.end()
         self.log.write("host.stop", cut_off=cut_off)
         self.log.flush()
 
