Close connections of clients by one table of states

Callers saw: 32,768 of 100,163 bytes of an answer from a host that stopped, if they had sent another request before they had read it; requests that had arrived, or waited for their turn to be parsed, on a connection that a stop closed as an idle one; closes before four fifths of the idle time-out had passed since the last answer; cut answers where a slow client sent on at the idle time-out.

Cause: four places decided for themselves that a connection may close, each by other signs. A connection that discards input after its last answer had no pending request, so it was idle to close_idle. Bytes in the socket or not parsed were no request. The idle time-out counted from the last read, or from the last expiry, and closed with unread bytes.

Change: a connection is serving, answering its last requests, lingering or ended. Only _end leads to a close. Idle is one that serves, has no request, no bytes in its socket or unparsed, and nothing that its client hasn't acknowledged. After the last answer it discards input until the client has all of it and is silent or closes, for 5 s at most. An idle time-out ends a connection the same way, and counts from the last byte or answer. Connections left as the process ends discard what has arrived before they close.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -11,3 +11,50 @@
       | what                  | cause       |
       | closes its connection | client_left |
       | resets its connection | reset       |
+
+  # Guards against a stop that takes a connection on which the last answer is still under way for an
+  # idle one: 32,768 of 100,163 bytes arrived.
+  Scenario: A client that sends on gets the whole of its last answer from a server that stops
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the server begins to stop and closes idle connections each 0.05 s
+    And the client sends another request 0.05 s after the answer has begun
+    Then after 0.5 s the client reads an answer of 100000 bytes that says that it is the last one
+    And its connection has ended by last_answer within 3.0 s
+
+  Scenario: A client that sends on gets the whole of its last answer though the process ends
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the server begins to stop
+    And the process ends when another request has arrived, 0.05 s after the answer has begun
+    Then after 0.5 s the client reads an answer of 100000 bytes that says that it is the last one
+
+  # Guards against idle time-outs that close with unread bytes.
+  Scenario: A slow client that sends on gets its whole answer though the idle time-out is over
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And clients may be idle for 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the client sends another request 0.35 s after the answer has begun
+    Then after 0.2 s the client reads an answer of 100000 bytes
+
+  # Guards against idle time-outs that count from the request instead of from its answer.
+  Scenario: The idle time-out of a connection begins with its last answer
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    And clients may be idle for 0.4 s
+    When a client sends a request for 10 bytes and reads the answer
+    And 0.25 s later it sends another one
+    Then the client reads an answer of 10 bytes
+
+  # Guards against a stop that closes a connection on which a request has arrived.
+  Scenario: A request that has arrived and was not read yet keeps its connection from being closed
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request for 10 bytes and reads the answer
+    And it sends another one and the server closes idle connections before it has read it
+    Then the client reads an answer of 10 bytes
+
+  Scenario: A request that waits for a turn to be parsed keeps its connection from being closed
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request with a body in chunks of one byte and reads the answer
+    And the turn to parse is taken for 0.3 s
+    And it sends another one and the server closes idle connections 0.1 s later
+    Then the client reads an answer of 10 bytes
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -8,7 +8,8 @@
 from eventlet.green import socket
 
 from features import host_builders, host_world
-from skylarksill.host import answers, clientserver, counters, eventlog, records
+from skylarksill.host import _fairreads, answers, clientserver, counters, eventlog, records
+from standins import platformdata
 
 _, wire, _ = host_builders.import_platform()
 # Resets the connection when it is closed.
@@ -94,3 +95,125 @@
     assert (line["cause"], line["unanswered"]) == (cause, count), line
     assert context.server.counters.get("requests_unanswered", cause) == count
     assert context.server.counters.get("connections_ended", cause) == 1
+
+
+@given("clients may be idle for {seconds:g} s")
+def step_idle_timeout(context, seconds):
+    context.server.limits = records.ClientLimits(idle_timeout_s=seconds)
+
+
+@when("a slow client sends a request for {size:d} bytes")
+def step_slow_client(context, size):
+    context.client = connect(context, buffer_bytes=4096)
+    context.client.sendall(format_request(size))
+    eventlet.sleep(0.1)
+
+
+@when("a client sends a request for {size:d} bytes and reads the answer")
+def step_first_request(context, size):
+    context.client = connect(context)
+    context.client.sendall(format_request(size))
+    _read_answer(context, size)
+
+
+@when("a client sends a request with a body in chunks of one byte and reads the answer")
+def step_small_chunks(context):
+    context.client = connect(context)
+    head = b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+    context.client.sendall(head + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
+    _read_answer(context, 10)
+
+
+@when("it sends another one and the server closes idle connections before it has read it")
+def step_send_and_close(context):
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    context.server.server.close_idle()
+
+
+@when("it sends another one and the server closes idle connections {seconds:g} s later")
+def step_send_and_close_later(context, seconds):
+    context.client.sendall(format_request(10))
+    eventlet.sleep(seconds)
+    context.server.server.close_idle()
+
+
+@when("the turn to parse is taken for {seconds:g} s")
+def step_take_turn(context, seconds):
+    _fairreads._turn.acquire()
+    eventlet.spawn_after(seconds, _fairreads._turn.release)
+
+
+@when("{seconds:g} s later it sends another one")
+def step_send_later(context, seconds):
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+
+
+@when("the server begins to stop")
+def step_begin_stop(context):
+    context.server.server.begin_shutdown()
+
+
+@when("the server begins to stop and closes idle connections each {seconds:g} s")
+def step_stop(context, seconds):
+    context.server.server.begin_shutdown()
+
+    def close_idle():
+        while True:
+            context.server.server.close_idle()
+            eventlet.sleep(seconds)
+
+    context.add_cleanup(eventlet.spawn(close_idle).kill)
+
+
+@when("the client sends another request {seconds:g} s after the answer has begun")
+def step_send_on(context, seconds):
+    context.client.recv(1, socket.MSG_PEEK)
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+    eventlet.sleep(0.1)
+
+
+@when("the process ends when another request has arrived, {seconds:g} s after the answer has begun")
+def step_end(context, seconds):
+    context.client.recv(1, socket.MSG_PEEK)
+    eventlet.sleep(seconds)
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    context.server.server.end()
+
+
+@then("after {seconds:g} s the client reads an answer of {size:d} bytes")
+def step_read_later(context, seconds, size):
+    eventlet.sleep(seconds)
+    _read_answer(context, size)
+
+
+@then(
+    "after {seconds:g} s the client reads an answer of {size:d} bytes"
+    " that says that it is the last one"
+)
+def step_read_last_later(context, seconds, size):
+    eventlet.sleep(seconds)
+    headers = _read_answer(context, size)
+    assert headers.get("connection") == "close", headers
+
+
+@then("the client reads an answer of {size:d} bytes")
+def step_read(context, size):
+    _read_answer(context, size)
+
+
+@then("its connection has ended by {cause} within {seconds:g} s")
+def step_ended(context, cause, seconds):
+    counts = context.server.counters
+    host_world.wait_until(seconds, lambda: counts.get("connections_ended", cause) == 1)
+    assert not context.server.server.connections
+
+
+def _read_answer(context, size):
+    """Reads the next answer; returns its headers."""
+    status, headers, body = platformdata.AnswerReader(context.client).read()
+    assert (status, len(body)) == (200, size), (status, headers, len(body))
+    return headers
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import fcntl
+import math
 import struct
 import termios
 import time
@@ -28,8 +29,13 @@
 # After the last answer the server goes on reading until the client has sent nothing for this long,
 # since closing a connection with unread bytes resets it, and the client can lose the answer.
 LINGER_TIMEOUT_S = 1.0
-# Longest time for which it reads on after its own last answer, also from a client that sends on.
+# Longest time for which it reads on after its own last answer, also from a client that sends on or
+# has not received all of the answer.
 MAX_LINGER_S = 5.0
+# While it waits for the client to receive the rest of the answer, it looks as often as this.
+LINGER_POLL_S = 0.25
+# Unread bytes that are discarded at most before a close that can't wait.
+MAX_DISCARDED_BYTES = 1_048_576
 # A connection whose client accepts no byte of an answer for this long is closed.
 WRITE_TIMEOUT_S = 10.0
 ACCEPT_RETRY_S = 0.05
@@ -52,6 +58,20 @@
     ERROR = "error"
 
 
+class _State(enum.Enum):
+    """What a connection still does. States follow each other in this order; some are left out.
+
+    Only ``_Connection._end`` and the states that lead to it close a connection: one that has owed
+    an answer first discards input, as a close with unread bytes resets the connection, and the
+    client loses what it has not received.
+    """
+
+    SERVING = "reads requests"
+    ANSWERING = "takes no further request and sends the answers that it owes"
+    LINGERING = "has sent its last answer and discards input"
+    ENDED = "is about to be closed"
+
+
 class _BadRequestError(Exception):
     """A request can't be served; ``status`` is the HTTP status to answer with."""
 
@@ -139,8 +159,7 @@
     def close_idle(self):
         """Closes the connections that have no request in progress."""
         for connection in list(self.connections):
-            if not connection.is_busy:
-                connection.end()
+            connection.end_if_idle()
 
     def end_requests(self, status):
         """Answers all requests that have no answer yet, and ends what runs for them."""
@@ -150,7 +169,7 @@
     def end(self):
         """Ends what is left of all connections as the process ends."""
         for connection in list(self.connections):
-            connection.report_end(Cause.STOP_DEADLINE)
+            connection.close(Cause.STOP_DEADLINE)
 
     def _accept(self):
         while True:
@@ -173,19 +192,15 @@
         self._reader = _fairreads.FairReader(client)
         self._parsing = _fairreads.FairParsing(self._feed)
         self._is_writing = False
-        self._is_closing = False
-        self._is_disconnected = False
+        self._state = _State.SERVING
+        self._quiet_since = time.monotonic()
+        self._answered_at = None
         self._cause = None
         self._dropped = 0
         self._unparsed_bytes = 0
         self._begin_message()
         self._parser = httptools.HttpRequestParser(self)
 
-    @property
-    def is_busy(self):
-        """True while a request is being read or answered."""
-        return bool(self.pending) or self._started_at is not None
-
     def run(self):
         """Serves the connection until it ends."""
         self._server.connections.add(self)
@@ -199,34 +214,39 @@
             self._server.log.write("client.connection_lost", error=str(error))
             self._set_cause(Cause.RESET)
         finally:
-            self.report_end(Cause.ERROR)
-            self._discard_partial_request()
-            self._drop_pending()
-            self._server.connections.discard(self)
-            self._socket.close()
+            self.close(Cause.ERROR)
 
-    def end(self):
-        """Closes an idle connection from another green thread."""
-        self._set_cause(Cause.STOP_IDLE)
-        self._is_closing = True
-        self._shut_down(socket.SHUT_RDWR)
-
-    def report_end(self, cause):
-        """Counts the end of the connection, and logs it if bytes of requests or answers are lost.
+    def close(self, cause):
+        """Closes the connection at once.
 
         Args:
           cause: The Cause if none is known yet.
         """
-        self._set_cause(cause)
-        unanswered = self._dropped + len(self.pending)
+        if self not in self._server.connections:
+            return
+        self._end(cause)
+        self._report_end()
+        self._discard_partial_request()
+        self._discard_input()
+        self._server.connections.discard(self)
+        self._socket.close()
+
+    def end_if_idle(self):
+        """Ends the connection from another green thread if no request or answer is under way."""
+        if self._is_idle():
+            self._end(Cause.STOP_IDLE)
+            self._shut_down(socket.SHUT_RDWR)
+
+    def _report_end(self):
+        """Counts the end of the connection; logs it if bytes of requests or answers are lost."""
         unsent_bytes = _count_unsent_bytes(self._socket)
         self._server.counters.count("connections_ended", self._cause.value)
-        self._server.counters.count("requests_unanswered", self._cause.value, unanswered)
-        if unanswered or unsent_bytes or self._unparsed_bytes or self._started_at is not None:
+        self._server.counters.count("requests_unanswered", self._cause.value, self._dropped)
+        if self._dropped or unsent_bytes or self._unparsed_bytes or self._started_at is not None:
             self._server.log.write(
                 "client.closed",
                 cause=self._cause.value,
-                unanswered=unanswered,
+                unanswered=self._dropped,
                 unparsed_bytes=self._unparsed_bytes,
                 is_reading=self._started_at is not None,
                 unsent_bytes=unsent_bytes,
@@ -239,56 +259,89 @@
 
     def end_requests(self, status):
         """Answers the requests of the connection that have no answer yet."""
-        self._is_closing = True
+        self._take_no_more()
         for item in [item for item in self.pending if item.data is None]:
             answer = answers.make_answer(status, b"host stops\n")
             self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
             item.cancellation.cancel()
         self._write_ready()
 
+    def _is_idle(self):
+        has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
+        if self._state is not _State.SERVING or has_request:
+            return False
+        return not self._has_input() and not _count_unsent_bytes(self._socket)
+
+    def _has_input(self):
+        """Returns True if bytes or the end of the stream have arrived and were not read."""
+        try:
+            self._socket.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The reader finds the error as well.
+            return True
+        return True
+
     def _read_requests(self):
-        while not self._is_closing:
-            while len(self.pending) >= MAX_PIPELINED and not self._is_closing:
+        while self._state is _State.SERVING:
+            while len(self.pending) >= MAX_PIPELINED and self._state is _State.SERVING:
                 eventlet.sleep(0.01)
             data = self._receive()
+            if data is None:
+                break
             if not data:
-                self._set_cause(Cause.CLIENT_LEFT)
+                self._end(Cause.CLIENT_LEFT)
                 return
-            self._unparsed_bytes = len(data)
-            try:
-                self._parsing.parse(data)
-                self._send_continue()
-            except _BadRequestError as error:
-                self._reject(error.status)
-            except httptools.HttpParserCallbackError as error:
-                cause = error.__context__
-                self._reject(cause.status if isinstance(cause, _BadRequestError) else 400)
-            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-                self._reject(400)
+            self._parse(data)
         self._linger()
-        self._set_cause(Cause.LAST_ANSWER)
+
+    def _parse(self, data):
+        self._unparsed_bytes = len(data)
+        try:
+            self._parsing.parse(data)
+            self._send_continue()
+        except _BadRequestError as error:
+            self._reject(error.status)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            self._reject(cause.status if isinstance(cause, _BadRequestError) else 400)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(400)
+        finally:
+            self._unparsed_bytes = 0
 
     def _receive(self):
-        """Returns the next bytes; none if the connection is to be closed."""
-        client_limits = self._server.find_limits()
-        while True:
+        """Returns the next bytes, or None if no further request is to be read."""
+        while self._state is _State.SERVING:
+            times_out_at = self._find_timeout()
+            wakes_at = times_out_at
+            if self.pending:
+                # Their answers may change the state.
+                wakes_at = min(wakes_at, time.monotonic() + LINGER_TIMEOUT_S)
             try:
-                return self._reader.receive(time.monotonic() + self._find_timeout_s(client_limits))
+                data = self._reader.receive(wakes_at)
+                self._quiet_since = time.monotonic()
+                return data
             except TimeoutError:
-                if self.pending:
+                if time.monotonic() < self._find_timeout():
                     continue
-                if self._started_at is None:
-                    self._set_cause(Cause.IDLE_TIMEOUT)
-                    return b""
+            if self._started_at is not None:
                 self._reject(408)
-                return b""
-
-    def _find_timeout_s(self, client_limits):
+            else:
+                self._set_cause(Cause.IDLE_TIMEOUT)
+                self._take_no_more()
+                self._write_ready()
+        return None
+
+    def _find_timeout(self):
+        """Returns the monotonic time at which the client has been silent for too long."""
+        client_limits = self._server.find_limits()
         if self._started_at is None:
-            return client_limits.idle_timeout_s
+            return math.inf if self.pending else self._quiet_since + client_limits.idle_timeout_s
         if self._is_head_complete:
-            return client_limits.idle_timeout_s
-        return max(0.01, self._started_at + client_limits.head_timeout_s - time.monotonic())
+            return self._quiet_since + client_limits.idle_timeout_s
+        return self._started_at + client_limits.head_timeout_s
 
     def _feed(self, data):
         """Parses bytes; counts those that the parser reports only with the rest of their part."""
@@ -349,7 +402,7 @@
 
     def on_message_complete(self):
         """Starts processing a complete request."""
-        if self._is_closing:
+        if self._state is not _State.SERVING:
             return
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
@@ -362,8 +415,7 @@
         self.pending.append(item)
         self._begin_message()
         if not is_persistent:
-            # Further bytes on the connection are not read.
-            self._is_closing = True
+            self._take_no_more()
         eventlet.spawn_n(self._serve, item, request)
 
     def _begin_message(self):
@@ -393,10 +445,10 @@
             answer = self._server.handle(request, item.cancellation)
         finally:
             self._server.buffered_bytes -= len(request.body)
-        if answer is None or item.data is not None or self._is_disconnected:
+        if answer is None or item.data is not None or self._state is _State.ENDED:
             return
         if self._server.is_leaving:
-            self._is_closing = True
+            self._take_no_more()
         self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
         self._write_ready()
 
@@ -409,12 +461,17 @@
             self._server.answer_buffers.release(len(item.data))
 
     def _is_last(self, item):
-        return self._is_closing and item is self.pending[-1]
+        return self._state is not _State.SERVING and item is self.pending[-1]
+
+    def _take_no_more(self):
+        """Reads no further request, and ends the stream after the answers that are due."""
+        if self._state is _State.SERVING:
+            self._state = _State.ANSWERING
 
     def _reject(self, status):
         """Answers an unreadable request with an error and closes the connection after it."""
         self._server.log.write("client.refused", status=status)
-        self._is_closing = True
+        self._take_no_more()
         item = _PendingRequest(b"GET", cancellation.Cancellation())
         data = answers.format_answer(answers.make_answer(status, b""), b"GET", True)
         self._set_answer(item, data)
@@ -428,44 +485,53 @@
             return
         self._is_writing = True
         try:
-            while self.pending and self.pending[0].data is not None and not self._is_disconnected:
+            while self.pending and self.pending[0].data is not None:
                 self._socket.settimeout(WRITE_TIMEOUT_S)
                 self._socket.sendall(self.pending[0].data)
-                if self.pending:
-                    self._release_answer(self.pending.popleft())
+                if self._state is _State.ENDED:
+                    return
+                self._release_answer(self.pending.popleft())
+                self._quiet_since = time.monotonic()
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
-            self._set_cause(Cause.WRITE_FAILED)
-            self._drop_pending()
+            self._end(Cause.WRITE_FAILED)
             self._shut_down(socket.SHUT_RDWR)
-            return
         finally:
             self._is_writing = False
-        if self._is_closing and not self.pending:
+        if self._state is _State.ANSWERING and not self.pending:
+            self._state = _State.LINGERING
+            self._answered_at = self._quiet_since = time.monotonic()
             self._shut_down(socket.SHUT_WR)
 
     def _linger(self):
-        """Discards input until the client closes its side, or is idle after the last answer."""
-        self._unparsed_bytes = 0
-        answered_at = None
-        while not self._is_disconnected:
+        """Discards input until the client has the last answer and closes its side or is silent."""
+        self._discard_partial_request()
+        while self._state in (_State.ANSWERING, _State.LINGERING):
             now = time.monotonic()
-            if self.pending:
-                answered_at = None
-            elif answered_at is None:
-                answered_at = now
-            elif now - answered_at > MAX_LINGER_S:
-                return
+            wakes_at = max(now + LINGER_POLL_S, self._quiet_since + LINGER_TIMEOUT_S)
             try:
-                if not self._reader.receive(now + LINGER_TIMEOUT_S):
-                    self._set_cause(Cause.CLIENT_LEFT if self.pending else Cause.LAST_ANSWER)
+                if not self._reader.receive(wakes_at):
+                    self._end(Cause.CLIENT_LEFT if self.pending else Cause.LAST_ANSWER)
                     return
+                self._quiet_since = time.monotonic()
             except TimeoutError:
-                if not self.pending:
-                    return
-
-    def _drop_pending(self):
-        self._is_disconnected = True
+                # The client has been silent.
+                pass
+            if self._has_lingered(time.monotonic()):
+                self._end(Cause.LAST_ANSWER)
+
+    def _has_lingered(self, now):
+        if self._state is not _State.LINGERING:
+            return False
+        if now >= self._answered_at + MAX_LINGER_S:
+            return True
+        is_silent = now >= self._quiet_since + LINGER_TIMEOUT_S
+        return is_silent and not _count_unsent_bytes(self._socket)
+
+    def _end(self, cause):
+        """Makes the reader close the connection; requests without an answer are dropped."""
+        self._set_cause(cause)
+        self._state = _State.ENDED
         self._dropped += len(self.pending)
         for item in self.pending:
             self._release_answer(item)
@@ -473,6 +539,19 @@
                 item.cancellation.cancel()
         self.pending.clear()
 
+    def _discard_input(self):
+        """Reads what has arrived, as unread bytes would reset the connection."""
+        discarded = 0
+        while discarded < MAX_DISCARDED_BYTES:
+            try:
+                data = self._socket.fd.recv(_fairreads.READ_BYTES)
+            except OSError:
+                # Nothing more has arrived, or the connection is lost already.
+                return
+            if not data:
+                return
+            discarded += len(data)
+
     def _shut_down(self, how):
         try:
             self._socket.shutdown(how)
