Write the last answers of a stop to all clients at once

Callers saw: no answer at the end of a stop, if another client of the host didn't read. It also set connections without a request to close, so that a request whose last byte arrived then was dropped without an answer.

Both new scenarios of host_endings fail on the code before (end_requests took 10 s).

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -58,3 +58,21 @@
     And the turn to parse is taken for 0.3 s
     And it sends another one and the server closes idle connections 0.1 s later
     Then the client reads an answer of 10 bytes
+
+  # Guards against a stop that writes the last answers one after the other: a client that does not
+  # read kept all others from theirs for up to 10 s.
+  Scenario: A client that does not read keeps no other from its answer at the end of a stop
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When 5 slow clients send a request that takes 5 s and behind it one for 5000000 bytes
+    And another client sends a request that takes 5 s
+    And the server ends what runs with 504
+    Then ending what runs took less than 0.1 s
+    And the client reads 504 and that it is the last answer within 0.5 s
+
+  Scenario: A request whose last byte arrives after what ran was ended gets an answer
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends all but the last byte of a request
+    And the server begins to stop
+    And the server ends what runs with 504
+    And the client sends the last byte
+    Then the client reads 200 and that it is the last answer within 0.5 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import struct
+import time
 
 import eventlet
 from behave import given, then, when
@@ -20,7 +21,7 @@
     """A ClientServer whose handler answers with as many bytes as the target says.
 
     Args:
-      work_s: Seconds that each request takes.
+      work_s: Seconds that each request takes whose target states no other time.
     """
 
     def __init__(self, work_s):
@@ -48,17 +49,19 @@
 
     def _handle(self, request, cancellation):
         self.handled.append(request)
-        eventlet.sleep(self.work_s)
-        return answers.make_answer(200, b"x" * int(request.target.rpartition(b"/")[2]))
+        size, _, seconds = request.target.rpartition(b"/")[2].partition(b"?")
+        eventlet.sleep(float(seconds or self.work_s))
+        return answers.make_answer(200, b"x" * int(size))
 
     def _write_log(self, data):
         self._log_bytes += data
         return len(data)
 
 
-def format_request(size):
-    """Formats a request for an answer of ``size`` bytes."""
-    return b"GET /bytes/%d HTTP/1.1\r\nHost: shop.example\r\n\r\n" % size
+def format_request(size, seconds=None):
+    """Formats a request for an answer of ``size`` bytes after some seconds."""
+    query = "" if seconds is None else f"?{seconds}"
+    return f"GET /bytes/{size}{query} HTTP/1.1\r\nHost: shop.example\r\n\r\n".encode()
 
 
 def connect(context, buffer_bytes=None):
@@ -68,7 +71,8 @@
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     client.settimeout(host_world.ANSWER_TIMEOUT_S)
     client.connect(context.server.server.address)
-    context.add_cleanup(client.close)
+    # The bound method would not keep the green socket, which closes as it is collected.
+    context.add_cleanup(lambda: client.close())
     return client
 
 
@@ -184,6 +188,54 @@
     context.server.server.end()
 
 
+@when(
+    "{count:d} slow clients send a request that takes {seconds:g} s"
+    " and behind it one for {size:d} bytes"
+)
+def step_slow_clients(context, count, seconds, size):
+    for _ in range(count):
+        connect(context, 4096).sendall(format_request(10, seconds) + format_request(size, 0))
+
+
+@when("another client sends a request that takes {seconds:g} s")
+def step_other_client(context, seconds):
+    context.client = connect(context)
+    context.client.sendall(format_request(10, seconds))
+    eventlet.sleep(0.2)
+
+
+@when("a client sends all but the last byte of a request")
+def step_part(context):
+    context.client = connect(context)
+    context.client.sendall(format_request(10)[:-1])
+    eventlet.sleep(0.1)
+
+
+@when("the client sends the last byte")
+def step_last_byte(context):
+    eventlet.sleep(0.1)
+    context.client.sendall(format_request(10)[-1:])
+
+
+@when("the server ends what runs with {status:d}")
+def step_end_requests(context, status):
+    started_at = time.monotonic()
+    context.server.server.end_requests(status)
+    context.taken_s = time.monotonic() - started_at
+
+
+@then("ending what runs took less than {seconds:g} s")
+def step_taken(context, seconds):
+    assert context.taken_s < seconds, context.taken_s
+
+
+@then("the client reads {status:d} and that it is the last answer within {seconds:g} s")
+def step_read_status(context, status, seconds):
+    context.client.settimeout(seconds)
+    got, headers, _ = platformdata.AnswerReader(context.client).read()
+    assert (got, headers.get("connection")) == (status, "close"), (got, headers)
+
+
 @then("after {seconds:g} s the client reads an answer of {size:d} bytes")
 def step_read_later(context, seconds, size):
     eventlet.sleep(seconds)
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -258,13 +258,17 @@
         self._cause = self._cause or cause
 
     def end_requests(self, status):
-        """Answers the requests of the connection that have no answer yet."""
+        """Answers the requests of the connection that have no answer yet, without waiting."""
+        unanswered = [item for item in self.pending if item.data is None]
+        if not unanswered:
+            return
         self._take_no_more()
-        for item in [item for item in self.pending if item.data is None]:
+        for item in unanswered:
             answer = answers.make_answer(status, b"host stops\n")
             self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
             item.cancellation.cancel()
-        self._write_ready()
+        # A client that doesn't read delays no other.
+        eventlet.spawn_n(self._write_ready)
 
     def _is_idle(self):
         has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
