Say in the last answer of a connection that it is the last, whenever it was made

Callers saw: a connection of a stopping host that closed after an answer without Connection: close, so that the next request on it was lost, if they had pipelined and the answer to the last request was ready before the one ahead of it. Answers were encoded when they were ready, but which one is the last is known only when they are written.

The notice is now added as an answer is written, and a stopping host takes no further request from that moment on.

The new scenario of host_endings fails on the code before.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -76,3 +76,11 @@
     And the server ends what runs with 504
     And the client sends the last byte
     Then the client reads 200 and that it is the last answer within 0.5 s
+
+  # Guards against an answer that was formatted before the stop and after which the connection closes
+  # without a notice, so that the client loses the request that it sends next.
+  Scenario: The last answer of a connection says so though it was ready before the stop
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request that takes 0.3 s and behind it one that takes 0 s
+    And the server begins to stop
+    Then the client reads 2 answers, of which only the last one says that it is the last
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -217,6 +217,21 @@
     context.client.sendall(format_request(10)[-1:])
 
 
+@when("a client sends a request that takes {first:g} s and behind it one that takes {second:g} s")
+def step_pipelined(context, first, second):
+    context.client = connect(context)
+    context.client.sendall(format_request(10, first) + format_request(10, second))
+    eventlet.sleep(0.1)
+
+
+@then("the client reads {count:d} answers, of which only the last one says that it is the last")
+def step_only_last(context, count):
+    reader = platformdata.AnswerReader(context.client)
+    closes = [reader.read()[1].get("connection") for _ in range(count)]
+    assert closes == [None] * (count - 1) + ["close"], closes
+    assert reader.is_at_end()
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/answers.py
+++ b/skylarksill/host/answers.py
@@ -12,13 +12,12 @@
     return records.Answer(status, b"", ((b"content-type", content_type), *headers), body)
 
 
-def format_answer(answer, method, is_last):
+def format_answer(answer, method):
     """Encodes an answer as an HTTP/1.1 message.
 
     Args:
       answer: The records.Answer.
       method: Method of the request.
-      is_last: True if the connection is closed after the answer.
     Returns:
       The bytes of the message.
     """
@@ -28,6 +27,10 @@
     is_bodiless = _upstreamhttp.is_bodiless(method, answer.status)
     if not is_bodiless:
         lines.append(b"content-length: %d" % len(answer.body))
-    if is_last:
-        lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if is_bodiless else answer.body)
+
+
+def mark_last(message):
+    """Returns an encoded answer that says that the connection is closed after it."""
+    end = message.index(b"\r\n\r\n")
+    return message[:end] + b"\r\nconnection: close" + message[end:]
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -265,7 +265,7 @@
         self._take_no_more()
         for item in unanswered:
             answer = answers.make_answer(status, b"host stops\n")
-            self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
+            self._set_answer(item, answers.format_answer(answer, item.method))
             item.cancellation.cancel()
         # A client that doesn't read delays no other.
         eventlet.spawn_n(self._write_ready)
@@ -451,9 +451,7 @@
             self._server.buffered_bytes -= len(request.body)
         if answer is None or item.data is not None or self._state is _State.ENDED:
             return
-        if self._server.is_leaving:
-            self._take_no_more()
-        self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
+        self._set_answer(item, answers.format_answer(answer, item.method))
         self._write_ready()
 
     def _set_answer(self, item, data):
@@ -464,9 +462,6 @@
         if item.data is not None:
             self._server.answer_buffers.release(len(item.data))
 
-    def _is_last(self, item):
-        return self._state is not _State.SERVING and item is self.pending[-1]
-
     def _take_no_more(self):
         """Reads no further request, and ends the stream after the answers that are due."""
         if self._state is _State.SERVING:
@@ -477,7 +472,7 @@
         self._server.log.write("client.refused", status=status)
         self._take_no_more()
         item = _PendingRequest(b"GET", cancellation.Cancellation())
-        data = answers.format_answer(answers.make_answer(status, b""), b"GET", True)
+        data = answers.format_answer(answers.make_answer(status, b""), b"GET")
         self._set_answer(item, data)
         self.pending.append(item)
         self._discard_partial_request()
@@ -490,8 +485,13 @@
         self._is_writing = True
         try:
             while self.pending and self.pending[0].data is not None:
+                if self._server.is_leaving:
+                    self._take_no_more()
+                data = self.pending[0].data
+                if self._state is _State.ANSWERING and len(self.pending) == 1:
+                    data = answers.mark_last(data)
                 self._socket.settimeout(WRITE_TIMEOUT_S)
-                self._socket.sendall(self.pending[0].data)
+                self._socket.sendall(data)
                 if self._state is _State.ENDED:
                     return
                 self._release_answer(self.pending.popleft())
