--- /dev/null
+++ b/features/host_endings.feature
@@ -0,0 +1,86 @@
+Feature: The end of a client's connection
+  Guards against LOST: answers that are cut off or requests that were read and get no answer, since
+  their connection was taken for an idle one, closed with unread bytes, or closed without a notice.
+
+  Scenario Outline: A connection that ends with an unanswered request is logged with its cause
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a client sends a request and <what> before the answer
+    Then the server logs that a connection ended by <cause> with 1 unanswered request
+
+    Examples:
+      | what                  | cause       |
+      | closes its connection | client_left |
+      | resets its connection | reset       |
+
+  # Guards against a stop that takes a connection on which the last answer is still under way for an
+  # idle one: 32,768 of 100,163 bytes arrived.
+  Scenario: A client that sends on gets the whole of its last answer from a server that stops
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the server begins to stop and closes idle connections each 0.05 s
+    And the client sends another request 0.05 s after the answer has begun
+    Then after 0.5 s the client reads an answer of 100000 bytes that says that it is the last one
+    And its connection has ended by last_answer within 3.0 s
+
+  Scenario: A client that sends on gets the whole of its last answer though the process ends
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the server begins to stop
+    And the process ends when another request has arrived, 0.05 s after the answer has begun
+    Then after 0.5 s the client reads an answer of 100000 bytes that says that it is the last one
+
+  # Guards against idle time-outs that close with unread bytes.
+  Scenario: A slow client that sends on gets its whole answer though the idle time-out is over
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And clients may be idle for 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the client sends another request 0.35 s after the answer has begun
+    Then after 0.2 s the client reads an answer of 100000 bytes
+
+  # Guards against idle time-outs that count from the request instead of from its answer.
+  Scenario: The idle time-out of a connection begins with its last answer
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    And clients may be idle for 0.4 s
+    When a client sends a request for 10 bytes and reads the answer
+    And 0.25 s later it sends another one
+    Then the client reads an answer of 10 bytes
+
+  # Guards against a stop that closes a connection on which a request has arrived.
+  Scenario: A request that has arrived and was not read yet keeps its connection from being closed
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request for 10 bytes and reads the answer
+    And it sends another one and the server closes idle connections before it has read it
+    Then the client reads an answer of 10 bytes
+
+  Scenario: A request that waits for a turn to be parsed keeps its connection from being closed
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request with a body in chunks of one byte and reads the answer
+    And the turn to parse is taken for 0.3 s
+    And it sends another one and the server closes idle connections 0.1 s later
+    Then the client reads an answer of 10 bytes
+
+  # Guards against a stop that writes the last answers one after the other: a client that does not
+  # read kept all others from theirs for up to 10 s.
+  Scenario: A client that does not read keeps no other from its answer at the end of a stop
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When 5 slow clients send a request that takes 5 s and behind it one for 5000000 bytes
+    And another client sends a request that takes 5 s
+    And the server ends what runs with 504
+    Then ending what runs took less than 0.1 s
+    And the client reads 504 and that it is the last answer within 0.5 s
+
+  Scenario: A request whose last byte arrives after what ran was ended gets an answer
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends all but the last byte of a request
+    And the server begins to stop
+    And the server ends what runs with 504
+    And the client sends the last byte
+    Then the client reads 200 and that it is the last answer within 0.5 s
+
+  # Guards against an answer that was formatted before the stop and after which the connection closes
+  # without a notice, so that the client loses the request that it sends next.
+  Scenario: The last answer of a connection says so though it was ready before the stop
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request that takes 0.3 s and behind it one that takes 0 s
+    And the server begins to stop
+    Then the client reads 2 answers, of which only the last one says that it is the last
