Keep the tasks and the stop of a host going after an exception

What callers saw: an exception in a repeated task of a host ended it for good without a line in its log: housekeeping, the flush of the log, the poll of the settings, gossip, a watch of the store, the asks for its revision, registration, the choice of sources, accepting connections. One in a step of the stop ended the process at once with all its requests.

Cause: each task ran in a bare green thread, and the stop in the main one.

Change: the module supervision runs every task. An exception is logged and counted, and the task goes on after a pause; so do the steps of housekeeping, of the stop, and of its work on each connection, on their own. A belief whose application failed is applied again by housekeeping. A host without an entry address can reload and stop. A stop signal that interrupts the handler of another one no longer raises an exception in whatever runs. Tracebacks stay on standard error, where the soak finds them.

Tests: the new feature host_tasks plants faults in the program.

--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -215,8 +215,9 @@
     context.error_path = pathlib.Path(folder.name) / "errors"
     context.keys_path = pathlib.Path(folder.name) / "peer-keys.ini"
     context.keys_path.write_text(EXAMPLE_KEYS.read_text(encoding="utf-8"), encoding="utf-8")
+    program = getattr(context, "program", [str(START_SCRIPT)])
     context.process = subprocess.Popen(
-        [sys.executable, str(START_SCRIPT), "--peer-keys", str(context.keys_path)],
+        [sys.executable, *program, "--peer-keys", str(context.keys_path)],
         env={**os.environ, "SKYLARKSILL_BOOT": str(path)},
         stdout=context.log_path.open("w"),
         stderr=context.error_path.open("w"),
--- /dev/null
+++ b/features/steps/host_tasks_steps.py
@@ -0,0 +1,166 @@
+"""Steps of host_tasks.feature."""
+
+import json
+import signal
+import tempfile
+
+import eventlet
+from behave import given, then, when
+from eventlet.green import socket
+
+from features import host_builders, host_world
+from skylarksill.host import clientserver, eventlog, program
+from standins import platformdata
+
+FAULTY_HOST = host_builders.PLATFORM_FOLDER.parent / "standins" / "faulty_host.py"
+
+
+class PlantedError(Exception):
+    """The planted exception."""
+
+
+@given("a host program that uses the store, with a fault in {fault}")
+def step_faulty_program(context, fault):
+    context.program = [str(FAULTY_HOST), fault]
+    context.execute_steps("Given a host program that uses the store")
+
+
+@then("it logs within {seconds:d} s that the planted fault is over")
+def step_over(context, seconds):
+    host_world.wait_until(seconds, lambda: "planted.over" in _list_events(context))
+
+
+def _read_lines(context):
+    text = context.log_path.read_text(encoding="utf-8")
+    return [json.loads(line) for line in text.splitlines(keepends=True) if line.endswith("\n")]
+
+
+def _list_events(context):
+    return [line["event"] for line in _read_lines(context)]
+
+
+@then('it has logged an exception of "{task}" with its traceback')
+def step_logged(context, task):
+    def is_logged():
+        return any(
+            line["event"] == "host.exception"
+            and line["task"].startswith(task)
+            and "PlantedError: planted" in line["traceback"]
+            for line in _read_lines(context)
+        )
+
+    host_world.wait_until(1.0, is_logged)
+    assert "Traceback" in context.error_path.read_text(encoding="utf-8")
+
+
+@then('its metrics count the exceptions of "{task}"')
+def step_counted(context, task):
+    client = socket.create_connection(("127.0.0.1", context.ports[0] + 1))
+    client.settimeout(host_world.ANSWER_TIMEOUT_S)
+    client.sendall(b"GET /metrics HTTP/1.1\r\nHost: host\r\n\r\n")
+    body = platformdata.AnswerReader(client).read()[2].decode()
+    client.close()
+    assert f'skylarksill_exceptions_total{{label="{task}' in body, body
+
+
+@then("the program ends within {seconds:d} s with code {code:d} and no traceback")
+def step_ended(context, seconds, code):
+    host_world.wait_until(seconds, lambda: context.process.poll() is not None)
+    errors = context.error_path.read_text(encoding="utf-8")
+    assert context.process.returncode == code and "Traceback" not in errors, errors
+    assert _list_events(context)[-1] == "host.stop"
+
+
+@when("it gets signals to stop, reload and stop during a request")
+def step_signals(context):
+    for item in context.workers:
+        item.work_s = 0.6
+    client = socket.create_connection(("127.0.0.1", context.ports[1]))
+    client.settimeout(host_world.ANSWER_TIMEOUT_S)
+    client.sendall(platformdata.format_request("GET /read/1", "last"))
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        eventlet.sleep(0.1)
+        context.process.send_signal(number)
+    context.answer = platformdata.AnswerReader(client).read()
+
+
+@given("a host whose handler of stop signals is interrupted by another one")
+def step_interrupted_handler(context):
+    hostfile, wire, _ = host_builders.import_platform()
+    lines = platformdata.build_settings_lines("127.0.0.1", ("127.0.0.1", 9), 7200, 7300)
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write("\n".join(lines))
+        file.flush()
+        settings = hostfile.load_settings(file.name)
+    # The tests have no standard output that a log can be written to.
+    context.add_cleanup(setattr, eventlog, "_make_writer", eventlog._make_writer)
+    eventlog._make_writer = lambda: len
+    context.host = program.Host(settings, wire.HEADER_NAMES, wire.LOOKUP_CODEC)
+    send = context.host._stopping.send
+    context.stops = []
+
+    def interrupt_and_send(value):
+        if not context.stops:
+            context.stops.append(value)
+            context.host._on_stop(signal.SIGINT, None)
+        send(value)
+
+    context.host._stopping.send = interrupt_and_send
+
+
+@when("it gets a stop signal")
+def step_signal(context):
+    context.host._on_stop(signal.SIGTERM, None)
+
+
+@then("it stops once")
+def step_stopped(context):
+    assert context.host._stopping.ready() and len(context.stops) == 1
+
+
+@given("the host fails on its next connection")
+def step_faulty_connection(context):
+    context.world.expects_exceptions = True
+    original = clientserver._Connection.__init__
+
+    def fail_once(connection, *arguments):
+        clientserver._Connection.__init__ = original
+        raise PlantedError("planted")
+
+    clientserver._Connection.__init__ = fail_once
+    context.add_cleanup(setattr, clientserver._Connection, "__init__", original)
+
+
+@when("a client connects, and another one sends a request")
+def step_two_clients(context):
+    context.world.connect()
+    # The host accepts again after a pause.
+    client = context.world.connect()
+    client.sendall(platformdata.format_request("GET /read/1", "r1"))
+    context.answer = platformdata.AnswerReader(client).read()
+
+
+@when("{count:d} clients send a request, and the end of the first connection's requests raises one")
+def step_faulty_end(context, count):
+    context.world.expects_exceptions = True
+    context.clients = [context.world.connect() for _ in range(count)]
+    for index, client in enumerate(context.clients):
+        client.sendall(platformdata.format_request("GET /read/1", f"r{index}"))
+    host_world.wait_until(1.0, lambda: context.world.server.in_flight == count)
+    first = next(iter(context.world.server.connections))
+    context.faulty_port = first._socket.getpeername()[1]
+
+    def fail(status):
+        raise PlantedError("planted")
+
+    first.end_requests = fail
+    context.world.server.end_requests(504)
+
+
+@then("the other {count:d} are answered with {status:d}")
+def step_others_answered(context, count, status):
+    others = [
+        client for client in context.clients if client.getsockname()[1] != context.faulty_port
+    ]
+    statuses = [platformdata.AnswerReader(client).read()[0] for client in others]
+    assert statuses == [status] * count, statuses
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -15,6 +15,7 @@
     _upstreamhttp,
     answers,
     cancellation,
+    supervision,
 )
 
 LISTEN_BACKLOG = 1024
@@ -104,7 +105,7 @@
 
     def start(self):
         """Starts accepting connections."""
-        self._thread = eventlet.spawn(self._accept)
+        self._thread = supervision.spawn_lasting(self.log, "client.accept", self._accept)
 
     def begin_shutdown(self):
         """Makes each connection close after the answer to its last request."""
@@ -121,12 +122,12 @@
         """Closes the connections that have no request in progress."""
         for connection in list(self.connections):
             if not connection.is_busy:
-                connection.end()
+                supervision.attempt(self.log, "client.end", connection.end)
 
     def end_requests(self, status):
         """Answers all requests that have no answer yet, and ends what runs for them."""
         for connection in list(self.connections):
-            connection.end_requests(status)
+            supervision.attempt(self.log, "client.end", connection.end_requests, status)
 
     def _accept(self):
         while True:
@@ -136,7 +137,7 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            eventlet.spawn_n(_Connection(self, client).run)
+            supervision.spawn(self.log, "client.connection", _Connection(self, client).run)
 
 
 class _Connection:
--- a/skylarksill/host/connector.py
+++ b/skylarksill/host/connector.py
@@ -4,6 +4,8 @@
 
 import eventlet
 
+from skylarksill.host import supervision
+
 # Connecting takes one round trip and about 1 ms; an upstream without power never answers.
 CONNECT_TIMEOUT_S = 0.6
 CONNECT_BASE_S = 0.2
@@ -57,17 +59,22 @@
         """Retries connecting in the background until the upstream accepts or leaves the fleet."""
         if not state.is_probed:
             state.is_probed = True
-            eventlet.spawn_n(self._probe, state)
+            supervision.spawn(self._log, "upstream.probe", self._probe, state)
 
     def _probe(self, state):
         try:
-            while self._fleet.find(state.record.upstream_id) is state:
-                eventlet.sleep(max(MIN_TIMEOUT_S, state.down_until - time.monotonic()))
-                if self._try_to_connect(state):
-                    return
+            supervision.keep_running(
+                self._log, "upstream.probe", self._probe_until_reachable, state
+            )
         finally:
             state.is_probed = False
 
+    def _probe_until_reachable(self, state):
+        while self._fleet.find(state.record.upstream_id) is state:
+            eventlet.sleep(max(MIN_TIMEOUT_S, state.down_until - time.monotonic()))
+            if self._try_to_connect(state):
+                return
+
     def _try_to_connect(self, state):
         try:
             connection = self._pool.open(state.record, CONNECT_TIMEOUT_S)
--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -17,6 +17,8 @@
 MAX_BUFFER_BYTES = 1_048_576
 # Characters of a traceback that are logged; its end names the cause.
 MAX_TRACEBACK_CHARACTERS = 4_000
+# Least time between two lines about exceptions of one task and line of code.
+EXCEPTION_INTERVAL_S = 10.0
 # Tracebacks on standard error, one for each task and line of code. A pipe that nobody reads holds
 # 64 KB, and writes to a full one would wait for ever.
 MAX_PRINTED_TRACEBACKS = 12
@@ -31,9 +33,6 @@
       now: Function that returns monotonic seconds.
       unix: Function that returns Unix time in seconds.
       counters: The Counters that count exceptions, or None.
-
-    Attributes:
-      exception_count: Number of exceptions that were logged.
     """
 
     def __init__(self, host_id, write=None, now=time.monotonic, unix=time.time, counters=None):
@@ -46,8 +45,7 @@
         self._buffer = bytearray()
         self._dropped = 0
         self._counters = counters
-        self._printed = set()
-        self.exception_count = 0
+        self._exceptions = {}
 
     def write(self, event, **fields):
         """Logs an event; fields are strings, numbers, booleans or None."""
@@ -62,20 +60,25 @@
     def write_exception(self, task, error):
         """Logs and counts an exception that shows a fault of the program.
 
-        Its traceback also goes to standard error, once for each task and line of code.
+        An exception that comes again from the same line of code is only counted for
+        EXCEPTION_INTERVAL_S. The first one's traceback also goes to standard error.
 
         Args:
           task: Name of what has failed.
           error: The exception.
         """
-        self.exception_count += 1
         if self._counters is not None:
             self._counters.count("exceptions", task)
-        text = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARACTERS:]
-        self.write("host.exception", task=task, error=repr(error)[:300], traceback=text)
+        now = self._now()
         key = (task, _find_line(error))
-        if key not in self._printed and len(self._printed) < MAX_PRINTED_TRACEBACKS:
-            self._printed.add(key)
+        logged_at, unlogged = self._exceptions.get(key, (None, 0))
+        if logged_at is not None and now - logged_at < EXCEPTION_INTERVAL_S:
+            self._exceptions[key] = (logged_at, unlogged + 1)
+            return
+        self._exceptions[key] = (now, 0)
+        text = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARACTERS:]
+        self.write("host.exception", task=task, unlogged=unlogged, traceback=text)
+        if logged_at is None and len(self._exceptions) <= MAX_PRINTED_TRACEBACKS:
             _print_error(f"exception in {task}\n{text}")
 
     def flush(self):
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -13,7 +13,7 @@
 from eventlet import event
 from eventlet.green import socket
 
-from skylarksill.host import _beliefcodec, _fairreads, keyring, relay
+from skylarksill.host import _beliefcodec, _fairreads, keyring, relay, supervision
 
 # Longest time that a source waits for a change before it answers that there is none.
 LONG_POLL_S = 0.7
@@ -68,7 +68,7 @@
 
     def start(self):
         """Starts accepting followers."""
-        self._thread = eventlet.spawn(self._accept)
+        self._thread = supervision.spawn_lasting(self._log, "relay.accept", self._accept)
 
     def stop(self):
         """Refuses new followers."""
@@ -88,7 +88,7 @@
                 self._log.write("relay.accept_failed", error=str(error))
                 eventlet.sleep(FIRST_RETRY_S)
                 continue
-            eventlet.spawn_n(self._serve, client, address)
+            supervision.spawn(self._log, "relay.serve", self._serve, client, address)
 
     def _serve(self, client, address):
         try:
@@ -242,14 +242,12 @@
 
     def start(self):
         """Starts following the sources, which are chosen again at each interval."""
-        eventlet.spawn_n(self._choose_sources_repeatedly)
+        supervision.attempt(self._log, "relay.sources", self._choose_sources)
+        supervision.spawn_repeated(
+            self._log, "relay.sources", SOURCE_CHECK_INTERVAL_S, self._choose_sources
+        )
 
-    def _choose_sources_repeatedly(self):
-        while True:
-            self._update_streams()
-            eventlet.sleep(SOURCE_CHECK_INTERVAL_S)
-
-    def _update_streams(self):
+    def _choose_sources(self):
         serving = self._table.list_serving(time.monotonic())
         sources = relay.choose_sources(serving, self._own.region)
         wanted = {source.gossip: source for source in sources}
@@ -269,7 +267,7 @@
                     self._get_keyring,
                 )
                 self._streams[address] = stream
-                eventlet.spawn_n(stream.run)
+                supervision.spawn_lasting(self._log, "relay.follow", stream.run)
 
     def _find_generation(self):
         configuration = self._belief.configuration
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -5,7 +5,7 @@
 import eventlet
 from eventlet.green import socket
 
-from skylarksill.host import _peercodec, envelope, exchange, peers, restarts
+from skylarksill.host import _peercodec, envelope, exchange, peers, restarts, supervision
 
 RECEIVE_RETRY_S = 0.25
 # Datagrams that are not authentic are counted, and at most one line is logged in this time.
@@ -60,7 +60,10 @@
         """Starts receiving, and sending at regular intervals."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(self._address)
-        self._threads = [eventlet.spawn(self._receive), eventlet.spawn(self._send_rounds)]
+        self._threads = [
+            supervision.spawn_lasting(self._log, "gossip.receive", self._receive),
+            supervision.spawn_repeated(self._log, "gossip.send", peers.ROUND_S, self.send),
+        ]
 
     def stop(self):
         """Stops receiving and sending."""
@@ -91,11 +94,6 @@
         except OSError as error:
             self._log.write("peer.send_failed", peer=str(address), error=str(error))
 
-    def _send_rounds(self):
-        while True:
-            eventlet.sleep(peers.ROUND_S)
-            self.send()
-
     def _receive(self):
         while True:
             # Datagrams that arrive without a pause must not keep the processor to themselves.
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -1,6 +1,7 @@
 """Assembles the parts of a host process: store watches, peers, forwarding, lookup and shutdown."""
 
 import dataclasses
+import itertools
 import random
 import signal
 import time
@@ -25,6 +26,7 @@
     quotas,
     records,
     steering,
+    supervision,
     watching,
 )
 
@@ -119,6 +121,8 @@
             self._handle_restart_report,
         )
         self._stopping = eventlet.event.Event()
+        self._is_applied = True
+        self._stop_signals = itertools.count()
         self._settling = quotas.SettleTimer(time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def run(self, store, load_settings):
@@ -170,10 +174,13 @@
         self._belief_server.start()
         self._watcher.start()
         self._belief_follower.start()
-        eventlet.spawn_n(self._register)
-        eventlet.spawn_n(self._repeat, HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
-        eventlet.spawn_n(self._repeat, LOG_FLUSH_INTERVAL_S, self.log.flush)
-        eventlet.spawn_n(self._repeat, SETTINGS_POLL_INTERVAL_S, self._reload)
+        supervision.spawn_lasting(self.log, "host.register", self._register)
+        for task, interval_s, function in (
+            ("host.housekeeping", HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
+            ("host.log", LOG_FLUSH_INTERVAL_S, self.log.flush),
+            ("host.settings", SETTINGS_POLL_INTERVAL_S, self._reload),
+        ):
+            supervision.spawn_repeated(self.log, task, interval_s, function)
         stop_requested_at = self._stopping.wait()
         self._stop_gracefully(stop_requested_at)
 
@@ -232,6 +239,8 @@
         return self._watcher.is_store_lost
 
     def _apply_belief(self):
+        """Applies the belief to what depends on it; housekeeping repeats it after a fault."""
+        self._is_applied = False
         self._belief_server.wake_followers()
         configuration = self.belief.configuration
         services = configuration.services if configuration else {}
@@ -245,6 +254,7 @@
         )
         if self.belief.is_complete and self.state is records.HostState.STARTING:
             self._set_state(records.HostState.SERVING)
+        self._is_applied = True
 
     def _set_state(self, state):
         self.state = state
@@ -255,21 +265,34 @@
         return self.state, self.steering.list_spill_shares(), self._is_store_lost()
 
     def _run_housekeeping(self):
-        now = time.monotonic()
-        changes = self.belief.expire_lapsed(now)
+        for step in (
+            self._expire_lapsed,
+            self._drop_stale_connections,
+            self._update_view,
+            self._update_peer_averages,
+        ):
+            supervision.attempt(self.log, "host.housekeeping", step)
+
+    def _expire_lapsed(self):
+        changes = self.belief.expire_lapsed(time.monotonic())
         if changes:
             self._handle_belief_changes(changes)
+        elif not self._is_applied:
+            self._apply_belief()
+
+    def _drop_stale_connections(self):
         self.pool.drop_stale(self.belief.upstreams)
-        region = self.settings.region
-        self._update_view()
-        self.steering.set_peer_averages(self.peers.average_spill_shares(region, now))
+
+    def _update_peer_averages(self):
+        averages = self.peers.average_spill_shares(self.settings.region, time.monotonic())
+        self.steering.set_peer_averages(averages)
 
     def _update_view(self):
         """Updates the hosts that share limits, after a freeze once the store has listed them."""
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
         if self._settling.observe(now):
             self.log.write("host.frozen")
-            eventlet.spawn_n(self._register)
+            supervision.spawn_lasting(self.log, "host.register", self._register)
         view = quotas.HostView(
             self.settings.host_id,
             self.peers.list_known_ids(self.settings.region),
@@ -288,11 +311,6 @@
                 is_settled=view.is_settled,
             )
 
-    def _repeat(self, interval_s, function):
-        while True:
-            eventlet.sleep(interval_s)
-            function()
-
     def _register(self):
         """Registers this host in the store and lists the others; retries until both succeed."""
         while True:
@@ -310,12 +328,12 @@
     # Signals, reload and shutdown.
 
     def _on_stop(self, signal_number, frame):
-        if self._stopping.ready():
-            return
-        self._stopping.send(time.monotonic())
+        # Handlers of two signals can interrupt each other, but only one of them gets the 0.
+        if next(self._stop_signals) == 0:
+            self._stopping.send(time.monotonic())
 
     def _on_reload(self, signal_number, frame):
-        eventlet.spawn_n(self._reload, True)
+        supervision.spawn(self.log, "host.reload", self._reload, True)
 
     def _reload(self, is_requested=False):
         """Applies changed settings; invalid ones are logged once and change nothing."""
@@ -345,31 +363,40 @@
         self.forwarder.bounds = self.settings.bounds
         self._watcher.set_bounds(self.settings.bounds)
         self.steering.set_max_shift(self.settings.bounds.max_shift)
-        self._entry.max_buffered_bytes = self._compute_max_buffered()
+        if self._entry is not None:
+            self._entry.max_buffered_bytes = self._compute_max_buffered()
         self.answer_buffers.max_bytes = int(ANSWER_MEMORY_FRACTION * self.settings.memory_bytes)
         self._apply_belief()
 
     def _stop_gracefully(self, stop_requested_at):
-        """Answers the requests that were read, within the grace period, and closes connections."""
-        self._set_state(records.HostState.LEAVING)
-        self._entry.begin_shutdown()
+        """Answers the requests that were read, within the grace period, and closes connections.
+
+        It goes on after a fault in any step, as its end is the end of the process.
+        """
         deadline = stop_requested_at + self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
         ends_at = self.forwarder.ends_at = deadline - LAST_ANSWERS_S
-        _sleep_until(min(stop_requested_at + IDLE_CLOSE_DELAY_S, ends_at))
-        self._entry.close_idle()
-        _sleep_until(min(stop_requested_at + LISTEN_AFTER_STOP_S, ends_at))
-        self._entry.stop_listening()
-        self._wait_for_connections(ends_at)
-        cut_off = self._entry.in_flight
-        self._entry.end_requests(504)
-        self._wait_for_connections(deadline)
+        self._attempt_to_stop(self._set_state, records.HostState.LEAVING)
+        cut_off = 0
+        if self._entry is not None:
+            self._attempt_to_stop(self._entry.begin_shutdown)
+            _sleep_until(min(stop_requested_at + IDLE_CLOSE_DELAY_S, ends_at))
+            self._attempt_to_stop(self._entry.close_idle)
+            _sleep_until(min(stop_requested_at + LISTEN_AFTER_STOP_S, ends_at))
+            self._attempt_to_stop(self._entry.stop_listening)
+            self._wait_for_connections(ends_at)
+            cut_off = self._entry.in_flight
+            self._attempt_to_stop(self._entry.end_requests, 504)
+            self._wait_for_connections(deadline)
         self.log.write("host.stop", cut_off=cut_off)
-        self.log.flush()
+        self._attempt_to_stop(self.log.flush)
+
+    def _attempt_to_stop(self, step, *arguments):
+        supervision.attempt(self.log, "host.stop", step, *arguments)
 
     def _wait_for_connections(self, deadline):
         """Closes idle connections until none is left, or until a monotonic time."""
         while time.monotonic() < deadline and self._entry.connections:
-            self._entry.close_idle()
+            self._attempt_to_stop(self._entry.close_idle)
             eventlet.sleep(STOP_POLL_S)
 
 
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -11,7 +11,7 @@
 import eventlet
 
 from skylarksill import objectstore
-from skylarksill.host import records, storecontact
+from skylarksill.host import records, storecontact, supervision
 
 # Longest time that a watch waits for events. Asks for the store's revision tell whether it missed
 # one, so long waits only save calls.
@@ -114,8 +114,9 @@
             (kinds.UPSTREAMS, store.list_upstreams, self._replace_upstreams),
             (kinds.EVACUATIONS, store.list_evacuations, self._replace_evacuated),
         ):
-            eventlet.spawn_n(self._run_watch, kind, read, replace)
-        eventlet.spawn_n(self._ask_repeatedly)
+            task = f"watch.{kind.value}"
+            supervision.spawn_lasting(self._log, task, self._run_watch, kind, read, replace)
+        supervision.spawn_lasting(self._log, "watch.asks", self._ask_repeatedly)
 
     def set_bounds(self, bounds):
         """Applies changed records.Bounds."""
@@ -244,7 +245,7 @@
                     # The connection of the earlier ask, and others as old, may be silent for good.
                     self._store.forget_connections()
                 self._contact.record_ask(now)
-                eventlet.spawn_n(self._ask, now)
+                supervision.spawn(self._log, "watch.ask", self._ask, now)
             if self._contact.observe(now):
                 self._belief.record_outage()
                 self._log.write("store.lost")
