--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -21,6 +21,7 @@
     answers,
     cancellation,
     counters,
+    supervision,
 )
 
 LISTEN_BACKLOG = 1024
@@ -145,7 +146,7 @@
 
     def start(self):
         """Starts accepting connections."""
-        self._thread = eventlet.spawn(self._accept)
+        self._thread = supervision.spawn_lasting(self.log, "client.accept", self._accept)
 
     def begin_shutdown(self):
         """Makes each connection close after the answer to its last request."""
@@ -161,17 +162,17 @@
     def close_idle(self):
         """Closes the connections that have no request in progress."""
         for connection in list(self.connections):
-            connection.end_if_idle()
+            supervision.attempt(self.log, "client.end", connection.end_if_idle)
 
     def end_requests(self, status):
         """Answers all requests that have no answer yet, and ends what runs for them."""
         for connection in list(self.connections):
-            connection.end_requests(status)
+            supervision.attempt(self.log, "client.end", connection.end_requests, status)
 
     def end(self):
         """Ends what is left of all connections as the process ends."""
         for connection in list(self.connections):
-            connection.close(Cause.STOP_DEADLINE)
+            supervision.attempt(self.log, "client.end", connection.close, Cause.STOP_DEADLINE)
 
     def _accept(self):
         while True:
@@ -181,7 +182,7 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            eventlet.spawn_n(_Connection(self, client).run)
+            supervision.spawn(self.log, "client.connection", _Connection(self, client).run)
 
 
 class _Connection:
