Serve the connections that wait to be accepted when a host stops listening

Callers saw: a reset, if their connection waited in the queue of the listening socket as a stop closed it, with a request that had arrived. A connection also counted only once its green thread ran, so that a stop could take itself for done before.

The queue is accepted before the socket closes, and a connection counts from its acceptance.

The new scenario of host_endings fails on the code before.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -84,3 +84,10 @@
     When a client sends a request that takes 0.3 s and behind it one that takes 0 s
     And the server begins to stop
     Then the client reads 2 answers, of which only the last one says that it is the last
+
+  # Guards against a stop that resets connections in the queue of its listening socket.
+  Scenario: A connection that waits to be accepted when a server stops listening is served
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client connects and sends a request, and the server stops listening before it accepts
+    Then the server has 1 connection
+    And the client reads 200 and that it is the last answer within 0.5 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from behave import given, then, when
+from eventlet import patcher
 from eventlet.green import socket
 
 from features import host_builders, host_world
@@ -232,6 +233,21 @@
     assert reader.is_at_end()
 
 
+@when("a client connects and sends a request, and the server stops listening before it accepts")
+def step_stop_listening(context):
+    # Neither call lets the server's green threads run.
+    plain = patcher.original("socket").create_connection(context.server.server.address)
+    plain.sendall(format_request(10))
+    context.server.server.begin_shutdown()
+    context.server.server.stop_listening()
+    context.client = socket.socket(plain)
+
+
+@then("the server has {count:d} connection")
+def step_connections(context, count):
+    assert len(context.server.server.connections) == count
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -150,10 +150,11 @@
         self.is_leaving = True
 
     def stop_listening(self):
-        """Refuses new connections."""
+        """Refuses new connections; those that the system has accepted already are served."""
         if self._thread is not None:
             self._thread.kill()
             self._thread = None
+            self._accept_waiting()
             self._socket.close()
 
     def close_idle(self):
@@ -179,7 +180,25 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            eventlet.spawn_n(_Connection(self, client).run)
+            self._serve(client)
+
+    def _accept_waiting(self):
+        """Accepts what waits in the listening socket, whose close would reset it."""
+        self._socket.setblocking(False)
+        while True:
+            try:
+                client, _ = self._socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log.write("client.accept_failed", error=str(error))
+                return
+            self._serve(socket.socket(client))
+
+    def _serve(self, client):
+        connection = _Connection(self, client)
+        self.connections.add(connection)
+        eventlet.spawn_n(connection.run)
 
 
 class _Connection:
@@ -203,7 +222,6 @@
 
     def run(self):
         """Serves the connection until it ends."""
-        self._server.connections.add(self)
         try:
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._socket.setsockopt(
