Give a connection that was just opened or answered time for its next request in a stop

Callers saw: a connection that a stopping host had accepted and closed before the first request arrived. The stop closes idle connections each 50 ms once it no longer listens; one opened just before was idle.

A connection is idle once it has been quiet for 0.2 s.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -55,7 +55,7 @@
   Scenario: A request that waits for a turn to be parsed keeps its connection from being closed
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a client sends a request with a body in chunks of one byte and reads the answer
-    And the turn to parse is taken for 0.3 s
+    And the turn to parse is taken for 0.5 s
     And it sends another one and the server closes idle connections 0.1 s later
     Then the client reads an answer of 10 bytes
 
@@ -91,3 +91,10 @@
     When a client connects and sends a request, and the server stops listening before it accepts
     Then the server has 1 connection
     And the client reads 200 and that it is the last answer within 0.5 s
+
+  # Guards against a stop that accepts a connection and closes it before its first request arrives.
+  Scenario: A connection that is opened during a stop is served
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When the server begins to stop and closes idle connections each 0.05 s
+    And a client connects and sends its first request 0.12 s later
+    Then the client reads 200 and that it is the last answer within 0.5 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -131,6 +131,7 @@
 
 @when("it sends another one and the server closes idle connections before it has read it")
 def step_send_and_close(context):
+    eventlet.sleep(clientserver.MIN_IDLE_S)
     # Neither call lets the server's green threads run.
     context.client.sendall(format_request(10))
     context.server.server.close_idle()
@@ -138,6 +139,7 @@
 
 @when("it sends another one and the server closes idle connections {seconds:g} s later")
 def step_send_and_close_later(context, seconds):
+    eventlet.sleep(clientserver.MIN_IDLE_S)
     context.client.sendall(format_request(10))
     eventlet.sleep(seconds)
     context.server.server.close_idle()
@@ -248,6 +250,13 @@
     assert len(context.server.server.connections) == count
 
 
+@when("a client connects and sends its first request {seconds:g} s later")
+def step_first_later(context, seconds):
+    context.client = connect(context)
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -34,6 +34,9 @@
 MAX_LINGER_S = 5.0
 # While it waits for the client to receive the rest of the answer, it looks as often as this.
 LINGER_POLL_S = 0.25
+# A connection that was just opened or answered is not idle yet: the client's next request may be on
+# its way, for about a round trip between the farthest regions.
+MIN_IDLE_S = 0.2
 # Unread bytes that are discarded at most before a close that can't wait.
 MAX_DISCARDED_BYTES = 1_048_576
 # A connection whose client accepts no byte of an answer for this long is closed.
@@ -292,6 +295,8 @@
         has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
         if self._state is not _State.SERVING or has_request:
             return False
+        if time.monotonic() < self._quiet_since + MIN_IDLE_S:
+            return False
         return not self._has_input() and not _count_unsent_bytes(self._socket)
 
     def _has_input(self):
