Cut requests of a stop in the last sixth of the grace period only, however short it is

Callers saw: 504 of the host 1.25 s after a SIGTERM with a grace period of 2 s, while the upstream was at work and ended 0.15 s later. The 0.75 s that a stop reserves is more than a sixth of any grace period below 4.5 s, and the rule excuses cut requests in the last sixth only (the deployments known have 6 or 10 s).

The reserve is now at most 0.16 of the grace period.

The new scenario of host_platform fails on the code before (504). 'A request that is still running at the end of a stop' had a request of 0.9 s with a grace period of 1 s, which now rightly ends with its answer 0.8 s after the signal; its request takes 1.5 s now, so it still runs at the end.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -62,11 +62,22 @@
 
   Scenario: A request that is still running at the end of a stop gets an answer
     Given a store with a configuration and 2 upstreams
+    And its routes permit 2 s
     And a host program that uses the store, with a grace period of 1 s
     Then it is ready within 10 s and lookup lists it
-    When its upstreams take 0.9 s, and it is signaled to stop during a request
+    When its upstreams take 1.5 s, and it is signaled to stop during a request
     Then the client gets 504 before the program ends
 
+  # Guards against LOST: with a grace period of less than 4.5 s a host cut requests before its last
+  # sixth.
+  Scenario: A request that ends before the last sixth of a short grace period gets its answer
+    Given a store with a configuration and 2 upstreams
+    And its routes permit 2 s
+    And a host program that uses the store, with a grace period of 2 s
+    Then it is ready within 10 s and lookup lists it
+    When its upstreams take 1.5 s, and it is signaled to stop during a request
+    Then the client gets 200 before the program ends
+
   Scenario Outline: One odd entry among the upstreams neither ends a host nor stops it from following
     Given a store with a configuration and 2 upstreams
     And a host program that uses the store
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -39,6 +39,9 @@
 # Requests that were taken before the stop and still run get an answer of the host this long before
 # the reserve begins, so that it is sent.
 LAST_ANSWERS_S = 0.15
+# Share of the grace period that both may take together: requests at which an upstream is at work
+# may be cut in the last sixth only, counted from the signal.
+MAX_RESERVE_SHARE = 0.16
 STOP_POLL_S = 0.05
 # Fraction of the host's memory that request bodies may occupy. Requests to upstreams are copies of
 # them, and the program itself takes about 35 MB.
@@ -354,8 +357,9 @@
         """Answers the requests that were read, within the grace period, and closes connections."""
         self._set_state(records.HostState.LEAVING)
         self._entry.begin_shutdown()
-        deadline = stop_requested_at + self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
-        ends_at = self.forwarder.ends_at = deadline - LAST_ANSWERS_S
+        requests_s, connections_s = split_grace(self.settings.bounds.grace_s)
+        ends_at = self.forwarder.ends_at = stop_requested_at + requests_s
+        deadline = stop_requested_at + connections_s
         _sleep_until(min(stop_requested_at + IDLE_CLOSE_DELAY_S, ends_at))
         self._entry.close_idle()
         _sleep_until(min(stop_requested_at + LISTEN_AFTER_STOP_S, ends_at))
@@ -375,6 +379,13 @@
             eventlet.sleep(STOP_POLL_S)
 
 
+def split_grace(grace_s):
+    """Returns for how many seconds after the stop signal requests run, and connections last."""
+    reserve_s = SHUTDOWN_RESERVE_S + LAST_ANSWERS_S
+    share = min(1.0, grace_s * MAX_RESERVE_SHARE / reserve_s)
+    return grace_s - share * reserve_s, grace_s - share * SHUTDOWN_RESERVE_S
+
+
 def _sleep_until(at):
     eventlet.sleep(max(0.0, at - time.monotonic()))
 
