Look for bytes once more when a read has timed out

Callers saw: a closed connection at the idle time-out though their request had arrived before it, from a process that was busy or paused then. The hub runs timers before it looks for ready sockets, so a time-out was found before bytes that were there. The same reader reads upstreams' answers and streams of belief, whose deadlines had the same fault.

The new scenario of host_endings fails on the code before.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -34,7 +34,7 @@
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     And clients may be idle for 0.3 s
     When a slow client sends a request for 100000 bytes
-    And the client sends another request 0.35 s after the answer has begun
+    And the client sends another request 1.3 s after the answer has begun
     Then after 0.2 s the client reads an answer of 100000 bytes
 
   # Guards against idle time-outs that count from the request instead of from its answer.
@@ -98,3 +98,11 @@
     When the server begins to stop and closes idle connections each 0.05 s
     And a client connects and sends its first request 0.12 s later
     Then the client reads 200 and that it is the last answer within 0.5 s
+
+  # Guards against time-outs that are found before the bytes that arrived in time.
+  Scenario: A request that arrives before the idle time-out is served though the process was paused
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And clients may be idle for 1.5 s
+    When a client sends a request for 10 bytes and reads the answer
+    And 1.35 s later the process is paused for 0.3 s as another request arrives
+    Then the client reads an answer of 10 bytes
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -257,6 +257,17 @@
     context.client.sendall(format_request(10))
 
 
+@when("{seconds:g} s later the process is paused for {pause:g} s as another request arrives")
+def step_pause(context, seconds, pause):
+    first, second = socket.socketpair()
+    eventlet.spawn_after(seconds, second.sendall, b"x")
+    # After a green thread that was woken by bytes, the hub runs timers before it looks for bytes.
+    first.recv(1)
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    patcher.original("time").sleep(pause)
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/_fairreads.py
+++ b/skylarksill/host/_fairreads.py
@@ -117,6 +117,7 @@
           OSError: If the connection was reset.
           TimeoutError: If nothing arrives before the deadline.
         """
+        has_timed_out = False
         while True:
             if self._ready_reads > 1:
                 eventlet.sleep(0)
@@ -128,14 +129,22 @@
                 data = self._socket.fd.recv(size)
             except BlockingIOError:
                 self._ready_reads = 0
-                timeout_s = max(MIN_WAIT_S, remaining_s)
-                hubs.trampoline(
-                    self._socket.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
-                )
+                if has_timed_out:
+                    raise TimeoutError("nothing arrived before the deadline") from None
+                # In a busy or paused process, the time-out comes before bytes that are ready.
+                has_timed_out = not self._wait(max(MIN_WAIT_S, remaining_s))
                 continue
             self._ready_reads += 1
             return data
 
+    def _wait(self, timeout_s):
+        """Waits for bytes; returns False at the time-out."""
+        try:
+            hubs.trampoline(self._socket.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+        except TimeoutError:
+            return False
+        return True
+
     def read_exactly(self, size, deadline):
         """Returns ``size`` bytes; see ``receive`` for the other errors.
 
