--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -34,7 +34,7 @@
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     And clients may be idle for 0.3 s
     When a slow client sends a request for 100000 bytes
-    And the client sends another request 0.35 s after the answer has begun
+    And the client sends another request 1.3 s after the answer has begun
     Then after 0.2 s the client reads an answer of 100000 bytes
 
   # Guards against idle time-outs that count from the request instead of from its answer.
@@ -55,7 +55,7 @@
   Scenario: A request that waits for a turn to be parsed keeps its connection from being closed
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a client sends a request with a body in chunks of one byte and reads the answer
-    And the turn to parse is taken for 0.3 s
+    And the turn to parse is taken for 0.5 s
     And it sends another one and the server closes idle connections 0.1 s later
     Then the client reads an answer of 10 bytes
 
@@ -84,3 +84,25 @@
     When a client sends a request that takes 0.3 s and behind it one that takes 0 s
     And the server begins to stop
     Then the client reads 2 answers, of which only the last one says that it is the last
+
+  # Guards against a stop that resets connections in the queue of its listening socket.
+  Scenario: A connection that waits to be accepted when a server stops listening is served
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client connects and sends a request, and the server stops listening before it accepts
+    Then the server has 1 connection
+    And the client reads 200 and that it is the last answer within 0.5 s
+
+  # Guards against a stop that accepts a connection and closes it before its first request arrives.
+  Scenario: A connection that is opened during a stop is served
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When the server begins to stop and closes idle connections each 0.05 s
+    And a client connects and sends its first request 0.12 s later
+    Then the client reads 200 and that it is the last answer within 0.5 s
+
+  # Guards against time-outs that are found before the bytes that arrived in time.
+  Scenario: A request that arrives before the idle time-out is served though the process was paused
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And clients may be idle for 1.5 s
+    When a client sends a request for 10 bytes and reads the answer
+    And 1.35 s later the process is paused for 0.3 s as another request arrives
+    Then the client reads an answer of 10 bytes
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from behave import given, then, when
+from eventlet import patcher
 from eventlet.green import socket
 
 from features import host_builders, host_world
@@ -130,6 +131,7 @@
 
 @when("it sends another one and the server closes idle connections before it has read it")
 def step_send_and_close(context):
+    eventlet.sleep(clientserver.MIN_IDLE_S)
     # Neither call lets the server's green threads run.
     context.client.sendall(format_request(10))
     context.server.server.close_idle()
@@ -137,6 +139,7 @@
 
 @when("it sends another one and the server closes idle connections {seconds:g} s later")
 def step_send_and_close_later(context, seconds):
+    eventlet.sleep(clientserver.MIN_IDLE_S)
     context.client.sendall(format_request(10))
     eventlet.sleep(seconds)
     context.server.server.close_idle()
@@ -232,6 +235,39 @@
     assert reader.is_at_end()
 
 
+@when("a client connects and sends a request, and the server stops listening before it accepts")
+def step_stop_listening(context):
+    # Neither call lets the server's green threads run.
+    plain = patcher.original("socket").create_connection(context.server.server.address)
+    plain.sendall(format_request(10))
+    context.server.server.begin_shutdown()
+    context.server.server.stop_listening()
+    context.client = socket.socket(plain)
+
+
+@then("the server has {count:d} connection")
+def step_connections(context, count):
+    assert len(context.server.server.connections) == count
+
+
+@when("a client connects and sends its first request {seconds:g} s later")
+def step_first_later(context, seconds):
+    context.client = connect(context)
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+
+
+@when("{seconds:g} s later the process is paused for {pause:g} s as another request arrives")
+def step_pause(context, seconds, pause):
+    first, second = socket.socketpair()
+    eventlet.spawn_after(seconds, second.sendall, b"x")
+    # After a green thread that was woken by bytes, the hub runs timers before it looks for bytes.
+    first.recv(1)
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    patcher.original("time").sleep(pause)
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -35,6 +35,9 @@
 MAX_LINGER_S = 5.0
 # While it waits for the client to receive the rest of the answer, it looks as often as this.
 LINGER_POLL_S = 0.25
+# A connection that was just opened or answered is not idle yet: the client's next request may be on
+# its way, for about a round trip between the farthest regions.
+MIN_IDLE_S = 0.2
 # Unread bytes that are discarded at most before a close that can't wait.
 MAX_DISCARDED_BYTES = 1_048_576
 # A connection whose client accepts no byte of an answer for this long is closed.
@@ -153,10 +156,11 @@
         self.is_leaving = True
 
     def stop_listening(self):
-        """Refuses new connections."""
+        """Refuses new connections; those that the system has accepted already are served."""
         if self._thread is not None:
             self._thread.kill()
             self._thread = None
+            self._accept_waiting()
             self._socket.close()
 
     def close_idle(self):
@@ -182,7 +186,25 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            supervision.spawn(self.log, "client.connection", _Connection(self, client).run)
+            self._serve(client)
+
+    def _accept_waiting(self):
+        """Accepts what waits in the listening socket, whose close would reset it."""
+        self._socket.setblocking(False)
+        while True:
+            try:
+                client, _ = self._socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log.write("client.accept_failed", error=str(error))
+                return
+            self._serve(socket.socket(client))
+
+    def _serve(self, client):
+        connection = _Connection(self, client)
+        self.connections.add(connection)
+        supervision.spawn(self.log, "client.connection", connection.run)
 
 
 class _Connection:
@@ -206,7 +228,6 @@
 
     def run(self):
         """Serves the connection until it ends."""
-        self._server.connections.add(self)
         try:
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._socket.setsockopt(
@@ -277,6 +298,8 @@
         has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
         if self._state is not _State.SERVING or has_request:
             return False
+        if time.monotonic() < self._quiet_since + MIN_IDLE_S:
+            return False
         return not self._has_input() and not _count_unsent_bytes(self._socket)
 
     def _has_input(self):
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -41,6 +41,9 @@
 # Requests that were taken before the stop and still run get an answer of the host this long before
 # the reserve begins, so that it is sent.
 LAST_ANSWERS_S = 0.15
+# Share of the grace period that both may take together: requests at which an upstream is at work
+# may be cut in the last sixth only, counted from the signal.
+MAX_RESERVE_SHARE = 0.16
 STOP_POLL_S = 0.05
 # Fraction of the host's memory that request bodies may occupy. Requests to upstreams are copies of
 # them, and the program itself takes about 35 MB.
@@ -374,8 +377,9 @@
 
         It goes on after a fault in any step, as its end is the end of the process.
         """
-        deadline = stop_requested_at + self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
-        ends_at = self.forwarder.ends_at = deadline - LAST_ANSWERS_S
+        requests_s, connections_s = split_grace(self.settings.bounds.grace_s)
+        ends_at = self.forwarder.ends_at = stop_requested_at + requests_s
+        deadline = stop_requested_at + connections_s
         self._attempt_to_stop(self._set_state, records.HostState.LEAVING)
         cut_off = 0
         if self._entry is not None:
@@ -402,6 +406,13 @@
             eventlet.sleep(STOP_POLL_S)
 
 
+def split_grace(grace_s):
+    """Returns for how many seconds after the stop signal requests run, and connections last."""
+    reserve_s = SHUTDOWN_RESERVE_S + LAST_ANSWERS_S
+    share = min(1.0, grace_s * MAX_RESERVE_SHARE / reserve_s)
+    return grace_s - share * reserve_s, grace_s - share * SHUTDOWN_RESERVE_S
+
+
 def _sleep_until(at):
     eventlet.sleep(max(0.0, at - time.monotonic()))
 
