Accept no value from the store or a peer that raises an exception later

Cause: decoders checked the types of values, not what they can mean.

Change: fields.check_integer, check_number, check_range, check_text and check_address check the values of the configuration, of a source's update and of a datagram; what they accept can be used and passed on. A host takes over no incarnation above the largest one.

--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -76,7 +76,7 @@
     """
     try:
         sequence, generation, wait_ms, nonce = _unpack(payload)
-        numbers = [fields.check(number, int) for number in (sequence, generation, wait_ms)]
+        numbers = [fields.check_integer(number) for number in (sequence, generation, wait_ms)]
         fields.check(nonce, bytes)
     except (ValueError, TypeError) as error:
         raise CodecError(f"malformed request: {error}") from error
@@ -123,9 +123,9 @@
         sequence, revisions, is_complete, is_store_lost, *rest = _unpack(packed)
         configuration, is_snapshot, upstreams, lapses, removed_ids, evacuated, ages = rest
         return relay.BeliefUpdate(
-            sequence=fields.check(sequence, int),
+            sequence=fields.check_integer(sequence),
             revisions={
-                kind: fields.check(revisions[kind.value], int) for kind in records.ObjectKind
+                kind: fields.check_integer(revisions[kind.value]) for kind in records.ObjectKind
             },
             is_complete=fields.check(is_complete, bool),
             is_store_lost=fields.check(is_store_lost, bool),
@@ -151,7 +151,7 @@
 def _decode_times(times):
     """Returns a dict of seconds by name."""
     return {
-        fields.check(name, str): fields.check(seconds, float)
+        fields.check(name, str): fields.check_number(seconds)
         for name, seconds in fields.check(times, dict).items()
     }
 
@@ -198,14 +198,14 @@
     upstream_id, incarnation, service_id, address, zone, region, slots, state, cold_s = item
     return records.Upstream(
         fields.check(upstream_id, str),
-        fields.check(incarnation, int),
+        fields.check_range(incarnation, 0, fields.MAX_INTEGER),
         fields.check(service_id, str),
         fields.decode_address(address),
         fields.check(zone, str),
         fields.check(region, str),
-        fields.check(slots, int),
+        fields.check_range(slots, 1, fields.MAX_SLOTS),
         records.UpstreamState(state),
-        fields.check(cold_s, float),
+        fields.check_number(cold_s),
     )
 
 
@@ -236,22 +236,22 @@
     decoded = [
         records.Service(
             fields.check(service_id, str),
-            fields.check(max_connections, int),
-            fields.check(cold_s, float),
-            fields.check(cold_rate, float),
+            fields.check_integer(max_connections),
+            fields.check_number(cold_s),
+            fields.check_number(cold_rate),
         )
         for service_id, max_connections, cold_s, cold_rate in services
     ]
     max_head_bytes, max_body_bytes, head_timeout_s, idle_timeout_s = limits
     return records.Configuration(
-        fields.check(generation, int),
+        fields.check_integer(generation),
         tuple(_decode_route(route) for route in routes),
         {service.service_id: service for service in decoded},
         records.ClientLimits(
-            fields.check(max_head_bytes, int),
-            fields.check(max_body_bytes, int),
-            fields.check(head_timeout_s, float),
-            fields.check(idle_timeout_s, float),
+            fields.check_integer(max_head_bytes),
+            fields.check_integer(max_body_bytes),
+            fields.check_number(head_timeout_s),
+            fields.check_number(idle_timeout_s),
         ),
     )
 
@@ -291,14 +291,14 @@
         fields.check(site, str),
         fields.check(prefix, str),
         shared.WorkKind(kind),
-        fields.check(timeout_s, float),
-        fields.check(target_latency_s, float),
-        fields.check(priority, int),
+        fields.check_number(timeout_s),
+        fields.check_number(target_latency_s),
+        fields.check_integer(priority),
         tuple(
-            records.Share(fields.check(name, str), fields.check(weight, float))
+            records.Share(fields.check(name, str), fields.check_number(weight))
             for name, weight in shares
         ),
-        fields.check(max_attempts, int),
+        fields.check_integer(max_attempts),
         fields.check(is_sticky, bool),
         frozenset(fields.check(region, str) for region in regions),
     )
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -20,6 +20,9 @@
 _AGE_SHIFT = 3
 AGE_UNIT_S = 0.2
 MAX_AGE_UNITS = 31
+# Largest numbers that a host can pass on again.
+MAX_HEARTBEAT = 2**32 - 1
+MAX_AGE_MS = 10**15
 
 
 class CodecError(shared.SkylarksillError):
@@ -120,7 +123,7 @@
     shares, is_store_lost, age = rest
     record = records.HostRecord(
         fields.check(host_id, str),
-        fields.check(incarnation, int),
+        fields.check_range(incarnation, 0, fields.MAX_INTEGER),
         fields.check(zone, str),
         fields.check(region, str),
         fields.decode_address(entry),
@@ -131,7 +134,7 @@
         raise ValueError(f"shares {shares!r} are not between 0 and 1")
     return peers.Peer(
         record,
-        fields.check(heartbeat, int),
+        fields.check_range(heartbeat, 0, MAX_HEARTBEAT),
         records.HostState(state),
         now - _decode_age(age),
         shares,
@@ -172,13 +175,17 @@
     return int((now - at) * 1000)
 
 
+def _decode_ms(age_ms):
+    return fields.check_range(age_ms, -MAX_AGE_MS, MAX_AGE_MS) / 1000
+
+
 def _decode_restart(item, now):
     upstream_id, incarnation, age_ms, alive_age_ms = item
     return restarts.RestartReport(
         fields.check(upstream_id, str),
-        fields.check(incarnation, int),
-        now - fields.check(age_ms, int) / 1000,
-        now - fields.check(alive_age_ms, int) / 1000,
+        fields.check_integer(incarnation),
+        now - _decode_ms(age_ms),
+        now - _decode_ms(alive_age_ms),
     )
 
 
@@ -187,6 +194,6 @@
     return poison.Crash(
         fields.check(fingerprint, bytes),
         fields.check(upstream_id, str),
-        fields.check(incarnation, int),
-        now - fields.check(age_ms, int) / 1000,
+        fields.check_integer(incarnation),
+        now - _decode_ms(age_ms),
     )
--- a/skylarksill/host/fields.py
+++ b/skylarksill/host/fields.py
@@ -1,9 +1,13 @@
 """Checks of the fields of decoded messages."""
 
 import ipaddress
+import math
 import reprlib
 
 MAX_PORT = 65_535
+# Integers of the messages between hosts and of the store's objects.
+MAX_INTEGER = 2**63 - 1
+MAX_SLOTS = 100_000
 # Longer texts are no numbers that any field can mean.
 MAX_NUMBER_BYTES = 32
 
@@ -30,6 +34,29 @@
     return value
 
 
+def check_integer(value):
+    """Returns the value if it is an integer that messages between hosts can carry.
+
+    Raises:
+      ValueError: If it is not.
+    """
+    return check_range(value, -MAX_INTEGER, MAX_INTEGER)
+
+
+def check_number(value, least=0.0):
+    """Returns the value as a finite floating-point number of at least ``least``.
+
+    Raises:
+      ValueError: If it is none.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"expected a number, got {reprlib.repr(value)}")
+    number = float(value)
+    if not least <= number < math.inf:
+        raise ValueError(f"{number} is not a finite number of at least {least}")
+    return number
+
+
 def read_integer(text, least, most):
     """Reads an integer from the bytes of a header.
 
@@ -67,4 +94,4 @@
       ValueError: If the value is not such a pair.
     """
     ip, port = value
-    return check_text(ip), check_range(port, 1, MAX_PORT)
+    return check_address(ip, port)
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -17,7 +17,7 @@
 import math
 import random
 
-from skylarksill.host import _gossiptargets, records
+from skylarksill.host import _gossiptargets, fields, records
 
 ROUND_S = 0.5
 # Number of hosts in the own region and in other regions that get a datagram in a round. Bytes
@@ -233,7 +233,7 @@
         the lower incarnation.
         """
         own = self._peers[self._own_id]
-        if incarnation > own.record.incarnation:
+        if own.record.incarnation < incarnation < fields.MAX_INTEGER:
             record = dataclasses.replace(own.record, incarnation=incarnation + 1)
             self._put(dataclasses.replace(own, record=record))
 
