--- a/features/host_store_answers.feature
+++ b/features/host_store_answers.feature
@@ -29,3 +29,18 @@
     Given a store with 3000 upstreams in one answer
     When a host lists the upstreams
     Then it has listed 3000 upstreams
+
+  # Guards against a watch that ended for good: a revision that is no number met one in a comparison.
+  Scenario Outline: An answer with an odd revision is malformed
+    Given a store that answers with the revision <revision>
+    When a host lists the upstreams
+    Then the call fails within 1.0 s
+
+    Examples:
+      | revision |
+      | null     |
+      | "7"      |
+      | 1.5      |
+      | -1       |
+      | 1e30     |
+      | [1]      |
--- a/features/steps/host_store_answers_steps.py
+++ b/features/steps/host_store_answers_steps.py
@@ -46,6 +46,12 @@
     _listen(context, [wire_builders.OK + b"Content-Length: %d\r\n\r\n" % len(body) + body], 0.0)
 
 
+@given("a store that answers with the revision {revision}")
+def step_odd_revision(context, revision):
+    body = b'{"items": [], "hasMore": false, "storeRevision": %b}' % revision.encode()
+    _listen(context, [wire_builders.OK + b"Content-Length: %d\r\n\r\n" % len(body) + body], 0.0)
+
+
 def _listen(context, portions, pause_s):
     """Answers the first request with portions of bytes."""
     listener = eventlet.listen(("127.0.0.1", 0))
