Take texts as addresses in what peers send, as before

No exception could be shown for a text that can't be a name (the send fails with an OSError, which is handled), so the check goes, with its example. host_keys passes again.

--- a/features/host_odd_values.feature
+++ b/features/host_odd_values.feature
@@ -48,7 +48,6 @@
       | an incarnation         | 18446744073709551615                                      |
       | a crash's age          | 18446744073709551615                                      |
       | a restart's age        | 18446744073709551615                                      |
-      | a gossip address       | "a.very.long.name.of.a.host.that.no.resolver.ever.answers" |
 
   Scenario: A peer that names the largest incarnation of this host ended its gossip
     Given a table of peers
--- a/features/steps/host_odd_values_steps.py
+++ b/features/steps/host_odd_values_steps.py
@@ -115,10 +115,9 @@
 def step_odd_datagram(context, part, value):
     value = json.loads(value)
     address = ("127.0.0.1", 81)
-    gossip = (value, 81) if part == "a gossip address" else address
     incarnation = value if part == "an incarnation" else 1
     heartbeat = value if part == "a heartbeat" else 1
-    entry = ("h", incarnation, "north-a", "north", address, gossip, heartbeat)
+    entry = ("h", incarnation, "north-a", "north", address, address, heartbeat)
     entry += (records.HostState.SERVING.value, {}, False, 0)
     crash = (b"x" * 12, "a", 1, value if part == "a crash's age" else 1)
     restart = ("a", 1, value if part == "a restart's age" else 1, 1)
--- a/skylarksill/host/fields.py
+++ b/skylarksill/host/fields.py
@@ -94,4 +94,4 @@
       ValueError: If the value is not such a pair.
     """
     ip, port = value
-    return check_address(ip, port)
+    return check_text(ip), check_range(port, 1, MAX_PORT)
