--- a/features/host_settings.feature
+++ b/features/host_settings.feature
@@ -18,6 +18,10 @@
       | terms.bounds.retryBudgetRatio | some  |
       | terms.bounds.retryBudgetExtra | nan   |
       | terms.bounds.maxShift         | -1    |
+      | network.internalPorts         | ²     |
+      | network.internalPorts         | 0     |
+      | network.internalPorts         | 65535 |
+      | self.limits.memoryMb          | 1e308 |
 
   Scenario: Settings can be checked without starting the host
     Given the platform's settings file
