--- a/features/host_world.py
+++ b/features/host_world.py
@@ -31,6 +31,9 @@
       names: Ids of the upstreams.
       workers: Dict of running workers by upstream id that other hosts use too; new ones if None.
       routes: The records.Route tuple of the configuration; the builder's routes if None.
+
+    Attributes:
+      expects_exceptions: True if the test plants a fault that the host is to log.
     """
 
     def __init__(self, names, workers=None, routes=None):
@@ -38,6 +41,7 @@
         self.workers = workers or {name: worker.Worker(name) for name in names}
         self._routes = routes
         self.log_bytes = bytearray()
+        self.expects_exceptions = False
         log = eventlog.EventLog("test", self._write_log)
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet("north")
@@ -82,6 +86,12 @@
         for item in self.workers.values():
             item.stop()
 
+    def check_exceptions(self):
+        """Fails if the host has logged an exception that the test does not expect."""
+        self.log.flush()
+        faults = [line for line in self.log_bytes.splitlines() if b'"host.exception"' in line]
+        assert self.expects_exceptions or not faults, faults
+
     def connect(self):
         """Opens a connection of a client to the host."""
         client = socket.create_connection(self.server.address)
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -21,6 +21,7 @@
     answers,
     cancellation,
     counters,
+    supervision,
 )
 
 LISTEN_BACKLOG = 1024
@@ -44,6 +45,8 @@
 ACCEPT_RETRY_S = 0.05
 # Default limit of the request bodies held in memory; the smallest hosts have 300 MB.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# Answer to a request whose handler failed. It promises nothing, as the request may have run.
+FAILED_STATUS = 502
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
 
@@ -146,7 +149,7 @@
 
     def start(self):
         """Starts accepting connections."""
-        self._thread = eventlet.spawn(self._accept)
+        self._thread = supervision.spawn_lasting(self.log, "client.accept", self._accept)
 
     def begin_shutdown(self):
         """Makes each connection close after the answer to its last request."""
@@ -163,12 +166,12 @@
     def close_idle(self):
         """Closes the connections that have no request in progress."""
         for connection in list(self.connections):
-            connection.end_if_idle()
+            supervision.attempt(self.log, "client.end", connection.end_if_idle)
 
     def end_requests(self, status):
         """Answers all requests that have no answer yet, and ends what runs for them."""
         for connection in list(self.connections):
-            connection.end_requests(status)
+            supervision.attempt(self.log, "client.end", connection.end_requests, status)
 
     def end(self):
         """Ends what is left of all connections as the process ends."""
@@ -183,7 +186,7 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            self._serve(client)
+            self._open(client)
 
     def _accept_waiting(self):
         """Accepts what waits in the listening socket, whose close would reset it."""
@@ -196,12 +199,12 @@
             except OSError as error:
                 self.log.write("client.accept_failed", error=str(error))
                 return
-            self._serve(socket.socket(client))
+            self._open(socket.socket(client))
 
-    def _serve(self, client):
+    def _open(self, client):
         connection = _Connection(self, client)
         self.connections.add(connection)
-        eventlet.spawn_n(connection.run)
+        supervision.spawn(self.log, "client.connection", connection.run)
 
 
 class _Connection:
@@ -289,7 +292,7 @@
             self._set_answer(item, answers.format_answer(answer, item.method))
             item.cancellation.cancel()
         # A client that doesn't read delays no other.
-        eventlet.spawn_n(self._write_ready)
+        supervision.spawn(self._server.log, "client.answer", self._write_ready)
 
     def _is_idle(self):
         has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
@@ -469,12 +472,47 @@
 
     def _serve(self, item, request):
         try:
-            answer = self._server.handle(request, item.cancellation)
+            answer = self._handle(item, request)
+        except BaseException:
+            # The green thread is ended, so the answers behind this one can't be sent in order.
+            self._abandon()
+            raise
         finally:
             self._server.buffered_bytes -= len(request.body)
+        try:
+            self._answer(item, answer)
+        except Exception as error:
+            self._server.log.write_exception("client.answer", error)
+            self._abandon()
+
+    def _handle(self, item, request):
+        """Returns the handler's answer, or one that promises nothing if the handler fails."""
+        try:
+            return self._server.handle(request, item.cancellation)
+        except Exception as error:
+            return self._handle_failure("client.handle", error)
+
+    def _format(self, item, answer):
+        """Encodes a handler's answer, or one that promises nothing if that fails."""
+        try:
+            return answers.format_answer(answer, item.method)
+        except Exception as error:
+            answer = self._handle_failure("client.format", error)
+            return answers.format_answer(answer, item.method)
+
+    def _handle_failure(self, task, error):
+        self._server.log.write_exception(task, error)
+        return answers.make_answer(FAILED_STATUS, b"host failed\n")
+
+    def _abandon(self):
+        """Ends the connection, with all requests that have no answer yet."""
+        self._end(Cause.ERROR)
+        self._shut_down(socket.SHUT_RDWR)
+
+    def _answer(self, item, answer):
         if answer is None or item.data is not None or self._state is _State.ENDED:
             return
-        self._set_answer(item, answers.format_answer(answer, item.method))
+        self._set_answer(item, self._format(item, answer))
         self._write_ready()
 
     def _set_answer(self, item, data):
