--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -186,7 +186,7 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            self._serve(client)
+            self._open(client)
 
     def _accept_waiting(self):
         """Accepts what waits in the listening socket, whose close would reset it."""
@@ -199,9 +199,9 @@
             except OSError as error:
                 self.log.write("client.accept_failed", error=str(error))
                 return
-            self._serve(socket.socket(client))
+            self._open(socket.socket(client))
 
-    def _serve(self, client):
+    def _open(self, client):
         connection = _Connection(self, client)
         self.connections.add(connection)
         supervision.spawn(self.log, "client.connection", connection.run)
@@ -292,7 +292,7 @@
             self._set_answer(item, answers.format_answer(answer, item.method))
             item.cancellation.cancel()
         # A client that doesn't read delays no other.
-        eventlet.spawn_n(self._write_ready)
+        supervision.spawn(self._server.log, "client.answer", self._write_ready)
 
     def _is_idle(self):
         has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
@@ -497,7 +497,8 @@
         try:
             return answers.format_answer(answer, item.method)
         except Exception as error:
-            return answers.format_answer(self._handle_failure("client.format", error), item.method)
+            answer = self._handle_failure("client.format", error)
+            return answers.format_answer(answer, item.method)
 
     def _handle_failure(self, task, error):
         self._server.log.write_exception(task, error)
