Parse nothing that arrives behind the last request of a connection

Cause: the reader waits while a writer moves the connection on to lingering. What it read then was parsed; its refusal or 100 Continue went to a socket that is shut for writing, and that error closed the connection at once. A request that was dropped there also stayed counted in buffered_bytes.

Change: bytes are parsed, refused and asked for only while the connection serves; what is dropped is no longer counted.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -106,3 +106,23 @@
     When a client sends a request for 10 bytes and reads the answer
     And 1.35 s later the process is paused for 0.3 s as another request arrives
     Then the client reads an answer of 10 bytes
+
+  # Guards against bytes behind the last request of a connection that cut the last answer.
+  Scenario Outline: What a client sends behind its last request cuts its last answer
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a slow client sends a request for 100000 bytes
+    And the server begins to stop
+    And the client sends <what> behind it, 0.4 s after the answer has begun
+    Then after 0.5 s the client reads an answer of 100000 bytes that says that it is the last one
+
+    Examples:
+      | what                      |
+      | bytes that are no request |
+      | a head that asks to go on |
+
+  Scenario: A body behind the last request of a connection stays counted
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a client sends a request for 10 bytes
+    And the server begins to stop
+    And the client sends two requests with bodies behind it, 0.0 s after the answer has begun
+    Then no bytes of bodies are counted once the connection has ended
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -315,6 +315,39 @@
     assert not context.server.server.connections
 
 
+_POST = b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\n"
+BYTES_BEHIND = {
+    "bytes that are no request": b"no request\r\n\r\n",
+    "a head that asks to go on": _POST + b"Expect: 100-continue\r\n\r\n",
+    "two requests with bodies": 2 * (_POST + b"\r\nhello"),
+}
+
+
+@when("a client sends a request for {size:d} bytes")
+def step_client(context, size):
+    context.client = connect(context)
+    context.client.sendall(format_request(size))
+    eventlet.sleep(0.1)
+
+
+@when("the client sends {what} behind it, {seconds:g} s after the answer has begun")
+def step_send_behind(context, what, seconds):
+    context.client.recv(1, socket.MSG_PEEK)
+    eventlet.sleep(seconds)
+    context.client.sendall(BYTES_BEHIND[what])
+    eventlet.sleep(0.1)
+    context.client.sendall(format_request(10))
+    eventlet.sleep(0.1)
+
+
+@then("no bytes of bodies are counted once the connection has ended")
+def step_uncounted(context):
+    server = context.server.server
+    context.client.close()
+    host_world.wait_until(3.0, lambda: not server.connections)
+    assert server.buffered_bytes == 0, server.buffered_bytes
+
+
 def _read_answer(context, size):
     """Reads the next answer; returns its headers."""
     status, headers, body = platformdata.AnswerReader(context.client).read()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -323,7 +323,8 @@
             if not data:
                 self._end(Cause.CLIENT_LEFT)
                 return
-            self._parse(data)
+            if self._state is _State.SERVING:
+                self._parse(data)
         self._linger()
 
     def _parse(self, data):
@@ -386,7 +387,7 @@
 
     def _send_continue(self):
         """Sends what the head of a request whose body is still due asks for."""
-        if self._owes_continue:
+        if self._owes_continue and self._state is _State.SERVING:
             self._owes_continue = False
             self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -433,6 +434,7 @@
     def on_message_complete(self):
         """Starts processing a complete request."""
         if self._state is not _State.SERVING:
+            self._discard_partial_request()
             return
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
@@ -530,6 +532,9 @@
 
     def _reject(self, status):
         """Answers an unreadable request with an error and closes the connection after it."""
+        if self._state is not _State.SERVING:
+            # The client knows, or will know, that its last requests count as not read.
+            return
         self._server.log.write("client.refused", status=status)
         self._take_no_more()
         item = _PendingRequest(b"GET", cancellation.Cancellation())
