Answer nothing that follows the last request of a connection

Callers saw: a 400 behind the answer to a request with Connection: close, if other bytes followed it on the connection; the answer itself then didn't say that it was the last. The parser refuses bytes after such a request, and the refusal was answered as one more request.

Both rows of the new scenario of host_endings fail on the code before.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -106,3 +106,14 @@
     When a client sends a request for 10 bytes and reads the answer
     And 1.35 s later the process is paused for 0.3 s as another request arrives
     Then the client reads an answer of 10 bytes
+
+  # Guards against a 400 that follows the last answer, which then doesn't say that it is the last.
+  Scenario Outline: What follows the last request of a connection gets no answer
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request that asks to close, and <what> behind it
+    Then the client reads 1 answer, which says that it is the last one, and the end
+
+    Examples:
+      | what                      |
+      | another request           |
+      | bytes that are no request |
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -228,6 +228,7 @@
 
 
 @then("the client reads {count:d} answers, of which only the last one says that it is the last")
+@then("the client reads {count:d} answer, which says that it is the last one, and the end")
 def step_only_last(context, count):
     reader = platformdata.AnswerReader(context.client)
     closes = [reader.read()[1].get("connection") for _ in range(count)]
@@ -268,6 +269,14 @@
     patcher.original("time").sleep(pause)
 
 
+@when("a client sends a request that asks to close, and {what} behind it")
+def step_behind_close(context, what):
+    context.client = connect(context)
+    behind = {"another request": format_request(10), "bytes that are no request": b"x" * 100}
+    closing = format_request(10, 0.1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    context.client.sendall(closing + behind[what])
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -530,6 +530,9 @@
 
     def _reject(self, status):
         """Answers an unreadable request with an error and closes the connection after it."""
+        if self._state is not _State.SERVING:
+            # What follows the last request is no request, and its answer would follow the last one.
+            return
         self._server.log.write("client.refused", status=status)
         self._take_no_more()
         item = _PendingRequest(b"GET", cancellation.Cancellation())
