--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -126,3 +126,14 @@
     And the server begins to stop
     And the client sends two requests with bodies behind it, 0.0 s after the answer has begun
     Then no bytes of bodies are counted once the connection has ended
+
+  # Guards against a 400 that follows the last answer, which then doesn't say that it is the last.
+  Scenario Outline: What follows the last request of a connection gets no answer
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends a request that asks to close, and <what> behind it
+    Then the client reads 1 answer, which says that it is the last one, and the end
+
+    Examples:
+      | what                      |
+      | another request           |
+      | bytes that are no request |
