Log faults of the host in reading a request, and refuse it as not run

Cause: any exception in a callback of the parser counted as the client's.

Change: one that isn't about the request is logged with its traceback, and the request is refused with 503, as nothing has been passed on.

Test: the new scenario of host_exceptions.feature fails on the code before (400) and passes now (32 of 32).

--- a/features/host_exceptions.feature
+++ b/features/host_exceptions.feature
@@ -17,6 +17,12 @@
       | raises an exception for    | client.handle |
       | returns a broken answer to | client.format |
 
+  Scenario: A fault of the host while it reads a request is blamed on the client
+    Given reading the request "r1" raises an exception
+    When the client sends 2 requests at once until the connection ends
+    Then the client has got 200 and then 503
+    And the log has one exception of "client.parse" with its traceback
+
   Scenario: A fault while answers are sent leaves the connection open without answers
     Given sending the answer to the request "r1" raises an exception
     When the client sends 4 requests at once until the connection ends
--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -2,12 +2,13 @@
 
 import json
 import re
+from unittest import mock
 
 import greenlet
 from behave import given, then, when
 
 from features import host_world
-from skylarksill.host import _upstreamhttp, records
+from skylarksill.host import _requestfields, _upstreamhttp, records
 from standins import platformdata
 
 SETTLE_S = 1.0
@@ -52,6 +53,26 @@
     context.planted_id = request_id
 
 
+@given('reading the request "{request_id}" raises an exception')
+def step_faulty_parse(context, request_id):
+    build_request = _requestfields.build_request
+    context.world.expects_exceptions = True
+
+    def build_or_fail(method, target, headers, body, names):
+        request = build_request(method, target, headers, body, names)
+        return _fail() if request.request_id == request_id.encode() else request
+
+    patcher = mock.patch.object(_requestfields, "build_request", build_or_fail)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@then("the client has got {first:d} and then {second:d}")
+def step_statuses(context, first, second):
+    statuses = [int(code) for code in re.findall(rb"HTTP/1.1 (\d+) ", context.received)]
+    assert statuses == [first, second], context.received
+
+
 @when("the client sends {count:d} requests at once until the connection ends")
 def step_pipeline_to_end(context, count):
     client = context.world.connect()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -47,6 +47,8 @@
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
+# Answer to a request on whose reading the host failed: it has not run.
+UNREADABLE_STATUS = 503
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
 
@@ -335,13 +337,20 @@
         except _BadRequestError as error:
             self._reject(error.status)
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            self._reject(cause.status if isinstance(cause, _BadRequestError) else 400)
+            self._reject(self._find_status(error.__context__))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400)
         finally:
             self._unparsed_bytes = 0
 
+    def _find_status(self, cause):
+        """Returns the status for an exception in a callback of the parser."""
+        if isinstance(cause, _BadRequestError):
+            return cause.status
+        # The fault is the host's own, and the request has not been passed on.
+        self._server.log.write_exception("client.parse", cause)
+        return UNREADABLE_STATUS
+
     def _receive(self):
         """Returns the next bytes, or None if no further request is to be read."""
         while self._state is _State.SERVING:
