Wait for a client that still receives its last answer

Cause: the bound on reading on after the last answer held whatever the client had acknowledged.

Change: the bound counts from the last progress of the client. The end of a stop bounds it as before. Such an end has a cause of its own, not_received.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -137,3 +137,12 @@
       | what                      |
       | another request           |
       | bytes that are no request |
+
+  # Guards against a bound on the time after the last answer that cuts it.
+  Scenario: A client that receives its last answer slowly and sends on gets all of it
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    And it reads on for at most 0.5 s after the last answer
+    When a slow client sends a request for 100000 bytes
+    And the server begins to stop
+    And the client reads 4000 bytes each 0.05 s and sends on
+    Then it has read an answer of 100000 bytes
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -3,6 +3,7 @@
 import json
 import struct
 import time
+from unittest import mock
 
 import eventlet
 from behave import given, then, when
@@ -109,6 +110,7 @@
 
 @when("a slow client sends a request for {size:d} bytes")
 def step_slow_client(context, size):
+    context.size = size
     context.client = connect(context, buffer_bytes=4096)
     context.client.sendall(format_request(size))
     eventlet.sleep(0.1)
@@ -349,6 +351,28 @@
     eventlet.sleep(0.1)
 
 
+@given("it reads on for at most {seconds:g} s after the last answer")
+def step_max_linger(context, seconds):
+    patch = mock.patch.object(clientserver, "MAX_LINGER_S", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("the client reads {size:d} bytes each {seconds:g} s and sends on")
+def step_read_slowly(context, size, seconds):
+    context.received = b""
+    while len(context.received) < context.size and (data := context.client.recv(size)):
+        context.received += data
+        eventlet.sleep(seconds)
+        context.client.sendall(format_request(10))
+
+
+@then("it has read an answer of {size:d} bytes")
+def step_received(context, size):
+    body = context.received.partition(b"\r\n\r\n")[2]
+    assert len(body) >= size, len(body)
+
+
 @then("no bytes of bodies are counted once the connection has ended")
 def step_uncounted(context):
     server = context.server.server
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -30,8 +30,8 @@
 # After the last answer the server goes on reading until the client has sent nothing for this long,
 # since closing a connection with unread bytes resets it, and the client can lose the answer.
 LINGER_TIMEOUT_S = 1.0
-# Longest time for which it reads on after its own last answer, also from a client that sends on or
-# has not received all of the answer.
+# Longest time for which it reads on after the client has received all of the last answer, or while
+# the client receives nothing of it.
 MAX_LINGER_S = 5.0
 # While it waits for the client to receive the rest of the answer, it looks as often as this.
 LINGER_POLL_S = 0.25
@@ -60,6 +60,7 @@
     RESET = "reset"
     IDLE_TIMEOUT = "idle_timeout"
     LAST_ANSWER = "last_answer"
+    NOT_RECEIVED = "not_received"
     WRITE_FAILED = "write_failed"
     STOP_IDLE = "stop_idle"
     STOP_DEADLINE = "stop_deadline"
@@ -221,7 +222,9 @@
         self._is_writing = False
         self._state = _State.SERVING
         self._quiet_since = time.monotonic()
-        self._answered_at = None
+        # When the client last received a part of the last answer, and the rest at that time.
+        self._received_at = None
+        self._unsent_bytes = math.inf
         self._cause = None
         self._dropped = 0
         self._unparsed_bytes = 0
@@ -579,7 +582,7 @@
             self._is_writing = False
         if self._state is _State.ANSWERING and not self.pending:
             self._state = _State.LINGERING
-            self._answered_at = self._quiet_since = time.monotonic()
+            self._received_at = self._quiet_since = time.monotonic()
             self._shut_down(socket.SHUT_WR)
 
     def _linger(self):
@@ -597,15 +600,18 @@
                 # The client has been silent.
                 pass
             if self._has_lingered(time.monotonic()):
-                self._end(Cause.LAST_ANSWER)
+                self._end(Cause.NOT_RECEIVED if self._unsent_bytes else Cause.LAST_ANSWER)
 
     def _has_lingered(self, now):
         if self._state is not _State.LINGERING:
             return False
-        if now >= self._answered_at + MAX_LINGER_S:
+        unsent_bytes = _count_unsent_bytes(self._socket)
+        if unsent_bytes < self._unsent_bytes:
+            self._received_at = now
+        self._unsent_bytes = unsent_bytes
+        if now >= self._received_at + MAX_LINGER_S:
             return True
-        is_silent = now >= self._quiet_since + LINGER_TIMEOUT_S
-        return is_silent and not _count_unsent_bytes(self._socket)
+        return not unsent_bytes and now >= self._quiet_since + LINGER_TIMEOUT_S
 
     def _end(self, cause):
         """Makes the reader close the connection; requests without an answer are dropped."""
