Cancel the other requests of a client if a connection can't be shut down

An error of a shutdown other than ENOTCONN and EBADF ended the loop that cancels the requests of a client that has gone: the others went on, and the client's connection stayed registered and open.

--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client for upstreams: one request at a time on a connection, with a typed outcome."""
 
+import contextlib
 import dataclasses
-import errno
 import math
 import time
 
@@ -132,11 +132,9 @@
     def abort(self):
         """Shuts the connection down and so wakes a green thread that waits on it."""
         self.is_reusable = False
-        try:
+        # A connection that can't be shut down has ended already.
+        with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError as error:
-            if error.errno not in (errno.ENOTCONN, errno.EBADF):
-                raise
 
     def close(self):
         """Closes the connection."""
