Count the log lines that the output has no room for, and go on

An error of the output other than EPIPE, such as ENOSPC, ended the flush of the log for good before supervision, and held back all lines since. They are now dropped and counted as others are.

--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -4,7 +4,6 @@
 rate, or that arrive while the buffer is full, are dropped and counted, and the count is logged.
 """
 
-import errno
 import json
 import os
 import sys
@@ -84,7 +83,13 @@
     def flush(self):
         """Writes as much of the buffer as the output accepts without blocking."""
         while self._buffer:
-            written = self._write(bytes(self._buffer[:65536]))
+            data = bytes(self._buffer[:65536])
+            try:
+                written = self._write(data)
+            except OSError:
+                # Nobody reads the lines, or there is no room for them.
+                written = len(data)
+                self._dropped += data.count(b"\n")
             if not written:
                 return
             del self._buffer[:written]
@@ -128,10 +133,5 @@
             return os.write(descriptor, data)
         except BlockingIOError:
             return 0
-        except OSError as error:
-            # The reader of the log has closed the pipe: discard the lines.
-            if error.errno != errno.EPIPE:
-                raise
-            return len(data)
 
     return write
