Answer the requests before one whose reading raises an exception

An exception while a request was read ended its connection with all requests on it that were in progress, without a line in the log; one in a callback of the parser became a 400, which clients don't repeat. Both are now logged, the requests before it are answered, and it gets 503, as nothing of it was passed on.

--- a/features/host_exceptions.feature
+++ b/features/host_exceptions.feature
@@ -17,6 +17,30 @@
       | raises an exception for    | client.handle |
       | returns a broken answer to | client.format |
 
+  Scenario Outline: An exception while a request was read ended its connection, or was a 400
+    Given reading the request "r2" raises an exception <where>
+    When the client sends 4 requests at once until the connection ends
+    Then the answers have the status 200, 200 and 503
+    And nothing of the requests is left in the host
+    And the log has one exception of "client.read" with its traceback
+
+    Examples:
+      | where             |
+      | in the parser     |
+      | beside the parser |
+
+  Scenario: An upstream's connection that can't be shut down kept others from being cancelled
+    Given the upstreams take 1.0 s
+    And their connections can't be shut down
+    When the client sends 3 requests at once and disconnects
+    Then nothing of the requests is left in the host
+    And its connection is closed
+
+  Scenario: A log that can't be written held back its later lines
+    Given a log whose output has no room for its first 3 lines
+    When 2 more lines are written
+    Then the log has 2 lines and one that counts the 3 lost ones
+
   Scenario: A fault while answers are sent leaves the connection open without answers
     Given sending the answer to the request "r1" raises an exception
     When the client sends 4 requests at once until the connection ends
--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_exceptions.feature about requests."""
 
+import errno
 import json
 import re
 
@@ -7,7 +8,7 @@
 from behave import given, then, when
 
 from features import host_world
-from skylarksill.host import _upstreamhttp, records
+from skylarksill.host import _fairreads, _requestfields, _upstreamhttp, eventlog, records
 from standins import platformdata
 
 SETTLE_S = 1.0
@@ -52,6 +53,114 @@
     context.planted_id = request_id
 
 
+@given('reading the request "{request_id}" raises an exception {where}')
+def step_faulty_read(context, request_id, where):
+    context.world.expects_exceptions = True
+    if where == "in the parser":
+        build_request = _requestfields.build_request
+
+        def build_or_fail(method, target, headers, body, names):
+            request = build_request(method, target, headers, body, names)
+            return _fail() if request.request_id == request_id.encode() else request
+
+        _requestfields.build_request = build_or_fail
+        context.add_cleanup(setattr, _requestfields, "build_request", build_request)
+        return
+    parse = _fairreads.FairParsing.parse
+
+    def parse_and_fail(parsing, data, deadline=None):
+        before, found, _ = data.partition(
+            b"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Skylarksill-Request-Id: " + request_id.encode() + b"\r\n"
+        )
+        parse(parsing, before, deadline)
+        if found:
+            _fail()
+
+    _fairreads.FairParsing.parse = parse_and_fail
+    context.add_cleanup(setattr, _fairreads.FairParsing, "parse", parse)
+
+
+@then("the answers have the status {first:d}, {second:d} and {third:d}")
+def step_statuses(context, first, second, third):
+    statuses = re.findall(rb"HTTP/1\.1 (\d+) ", context.received)
+    assert [int(status) for status in statuses] == [first, second, third], context.received
+
+
+@given("their connections can't be shut down")
+def step_faulty_shutdown(context):
+    connection_type = _upstreamhttp.Connection
+    exchange = connection_type.exchange
+
+    def exchange_on_faulty(connection, *arguments):
+        connection._socket = _UnstoppableSocket(connection._socket)
+        return exchange(connection, *arguments)
+
+    connection_type.exchange = exchange_on_faulty
+    context.add_cleanup(setattr, connection_type, "exchange", exchange)
+
+
+class _UnstoppableSocket:
+    """A green socket whose shutdown fails, though it takes effect."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def shutdown(self, how):
+        self._sock.shutdown(how)
+        raise OSError(errno.EIO, "planted")
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
+@when("the client sends {count:d} requests at once and disconnects")
+def step_pipeline_and_leave(context, count):
+    client = context.world.connect()
+    client.sendall(
+        b"".join(platformdata.format_request("GET /read/1", f"r{index}") for index in range(count))
+    )
+    host_world.wait_until(SETTLE_S, lambda: context.world.count_runs() == count)
+    client.close()
+
+
+@then("its connection is closed")
+def step_connection_closed(context):
+    host_world.wait_until(SETTLE_S, lambda: not context.world.server.connections)
+
+
+@given("a log whose output has no room for its first {count:d} lines")
+def step_full_log(context, count):
+    context.output = bytearray()
+    context.has_room = False
+
+    def write(data):
+        if not context.has_room:
+            raise OSError(errno.ENOSPC, "planted")
+        context.output += data
+        return len(data)
+
+    context.log = eventlog.EventLog("test", write)
+    for index in range(count):
+        context.log.write("lost", number=index)
+    context.log.flush()
+    context.has_room = True
+
+
+@when("{count:d} more lines are written")
+def step_write_more(context, count):
+    for index in range(count):
+        context.log.write("kept", number=index)
+    context.log.flush()
+
+
+@then("the log has {count:d} lines and one that counts the {lost:d} lost ones")
+def step_counted_lines(context, count, lost):
+    events = [json.loads(line) for line in context.output.splitlines()]
+    assert [event["event"] for event in events] == ["log.dropped"] + ["kept"] * count, events
+    assert events[0]["lines"] == lost
+
+
 @when("the client sends {count:d} requests at once until the connection ends")
 def step_pipeline_to_end(context, count):
     client = context.world.connect()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -204,10 +204,13 @@
             except _BadRequestError as error:
                 self._reject(error.status)
             except httptools.HttpParserCallbackError as error:
-                cause = error.__context__
-                self._reject(cause.status if isinstance(cause, _BadRequestError) else 400)
+                self._reject_failed(error.__context__ or error)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade):
                 self._reject(400)
+            except OSError:
+                raise
+            except Exception as error:
+                self._reject_failed(error)
         self._linger()
 
     def _receive(self):
@@ -399,6 +402,14 @@
         self._discard_partial_request()
         self._write_ready()
 
+    def _reject_failed(self, error):
+        """Rejects a request after an exception while it was read; nothing of it was passed on."""
+        if isinstance(error, _BadRequestError):
+            self._reject(error.status)
+            return
+        self._server.log.write_exception("client.read", error)
+        self._reject(503)
+
     def _write_ready(self):
         """Writes the finished answers that are next in order, in one green thread at a time."""
         if self._is_writing:
