--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,28 +12,29 @@
 
 import eventlet  # isort: skip
 
-from bench.soak import checks, clients, schedule, world
+from bench.soak import checks, clients, schedule, upstreams, world
 
 FAULTS_S = 10.0
 # A run takes about 20 s; one that hangs is killed and reported as a violation.
 RUN_TIMEOUT_S = 120
 
 
-def run_seed(seed, folder, faults_s):
+def run_seed(seed, folder, faults_s, load_factor=1):
     """Runs the schedule of one seed.
 
     Args:
       seed: The seed.
       folder: Folder for settings and logs.
       faults_s: Time during which faults start, in seconds.
+      load_factor: Number of clients as a multiple of the usual one.
     Returns:
       A dict with the counts of requests and faults, and the list of violations.
     """
     soak_world = world.World(seed, folder)
     events = schedule.make_schedule(
-        seed, faults_s, len(soak_world.hosts), len(soak_world.upstreams), len(world.ZONES)
+        seed, faults_s, len(soak_world.hosts), len(soak_world.upstreams), len(upstreams.ZONES)
     )
-    load = clients.Clients(soak_world, seed)
+    load = clients.Clients(soak_world, seed, load_factor)
     try:
         soak_world.start()
         load.start()
@@ -49,6 +50,8 @@
     finally:
         soak_world.stop()
     (folder / "schedule.txt").write_text("\n".join(map(repr, events)), encoding="utf-8")
+    unanswered = [item for item in soak_world.observations.client_requests if item.status is None]
+    (folder / "unanswered.txt").write_text("\n".join(map(repr, unanswered)), encoding="utf-8")
     violations = checks.list_violations(soak_world.observations)
     return {
         "seed": seed,
@@ -61,10 +64,10 @@
     }
 
 
-def run_in_process(seed, folder, faults_s):
+def run_in_process(seed, folder, faults_s, load_factor=1):
     """Runs one seed in a process of its own; returns the dict of ``run_seed``."""
     command = [sys.executable, "-m", "bench.soak", "--seed", str(seed), "--json"]
-    command += ["--length", str(faults_s), "--folder", str(folder)]
+    command += ["--length", str(faults_s), "--folder", str(folder), "--load", str(load_factor)]
     try:
         result = subprocess.run(command, capture_output=True, text=True, timeout=RUN_TIMEOUT_S)
         return json.loads(result.stdout.splitlines()[-1])
@@ -83,6 +86,7 @@
     parser.add_argument("--seeds", type=int, default=0, help="number of seeds, each in a process")
     parser.add_argument("--jobs", type=int, default=2, help="seeds that run at the same time")
     parser.add_argument("--length", type=float, default=FAULTS_S, help="seconds of faults")
+    parser.add_argument("--load", type=int, default=1, help="multiple of the usual clients")
     parser.add_argument("--folder", help="folder for settings and logs")
     parser.add_argument("--json", action="store_true", help="print the result as JSON")
     options = parser.parse_args()
@@ -91,10 +95,11 @@
         results = _run_seeds(options, folder)
     else:
         folder.mkdir(parents=True, exist_ok=True)
-        results = [run_seed(options.seed, folder, options.length)]
-    if options.json:
-        print(json.dumps(results[0]))
-        return
+        results = [run_seed(options.seed, folder, options.length, options.load)]
+        if options.json:
+            print(json.dumps(results[0]))
+            return
+        _print_violations(results[0])
     violated = sum(len(result["violations"]) for result in results)
     totals = {
         name: sum(item[name] for item in results) for name in ("requests", "served", "faults")
@@ -111,16 +116,20 @@
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as executor:
         seeds = range(options.seed, options.seed + options.seeds)
         futures = [
-            executor.submit(run_in_process, seed, folder / str(seed), options.length)
+            executor.submit(run_in_process, seed, folder / str(seed), options.length, options.load)
             for seed in seeds
         ]
         for future in concurrent.futures.as_completed(futures):
             result = future.result()
             results.append(result)
-            for text in result["violations"]:
-                print(f"seed {result['seed']}: {text}; logs in {result['folder']}", flush=True)
+            _print_violations(result)
     return results
 
 
+def _print_violations(result):
+    for text in result["violations"]:
+        print(f"seed {result['seed']}: {text}; logs in {result['folder']}", flush=True)
+
+
 if __name__ == "__main__":
     main()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,21 +6,9 @@
 
 import collections
 
-from bench.soak import demandchecks, records
-
-# Bounds from the settings of the soak (see standins.platformdata) and from the requirements.
-CONTACT_S = 4.0
-DRAIN_S = 2.5
-EVACUATE_S = 5.0
-CONFIG_APPLY_S = 2.5
-ROLLBACK_SLACK_S = 0.25
-PEER_PROPAGATION_S = 6.0
-STOP_GRACE_S = 3.0
-RETRY_RATIO = 0.2
-RETRY_EXTRA = 58
-RETRY_WINDOW_S = 10.0
-# All processes of the soak run on one computer, which delays their wake-ups slightly.
-SCHEDULING_DELAY_S = 0.3
+from bench.soak import bounds, demandchecks, losschecks, records
+from standins import platformdata
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 GENERATION_PREFIX = "/gen-"
 HOME_PREFIX = "/home/"
@@ -40,6 +28,7 @@
         check_stops,
         check_retries,
         check_recovery,
+        losschecks.check_losses,
         *demandchecks.CHECKS,
     )
     return [text for check in checks for text in check(observations)] + observations.crashes
@@ -67,13 +56,16 @@
 
 def check_answers(observations):
     """Checks that a 200 is the complete answer of an upstream that ran the request."""
-    bodies = collections.defaultdict(set)
+    upstream_ids = collections.defaultdict(set)
     for run in observations.runs:
-        bodies[run.request_id].add(f"{run.upstream_id}:{run.request_id}".encode())
+        upstream_ids[run.request_id].add(run.upstream_id)
     for request in observations.client_requests:
-        if request.status == 200 and not (
-            request.is_signed and request.body in bodies[request.request_id]
-        ):
+        is_whole = request.is_signed and any(
+            request.body
+            == platformdata.build_answer_body(upstream_id, request.request_id, request.target)
+            for upstream_id in upstream_ids[request.request_id]
+        )
+        if request.status == 200 and not is_whole:
             yield f"{request.request_id} was answered with foreign bytes {request.body[:40]!r}"
 
 
@@ -97,7 +89,7 @@
         if left_at is None or run.at <= left_at:
             continue
         bound_s = _find_bound_s(
-            observations, requests_by_id[run.request_id].host, left_at, run.at, DRAIN_S
+            observations, requests_by_id[run.request_id].host, left_at, run.at, bounds.DRAIN_S
         )
         if run.at > left_at + bound_s:
             late_s = run.at - left_at
@@ -112,7 +104,7 @@
             if run.zone != evacuation.zone or not evacuation.begin < run.at < evacuation.end:
                 continue
             host = requests_by_id[run.request_id].host
-            bound_s = _find_bound_s(observations, host, evacuation.begin, run.at, EVACUATE_S)
+            bound_s = _find_bound_s(observations, host, evacuation.begin, run.at, bounds.EVACUATE_S)
             if run.at > evacuation.begin + bound_s:
                 yield f"{run.request_id} reached evacuated zone {run.zone}"
 
@@ -127,7 +119,7 @@
         if request.status == 404:
             written_at = observations.generations[generation]
             bound_s = _find_bound_s(
-                observations, request.host, written_at, request.sent_at, CONFIG_APPLY_S
+                observations, request.host, written_at, request.sent_at, bounds.CONFIG_APPLY_S
             )
             if request.sent_at > written_at + bound_s:
                 yield f"{request.request_id}: host {request.host} lacks generation {generation}"
@@ -137,28 +129,20 @@
             ):
                 yield f"{request.request_id}: host {request.host} gave up generation {generation}"
         elif request.status == 200:
-            served.setdefault((request.host, generation), request.ended_at + ROLLBACK_SLACK_S)
+            served.setdefault(
+                (request.host, generation), request.ended_at + bounds.ROLLBACK_SLACK_S
+            )
 
 
 def check_stops(observations):
-    """Checks that a graceful stop ends in time and cuts off no running request."""
-    ran = {run.request_id: run for run in observations.runs}
+    """Checks that a graceful stop ends in time."""
     for stop in observations.stops:
-        span = (stop.requested_at - CONTACT_S, stop.ended_at)
-        if _is_disturbed(observations, stop.host, *span, records.DisturbedPart.PROCESS):
+        span = (stop.requested_at - bounds.CONTACT_S, stop.ended_at)
+        if observations.is_disturbed(stop.host, *span, records.DisturbedPart.PROCESS):
             continue
         duration_s = stop.ended_at - stop.requested_at
-        if stop.code != 0 or duration_s > STOP_GRACE_S + SCHEDULING_DELAY_S:
+        if stop.code != 0 or duration_s > bounds.STOP_GRACE_S + bounds.SCHEDULING_DELAY_S:
             yield f"host {stop.host} ended with {stop.code} after {duration_s:.2f} s"
-        for request in observations.client_requests:
-            run = ran.get(request.request_id)
-            is_cut_off = request.host == stop.host and request.status is None and run is not None
-            is_cut_off = (
-                is_cut_off
-                and stop.requested_at <= request.ended_at <= stop.ended_at + SCHEDULING_DELAY_S
-            )
-            if is_cut_off and not _had_upstream_fault(observations, run, request.ended_at):
-                yield f"{request.request_id} was cut off by the stop of host {stop.host}"
 
 
 def check_retries(observations):
@@ -170,10 +154,12 @@
             repeat_times.append(run.at)
     sent_times = sorted(request.sent_at for request in observations.client_requests)
     for begin in repeat_times:
-        count = sum(begin <= at < begin + RETRY_WINDOW_S for at in repeat_times)
-        requests = sum(begin - RETRY_WINDOW_S <= at < begin + RETRY_WINDOW_S for at in sent_times)
-        if count > RETRY_RATIO * requests + RETRY_EXTRA:
-            yield f"{count} repeated sends within {RETRY_WINDOW_S} s for {requests} requests"
+        count = sum(begin <= at < begin + bounds.RETRY_WINDOW_S for at in repeat_times)
+        requests = sum(
+            begin - bounds.RETRY_WINDOW_S <= at < begin + bounds.RETRY_WINDOW_S for at in sent_times
+        )
+        if count > bounds.RETRY_RATIO * requests + bounds.RETRY_EXTRA:
+            yield f"{count} repeated sends within {bounds.RETRY_WINDOW_S} s for {requests} requests"
             return
 
 
@@ -186,28 +172,16 @@
 
 def _find_bound_s(observations, host, since, until, bound_s):
     """Returns the bound that applies to a host in a time span, or infinity if none does."""
-    begin = since - CONTACT_S
-    bound_s += SCHEDULING_DELAY_S
-    if _is_disturbed(observations, host, begin, until, records.DisturbedPart.PROCESS):
+    begin = since - bounds.CONTACT_S
+    bound_s += bounds.SCHEDULING_DELAY_S
+    if observations.is_disturbed(host, begin, until, records.DisturbedPart.PROCESS):
         return float("inf")
-    if _is_disturbed(observations, None, begin, until, records.DisturbedPart.STORE):
+    if observations.is_disturbed(None, begin, until, records.DisturbedPart.STORE):
         return float("inf")
-    if _is_disturbed(observations, host, begin, until, records.DisturbedPart.STORE_PATH):
-        return bound_s + PEER_PROPAGATION_S
+    if observations.is_disturbed(host, begin, until, records.DisturbedPart.STORE_PATH):
+        return bound_s + bounds.PEER_PROPAGATION_S
     return bound_s
 
 
-def _is_disturbed(observations, host, begin, end, part):
-    return any(
-        item.part is part and item.host == host and item.begin <= end and item.end >= begin
-        for item in observations.disturbances
-    )
-
-
 def _has_restarted(observations, host, begin, end):
-    return _is_disturbed(observations, host, begin, end, records.DisturbedPart.PROCESS)
-
-
-def _had_upstream_fault(observations, run, at):
-    spans = observations.upstream_faults.get(run.upstream_id, ())
-    return any(begin <= at and end >= run.at for begin, end in spans)
+    return observations.is_disturbed(host, begin, end, records.DisturbedPart.PROCESS)
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -1,20 +1,24 @@
-"""Clients that reuse their connections until the host closes them."""
+"""Load of a soak run: clients that use their connections in different ways until they close."""
 
 import random
-import time
 
 import eventlet
-from eventlet.green import socket
 
-from bench.soak import checks, hosts, records
+from bench.soak import channels, checks, hosts, losschecks, records
 from standins import platformdata
 
-CLIENT_COUNT = 12
 MEAN_PAUSE_S = 0.12
-CONNECT_TIMEOUT_S = 1.0
-# Longer than the deadline in the requests.
-ANSWER_TIMEOUT_S = 3.0
 OBJECT_COUNT = 30
+# Clients reuse connections that were idle for up to four fifths of the limit, which is 2 s.
+IDLE_RANGE_S = (0.8, 1.6)
+# Body of an order that is sent in parts, and the longest pause between two parts.
+PART_COUNT = 4
+PART_BYTES = 700
+MAX_PART_PAUSE_S = 0.25
+LARGE_ANSWERS_KB = (64, 128, 512)
+LONG_WORK_MS = (300, 1800)
+MAX_PIPELINED = 6
+PIPELINE_POLL_S = 0.01
 
 
 class Clients:
@@ -23,20 +27,23 @@
     Args:
       target: The world.World to load.
       seed: Seed for the choice of hosts and requests.
+      factor: Number of clients of each kind, as a multiple of the usual one.
     """
 
-    def __init__(self, target, seed):
+    def __init__(self, target, seed, factor=1):
         self._world = target
         self._seed = seed
+        self._factor = factor
         self._request_count = 0
         self.is_finishing = False
         self._threads = []
 
     def start(self):
         """Starts the clients."""
-        for index in range(CLIENT_COUNT):
+        kinds = [kind for kind, count in _KINDS for _ in range(count)] * self._factor
+        for index, (use, options) in enumerate(kinds):
             rng = random.Random(f"{self._seed}-{index}")
-            self._threads.append(eventlet.spawn(self._run, rng))
+            self._threads.append(eventlet.spawn(self._run, use, options, rng))
 
     def finish(self):
         """Stops the clients after their current requests."""
@@ -46,62 +53,156 @@
 
     def probe(self, host):
         """Sends one idempotent request to a host; returns True if it was served."""
-        client = self._connect(host)
-        if client is None:
+        channel = self._connect(host)
+        if channel is None:
             return False
         try:
-            return self._send_request(client, host, "/read/probe", True) == 200
+            request = self._make_request(channel, "/read/probe")
+            channel.send(request, [_format(request)])
+            channel.read_answer()
+            return request.status == 200
         finally:
-            client.close()
+            channel.close()
 
-    def _run(self, rng):
+    def _run(self, use, options, rng):
         while not self.is_finishing:
-            host = rng.randrange(len(self._world.hosts))
-            client = self._connect(host)
-            if client is None:
+            channel = self._connect(rng.randrange(len(self._world.hosts)), **options)
+            if channel is None:
                 eventlet.sleep(MEAN_PAUSE_S)
                 continue
             try:
-                while not self.is_finishing and self._send_random_request(client, host, rng):
-                    eventlet.sleep(rng.uniform(0.2, 1.8) * MEAN_PAUSE_S)
+                use(self, channel, rng)
             finally:
-                client.close()
+                channel.close()
 
-    def _send_random_request(self, client, host, rng):
-        """Sends a random request; returns True if the connection can be reused."""
-        kind = rng.choices(("read", "order", "home", "gen"), (4, 3, 2, 2))[0]
-        target = f"/{kind}/{rng.randrange(OBJECT_COUNT)}"
-        if kind == "gen":
-            target = f"{checks.GENERATION_PREFIX}{self._world.generation}/x"
-        return self._send_request(client, host, target, kind != "order") is not None
+    def _connect(self, host, **options):
+        """Returns a Channel to a host, or None if it is down.
 
-    def _connect(self, host):
+        A fault of the schedule explains that, or the recovery check will report it.
+        """
+        address = (self._world.hosts[host].ip, hosts.FIRST_PORT)
         try:
-            address = (self._world.hosts[host].ip, hosts.FIRST_PORT)
-            return socket.create_connection(address, CONNECT_TIMEOUT_S)
+            return channels.Channel(address, host, **options)
         except OSError:
-            # The host is down: by a fault of the schedule, or the recovery check will report it.
             return None
 
-    def _send_request(self, client, host, target, is_idempotent):
-        """Sends a request and records its outcome.
-
-        Returns the status, or None if there was no answer or the connection is to be closed.
-        """
+    def _make_request(self, channel, target):
         self._request_count += 1
+        is_idempotent = not target.startswith("/order/")
         request_id = f"r{self._seed}-{self._request_count}"
-        request = records.ClientRequest(request_id, target, is_idempotent, host, time.monotonic())
+        request = records.ClientRequest(request_id, target, is_idempotent, channel.host, 0.0)
         self._world.observations.client_requests.append(request)
-        method, body = ("GET", None) if is_idempotent else ("POST", b"an order")
-        message = platformdata.format_request(f"{method} {target}", request_id, body, key=target)
-        try:
-            client.settimeout(ANSWER_TIMEOUT_S)
-            client.sendall(message)
-            request.status, headers, request.body = platformdata.AnswerReader(client).read()
-            request.is_signed = platformdata.is_signed(headers)
-            is_last = headers.get("connection") == "close"
-        except (OSError, EOFError):
-            request.ended_at = time.monotonic()
-            return None
-        request.ended_at = time.monotonic()
-        return None if is_last else request.status
+        return request
+
+    def _draw_target(self, rng, weights=(4, 3, 2, 2, 1, 1)):
+        kinds = ("read", "order", "home", "gen", "moved", "passing")
+        kind = rng.choices(kinds, weights)[0]
+        if kind == "gen":
+            return f"{checks.GENERATION_PREFIX}{self._world.generation}/x"
+        return f"/{kind}/{rng.randrange(OBJECT_COUNT)}"
+
+    def _exchange(self, channel, target):
+        """Sends a request in one piece and reads its answer."""
+        request = self._make_request(channel, target)
+        channel.send(request, [_format(request)])
+        channel.read_answer()
+
+    # Ways to use a connection until it closes or the load ends.
+
+    def _use_plainly(self, channel, rng):
+        while channel.is_open and not self.is_finishing:
+            self._exchange(channel, self._draw_target(rng))
+            eventlet.sleep(rng.uniform(0.2, 1.8) * MEAN_PAUSE_S)
+
+    def _leave_idle(self, channel, rng):
+        while channel.is_open and not self.is_finishing:
+            self._exchange(channel, self._draw_target(rng))
+            eventlet.sleep(rng.uniform(*IDLE_RANGE_S))
+
+    def _read_large(self, channel, rng):
+        while channel.is_open and not self.is_finishing:
+            size_kb = rng.choice(LARGE_ANSWERS_KB)
+            self._exchange(channel, f"/read/{size_kb}kb/{rng.randrange(OBJECT_COUNT)}")
+            eventlet.sleep(rng.uniform(0.2, 1.8) * MEAN_PAUSE_S)
+
+    def _wait_long(self, channel, rng):
+        while channel.is_open and not self.is_finishing:
+            work_ms = rng.randint(*LONG_WORK_MS)
+            target = f"{losschecks.LONG_PREFIX}{work_ms}ms/{rng.randrange(OBJECT_COUNT)}"
+            self._exchange(channel, target)
+            eventlet.sleep(rng.uniform(0.2, 1.8) * MEAN_PAUSE_S)
+
+    def _send_in_parts(self, channel, rng):
+        while channel.is_open and not self.is_finishing:
+            request = self._make_request(channel, self._draw_target(rng, (2, 4, 1, 1, 1, 1)))
+            bodies = [bytes([65 + index]) * PART_BYTES for index in range(PART_COUNT)]
+            parts = _split(request, bodies, is_chunked=rng.random() < 0.5)
+            channel.send(request, parts, lambda: rng.uniform(0.0, MAX_PART_PAUSE_S))
+            channel.read_answer()
+            eventlet.sleep(rng.uniform(0.2, 1.8) * MEAN_PAUSE_S)
+
+    def _pipeline(self, channel, rng):
+        """Reads answers while a second green thread sends further requests."""
+        sender = eventlet.spawn(self._send_ahead, channel, rng)
+        while channel.is_open and not (self.is_finishing and sender.dead):
+            if channel.waiting:
+                channel.read_answer()
+            else:
+                eventlet.sleep(PIPELINE_POLL_S)
+        sender.wait()
+        while channel.is_open and channel.waiting:
+            channel.read_answer()
+
+    def _send_ahead(self, channel, rng):
+        while channel.is_open and not self.is_finishing:
+            for _ in range(rng.randint(1, MAX_PIPELINED)):
+                if len(channel.waiting) >= MAX_PIPELINED or not channel.is_open:
+                    break
+                request = self._make_request(channel, self._draw_pipelined(rng))
+                channel.send(request, [_format(request)])
+                eventlet.sleep(rng.choice((0.0, 0.0, 0.02, 0.06)))
+            eventlet.sleep(rng.uniform(0.2, 3.8) * MEAN_PAUSE_S)
+
+    def _draw_pipelined(self, rng):
+        number = rng.randrange(OBJECT_COUNT)
+        special = rng.random()
+        if special < 0.1:
+            return f"{losschecks.LONG_PREFIX}{rng.randint(*LONG_WORK_MS) // 2}ms/{number}"
+        if special < 0.25:
+            return f"/read/{rng.choice(LARGE_ANSWERS_KB)}kb/{number}"
+        return self._draw_target(rng, (4, 0, 2, 2, 1, 1))
+
+
+# How clients use connections, with options of their Channel, and the number of such clients.
+_KINDS = (
+    ((Clients._use_plainly, {}), 8),
+    ((Clients._pipeline, {}), 3),
+    ((Clients._pipeline, {"is_slow": True}), 2),
+    ((Clients._send_in_parts, {}), 3),
+    ((Clients._leave_idle, {}), 3),
+    ((Clients._read_large, {"is_slow": True}), 2),
+    ((Clients._wait_long, {}), 2),
+)
+
+
+def _format(request):
+    method, body = ("GET", None) if request.is_idempotent else ("POST", b"an order")
+    return platformdata.format_request(
+        f"{method} {request.target}",
+        request.request_id,
+        body,
+        key=request.target,
+        deadline_ms=int(1000 * losschecks.get_deadline_s(request.target)),
+    )
+
+
+def _split(request, bodies, is_chunked):
+    """Returns the parts of a request whose body is sent in pieces, the head as the first."""
+    framing = f"Content-Length: {sum(map(len, bodies))}"
+    if is_chunked:
+        framing = "Transfer-Encoding: chunked"
+        bodies = [b"%x\r\n%b\r\n" % (len(body), body) for body in bodies] + [b"0\r\n\r\n"]
+    head = platformdata.format_request(
+        f"POST {request.target}", request.request_id, headers=[framing], key=request.target
+    )
+    return [head, *bodies]
--- a/bench/soak/demandchecks.py
+++ b/bench/soak/demandchecks.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from bench.soak import records
+from bench.soak import bounds, records
 
 # What the upstreams of the soak ask for, and the bounds that the users set on it.
 LIMIT = 2.0
@@ -15,8 +15,6 @@
 MAX_COLD_RUNS = COLD_RATE * 1.5 + 5.0
 MAX_LIMITED_RUNS = 1.5 * 4.0 * LIMIT + 5.0
 MAX_PAUSED_REQUESTS = 2
-CONTACT_S = 4.0
-DRAIN_S = 2.5
 LIMIT_WINDOW_S = 4.0
 REACTION_S = 0.5
 
@@ -27,7 +25,7 @@
         told = _find_told_times(observations, demand)
         if not told:
             continue
-        begin = min(told.values()) + CONTACT_S
+        begin = min(told.values()) + bounds.CONTACT_S
         times = [
             run.at
             for host, run, _ in _list_runs(observations, demand.upstream_id)
@@ -46,7 +44,7 @@
         told = _find_told_times(observations, demand)
         for host, run, request in _list_runs(observations, demand.upstream_id):
             told_at = told.get(host, float("inf"))
-            is_late = request.sent_at > told_at + DRAIN_S
+            is_late = request.sent_at > told_at + bounds.DRAIN_S
             if is_late and not _is_excused(observations, host, told_at, run.at):
                 yield f"{run.request_id} reached {run.upstream_id} although it says that it leaves"
 
@@ -114,10 +112,4 @@
 
 
 def _is_excused(observations, host, begin, end):
-    return any(
-        item.part is records.DisturbedPart.PROCESS
-        and item.host == host
-        and item.begin <= end
-        and item.end >= begin
-        for item in observations.disturbances
-    )
+    return observations.is_disturbed(host, begin, end, records.DisturbedPart.PROCESS)
--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -14,6 +14,13 @@
 FIRST_PORT = 8381
 INTERNAL_PORT = 7200
 KEYS_NAME = "peer-keys.ini"
+# Settings that change while the hosts run; none is laxer than what the checks demand.
+CHANGED_BOUNDS = (
+    (),
+    ("terms.bounds.grace=2800ms", "terms.bounds.maxShift=0.1"),
+    ("terms.bounds.retryBudgetExtra=40", "terms.bounds.configApply=2s"),
+    ("self.limits.memoryMb=280", "terms.bounds.drain=2s", "terms.bounds.ttl_max=4s"),
+)
 
 
 class SoakHost:
@@ -36,7 +43,7 @@
         self.process = None
         self._folder = folder
         self._settings = folder / f"host-{index}.conf"
-        lines = platformdata.build_settings_lines(
+        self._lines = platformdata.build_settings_lines(
             ip,
             self.store_proxy.address,
             INTERNAL_PORT,
@@ -46,7 +53,16 @@
             regions=regions,
             seeds=seeds,
         )
-        self._settings.write_text("\n".join(lines), encoding="utf-8")
+        self.write_settings(0)
+
+    def write_settings(self, variant):
+        """Replaces the settings file; ``variant`` is the index of the entry in CHANGED_BOUNDS."""
+        changed = CHANGED_BOUNDS[variant]
+        names = {line.partition("=")[0] for line in changed}
+        lines = [line for line in self._lines if line.partition("=")[0] not in names]
+        partial = self._settings.with_suffix(".new")
+        partial.write_text("\n".join([*lines, *changed]), encoding="utf-8")
+        partial.replace(self._settings)
 
     @property
     def error_path(self):
@@ -81,3 +97,11 @@
                 return platformdata.AnswerReader(client).read()[0] == 200
         except (OSError, EOFError):
             return False
+
+    def is_listening(self):
+        """Returns True if the host accepts connections of clients."""
+        try:
+            socket.create_connection((self.ip, FIRST_PORT), 1.0).close()
+            return True
+        except OSError:
+            return False
--- /dev/null
+++ b/bench/soak/losschecks.py
@@ -0,0 +1,121 @@
+"""Checks that no request that a host has read ends without its answer.
+
+A fault of the upstream that ran the request excuses the host, and so does a disturbance of the
+host's own process that was not planned. A disturbance of the store excuses nothing.
+"""
+
+import collections
+
+from bench.soak import bounds, records
+from standins import platformdata
+
+# What the clients and routes of the soak permit; the deadlines are those of the clients.
+TIMEOUT_S = 1.0
+DEADLINE_S = 2.0
+LONG_PREFIX = "/long/"
+LONG_TIMEOUT_S = 3.0
+LONG_DEADLINE_S = 3.0
+# Last part of the time until the kill in which the end of the host excuses a cut.
+LAST_SHARE = 1 / 6
+# Time from which a request that was sent whole counts as read.
+UNSENT_SLACK_S = bounds.LOSS_SLACK_S + bounds.SCHEDULING_DELAY_S
+# Bytes of a faulty upstream may still be on the way for this long after the fault.
+FAULT_AFTERMATH_S = 1.0
+
+
+def get_deadline_s(target):
+    """Returns how many seconds the client of a request waits for its answer."""
+    return LONG_DEADLINE_S if target.startswith(LONG_PREFIX) else DEADLINE_S
+
+
+def check_losses(observations):
+    """Checks that requests that were read get their answers, and none of the host's own instead."""
+    runs = collections.defaultdict(list)
+    for run in observations.runs:
+        runs[run.request_id].append(run)
+    for request in observations.client_requests:
+        request_runs = runs[request.request_id]
+        is_replaced = request.status in (502, 504) and not request.is_signed
+        if not is_replaced and request.status is not None:
+            continue
+        if request.completed_at is None or _is_excused(observations, request, request_runs):
+            continue
+        stop = _find_stop(observations, request)
+        if is_replaced:
+            if stop and request_runs and not _was_at_work_late(stop, request, request_runs):
+                yield (
+                    f"{request.request_id} got {request.status} from host {request.host}, which"
+                    f" stops, in place of an answer from {request_runs[-1].upstream_id}"
+                )
+            continue
+        occasion = _describe_occasion(observations, request, stop)
+        held_s = request.ended_at - request.completed_at
+        if request_runs:
+            if not stop or not _was_at_work_late(stop, request, request_runs):
+                yield (
+                    f"{request.request_id} was cut off at {request_runs[-1].upstream_id} by"
+                    f" {occasion or 'host'} of host {request.host} after {held_s:.2f} s"
+                )
+        elif occasion and not request.is_behind and held_s > UNSENT_SLACK_S:
+            yield (
+                f"{request.request_id} was cut off unsent by {occasion} of host {request.host}"
+                f" after {held_s:.2f} s"
+            )
+
+
+def _is_excused(observations, request, runs):
+    """Returns True if the deadline, the upstreams or a fault of the host explain the end."""
+    timeout_s = LONG_TIMEOUT_S if request.target.startswith(LONG_PREFIX) else TIMEOUT_S
+    if request.ended_at >= min(
+        request.sent_at + get_deadline_s(request.target), request.completed_at + timeout_s
+    ):
+        return True
+    if runs and all(_had_upstream_fault(observations, run, request.ended_at) for run in runs):
+        return True
+    return any(
+        item.part is records.DisturbedPart.PROCESS
+        and item.host == request.host
+        and not item.is_planned
+        and item.begin <= request.ended_at
+        and item.end >= request.sent_at - bounds.CONTACT_S
+        for item in observations.disturbances
+    )
+
+
+def _find_stop(observations, request):
+    """Returns the Stop of the host around which the request ended, or None."""
+    for stop in observations.stops:
+        last = stop.requested_at + bounds.STOP_GRACE_S + bounds.AFTERMATH_S
+        if stop.host == request.host and stop.requested_at <= request.ended_at <= last:
+            return stop
+    return None
+
+
+def _describe_occasion(observations, request, stop):
+    """Returns the planned work around which a request ended without its answer, or None."""
+    if stop:
+        return f"the stop (at +{request.ended_at - stop.requested_at:.2f} s)"
+    for host, at in observations.reloads:
+        is_after = request.sent_at <= at + bounds.CONFIG_APPLY_S and request.ended_at >= at
+        if host == request.host and is_after:
+            return f"a reload (at +{request.ended_at - at:.2f} s)"
+    for generation, at in observations.generations.items():
+        if at <= request.ended_at <= at + bounds.CONFIG_APPLY_S + bounds.AFTERMATH_S:
+            return f"generation {generation} (at +{request.ended_at - at:.2f} s)"
+    return None
+
+
+def _was_at_work_late(stop, request, runs):
+    """Returns True if an upstream would still have been at work shortly before the kill.
+
+    A request that was sent after the end of the process belongs to the next one.
+    """
+    if request.sent_at > stop.ended_at:
+        return False
+    last = stop.requested_at + bounds.STOP_GRACE_S * (1.0 - LAST_SHARE)
+    return runs[-1].at + platformdata.find_work_s(request.target) > last
+
+
+def _had_upstream_fault(observations, run, at):
+    spans = observations.upstream_faults.get(run.upstream_id, ())
+    return any(begin <= at and end + FAULT_AFTERMATH_S >= run.at for begin, end in spans)
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -17,7 +17,9 @@
     """A request that a client sent, and its outcome; times are monotonic seconds.
 
     Attributes:
-      status: Status of the answer, or None if the connection ended without one.
+      status: Status of the answer, or None if the connection ended without a complete one.
+      completed_at: Time at which the last byte of the request was sent, or None.
+      is_behind: Whether earlier requests on the connection had no answer when it was sent.
     """
 
     request_id: str
@@ -29,6 +31,8 @@
     status: int | None = None
     body: bytes = b""
     is_signed: bool = False
+    completed_at: float | None = None
+    is_behind: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,12 +48,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Disturbance:
-    """A disturbance of a host, or of the store if ``host`` is None."""
+    """A disturbance of a host, or of the store if ``host`` is None; a restart may be planned."""
 
     part: DisturbedPart
     host: int | None
     begin: float
     end: float = float("inf")
+    is_planned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +108,7 @@
     """All input of the checks.
 
     Attributes:
+      reloads: Pairs of a host and the time at which it was asked to reload its settings.
       leave_times: Time at which the store had acknowledged an upstream's draining, by id.
       generations: Time at which the store had acknowledged a generation, by number; each one adds
         a route.
@@ -118,6 +124,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
+    reloads: list[tuple[int, float]] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     leave_times: dict[str, float] = dataclasses.field(default_factory=dict)
     generations: dict[int, float] = dataclasses.field(default_factory=dict)
@@ -127,3 +134,10 @@
     restarts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     recovered: dict[int, bool] = dataclasses.field(default_factory=dict)
     crashes: list[str] = dataclasses.field(default_factory=list)
+
+    def is_disturbed(self, host, begin, end, part):
+        """Returns True if a part of a host was disturbed within a time span."""
+        return any(
+            item.part is part and item.host == host and item.begin <= end and item.end >= begin
+            for item in self.disturbances
+        )
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from bench.soak import records
+from bench.soak import configurations, hosts, records
 
 # A host is ready about 1 s after its start; faults begin after all hosts have served requests.
 FIRST_FAULT_S = 1.0
@@ -11,6 +11,14 @@
 MAX_FAULT_DURATION_S = 4.0
 # Mean time between the starts of two faults; short enough that most of them overlap.
 MEAN_PAUSE_S = 0.7
+# Planned work: the number of changes in a storm and the mean time between them, and the mean time
+# between single changes and between stops with further signals or soon after a start.
+STORM_CHANGES = (4, 10)
+STORM_PAUSE_S = 0.1
+STORM_STOP_SHARE = 0.7
+CHANGE_PAUSE_S = 2.5
+ODD_STOP_PAUSE_S = 8.0
+SIGNALLED_SHARE = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +129,38 @@
     upstream: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopWithSignals:
+    """Stops a host with further signals: pairs of seconds from SIGTERM, also before, and a name."""
+
+    host: int
+    signals: tuple[tuple[float, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAfterStart:
+    """Stops and restarts a host, and stops it again ``delay_s`` after it has begun to listen."""
+
+    host: int
+    delay_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeSettings:
+    """Replaces the settings file of a host, with or without SIGHUP; see hosts.CHANGED_BOUNDS."""
+
+    host: int
+    variant: int
+    has_signal: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRoutes:
+    """Writes a generation with other routes and services; see configurations."""
+
+    variant: int
+
+
 def make_schedule(seed, length_s, host_count, upstream_count, zone_count):
     """Draws the faults of a run.
 
@@ -143,7 +183,9 @@
         event = make(rng, duration_s, host_count, upstream_count, zone_count)
         schedule.append((round(at, 3), event))
         at += rng.expovariate(1.0 / MEAN_PAUSE_S)
-    return sorted(schedule + _make_upstream_events(seed, length_s, upstream_count), key=_get_start)
+    schedule += _make_upstream_events(seed, length_s, upstream_count)
+    schedule += _make_planned_events(seed, length_s, host_count)
+    return sorted(schedule, key=_get_start)
 
 
 def _make_upstream_events(seed, length_s, upstream_count):
@@ -161,10 +203,54 @@
     return events
 
 
+def _make_planned_events(seed, length_s, host_count):
+    """Draws stops, reloads and changes of the configuration, in series and overlapping."""
+    rng = random.Random(f"{seed} planned")
+    events = []
+    # Hosts that are stopped in turn.
+    at = rng.uniform(0.1, 0.4) * length_s
+    for host in rng.sample(range(host_count), rng.randint(2, host_count)):
+        events.append((at, StopHost(host)))
+        at += rng.uniform(0.2, 2.5)
+    # A storm of changes, in most cases with a stop in its midst.
+    at = storm_at = rng.uniform(0.2, 0.8) * length_s
+    for _ in range(rng.randint(*STORM_CHANGES)):
+        events.append((at, ChangeRoutes(rng.randrange(configurations.VARIANT_COUNT))))
+        at += rng.expovariate(1.0 / STORM_PAUSE_S)
+    if rng.random() < STORM_STOP_SHARE:
+        events.append((rng.uniform(storm_at, at), StopHost(rng.randrange(host_count))))
+    # Single changes and reloads during the whole run.
+    for _ in range(max(2, int(length_s / CHANGE_PAUSE_S))):
+        variant = rng.randrange(configurations.VARIANT_COUNT)
+        events.append((rng.uniform(0.1, 1.0) * length_s, ChangeRoutes(variant)))
+        host, variant = rng.randrange(host_count), rng.randrange(len(hosts.CHANGED_BOUNDS))
+        event = ChangeSettings(host, variant, rng.random() < SIGNALLED_SHARE)
+        events.append((rng.uniform(0.1, 1.0) * length_s, event))
+    for _ in range(max(1, int(length_s / ODD_STOP_PAUSE_S))):
+        signals = tuple(
+            (round(delay_s * rng.uniform(0.1, 1.0), 3), name)
+            for delay_s, name in rng.choice(_SIGNAL_SERIES)
+        )
+        event = StopWithSignals(rng.randrange(host_count), signals)
+        events.append((rng.uniform(0.1, 1.0) * length_s, event))
+        event = StopAfterStart(rng.randrange(host_count), round(rng.uniform(0.0, 0.5), 3))
+        events.append((rng.uniform(0.1, 1.0) * length_s, event))
+    return [(round(at, 3), event) for at, event in events if at < length_s]
+
+
 def _get_start(item):
     return item[0]
 
 
+# Signals around a SIGTERM: the longest time from it in seconds, and the name.
+_SIGNAL_SERIES = (
+    ((-0.3, "SIGHUP"),),
+    ((-0.02, "SIGHUP"),),
+    ((0.02, "SIGHUP"), (2.5, "SIGHUP")),
+    ((0.02, "SIGTERM"),),
+    ((1.5, "SIGTERM"), (2.5, "SIGTERM")),
+    ((-0.1, "SIGHUP"), (0.5, "SIGTERM"), (2.5, "SIGHUP")),
+)
 _MODES = ("delay", "silent", "one_way", "reset")
 _FAULTS = (
     "shed",
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -6,14 +6,22 @@
 
 import eventlet
 
-from bench.soak import checks, demandchecks, hosts, proxies, records, schedule
+from bench.soak import (
+    bounds,
+    configurations,
+    demandchecks,
+    hosts,
+    proxies,
+    records,
+    schedule,
+    upstreams,
+)
 from skylarksill.host import keyfile, keyring
-from standins import metadatastore, platformdata, worker
+from standins import metadatastore, worker
 
-ZONES = ("north-a", "north-b", "south-a", "south-b")
-REGIONS = {zone: zone.partition("-")[0] for zone in ZONES}
 UPSTREAMS_PER_ZONE = 2
-WORK_S = 0.06
+# Zones of the upstreams that no fault of the schedule concerns.
+CALM_ZONES = ("north-a", "south-a")
 READY_TIMEOUT_S = 20.0
 # The required bound for the recovery of a whole system.
 RECOVERY_TIMEOUT_S = 15.0
@@ -35,58 +43,6 @@
 }
 
 
-class SoakUpstream:
-    """One upstream in its current incarnation, behind a proxy."""
-
-    def __init__(self, index, zone, world):
-        self.index = index
-        self.zone = zone
-        self.incarnation = 0
-        self.worker = None
-        self.proxy = None
-        self._world = world
-
-    @property
-    def upstream_id(self):
-        """Id of the current incarnation."""
-        return f"u{self.index}.{self.incarnation}"
-
-    def start_incarnation(self):
-        """Starts the next incarnation and registers it."""
-        self.incarnation += 1
-        self.worker = worker.Worker(self.upstream_id, WORK_S)
-        self.worker.on_run = self._record_run
-        self.worker.on_refuse = self._record_refusal
-        self.proxy = proxies.Proxy(self.worker.address)
-        self.register("ready")
-
-    def register(self, state):
-        """Writes the entry of the upstream to the store."""
-        spec = platformdata.build_upstream_spec(
-            address=f"{self.proxy.address[0]}:{self.proxy.address[1]}",
-            zone=self.zone,
-            state=state,
-            born=1_700_000_000_000 + self.incarnation,
-            # Upstreams that start during traffic are cold.
-            **platformdata.build_cold_fields(demandchecks.COLD_S if self.incarnation > 1 else 0.0),
-        )
-        self._world.store.write("servers", self.upstream_id, spec)
-
-    def shut_down(self):
-        """Resets all connections and refuses new ones."""
-        self.proxy.stop()
-        self.worker.stop()
-
-    def _record_refusal(self, request_id):
-        refusal = records.Refusal(request_id, self.upstream_id, time.monotonic())
-        self._world.observations.refusals.append(refusal)
-
-    def _record_run(self, request_id):
-        region = REGIONS[self.zone]
-        run = records.Run(request_id, self.upstream_id, self.zone, region, time.monotonic())
-        self._world.observations.runs.append(run)
-
-
 class World:
     """All parts of one run.
 
@@ -102,15 +58,31 @@
         self._keys_path = folder / hosts.KEYS_NAME
         self._write_keys(keyring.add_key(keyring.Keyring(), "k0"))
         network = FIRST_NETWORK + seed % NETWORK_COUNT
-        ips = [f"127.0.{network}.{10 + index}" for index in range(len(ZONES))]
+        ips = [f"127.0.{network}.{10 + index}" for index in range(len(upstreams.ZONES))]
         seeds = [(ip, hosts.INTERNAL_PORT) for ip in ips[:2]]
         self.hosts = [
-            hosts.SoakHost(index, ip, ZONES[index], REGIONS, self.store.address, folder, seeds)
+            hosts.SoakHost(
+                index,
+                ip,
+                upstreams.ZONES[index],
+                upstreams.REGIONS,
+                self.store.address,
+                folder,
+                seeds,
+            )
             for index, ip in enumerate(ips)
         ]
         self.upstreams = [
-            SoakUpstream(index, zone, self) for index, zone in enumerate(ZONES * UPSTREAMS_PER_ZONE)
+            upstreams.SoakUpstream(index, zone, self)
+            for index, zone in enumerate(upstreams.ZONES * UPSTREAMS_PER_ZONE)
+        ]
+        self._calm_upstreams = [
+            upstreams.SoakUpstream(
+                len(self.upstreams) + index, zone, self, configurations.CALM_SERVICE
+            )
+            for index, zone in enumerate(CALM_ZONES)
         ]
+        self._routes_variant = 0
         self._active_targets = set()
 
     def start(self):
@@ -120,7 +92,7 @@
           RuntimeError: If a host does not become ready.
         """
         self.write_configuration()
-        for upstream in self.upstreams:
+        for upstream in self.upstreams + self._calm_upstreams:
             upstream.start_incarnation()
         for host in self.hosts:
             host.start()
@@ -133,17 +105,7 @@
     def write_configuration(self):
         """Writes the next generation, which keeps the routes of all earlier ones."""
         self.generation += 1
-        build = platformdata.build_route_spec
-        routes = {
-            "r-read": build("/read/", "idempotent"),
-            "r-order": build("/order/", "non_idempotent"),
-            "r-home": build(checks.HOME_PREFIX, "idempotent", regions=[checks.HOME_REGION]),
-        }
-        for number in range(1, self.generation + 1):
-            routes[f"r-gen-{number}"] = build(f"{checks.GENERATION_PREFIX}{number}/", "idempotent")
-        spec = platformdata.build_configuration_spec(
-            self.generation, routes=routes, cold_rate=demandchecks.COLD_RATE
-        )
+        spec = configurations.build_configuration(self.generation, self._routes_variant)
         self.store.write("config", "main", spec)
         self.observations.generations[self.generation] = time.monotonic()
 
@@ -174,7 +136,21 @@
             case schedule.PauseHost(index, length_s):
                 self._run_exclusively(("host", index), self._pause, self.hosts[index], length_s)
             case schedule.ReloadHost(index):
-                self._signal(self.hosts[index], signal.SIGHUP)
+                self._reload(self.hosts[index])
+            case schedule.StopWithSignals(index, signals):
+                self._run_exclusively(("host", index), self._stop, self.hosts[index], signals)
+            case schedule.StopAfterStart(index, delay_s):
+                self._run_exclusively(
+                    ("host", index), self._stop_after_start, self.hosts[index], delay_s
+                )
+            case schedule.ChangeSettings(index, variant, has_signal):
+                self.hosts[index].write_settings(variant)
+                if has_signal:
+                    # A process that is only starting has no handler for the signal yet.
+                    self._run_exclusively(("host", index), self._reload, self.hosts[index])
+            case schedule.ChangeRoutes(variant):
+                self._routes_variant = variant
+                self.write_configuration()
             case schedule.DisturbStore(index, mode, length_s):
                 host = self.hosts[index]
                 disturbance = self._record_disturbance(records.DisturbedPart.STORE_PATH, index)
@@ -202,7 +178,9 @@
             case schedule.ChangeConfiguration():
                 self.write_configuration()
             case schedule.EvacuateZone(index, length_s):
-                self._run_exclusively(("zone", index), self._evacuate, ZONES[index], length_s)
+                self._run_exclusively(
+                    ("zone", index), self._evacuate, upstreams.ZONES[index], length_s
+                )
             case _:
                 raise TypeError(f"unknown event {event!r}")
 
@@ -228,14 +206,14 @@
             if host.process.poll() is not None:
                 self.observations.crashes.append(f"host {host.index} ended by itself")
             else:
-                self._stop_gracefully(host, 2 * checks.STOP_GRACE_S)
+                self._stop_gracefully(host, 2 * bounds.STOP_GRACE_S)
             errors = host.error_path.read_text(encoding="utf-8")
             if "Traceback" in errors:
                 self.observations.crashes.append(
                     f"host {host.index}: {errors.strip().splitlines()[-1]}"
                 )
             host.store_proxy.stop()
-        for upstream in self.upstreams:
+        for upstream in self.upstreams + self._calm_upstreams:
             upstream.shut_down()
         self.store.stop()
 
@@ -264,14 +242,54 @@
         self._wait(host, KILL_TIMEOUT_S)
         self._restart(host, disturbance)
 
-    def _stop(self, host):
+    def _reload(self, host):
+        self.observations.reloads.append((host.index, time.monotonic()))
+        self._signal(host, signal.SIGHUP)
+
+    def _stop(self, host, signals=()):
+        """Stops a host gracefully and restarts it.
+
+        Args:
+          host: The host.
+          signals: Pairs of the time between SIGTERM and a further signal in seconds, which is
+            negative for one that comes first, and the name of that signal.
+        """
+        for _, name in (item for item in signals if item[0] < 0.0):
+            self._signal_more(host, name)
+        eventlet.sleep(-min((delay_s for delay_s, _ in signals), default=0.0))
         requested_at = time.monotonic()
-        code = self._stop_gracefully(host, 2 * checks.STOP_GRACE_S)
+        for delay_s, name in signals:
+            if delay_s >= 0.0:
+                eventlet.spawn_after(delay_s, self._signal_more, host, name)
+        self._restart(host, self._end_process(host, requested_at))
+
+    def _end_process(self, host, requested_at):
+        """Stops a host gracefully and records it; returns the Disturbance that then begins."""
+        code = self._stop_gracefully(host, 2 * bounds.STOP_GRACE_S)
         ended_at = time.monotonic()
         self.observations.stops.append(records.Stop(host.index, requested_at, ended_at, code))
-        disturbance = records.Disturbance(records.DisturbedPart.PROCESS, host.index, ended_at)
+        disturbance = records.Disturbance(
+            records.DisturbedPart.PROCESS, host.index, ended_at, is_planned=code is not None
+        )
         self.observations.disturbances.append(disturbance)
-        self._restart(host, disturbance)
+        return disturbance
+
+    def _signal_more(self, host, name):
+        if name == "SIGHUP":
+            self._reload(host)
+        else:
+            self._signal(host, signal.Signals[name])
+
+    def _stop_after_start(self, host, delay_s):
+        """Stops and restarts a host, and stops it again soon after it has begun to listen."""
+        disturbance = self._end_process(host, time.monotonic())
+        host.start()
+        end = time.monotonic() + READY_TIMEOUT_S
+        while not host.is_listening() and time.monotonic() < end:
+            eventlet.sleep(POLL_S)
+        eventlet.sleep(delay_s)
+        disturbance.end = time.monotonic()
+        self._stop(host)
 
     def _stop_gracefully(self, host, timeout_s):
         """Stops a host gracefully; returns its exit code, or None if it had to be killed."""
@@ -382,6 +400,6 @@
         self.store.write("evacuations", zone, {})
         evacuation = records.Evacuation(zone, time.monotonic())
         self.observations.evacuations.append(evacuation)
-        eventlet.sleep(length_s + checks.EVACUATE_S)
+        eventlet.sleep(length_s + bounds.EVACUATE_S)
         evacuation.end = time.monotonic()
         self.store.delete("evacuations", zone)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,6 +27,13 @@
       | a 404 of a generation 3.0 s after its write | lacks generation     |
       | a 404 of a generation that was served       | gave up generation   |
       | a stop that cuts off a request              | was cut off          |
+      | a connection that ends while its request runs | by host of host 3  |
+      | a request behind a closing answer that runs | was cut off          |
+      | a request cut 0.6 s after it was sent by a stop   | unsent by the stop     |
+      | a request cut 0.6 s after it was sent by a reload | unsent by a reload     |
+      | a request cut 0.6 s after it was sent by a change | unsent by generation 2 |
+      | a 502 of a host that stops in place of an answer  | in place of an answer  |
+      | a 504 of a host that stops in place of an answer  | in place of an answer  |
       | a stop that takes 4.0 s                     | after 4.00 s         |
       | 70 repeated sends for 2 requests            | repeated sends       |
       | a host that serves no more                  | did not serve again  |
@@ -49,6 +56,39 @@
       | 9.0  | process    | 0     |
       | 9.0  | store      | 0     |
 
+  Scenario Outline: What excuses a lost request is taken into account
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When a running request is cut <held> s after it was sent, <after> s after a stop
+    And the excuse is <excuse>
+    Then <count> promises are violated
+
+    Examples:
+      | held | after | excuse                             | count |
+      | 0.4  | 0.3   | nothing                            | 1     |
+      | 0.4  | 3.9   | nothing                            | 1     |
+      | 1.1  | 0.3   | nothing                            | 0     |
+      | 0.4  | 0.3   | a fault of its upstream            | 0     |
+      | 0.4  | 0.3   | a fault of another upstream        | 1     |
+      | 0.4  | 0.3   | a kill of its host                 | 0     |
+      | 0.4  | 0.3   | a kill of another host             | 1     |
+      | 0.4  | 0.3   | a planned restart                  | 1     |
+      | 0.4  | 0.3   | a failure of the store             | 1     |
+      | 0.4  | 0.3   | its place behind another           | 1     |
+      | 0.4  | 0.3   | its body, which was not sent whole | 0     |
+      | 0.4  | 0.3   | work that lasts until the kill     | 0     |
+
+  Scenario Outline: A request that no upstream got is lost only if the host must have read it
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When a request cut <held> s after it was sent by a stop is planted
+    And the excuse is <excuse>
+    Then <count> promises are violated
+
+    Examples:
+      | held | excuse                   | count |
+      | 0.6  | nothing                  | 1     |
+      | 0.4  | nothing                  | 0     |
+      | 0.6  | its place behind another | 0     |
+
   Scenario: A short run with real programs keeps all promises
     When the soak plays seed 4 with 3 s of faults
     Then it served requests under faults and no promise is violated
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -29,7 +29,7 @@
 @then("each kind of fault occurs in them")
 def step_kinds(context):
     kinds = {type(event) for events in context.schedules for _, event in events}
-    assert len(kinds) == 14, kinds
+    assert len(kinds) == 18, kinds
     assert all(0.0 < at < 10.0 for events in context.schedules for at, _ in events)
 
 
@@ -103,9 +103,69 @@
 
 @when("a stop that cuts off a request is planted")
 def step_cut_off(context):
-    request = _add_served(context.observations, "cut", "/read/1", True, NOW + 1.0)
-    request.status, request.body, request.is_signed = None, b"", False
-    context.observations.stops.append(records.Stop(3, NOW + 0.9, NOW + 1.5, 0))
+    _add_cut(context.observations, NOW + 1.0)
+    _add_stop(context.observations, NOW + 0.9)
+
+
+@when("a connection that ends while its request runs is planted")
+def step_cut_at_any_time(context):
+    _add_cut(context.observations, NOW + 1.0)
+
+
+@when("a request behind a closing answer that runs is planted")
+def step_cut_behind(context):
+    _add_cut(context.observations, NOW + 1.0).is_behind = True
+
+
+@when("a request cut {held:g} s after it was sent by a {occasion} is planted")
+def step_cut_unsent(context, held, occasion):
+    """Plants a request of which no upstream knows."""
+    request = _add_cut(context.observations, NOW + 1.0, held)
+    context.observations.runs.pop()
+    context.cut = request
+    _add_occasion(context.observations, occasion, request.ended_at - 1.0)
+
+
+@when("a {status:d} of a host that stops in place of an answer is planted")
+def step_replaced(context, status):
+    _add_cut(context.observations, NOW + 1.0).status = status
+    _add_stop(context.observations, NOW + 0.5)
+
+
+@when("a running request is cut {held:g} s after it was sent, {after:g} s after a stop")
+def step_cut_by_stop(context, held, after):
+    context.cut = _add_cut(context.observations, NOW + 1.0, held)
+    _add_stop(context.observations, context.cut.ended_at - after)
+
+
+@when("the excuse is {excuse}")
+def step_excuse(context, excuse):
+    observations, request = context.observations, context.cut
+    span = (request.ended_at - 0.1, request.ended_at)
+    match excuse:
+        case "a fault of its upstream":
+            observations.upstream_faults["u1.1"] = [span]
+        case "a fault of another upstream":
+            observations.upstream_faults["u2.1"] = [span]
+        case "a kill of its host" | "a kill of another host" | "a planned restart":
+            part = records.DisturbedPart.PROCESS
+            host = 2 if excuse == "a kill of another host" else 3
+            is_planned = excuse == "a planned restart"
+            item = records.Disturbance(part, host, request.sent_at - 2.0, NOW, is_planned)
+            observations.disturbances.append(item)
+        case "a failure of the store":
+            item = records.Disturbance(records.DisturbedPart.STORE, None, *span)
+            observations.disturbances.append(item)
+        case "its place behind another":
+            request.is_behind = True
+        case "its body, which was not sent whole":
+            request.completed_at = None
+        case "work that lasts until the kill":
+            request.target = "/long/2900ms/1"
+        case "nothing":
+            return
+        case _:
+            raise ValueError(excuse)
 
 
 @when("a stop that takes {seconds:g} s is planted")
@@ -202,11 +262,37 @@
         200,
         f"u1.1:{request_id}".encode(),
         True,
+        completed_at=at - 0.01,
     )
     observations.client_requests.append(request)
     return request
 
 
+def _add_cut(observations, at, held_s=0.15):
+    """Adds a request that runs at u1.1 until its connection ends after ``held_s`` seconds."""
+    request = _add_served(observations, "cut", "/read/1", True, at)
+    request.status, request.body, request.is_signed = None, b"", False
+    request.completed_at = request.sent_at
+    request.ended_at = request.sent_at + held_s
+    return request
+
+
+def _add_stop(observations, at):
+    observations.stops.append(records.Stop(3, at, at + 1.5, 0))
+
+
+def _add_occasion(observations, occasion, at):
+    match occasion:
+        case "stop":
+            _add_stop(observations, at)
+        case "reload":
+            observations.reloads.append((3, at))
+        case "change":
+            observations.generations[2] = at
+        case _:
+            raise ValueError(occasion)
+
+
 def _add_demand(context, kind):
     context.observations.demands.append(records.Demand(kind, "u1.1", NOW - 1.0))
 
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -1,5 +1,7 @@
 """Builds objects, settings and requests in the platform's formats, for tests and the soak."""
 
+import re
+
 # Environment variable that names a host's settings file.
 SETTINGS_VARIABLE = "SKYLARKSILL_BOOT"
 READINESS_REQUEST = b"GET /v1/readiness HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n"
@@ -32,9 +34,12 @@
     Args:
       path: Path prefix of the requests.
       kind: ``idempotent`` or ``non_idempotent``.
-      service: Service that the route forwards to.
+      service: Service that the route forwards to, or a list of services that get equal parts.
       regions: Regions that may run its requests; empty for all.
     """
+    services = {"service": service}
+    if isinstance(service, list):
+        services = {"trafficSplit": [{"service": name, "weight": 1} for name in service]}
     return {
         "host": "shop.example",
         "pathPrefix": path,
@@ -42,7 +47,7 @@
         "timeout": "1000ms",
         "targetLatency": "400ms",
         "priority": 1,
-        "service": service,
+        **services,
         "maxAttempts": 2,
         "sticky": True,
         "allowedRegions": list(regions),
@@ -110,13 +115,29 @@
     ]
 
 
-def format_request(line, request_id, body=None, headers=(), key="17"):
-    """Returns the bytes of a client's request with a deadline of 2 s."""
+def build_answer_body(upstream_id, request_id, target):
+    """Builds the body with which a stand-in answers; ``/64kb/`` in the target asks for 64 KiB."""
+    body = f"{upstream_id}:{request_id}".encode()
+    return body.ljust(1024 * _find_number(target, "kb"), b".")
+
+
+def find_work_s(target):
+    """Returns the time of work that a target such as ``/long/700ms/1`` asks for, or 0."""
+    return _find_number(target, "ms") / 1000
+
+
+def _find_number(target, unit):
+    found = re.search(rf"/(\d+){unit}/", target)
+    return int(found[1]) if found else 0
+
+
+def format_request(line, request_id, body=None, headers=(), key="17", deadline_ms=2000):
+    """Returns the bytes of a client's request; ``deadline_ms`` is the time until its deadline."""
     lines = [
         f"{line} HTTP/1.1",
         "Host: shop.example",
         f"X-Skylarksill-Request-Id: {request_id}",
-        "X-Skylarksill-Deadline-Ms: 2000",
+        f"X-Skylarksill-Deadline-Ms: {deadline_ms}",
         f"Cookie: X-Skylarksill-Affinity-Key={key}",
         *headers,
     ]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -41,7 +41,7 @@
 
     Args:
       worker_id: Instance id that a request must expect; other requests get 421.
-      work_s: Service time of a request in seconds.
+      work_s: Service time in seconds of a request whose target asks for no other.
       address: IP address and port to listen on; any free port if None.
 
     Attributes:
@@ -112,7 +112,7 @@
                 body, data = data[:size], data[size:]
                 self.heads.append(head.decode())
                 self.bodies.append(body)
-                if not self._serve_request(client, fields):
+                if not self._serve_request(client, head.split()[1].decode(), fields):
                     return
         except OSError:
             # The client has closed the connection, which cancels the request.
@@ -121,7 +121,7 @@
             self._clients.remove(client)
             client.close()
 
-    def _serve_request(self, client, fields):
+    def _serve_request(self, client, target, fields):
         request_id = fields.get("x-skylarksill-request-id", "")
         echo = f"X-Skylarksill-Request-Id: {request_id}"
         fault = self.fault
@@ -138,14 +138,15 @@
         self.runs.append(request_id)
         if self.on_run is not None:
             self.on_run(request_id)
-        if not _wait_while_connected(client, self.work_s):
+        if not _wait_while_connected(client, platformdata.find_work_s(target) or self.work_s):
             return False
         self.ended.append(request_id)
         if fault is Fault.CRASH:
             self.stop()
             return _reset(client, echo, "", b"")
         previous_id, self._last_request_id = self._last_request_id, request_id
-        return _FAULTS[fault](client, echo, previous_id, f"{self.worker_id}:{request_id}".encode())
+        body = platformdata.build_answer_body(self.worker_id, request_id, target)
+        return _FAULTS[fault](client, echo, previous_id, body)
 
 
 def _wait_while_connected(client, seconds):
