--- a/bench/soak/losschecks.py
+++ b/bench/soak/losschecks.py
@@ -19,7 +19,8 @@
 LAST_SHARE = 1 / 6
 # Time from which a request that was sent whole counts as read.
 UNSENT_SLACK_S = bounds.LOSS_SLACK_S + bounds.SCHEDULING_DELAY_S
-# Bytes of a faulty upstream may still be on the way for this long after the fault.
+# Bytes of a faulty upstream may still be on the way for this long after the fault, so that the host
+# answers with an error of its own. They are no reason to close the connection of a client.
 FAULT_AFTERMATH_S = 1.0
 
 
@@ -38,7 +39,9 @@
         is_replaced = request.status in (502, 504) and not request.is_signed
         if not is_replaced and request.status is not None:
             continue
-        if request.completed_at is None or _is_excused(observations, request, request_runs):
+        if request.completed_at is None or _is_excused(
+            observations, request, request_runs, FAULT_AFTERMATH_S if is_replaced else 0.0
+        ):
             continue
         stop = _find_stop(observations, request)
         if is_replaced:
@@ -63,14 +66,16 @@
             )
 
 
-def _is_excused(observations, request, runs):
+def _is_excused(observations, request, runs, aftermath_s):
     """Returns True if the deadline, the upstreams or a fault of the host explain the end."""
     timeout_s = LONG_TIMEOUT_S if request.target.startswith(LONG_PREFIX) else TIMEOUT_S
     if request.ended_at >= min(
         request.sent_at + get_deadline_s(request.target), request.completed_at + timeout_s
     ):
         return True
-    if runs and all(_had_upstream_fault(observations, run, request.ended_at) for run in runs):
+    if runs and all(
+        _had_upstream_fault(observations, run, request.ended_at, aftermath_s) for run in runs
+    ):
         return True
     return any(
         item.part is records.DisturbedPart.PROCESS
@@ -116,6 +121,6 @@
     return runs[-1].at + platformdata.find_work_s(request.target) > last
 
 
-def _had_upstream_fault(observations, run, at):
+def _had_upstream_fault(observations, run, at, aftermath_s):
     spans = observations.upstream_faults.get(run.upstream_id, ())
-    return any(begin <= at and end + FAULT_AFTERMATH_S >= run.at for begin, end in spans)
+    return any(begin <= at and end + aftermath_s >= run.at for begin, end in spans)
