--- a/features/soak.feature
+++ b/features/soak.feature
@@ -61,6 +61,11 @@
     When a 404 of a generation sent 0.5 s before a success of it is planted
     Then no promise is violated
 
+  Scenario: What an upstream said in an answer that was lost binds no host
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When requests to an upstream that leaves and whose answer was not the one passed on is planted
+    Then no promise is violated
+
   Scenario Outline: What excuses a lost request is taken into account
     Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
     When a running request is cut <held> s after it was sent, <after> s after a stop
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -212,6 +212,18 @@
     _add_served(context.observations, "late", "/read/1", True, NOW + 3.0)
 
 
+@when("requests to an upstream that leaves and whose answer was not the one passed on is planted")
+def step_not_told(context):
+    """Plants a request that another upstream answered after its retry, and a later one."""
+    _add_demand(context, records.DemandKind.LEAVING)
+    for request in context.observations.client_requests:
+        request.body = request.body.replace(b"u1.1", b"u2.1")
+        run = records.Run(request.request_id, "u2.1", "north-a", "north", NOW)
+        context.observations.runs.append(run)
+        request.is_idempotent = True
+    _add_served(context.observations, "late", "/read/1", True, NOW + 3.0)
+
+
 @when("{count:d} requests before the time to return is planted")
 def step_before_return(context, count):
     _add_demand(context, records.DemandKind.PAUSE)
