Release the bodies of requests that a closing connection doesn't take

Seen: 2,000 of 3,000 bytes of bodies stayed counted after three requests with bodies behind the last answer of a stopping host. A request that was complete but not taken was not discarded before the next one began. Only a connection that is closing does this, so it matters for the rest of a stop only.

The new scenario of host_endings fails on the code before.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -117,3 +117,11 @@
       | what                      |
       | another request           |
       | bytes that are no request |
+
+  # Guards against bodies that are counted for ever, for which a host refuses others with 503.
+  Scenario: The bodies of requests that are not taken are not counted for ever
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When another client sends a request that takes 0.3 s
+    And the server begins to stop
+    And after the answer the client sends 3 requests with bodies
+    Then the server holds no bytes of bodies once the connection has ended
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -277,6 +277,20 @@
     context.client.sendall(closing + behind[what])
 
 
+@when("after the answer the client sends {count:d} requests with bodies")
+def step_bodies(context, count):
+    _read_answer(context, 10)
+    head = b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 1000\r\n\r\n"
+    context.client.sendall((head + b"x" * 1000) * count)
+    context.client.close()
+
+
+@then("the server holds no bytes of bodies once the connection has ended")
+def step_no_bodies(context):
+    host_world.wait_until(3.0, lambda: not context.server.server.connections)
+    assert context.server.server.buffered_bytes == 0, context.server.server.buffered_bytes
+
+
 @when("the server ends what runs with {status:d}")
 def step_end_requests(context, status):
     started_at = time.monotonic()
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -436,6 +436,7 @@
     def on_message_complete(self):
         """Starts processing a complete request."""
         if self._state is not _State.SERVING:
+            self._discard_partial_request()
             return
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
