Fuzz a host's data path: random answers, requests and changes

Two scenarios of host_exceptions run 10 pipelining clients against a host whose upstreams answer with odd statuses, headers, bytes or nothing, while its configuration, upstreams, evacuations and peers change. Each request needs a final answer, no exception may be logged, and nothing may stay counted.

--- a/features/host_exceptions.feature
+++ b/features/host_exceptions.feature
@@ -112,3 +112,14 @@
       | 000000000001000  | 200    |
       | -1               | 200    |
       | x                | 200    |
+
+  Scenario Outline: Random answers, requests and changes leave no request without an answer
+    Given a host whose upstreams, configuration and peers change at random with seed <seed>
+    When 10 clients send requests 30 times each
+    Then each request got a final answer, at least 500 of them
+    And nothing of the requests is left in the host
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -2,12 +2,13 @@
 
 import errno
 import json
+import random
 import re
 
 import greenlet
 from behave import given, then, when
 
-from features import host_world
+from features import host_chaos, host_world
 from skylarksill.host import _fairreads, _requestfields, _upstreamhttp, eventlog, records
 from standins import platformdata
 
@@ -301,3 +302,21 @@
 def _expand(text):
     """Returns the text with the digits in place of each ``9 of N digits``."""
     return re.sub(r"9 of (\d+) digits", lambda match: "9" * int(match[1]), text)
+
+
+@given("a host whose upstreams, configuration and peers change at random with seed {seed:d}")
+def step_chaos(context, seed):
+    context.chaos = host_chaos.Chaos(random.Random(seed))
+    context.world = context.chaos.world
+    context.add_cleanup(context.world.stop)
+
+
+@when("{clients:d} clients send requests {rounds:d} times each")
+def step_run_chaos(context, clients, rounds):
+    context.chaos.run(clients, rounds)
+
+
+@then("each request got a final answer, at least {count:d} of them")
+def step_no_silence(context, count):
+    assert not context.chaos.silent, context.chaos.silent[:3]
+    assert context.chaos.answered >= count, context.chaos.answered
