Don't take upstreams for unreachable when the host has no descriptors left

What callers saw: after a moment without file descriptors (30 for a host and 30 connections of clients) all requests got 503 for another second, as the host had marked both of its upstreams unreachable, and they then counted as cold.

Cause: any error of a connection's set-up counted against the upstream, also EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL, which are the host's own.

Change: such an error is logged as upstream.connect_failed and leaves the upstream as it is; the request goes on to another one or gets 503.

--- a/features/host_exceptions.feature
+++ b/features/host_exceptions.feature
@@ -113,6 +113,21 @@
       | -1               | 200    |
       | x                | 200    |
 
+  Scenario Outline: A host without file descriptors took its upstreams for unreachable
+    Given connections fail with <error>
+    When the client sends an idempotent request
+    Then the answer is 503
+    When connections succeed again
+    And the client sends an idempotent request
+    Then the answer is 200 with a signature
+    And no upstream is unreachable or cold
+
+    Examples:
+      | error         |
+      | EMFILE        |
+      | ENOBUFS       |
+      | EADDRNOTAVAIL |
+
   Scenario Outline: Random answers, requests and changes leave no request without an answer
     Given a host whose upstreams, configuration and peers change at random with seed <seed>
     When 10 clients send requests 30 times each
--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -4,6 +4,7 @@
 import json
 import random
 import re
+import time
 
 import greenlet
 from behave import given, then, when
@@ -304,6 +305,27 @@
     return re.sub(r"9 of (\d+) digits", lambda match: "9" * int(match[1]), text)
 
 
+@given("connections fail with {name}")
+def step_no_connections(context, name):
+    context.open = context.world.pool.open
+
+    def fail(upstream, timeout_s):
+        raise OSError(getattr(errno, name), "planted")
+
+    context.world.pool.open = fail
+
+
+@when("connections succeed again")
+def step_connections(context):
+    context.world.pool.open = context.open
+
+
+@then("no upstream is unreachable or cold")
+def step_sound_upstreams(context):
+    now = time.monotonic()
+    assert not any(state.is_unreachable or state.is_cold(now) for state in context.world.fleet)
+
+
 @given("a host whose upstreams, configuration and peers change at random with seed {seed:d}")
 def step_chaos(context, seed):
     context.chaos = host_chaos.Chaos(random.Random(seed))
--- a/skylarksill/host/connector.py
+++ b/skylarksill/host/connector.py
@@ -1,16 +1,21 @@
 """Opens connections to upstreams and probes unreachable ones in the background."""
 
+import errno
 import time
 
 import eventlet
 
-from skylarksill.host import supervision
+from skylarksill.host import supervision, tracking
 
 # Connecting takes one round trip and about 1 ms; an upstream without power never answers.
 CONNECT_TIMEOUT_S = 0.6
 CONNECT_BASE_S = 0.2
 CONNECT_ROUND_TRIPS = 2.0
 MIN_TIMEOUT_S = 0.01
+# Errors that mean that this host has no file descriptors, memory or ports left.
+OWN_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
 
 
 class Connector:
@@ -48,8 +53,9 @@
         try:
             connection = self._pool.open(upstream, timeout_s)
         except OSError as error:
-            self._handle_connect_failure(state, error)
-            self.start_probe(state)
+            if not self._is_own_fault(state, error):
+                self._handle_connect_failure(state, error)
+                self.start_probe(state)
             return None
         self._counters.count("upstream_connections", upstream.service_id)
         self._fleet.update_round_trip(upstream.region, time.monotonic() - started_at)
@@ -79,6 +85,9 @@
         try:
             connection = self._pool.open(state.record, CONNECT_TIMEOUT_S)
         except OSError as error:
+            if self._is_own_fault(state, error):
+                state.down_until = time.monotonic() + tracking.INITIAL_DOWN_S
+                return False
             state.down_until = 0.0
             self._handle_connect_failure(state, error)
             return False
@@ -88,6 +97,14 @@
         self._pool.put_back(connection)
         return True
 
+    def _is_own_fault(self, state, error):
+        """Returns True if this host lacks what a connection takes; the upstream may be sound."""
+        if error.errno not in OWN_ERRORS:
+            return False
+        upstream_id = state.record.upstream_id
+        self._log.write("upstream.connect_failed", upstream=upstream_id, error=str(error))
+        return True
+
     def _handle_connect_failure(self, state, error):
         was_already_unreachable = state.is_unreachable
         retry_delay_s = self._fleet.mark_unreachable(state, time.monotonic())
