Use connections to upstreams that were opened in time but noticed late

What callers saw: requests placed elsewhere or refused, as a sound upstream counted as unreachable, on a host that got no processor time for a while.

Cause: as for reads, the hub runs timers before it looks for sockets that are ready, so the time-out of a connect came before its success.

Change: after the time-out the socket is asked whether it is connected.

--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -254,13 +254,25 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         sock.settimeout(timeout_s)
-        sock.connect(upstream.address)
+        _connect(sock, upstream.address)
     except BaseException:
         sock.close()
         raise
     return Connection(upstream, sock, names, buffers)
 
 
+def _connect(sock, address):
+    """Connects a green socket; raises OSError if that fails or takes longer than its time-out."""
+    try:
+        sock.connect(address)
+    except TimeoutError as error:
+        # The hub runs timers before it looks for sockets, so the connection may be open all the same.
+        try:
+            sock.fd.getpeername()
+        except OSError:
+            raise error from None
+
+
 def format_request(request, upstream_id, deadline_ms, names):
     """Returns the bytes of a request to an upstream.
 
