Deliver answers that have arrived as a delayed stop ends what runs

Cause: the end of the stop comes from a timer, and the hub runs timers before it looks for bytes.

Change: before a server answers what has no answer yet, it lets the handlers go on whose upstreams have answered, as long as their number shrinks.

--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -387,6 +387,37 @@
     assert len(body) >= size, len(body)
 
 
+@given("a client server whose handler waits for an upstream")
+def step_upstream(context):
+    step_server(context, 0.0)
+    context.upstream, own_end = socket.socketpair()
+
+    def handle(request, cancellation):
+        return answers.make_answer(200, own_end.recv(65_536))
+
+    context.server.server.handle = handle
+
+
+@when(
+    "the upstream answers while the process is paused for {seconds:g} s,"
+    " and what runs is ended with {status:d}"
+)
+def step_answer_late(context, seconds, status):
+    waker, woken = socket.socketpair()
+
+    def pause():
+        woken.recv(1)
+        context.upstream.sendall(b"x" * 10)
+        patcher.original("time").sleep(seconds)
+
+    thread = eventlet.spawn(pause)
+    ending = eventlet.spawn_after(seconds / 2, context.server.server.end_requests, status)
+    eventlet.sleep(0)
+    waker.sendall(b"x")
+    thread.wait()
+    ending.wait()
+
+
 @then("no bytes of bodies are counted once the connection has ended")
 def step_uncounted(context):
     server = context.server.server
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -266,7 +266,7 @@
     try:
         sock.connect(address)
     except TimeoutError as error:
-        # The hub runs timers before it looks for sockets, so the connection may be open all the same.
+        # The hub runs timers before it looks for sockets, so the connection may be open.
         try:
             sock.fd.getpeername()
         except OSError:
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -171,9 +171,17 @@
 
     def end_requests(self, status):
         """Answers all requests that have no answer yet, and ends what runs for them."""
+        self._finish_ready()
         for connection in list(self.connections):
             supervision.attempt(self.log, "client.end", connection.end_requests, status)
 
+    def _finish_ready(self):
+        """Lets handlers whose upstreams have answered go on, as the hub runs timers before them."""
+        in_flight = math.inf
+        while self.in_flight < in_flight:
+            in_flight = self.in_flight
+            eventlet.sleep(0)
+
     def end(self):
         """Ends what is left of all connections as the process ends."""
         for connection in list(self.connections):
