--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -11,7 +11,15 @@
 from eventlet.green import socket
 
 from features import host_builders, host_world
-from skylarksill.host import _fairreads, answers, clientserver, counters, eventlog, records
+from skylarksill.host import (
+    _clientconnection,
+    _fairreads,
+    answers,
+    clientserver,
+    counters,
+    eventlog,
+    records,
+)
 from standins import platformdata
 
 _, wire, _ = host_builders.import_platform()
@@ -133,7 +141,7 @@
 
 @when("it sends another one and the server closes idle connections before it has read it")
 def step_send_and_close(context):
-    eventlet.sleep(clientserver.MIN_IDLE_S)
+    eventlet.sleep(_clientconnection.MIN_IDLE_S)
     # Neither call lets the server's green threads run.
     context.client.sendall(format_request(10))
     context.server.server.close_idle()
@@ -141,7 +149,7 @@
 
 @when("it sends another one and the server closes idle connections {seconds:g} s later")
 def step_send_and_close_later(context, seconds):
-    eventlet.sleep(clientserver.MIN_IDLE_S)
+    eventlet.sleep(_clientconnection.MIN_IDLE_S)
     context.client.sendall(format_request(10))
     eventlet.sleep(seconds)
     context.server.server.close_idle()
@@ -367,7 +375,7 @@
 
 @given("it reads on for at most {seconds:g} s after the last answer")
 def step_max_linger(context, seconds):
-    patch = mock.patch.object(clientserver, "MAX_LINGER_S", seconds)
+    patch = mock.patch.object(_clientconnection, "MAX_LINGER_S", seconds)
     patch.start()
     context.add_cleanup(patch.stop)
 
--- a/features/steps/host_tasks_steps.py
+++ b/features/steps/host_tasks_steps.py
@@ -9,7 +9,7 @@
 from eventlet.green import socket
 
 from features import host_builders, host_world
-from skylarksill.host import clientserver, eventlog, program
+from skylarksill.host import _clientconnection, eventlog, program
 from standins import platformdata
 
 FAULTY_HOST = host_builders.PLATFORM_FOLDER.parent / "standins" / "faulty_host.py"
@@ -121,14 +121,14 @@
 @given("the host fails on its next connection")
 def step_faulty_connection(context):
     context.world.expects_exceptions = True
-    original = clientserver._Connection.__init__
+    original = _clientconnection.Connection.__init__
 
     def fail_once(connection, *arguments):
-        clientserver._Connection.__init__ = original
+        _clientconnection.Connection.__init__ = original
         raise PlantedError("planted")
 
-    clientserver._Connection.__init__ = fail_once
-    context.add_cleanup(setattr, clientserver._Connection, "__init__", original)
+    _clientconnection.Connection.__init__ = fail_once
+    context.add_cleanup(setattr, _clientconnection.Connection, "__init__", original)
 
 
 @when("a client connects, and another one sends a request")
