--- a/bench/soak/losschecks.py
+++ b/bench/soak/losschecks.py
@@ -15,8 +15,8 @@
 LONG_PREFIX = "/long/"
 LONG_TIMEOUT_S = 3.0
 LONG_DEADLINE_S = 3.0
-# Last part of the time until the kill in which the end of the host excuses a cut. An answer of its own
-# is excused in the last second, which is a sixth of the shortest time that users set, 6 s.
+# Last part of the time until the kill in which the end of the host excuses a cut. Its own answers
+# are excused in the last second, which is a sixth of the shortest time that users set, 6 s.
 LAST_CUT_S = bounds.STOP_GRACE_S / 6
 LAST_ANSWERS_S = 1.0
 # Time from which a request that was sent whole counts as read.
