--- a/features/host_reads.feature
+++ b/features/host_reads.feature
@@ -21,3 +21,8 @@
       | size  |
       | 10    |
       | 30000 |
+
+  Scenario: A connection to an upstream that was opened in time is lost by a delay
+    Given an upstream that accepts a connection 1 s after it was asked to
+    When a host connects with a time-out of 1.2 s and gets no processor time from 0.5 to 1.4 s
+    Then the host is connected
--- a/features/steps/host_reads_steps.py
+++ b/features/steps/host_reads_steps.py
@@ -1,17 +1,19 @@
 """Steps of host_reads.feature."""
 
 import time
+import types
 
 import eventlet
 from behave import given, then, when
 from eventlet.green import socket
 from eventlet.patcher import original
 
-from features import wire_builders
+from features import host_builders, wire_builders
 from skylarksill import limits
 from skylarksill.host import _fairreads, _upstreamhttp
 from standins import rawpeer
 
+_, wire, _ = host_builders.import_platform()
 # The unpatched sleep blocks all green threads, like a process that gets no processor time.
 _block = original("time").sleep
 
@@ -96,3 +98,49 @@
 def step_delivered(context, size):
     assert isinstance(context.outcome, _upstreamhttp.Answered), context.outcome
     assert len(context.outcome.answer.body) == size
+
+
+@given("an upstream that accepts a connection 1 s after it was asked to")
+def step_slow_accept(context):
+    plain = original("socket")
+    context.listener = plain.socket()
+    context.add_cleanup(context.listener.close)
+    context.listener.bind(("127.0.0.1", 0))
+    context.listener.listen(0)
+    # Fills the queue, so that the kernel sees the host's second attempt only, 1 s after the first.
+    first = plain.create_connection(context.listener.getsockname())
+    context.add_cleanup(first.close)
+
+    def accept():
+        _block(0.3)
+        context.listener.accept()[0].close()
+
+    thread = original("threading").Thread(target=accept)
+    thread.start()
+    context.add_cleanup(thread.join)
+
+
+@when(
+    "a host connects with a time-out of {timeout_s:g} s"
+    " and gets no processor time from {start:g} to {end:g} s"
+)
+def step_connect(context, timeout_s, start, end):
+    upstream = types.SimpleNamespace(address=context.listener.getsockname())
+    buffers = limits.BufferLimit(1_000_000)
+
+    def connect():
+        try:
+            return _upstreamhttp.connect(upstream, wire.HEADER_NAMES, buffers, timeout_s)
+        except OSError:
+            return None
+
+    thread = eventlet.spawn(connect)
+    eventlet.sleep(start)
+    _block_while_reading(end - start, lambda: None)
+    context.connection = thread.wait()
+
+
+@then("the host is connected")
+def step_connected(context):
+    assert context.connection is not None
+    context.connection.close()
