--- /dev/null
+++ b/features/steps/host_endings_steps.py
@@ -0,0 +1,388 @@
+"""Steps of host_endings.feature."""
+
+import json
+import struct
+import time
+from unittest import mock
+
+import eventlet
+from behave import given, then, when
+from eventlet import patcher
+from eventlet.green import socket
+
+from features import host_builders, host_world
+from skylarksill.host import _fairreads, answers, clientserver, counters, eventlog, records
+from standins import platformdata
+
+_, wire, _ = host_builders.import_platform()
+# Resets the connection when it is closed.
+RESETTING = struct.pack("ii", 1, 0)
+
+
+class Server:
+    """A ClientServer whose handler answers with as many bytes as the target says.
+
+    Args:
+      work_s: Seconds that each request takes whose target states no other time.
+    """
+
+    def __init__(self, work_s):
+        self.work_s = work_s
+        self.handled = []
+        self.counters = counters.Counters()
+        self.limits = records.ClientLimits()
+        self._log_bytes = bytearray()
+        self._log = eventlog.EventLog("test", self._write_log)
+        self.server = clientserver.ClientServer(
+            ("127.0.0.1", 0),
+            self._handle,
+            lambda: self.limits,
+            wire.HEADER_NAMES,
+            self._log,
+            counts=self.counters,
+        )
+        self.server.start()
+
+    def list_lines(self, event):
+        """Returns the log lines of an event."""
+        self._log.flush()
+        lines = map(json.loads, self._log_bytes.splitlines())
+        return [line for line in lines if line["event"] == event]
+
+    def _handle(self, request, cancellation):
+        self.handled.append(request)
+        size, _, seconds = request.target.rpartition(b"/")[2].partition(b"?")
+        eventlet.sleep(float(seconds or self.work_s))
+        return answers.make_answer(200, b"x" * int(size))
+
+    def _write_log(self, data):
+        self._log_bytes += data
+        return len(data)
+
+
+def format_request(size, seconds=None):
+    """Formats a request for an answer of ``size`` bytes after some seconds."""
+    query = "" if seconds is None else f"?{seconds}"
+    return f"GET /bytes/{size}{query} HTTP/1.1\r\nHost: shop.example\r\n\r\n".encode()
+
+
+def connect(context, buffer_bytes=None):
+    """Returns a client's socket, with a receive buffer of some bytes."""
+    client = socket.socket()
+    if buffer_bytes:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    client.settimeout(host_world.ANSWER_TIMEOUT_S)
+    client.connect(context.server.server.address)
+    # The bound method would not keep the green socket, which closes as it is collected.
+    context.add_cleanup(lambda: client.close())
+    return client
+
+
+@given("a client server that answers with as many bytes as its target says, after {seconds:g} s")
+def step_server(context, seconds):
+    context.server = Server(seconds)
+    context.add_cleanup(context.server.server.stop_listening)
+
+
+@when("a client sends a request and {what} its connection before the answer")
+def step_leave(context, what):
+    client = connect(context)
+    client.sendall(format_request(10))
+    eventlet.sleep(0.1)
+    if what == "resets":
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
+    client.close()
+
+
+@then("the server logs that a connection ended by {cause} with {count:d} unanswered request")
+def step_logged(context, cause, count):
+    host_world.wait_until(2.0, lambda: context.server.list_lines("client.closed"))
+    (line,) = context.server.list_lines("client.closed")
+    assert (line["cause"], line["unanswered"]) == (cause, count), line
+    assert context.server.counters.get("requests_unanswered", cause) == count
+    assert context.server.counters.get("connections_ended", cause) == 1
+
+
+@given("clients may be idle for {seconds:g} s")
+def step_idle_timeout(context, seconds):
+    context.server.limits = records.ClientLimits(idle_timeout_s=seconds)
+
+
+@when("a slow client sends a request for {size:d} bytes")
+def step_slow_client(context, size):
+    context.size = size
+    context.client = connect(context, buffer_bytes=4096)
+    context.client.sendall(format_request(size))
+    eventlet.sleep(0.1)
+
+
+@when("a client sends a request for {size:d} bytes and reads the answer")
+def step_first_request(context, size):
+    context.client = connect(context)
+    context.client.sendall(format_request(size))
+    _read_answer(context, size)
+
+
+@when("a client sends a request with a body in chunks of one byte and reads the answer")
+def step_small_chunks(context):
+    context.client = connect(context)
+    head = b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+    context.client.sendall(head + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
+    _read_answer(context, 10)
+
+
+@when("it sends another one and the server closes idle connections before it has read it")
+def step_send_and_close(context):
+    eventlet.sleep(clientserver.MIN_IDLE_S)
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    context.server.server.close_idle()
+
+
+@when("it sends another one and the server closes idle connections {seconds:g} s later")
+def step_send_and_close_later(context, seconds):
+    eventlet.sleep(clientserver.MIN_IDLE_S)
+    context.client.sendall(format_request(10))
+    eventlet.sleep(seconds)
+    context.server.server.close_idle()
+
+
+@when("the turn to parse is taken for {seconds:g} s")
+def step_take_turn(context, seconds):
+    _fairreads._turn.acquire()
+    eventlet.spawn_after(seconds, _fairreads._turn.release)
+
+
+@when("{seconds:g} s later it sends another one")
+def step_send_later(context, seconds):
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+
+
+@when("the server begins to stop")
+def step_begin_stop(context):
+    context.server.server.begin_shutdown()
+
+
+@when("the server begins to stop and closes idle connections each {seconds:g} s")
+def step_stop(context, seconds):
+    context.server.server.begin_shutdown()
+
+    def close_idle():
+        while True:
+            context.server.server.close_idle()
+            eventlet.sleep(seconds)
+
+    context.add_cleanup(eventlet.spawn(close_idle).kill)
+
+
+@when("the client sends another request {seconds:g} s after the answer has begun")
+def step_send_on(context, seconds):
+    context.client.recv(1, socket.MSG_PEEK)
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+    eventlet.sleep(0.1)
+
+
+@when("the process ends when another request has arrived, {seconds:g} s after the answer has begun")
+def step_end(context, seconds):
+    context.client.recv(1, socket.MSG_PEEK)
+    eventlet.sleep(seconds)
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    context.server.server.end()
+
+
+@when(
+    "{count:d} slow clients send a request that takes {seconds:g} s"
+    " and behind it one for {size:d} bytes"
+)
+def step_slow_clients(context, count, seconds, size):
+    for _ in range(count):
+        connect(context, 4096).sendall(format_request(10, seconds) + format_request(size, 0))
+
+
+@when("another client sends a request that takes {seconds:g} s")
+def step_other_client(context, seconds):
+    context.client = connect(context)
+    context.client.sendall(format_request(10, seconds))
+    eventlet.sleep(0.2)
+
+
+@when("a client sends all but the last byte of a request")
+def step_part(context):
+    context.client = connect(context)
+    context.client.sendall(format_request(10)[:-1])
+    eventlet.sleep(0.1)
+
+
+@when("the client sends the last byte")
+def step_last_byte(context):
+    eventlet.sleep(0.1)
+    context.client.sendall(format_request(10)[-1:])
+
+
+@when("a client sends a request that takes {first:g} s and behind it one that takes {second:g} s")
+def step_pipelined(context, first, second):
+    context.client = connect(context)
+    context.client.sendall(format_request(10, first) + format_request(10, second))
+    eventlet.sleep(0.1)
+
+
+@then("the client reads {count:d} answers, of which only the last one says that it is the last")
+@then("the client reads {count:d} answer, which says that it is the last one, and the end")
+def step_only_last(context, count):
+    reader = platformdata.AnswerReader(context.client)
+    closes = [reader.read()[1].get("connection") for _ in range(count)]
+    assert closes == [None] * (count - 1) + ["close"], closes
+    assert reader.is_at_end()
+
+
+@when("a client connects and sends a request, and the server stops listening before it accepts")
+def step_stop_listening(context):
+    # Neither call lets the server's green threads run.
+    plain = patcher.original("socket").create_connection(context.server.server.address)
+    plain.sendall(format_request(10))
+    context.server.server.begin_shutdown()
+    context.server.server.stop_listening()
+    context.client = socket.socket(plain)
+
+
+@then("the server has {count:d} connection")
+def step_connections(context, count):
+    assert len(context.server.server.connections) == count
+
+
+@when("a client connects and sends its first request {seconds:g} s later")
+def step_first_later(context, seconds):
+    context.client = connect(context)
+    eventlet.sleep(seconds)
+    context.client.sendall(format_request(10))
+
+
+@when("{seconds:g} s later the process is paused for {pause:g} s as another request arrives")
+def step_pause(context, seconds, pause):
+    first, second = socket.socketpair()
+    eventlet.spawn_after(seconds, second.sendall, b"x")
+    # After a green thread that was woken by bytes, the hub runs timers before it looks for bytes.
+    first.recv(1)
+    # Neither call lets the server's green threads run.
+    context.client.sendall(format_request(10))
+    patcher.original("time").sleep(pause)
+
+
+@when("a client sends a request that asks to close, and {what} behind it")
+def step_behind_close(context, what):
+    context.client = connect(context)
+    behind = {"another request": format_request(10), "bytes that are no request": b"x" * 100}
+    closing = format_request(10, 0.1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    context.client.sendall(closing + behind[what])
+
+
+@when("the server ends what runs with {status:d}")
+def step_end_requests(context, status):
+    started_at = time.monotonic()
+    context.server.server.end_requests(status)
+    context.taken_s = time.monotonic() - started_at
+
+
+@then("ending what runs took less than {seconds:g} s")
+def step_taken(context, seconds):
+    assert context.taken_s < seconds, context.taken_s
+
+
+@then("the client reads {status:d} and that it is the last answer within {seconds:g} s")
+def step_read_status(context, status, seconds):
+    context.client.settimeout(seconds)
+    got, headers, _ = platformdata.AnswerReader(context.client).read()
+    assert (got, headers.get("connection")) == (status, "close"), (got, headers)
+
+
+@then("after {seconds:g} s the client reads an answer of {size:d} bytes")
+def step_read_later(context, seconds, size):
+    eventlet.sleep(seconds)
+    _read_answer(context, size)
+
+
+@then(
+    "after {seconds:g} s the client reads an answer of {size:d} bytes"
+    " that says that it is the last one"
+)
+def step_read_last_later(context, seconds, size):
+    eventlet.sleep(seconds)
+    headers = _read_answer(context, size)
+    assert headers.get("connection") == "close", headers
+
+
+@then("the client reads an answer of {size:d} bytes")
+def step_read(context, size):
+    _read_answer(context, size)
+
+
+@then("its connection has ended by {cause} within {seconds:g} s")
+def step_ended(context, cause, seconds):
+    counts = context.server.counters
+    host_world.wait_until(seconds, lambda: counts.get("connections_ended", cause) == 1)
+    assert not context.server.server.connections
+
+
+_POST = b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\n"
+BYTES_BEHIND = {
+    "bytes that are no request": b"no request\r\n\r\n",
+    "a head that asks to go on": _POST + b"Expect: 100-continue\r\n\r\n",
+    "two requests with bodies": 2 * (_POST + b"\r\nhello"),
+}
+
+
+@when("a client sends a request for {size:d} bytes")
+def step_client(context, size):
+    context.client = connect(context)
+    context.client.sendall(format_request(size))
+    eventlet.sleep(0.1)
+
+
+@when("the client sends {what} behind it, {seconds:g} s after the answer has begun")
+def step_send_behind(context, what, seconds):
+    context.client.recv(1, socket.MSG_PEEK)
+    eventlet.sleep(seconds)
+    context.client.sendall(BYTES_BEHIND[what])
+    eventlet.sleep(0.1)
+    context.client.sendall(format_request(10))
+    eventlet.sleep(0.1)
+
+
+@given("it reads on for at most {seconds:g} s after the last answer")
+def step_max_linger(context, seconds):
+    patch = mock.patch.object(clientserver, "MAX_LINGER_S", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("the client reads {size:d} bytes each {seconds:g} s and sends on")
+def step_read_slowly(context, size, seconds):
+    context.received = b""
+    while len(context.received) < context.size and (data := context.client.recv(size)):
+        context.received += data
+        eventlet.sleep(seconds)
+        context.client.sendall(format_request(10))
+
+
+@then("it has read an answer of {size:d} bytes")
+def step_received(context, size):
+    body = context.received.partition(b"\r\n\r\n")[2]
+    assert len(body) >= size, len(body)
+
+
+@then("no bytes of bodies are counted once the connection has ended")
+def step_uncounted(context):
+    server = context.server.server
+    context.client.close()
+    host_world.wait_until(3.0, lambda: not server.connections)
+    assert server.buffered_bytes == 0, server.buffered_bytes
+
+
+def _read_answer(context, size):
+    """Reads the next answer; returns its headers."""
+    status, headers, body = platformdata.AnswerReader(context.client).read()
+    assert (status, len(body)) == (200, size), (status, headers, len(body))
+    return headers
--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -1,12 +1,14 @@
 """Steps of host_exceptions.feature about requests."""
 
 import json
+import re
+from unittest import mock
 
 import greenlet
 from behave import given, then, when
 
 from features import host_world
-from skylarksill.host import _upstreamhttp, records
+from skylarksill.host import _requestfields, _upstreamhttp, records
 from standins import platformdata
 
 SETTLE_S = 1.0
@@ -51,6 +53,26 @@
     context.planted_id = request_id
 
 
+@given('reading the request "{request_id}" raises an exception')
+def step_faulty_parse(context, request_id):
+    build_request = _requestfields.build_request
+    context.world.expects_exceptions = True
+
+    def build_or_fail(method, target, headers, body, names):
+        request = build_request(method, target, headers, body, names)
+        return _fail() if request.request_id == request_id.encode() else request
+
+    patcher = mock.patch.object(_requestfields, "build_request", build_or_fail)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@then("the client has got {first:d} and then {second:d}")
+def step_statuses(context, first, second):
+    statuses = [int(code) for code in re.findall(rb"HTTP/1.1 (\d+) ", context.received)]
+    assert statuses == [first, second], context.received
+
+
 @when("the client sends {count:d} requests at once until the connection ends")
 def step_pipeline_to_end(context, count):
     client = context.world.connect()
@@ -171,3 +193,23 @@
 @then("no connection to an upstream is kept")
 def step_none_kept(context):
     assert not any(context.world.pool._idle.values())
+
+
+@given("the answers of the upstreams state {header} as {value}")
+def step_odd_header(context, header, value):
+    for item in context.world.workers.values():
+        item.extra_headers = [f"{header}: {_expand(value)}"]
+
+
+@when("the client sends a request with a deadline of {value} ms")
+def step_odd_deadline(context, value):
+    client = context.world.connect()
+    data = platformdata.format_request("GET /read/1", "r1")
+    name = b"X-Skylarksill-Deadline-Ms: "
+    client.sendall(data.replace(name + b"2000", name + _expand(value).encode()))
+    context.answer = platformdata.AnswerReader(client).read()
+
+
+def _expand(text):
+    """Returns the text with the digits in place of each ``9 of N digits``."""
+    return re.sub(r"9 of (\d+) digits", lambda match: "9" * int(match[1]), text)
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -2,6 +2,11 @@
 
 import collections
 import dataclasses
+import enum
+import fcntl
+import math
+import struct
+import termios
 import time
 
 import eventlet
@@ -15,6 +20,8 @@
     _upstreamhttp,
     answers,
     cancellation,
+    counters,
+    supervision,
 )
 
 LISTEN_BACKLOG = 1024
@@ -23,8 +30,16 @@
 # After the last answer the server goes on reading until the client has sent nothing for this long,
 # since closing a connection with unread bytes resets it, and the client can lose the answer.
 LINGER_TIMEOUT_S = 1.0
-# Longest time for which it reads on after its own last answer, also from a client that sends on.
+# Longest time for which it reads on after the client has received all of the last answer, or while
+# the client receives nothing of it.
 MAX_LINGER_S = 5.0
+# While it waits for the client to receive the rest of the answer, it looks as often as this.
+LINGER_POLL_S = 0.25
+# A connection that was just opened or answered is not idle yet: the client's next request may be on
+# its way, for about a round trip between the farthest regions.
+MIN_IDLE_S = 0.2
+# Unread bytes that are discarded at most before a close that can't wait.
+MAX_DISCARDED_BYTES = 1_048_576
 # A connection whose client accepts no byte of an answer for this long is closed.
 WRITE_TIMEOUT_S = 10.0
 ACCEPT_RETRY_S = 0.05
@@ -32,10 +47,40 @@
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
+# Answer to a request on whose reading the host failed: it has not run.
+UNREADABLE_STATUS = 503
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
 
 
+class Cause(enum.StrEnum):
+    """Why a connection ended, for logs and counters."""
+
+    CLIENT_LEFT = "client_left"
+    RESET = "reset"
+    IDLE_TIMEOUT = "idle_timeout"
+    LAST_ANSWER = "last_answer"
+    NOT_RECEIVED = "not_received"
+    WRITE_FAILED = "write_failed"
+    STOP_IDLE = "stop_idle"
+    STOP_DEADLINE = "stop_deadline"
+    ERROR = "error"
+
+
+class _State(enum.Enum):
+    """What a connection still does. States follow each other in this order; some are left out.
+
+    Only ``_Connection._end`` and the states that lead to it close a connection: one that has owed
+    an answer first discards input, as a close with unread bytes resets the connection, and the
+    client loses what it has not received.
+    """
+
+    SERVING = "reads requests"
+    ANSWERING = "takes no further request and sends the answers that it owes"
+    LINGERING = "has sent its last answer and discards input"
+    ENDED = "is about to be closed"
+
+
 class _BadRequestError(Exception):
     """A request can't be served; ``status`` is the HTTP status to answer with."""
 
@@ -65,6 +110,7 @@
       log: The EventLog.
       max_buffered_bytes: Bytes of request bodies that all connections may hold together.
       answer_buffers: The limits.BufferLimit that counts answers until they are delivered.
+      counts: The counters.Counters of ended connections and unanswered requests.
 
     Attributes:
       buffered_bytes: Bytes of bodies that are being read or served.
@@ -79,6 +125,7 @@
         log,
         max_buffered_bytes=MAX_BUFFERED_BYTES,
         answer_buffers=None,
+        counts=None,
     ):
         self.handle = handle
         self.find_limits = find_limits
@@ -86,6 +133,7 @@
         self.log = log
         self.max_buffered_bytes = max_buffered_bytes
         self.answer_buffers = answer_buffers or limits.BufferLimit(max_buffered_bytes)
+        self.counters = counts or counters.Counters()
         self.buffered_bytes = 0
         self.is_leaving = False
         self.connections = set()
@@ -104,29 +152,34 @@
 
     def start(self):
         """Starts accepting connections."""
-        self._thread = eventlet.spawn(self._accept)
+        self._thread = supervision.spawn_lasting(self.log, "client.accept", self._accept)
 
     def begin_shutdown(self):
         """Makes each connection close after the answer to its last request."""
         self.is_leaving = True
 
     def stop_listening(self):
-        """Refuses new connections."""
+        """Refuses new connections; those that the system has accepted already are served."""
         if self._thread is not None:
             self._thread.kill()
             self._thread = None
+            self._accept_waiting()
             self._socket.close()
 
     def close_idle(self):
         """Closes the connections that have no request in progress."""
         for connection in list(self.connections):
-            if not connection.is_busy:
-                connection.end()
+            supervision.attempt(self.log, "client.end", connection.end_if_idle)
 
     def end_requests(self, status):
         """Answers all requests that have no answer yet, and ends what runs for them."""
         for connection in list(self.connections):
-            connection.end_requests(status)
+            supervision.attempt(self.log, "client.end", connection.end_requests, status)
+
+    def end(self):
+        """Ends what is left of all connections as the process ends."""
+        for connection in list(self.connections):
+            supervision.attempt(self.log, "client.end", connection.close, Cause.STOP_DEADLINE)
 
     def _accept(self):
         while True:
@@ -136,7 +189,25 @@
                 self.log.write("client.accept_failed", error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            eventlet.spawn_n(_Connection(self, client).run)
+            self._open(client)
+
+    def _accept_waiting(self):
+        """Accepts what waits in the listening socket, whose close would reset it."""
+        self._socket.setblocking(False)
+        while True:
+            try:
+                client, _ = self._socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log.write("client.accept_failed", error=str(error))
+                return
+            self._open(socket.socket(client))
+
+    def _open(self, client):
+        connection = _Connection(self, client)
+        self.connections.add(connection)
+        supervision.spawn(self.log, "client.connection", connection.run)
 
 
 class _Connection:
@@ -149,19 +220,19 @@
         self._reader = _fairreads.FairReader(client)
         self._parsing = _fairreads.FairParsing(self._feed)
         self._is_writing = False
-        self._is_closing = False
-        self._is_disconnected = False
+        self._state = _State.SERVING
+        self._quiet_since = time.monotonic()
+        # When the client last received a part of the last answer, and the rest at that time.
+        self._received_at = None
+        self._unsent_bytes = math.inf
+        self._cause = None
+        self._dropped = 0
+        self._unparsed_bytes = 0
         self._begin_message()
         self._parser = httptools.HttpRequestParser(self)
 
-    @property
-    def is_busy(self):
-        """True while a request is being read or answered."""
-        return bool(self.pending) or self._started_at is not None
-
     def run(self):
         """Serves the connection until it ends."""
-        self._server.connections.add(self)
         try:
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._socket.setsockopt(
@@ -170,68 +241,154 @@
             self._read_requests()
         except OSError as error:
             self._server.log.write("client.connection_lost", error=str(error))
+            self._set_cause(Cause.RESET)
         finally:
-            self._discard_partial_request()
-            self._drop_pending()
-            self._server.connections.discard(self)
-            self._socket.close()
+            self.close(Cause.ERROR)
 
-    def end(self):
-        """Closes an idle connection from another green thread."""
-        self._is_closing = True
-        self._shut_down(socket.SHUT_RDWR)
+    def close(self, cause):
+        """Closes the connection at once.
+
+        Args:
+          cause: The Cause if none is known yet.
+        """
+        if self not in self._server.connections:
+            return
+        self._end(cause)
+        self._report_end()
+        self._discard_partial_request()
+        self._discard_input()
+        self._server.connections.discard(self)
+        self._socket.close()
+
+    def end_if_idle(self):
+        """Ends the connection from another green thread if no request or answer is under way."""
+        if self._is_idle():
+            self._end(Cause.STOP_IDLE)
+            self._shut_down(socket.SHUT_RDWR)
+
+    def _report_end(self):
+        """Counts the end of the connection; logs it if bytes of requests or answers are lost."""
+        unsent_bytes = _count_unsent_bytes(self._socket)
+        self._server.counters.count("connections_ended", self._cause.value)
+        self._server.counters.count("requests_unanswered", self._cause.value, self._dropped)
+        if self._dropped or unsent_bytes or self._unparsed_bytes or self._started_at is not None:
+            self._server.log.write(
+                "client.closed",
+                cause=self._cause.value,
+                unanswered=self._dropped,
+                unparsed_bytes=self._unparsed_bytes,
+                is_reading=self._started_at is not None,
+                unsent_bytes=unsent_bytes,
+                is_leaving=self._server.is_leaving,
+            )
+
+    def _set_cause(self, cause):
+        """Notes why the connection ends; the first cause counts."""
+        self._cause = self._cause or cause
 
     def end_requests(self, status):
-        """Answers the requests of the connection that have no answer yet."""
-        self._is_closing = True
-        for item in [item for item in self.pending if item.data is None]:
+        """Answers the requests of the connection that have no answer yet, without waiting."""
+        unanswered = [item for item in self.pending if item.data is None]
+        if not unanswered:
+            return
+        self._take_no_more()
+        for item in unanswered:
             answer = answers.make_answer(status, b"host stops\n")
-            self._set_answer(item, answers.format_answer(answer, item.method, self._is_last(item)))
+            self._set_answer(item, answers.format_answer(answer, item.method))
             item.cancellation.cancel()
-        self._write_ready()
+        # A client that doesn't read delays no other.
+        supervision.spawn(self._server.log, "client.answer", self._write_ready)
+
+    def _is_idle(self):
+        has_request = bool(self.pending) or self._started_at is not None or self._unparsed_bytes
+        if self._state is not _State.SERVING or has_request:
+            return False
+        if time.monotonic() < self._quiet_since + MIN_IDLE_S:
+            return False
+        return not self._has_input() and not _count_unsent_bytes(self._socket)
+
+    def _has_input(self):
+        """Returns True if bytes or the end of the stream have arrived and were not read."""
+        try:
+            self._socket.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The reader finds the error as well.
+            return True
+        return True
 
     def _read_requests(self):
-        while not self._is_closing:
-            while len(self.pending) >= MAX_PIPELINED and not self._is_closing:
+        while self._state is _State.SERVING:
+            while len(self.pending) >= MAX_PIPELINED and self._state is _State.SERVING:
                 eventlet.sleep(0.01)
             data = self._receive()
+            if data is None:
+                break
             if not data:
+                self._end(Cause.CLIENT_LEFT)
                 return
-            try:
-                self._parsing.parse(data)
-                self._send_continue()
-            except _BadRequestError as error:
-                self._reject(error.status)
-            except httptools.HttpParserCallbackError as error:
-                cause = error.__context__
-                self._reject(cause.status if isinstance(cause, _BadRequestError) else 400)
-            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-                self._reject(400)
+            if self._state is _State.SERVING:
+                self._parse(data)
         self._linger()
 
+    def _parse(self, data):
+        self._unparsed_bytes = len(data)
+        try:
+            self._parsing.parse(data)
+            self._send_continue()
+        except _BadRequestError as error:
+            self._reject(error.status)
+        except httptools.HttpParserCallbackError as error:
+            self._reject(self._find_status(error.__context__))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(400)
+        finally:
+            self._unparsed_bytes = 0
+
+    def _find_status(self, cause):
+        """Returns the status for an exception in a callback of the parser."""
+        if isinstance(cause, _BadRequestError):
+            return cause.status
+        # The fault is the host's own, and the request has not been passed on.
+        self._server.log.write_exception("client.parse", cause)
+        return UNREADABLE_STATUS
+
     def _receive(self):
-        """Returns the next bytes; none if the connection is to be closed."""
-        client_limits = self._server.find_limits()
-        while True:
+        """Returns the next bytes, or None if no further request is to be read."""
+        while self._state is _State.SERVING:
+            times_out_at = self._find_timeout()
+            wakes_at = times_out_at
+            if self.pending:
+                # Their answers may change the state.
+                wakes_at = min(wakes_at, time.monotonic() + LINGER_TIMEOUT_S)
             try:
-                return self._reader.receive(time.monotonic() + self._find_timeout_s(client_limits))
+                data = self._reader.receive(wakes_at)
+                self._quiet_since = time.monotonic()
+                return data
             except TimeoutError:
-                if self.pending:
+                if time.monotonic() < self._find_timeout():
                     continue
-                if self._started_at is None:
-                    return b""
+            if self._started_at is not None:
                 self._reject(408)
-                return b""
-
-    def _find_timeout_s(self, client_limits):
+            else:
+                self._set_cause(Cause.IDLE_TIMEOUT)
+                self._take_no_more()
+                self._write_ready()
+        return None
+
+    def _find_timeout(self):
+        """Returns the monotonic time at which the client has been silent for too long."""
+        client_limits = self._server.find_limits()
         if self._started_at is None:
-            return client_limits.idle_timeout_s
+            return math.inf if self.pending else self._quiet_since + client_limits.idle_timeout_s
         if self._is_head_complete:
-            return client_limits.idle_timeout_s
-        return max(0.01, self._started_at + client_limits.head_timeout_s - time.monotonic())
+            return self._quiet_since + client_limits.idle_timeout_s
+        return self._started_at + client_limits.head_timeout_s
 
     def _feed(self, data):
         """Parses bytes; counts those that the parser reports only with the rest of their part."""
+        self._unparsed_bytes -= len(data)
         self._unreported_bytes += len(data)
         self._parser.feed_data(data)
         is_inside_head = self._started_at is not None and not self._is_head_complete
@@ -242,7 +399,7 @@
 
     def _send_continue(self):
         """Sends what the head of a request whose body is still due asks for."""
-        if self._owes_continue:
+        if self._owes_continue and self._state is _State.SERVING:
             self._owes_continue = False
             self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -288,7 +445,8 @@
 
     def on_message_complete(self):
         """Starts processing a complete request."""
-        if self._is_closing:
+        if self._state is not _State.SERVING:
+            self._discard_partial_request()
             return
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
@@ -301,8 +459,7 @@
         self.pending.append(item)
         self._begin_message()
         if not is_persistent:
-            # Further bytes on the connection are not read.
-            self._is_closing = True
+            self._take_no_more()
         eventlet.spawn_n(self._serve, item, request)
 
     def _begin_message(self):
@@ -351,12 +508,11 @@
 
     def _format(self, item, answer):
         """Encodes a handler's answer, or one that promises nothing if that fails."""
-        is_last = self._is_last(item)
         try:
-            return answers.format_answer(answer, item.method, is_last)
+            return answers.format_answer(answer, item.method)
         except Exception as error:
             answer = self._handle_failure("client.format", error)
-            return answers.format_answer(answer, item.method, is_last)
+            return answers.format_answer(answer, item.method)
 
     def _handle_failure(self, task, error):
         self._server.log.write_exception(task, error)
@@ -364,15 +520,12 @@
 
     def _abandon(self):
         """Ends the connection, with all requests that have no answer yet."""
-        self._is_closing = True
-        self._drop_pending()
+        self._end(Cause.ERROR)
         self._shut_down(socket.SHUT_RDWR)
 
     def _answer(self, item, answer):
-        if answer is None or item.data is not None or self._is_disconnected:
+        if answer is None or item.data is not None or self._state is _State.ENDED:
             return
-        if self._server.is_leaving:
-            self._is_closing = True
         self._set_answer(item, self._format(item, answer))
         self._write_ready()
 
@@ -384,15 +537,20 @@
         if item.data is not None:
             self._server.answer_buffers.release(len(item.data))
 
-    def _is_last(self, item):
-        return self._is_closing and item is self.pending[-1]
+    def _take_no_more(self):
+        """Reads no further request, and ends the stream after the answers that are due."""
+        if self._state is _State.SERVING:
+            self._state = _State.ANSWERING
 
     def _reject(self, status):
         """Answers an unreadable request with an error and closes the connection after it."""
+        if self._state is not _State.SERVING:
+            # What follows the last request is no request, and its answer would follow the last one.
+            return
         self._server.log.write("client.refused", status=status)
-        self._is_closing = True
+        self._take_no_more()
         item = _PendingRequest(b"GET", cancellation.Cancellation())
-        data = answers.format_answer(answers.make_answer(status, b""), b"GET", True)
+        data = answers.format_answer(answers.make_answer(status, b""), b"GET")
         self._set_answer(item, data)
         self.pending.append(item)
         self._discard_partial_request()
@@ -404,49 +562,91 @@
             return
         self._is_writing = True
         try:
-            while self.pending and self.pending[0].data is not None and not self._is_disconnected:
+            while self.pending and self.pending[0].data is not None:
+                if self._server.is_leaving:
+                    self._take_no_more()
+                data = self.pending[0].data
+                if self._state is _State.ANSWERING and len(self.pending) == 1:
+                    data = answers.mark_last(data)
                 self._socket.settimeout(WRITE_TIMEOUT_S)
-                self._socket.sendall(self.pending[0].data)
-                if self.pending:
-                    self._release_answer(self.pending.popleft())
+                self._socket.sendall(data)
+                if self._state is _State.ENDED:
+                    return
+                self._release_answer(self.pending.popleft())
+                self._quiet_since = time.monotonic()
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
-            self._drop_pending()
+            self._end(Cause.WRITE_FAILED)
             self._shut_down(socket.SHUT_RDWR)
-            return
         finally:
             self._is_writing = False
-        if self._is_closing and not self.pending:
+        if self._state is _State.ANSWERING and not self.pending:
+            self._state = _State.LINGERING
+            self._received_at = self._quiet_since = time.monotonic()
             self._shut_down(socket.SHUT_WR)
 
     def _linger(self):
-        """Discards input until the client closes its side, or is idle after the last answer."""
-        answered_at = None
-        while not self._is_disconnected:
+        """Discards input until the client has the last answer and closes its side or is silent."""
+        self._discard_partial_request()
+        while self._state in (_State.ANSWERING, _State.LINGERING):
             now = time.monotonic()
-            if self.pending:
-                answered_at = None
-            elif answered_at is None:
-                answered_at = now
-            elif now - answered_at > MAX_LINGER_S:
-                return
+            wakes_at = max(now + LINGER_POLL_S, self._quiet_since + LINGER_TIMEOUT_S)
             try:
-                if not self._reader.receive(now + LINGER_TIMEOUT_S):
+                if not self._reader.receive(wakes_at):
+                    self._end(Cause.CLIENT_LEFT if self.pending else Cause.LAST_ANSWER)
                     return
+                self._quiet_since = time.monotonic()
             except TimeoutError:
-                if not self.pending:
-                    return
-
-    def _drop_pending(self):
-        self._is_disconnected = True
+                # The client has been silent.
+                pass
+            if self._has_lingered(time.monotonic()):
+                self._end(Cause.NOT_RECEIVED if self._unsent_bytes else Cause.LAST_ANSWER)
+
+    def _has_lingered(self, now):
+        if self._state is not _State.LINGERING:
+            return False
+        unsent_bytes = _count_unsent_bytes(self._socket)
+        if unsent_bytes < self._unsent_bytes:
+            self._received_at = now
+        self._unsent_bytes = unsent_bytes
+        if now >= self._received_at + MAX_LINGER_S:
+            return True
+        return not unsent_bytes and now >= self._quiet_since + LINGER_TIMEOUT_S
+
+    def _end(self, cause):
+        """Makes the reader close the connection; requests without an answer are dropped."""
+        self._set_cause(cause)
+        self._state = _State.ENDED
+        self._dropped += len(self.pending)
         for item in self.pending:
             self._release_answer(item)
             if item.data is None:
                 item.cancellation.cancel()
         self.pending.clear()
 
+    def _discard_input(self):
+        """Reads what has arrived, as unread bytes would reset the connection."""
+        discarded = 0
+        while discarded < MAX_DISCARDED_BYTES:
+            try:
+                data = self._socket.fd.recv(_fairreads.READ_BYTES)
+            except OSError:
+                # Nothing more has arrived, or the connection is lost already.
+                return
+            if not data:
+                return
+            discarded += len(data)
+
     def _shut_down(self, how):
         try:
             self._socket.shutdown(how)
         except OSError as error:
             self._server.log.write("client.shutdown_failed", error=str(error))
+
+
+def _count_unsent_bytes(sock):
+    """Returns the bytes that the other side has not acknowledged; 0 if the socket is closed."""
+    try:
+        return struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+    except (OSError, ValueError):
+        return 0
