Add a failing scenario: a connection that the kernel has given up counts as silent

ETIMEDOUT is a TimeoutError in Python, so that a read of a connection that the kernel has ended (TCP_USER_TIMEOUT) looks like one in which nothing has arrived yet.

--- a/features/host_reads.feature
+++ b/features/host_reads.feature
@@ -26,3 +26,9 @@
     Given an upstream that accepts a connection 1 s after it was asked to
     When a host connects with a time-out of 1.2 s and gets no processor time from 0.5 to 1.4 s
     Then the host is connected
+
+  # The kernel reports so that the other side has acknowledged nothing for the user time-out.
+  Scenario: A connection that the kernel has given up counts as silent until the deadline
+    Given a socket whose reads fail with ETIMEDOUT
+    When it is read with 5 s left
+    Then the read has failed with an error of the connection
--- a/features/steps/host_reads_steps.py
+++ b/features/steps/host_reads_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_reads.feature."""
 
+import errno
 import time
 import types
 
@@ -144,3 +145,27 @@
 def step_connected(context):
     assert context.connection is not None
     context.connection.close()
+
+
+@given("a socket whose reads fail with ETIMEDOUT")
+def step_given_up(context):
+    plain = types.SimpleNamespace(recv=_raise_timed_out)
+    context.reader = _fairreads.FairReader(types.SimpleNamespace(fd=plain))
+
+
+def _raise_timed_out(size):
+    raise OSError(errno.ETIMEDOUT, "Connection timed out")
+
+
+@when("it is read with {left:g} s left")
+def step_read_given_up(context, left):
+    try:
+        context.error = context.reader.receive(time.monotonic() + left)
+    except OSError as error:
+        context.error = error
+
+
+@then("the read has failed with an error of the connection")
+def step_lost(context):
+    assert isinstance(context.error, OSError), context.error
+    assert not isinstance(context.error, TimeoutError), repr(context.error)
