--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -146,3 +146,18 @@
     And the server begins to stop
     And the client reads 4000 bytes each 0.05 s and sends on
     Then it has read an answer of 100000 bytes
+
+  # Guards against bodies that are counted for ever, for which a host refuses others with 503.
+  Scenario: The bodies of requests that are not taken are not counted for ever
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When another client sends a request that takes 0.3 s
+    And the server begins to stop
+    And after the answer the client sends 3 requests with bodies
+    Then the server holds no bytes of bodies once the connection has ended
+
+  # Guards against an answer of the host in place of one that has arrived.
+  Scenario: An answer that has arrived as a delayed stop ends what runs is delivered
+    Given a client server whose handler waits for an upstream
+    When a client sends a request for 10 bytes
+    And the upstream answers while the process is paused for 0.3 s, and what runs is ended with 504
+    Then the client reads an answer of 10 bytes
--- a/features/host_exceptions.feature
+++ b/features/host_exceptions.feature
@@ -17,11 +17,29 @@
       | raises an exception for    | client.handle |
       | returns a broken answer to | client.format |
 
-  Scenario: A fault of the host while it reads a request is blamed on the client
-    Given reading the request "r1" raises an exception
-    When the client sends 2 requests at once until the connection ends
-    Then the client has got 200 and then 503
-    And the log has one exception of "client.parse" with its traceback
+  Scenario Outline: An exception while a request was read ended its connection, or was a 400
+    Given reading the request "r2" raises an exception <where>
+    When the client sends 4 requests at once until the connection ends
+    Then the answers have the status 200, 200 and 503
+    And nothing of the requests is left in the host
+    And the log has one exception of "client.read" with its traceback
+
+    Examples:
+      | where             |
+      | in the parser     |
+      | beside the parser |
+
+  Scenario: An upstream's connection that can't be shut down kept others from being cancelled
+    Given the upstreams take 1.0 s
+    And their connections can't be shut down
+    When the client sends 3 requests at once and disconnects
+    Then nothing of the requests is left in the host
+    And its connection is closed
+
+  Scenario: A log that can't be written held back its later lines
+    Given a log whose output has no room for its first 3 lines
+    When 2 more lines are written
+    Then the log has 2 lines and one that counts the 3 lost ones
 
   Scenario: A fault while answers are sent leaves the connection open without answers
     Given sending the answer to the request "r1" raises an exception
@@ -94,3 +112,29 @@
       | 000000000001000  | 200    |
       | -1               | 200    |
       | x                | 200    |
+
+  Scenario Outline: A host without file descriptors took its upstreams for unreachable
+    Given connections fail with <error>
+    When the client sends an idempotent request
+    Then the answer is 503
+    When connections succeed again
+    And the client sends an idempotent request
+    Then the answer is 200 with a signature
+    And no upstream is unreachable or cold
+
+    Examples:
+      | error         |
+      | EMFILE        |
+      | ENOBUFS       |
+      | EADDRNOTAVAIL |
+
+  Scenario Outline: Random answers, requests and changes leave no request without an answer
+    Given a host whose upstreams, configuration and peers change at random with seed <seed>
+    When 10 clients send requests 30 times each
+    Then each request got a final answer, at least 500 of them
+    And nothing of the requests is left in the host
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
