--- a/features/soak.feature
+++ b/features/soak.feature
@@ -96,6 +96,7 @@
     Examples:
       | excuse                             | count |
       | work that lasts until the kill     | 0     |
+      | work that ends before the sixth    | 1     |
       | a fault of its upstream            | 0     |
       | a failure of the store             | 1     |
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -172,6 +172,9 @@
             request.completed_at = None
         case "work that lasts until the kill":
             request.target = "/long/2900ms/1"
+        case "work that ends before the sixth":
+            # 2.3 s after the stop signal; the last sixth of the 3 s begins 0.2 s later.
+            request.target = "/long/1800ms/1"
         case "nothing":
             return
         case _:
