--- a/bench/soak/losschecks.py
+++ b/bench/soak/losschecks.py
@@ -15,10 +15,9 @@
 LONG_PREFIX = "/long/"
 LONG_TIMEOUT_S = 3.0
 LONG_DEADLINE_S = 3.0
-# Last part of the time until the kill in which the end of the host excuses a cut. Its own answers
-# are excused in the last second, which is a sixth of the shortest time that users set, 6 s.
+# Last part of the time until the kill in which the end of the host excuses a cut or an answer of
+# the host's own.
 LAST_CUT_S = bounds.STOP_GRACE_S / 6
-LAST_ANSWERS_S = 1.0
 # Time from which a request that was sent whole counts as read.
 UNSENT_SLACK_S = bounds.LOSS_SLACK_S + bounds.SCHEDULING_DELAY_S
 # Bytes of a faulty upstream may still be on the way for this long after the fault, so that the host
@@ -49,7 +48,7 @@
         if is_replaced:
             if not stop or not request_runs:
                 continue
-            if not _was_at_work_late(stop, request, request_runs, LAST_ANSWERS_S):
+            if not _was_at_work_late(stop, request, request_runs, LAST_CUT_S):
                 yield (
                     f"{request.request_id} got {request.status} from host {request.host}, which"
                     f" stops, in place of an answer from {request_runs[-1].upstream_id}"
