Tell a connection that the kernel has given up from a silent one

What callers and logs saw: an exchange on a connection whose other side had acknowledged nothing for the user time-out ended as timed out, and that of a client as left. ETIMEDOUT is a TimeoutError in Python, which FairReader uses for a read without bytes until its deadline.

Change: the error of the kernel is passed on as ConnectionAbortedError.

--- a/skylarksill/host/_fairreads.py
+++ b/skylarksill/host/_fairreads.py
@@ -127,6 +127,9 @@
                 raise TimeoutError("bytes arrived without a pause until the deadline")
             try:
                 data = self._socket.fd.recv(size)
+            except TimeoutError as error:
+                # The kernel has given the connection up; it isn't that nothing has arrived yet.
+                raise ConnectionAbortedError(error.errno, error.strerror) from error
             except BlockingIOError:
                 self._ready_reads = 0
                 if has_timed_out:
