--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -166,3 +166,9 @@
       | size   |
       | 10     |
       | 100000 |
+
+  # Guards against a kernel that gives up a client sooner than the server does.
+  Scenario: A client that pauses while it receives an answer gets all of it
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a slow client sends a request for 5000000 bytes
+    Then after 5.0 s the client reads an answer of 5000000 bytes
