Let the scenario of a request that waits for a turn fail again

It now closes them after 0.3 s, while the turn is taken for 0.5 s; without the count of unparsed bytes it fails.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -56,7 +56,7 @@
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a client sends a request with a body in chunks of one byte and reads the answer
     And the turn to parse is taken for 0.5 s
-    And it sends another one and the server closes idle connections 0.1 s later
+    And it sends another one and the server closes idle connections 0.3 s later
     Then the client reads an answer of 10 bytes
 
   # Guards against a stop that writes the last answers one after the other: a client that does not
