--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -55,7 +55,7 @@
   Scenario: A request that waits for a turn to be parsed keeps its connection from being closed
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a client sends a request with a body in chunks of one byte and reads the answer
-    And the turn to parse is taken for 0.5 s
+    And the turn to parse is taken for 1.0 s
     And it sends another one and the server closes idle connections 0.3 s later
     Then the client reads an answer of 10 bytes
 
