Measure the parsing of bytes by the processor time that it takes

Cause: the cost of parsing was measured by the clock, so a process that lost the processor while it parsed counted the bytes as expensive. Expensive connections need a turn, of which there is one. The class of fault is that of the other decisions by time.

Change: thread time in place of the clock.

Test: the new scenario of host_reads.feature fails on the code before and passes now.

--- a/features/host_reads.feature
+++ b/features/host_reads.feature
@@ -32,3 +32,8 @@
     Given a socket whose reads fail with ETIMEDOUT
     When it is read with 5 s left
     Then the read has failed with an error of the connection
+
+  Scenario: A connection whose process waits for a processor while it parses needs no turn
+    Given a connection whose bytes take 0.01 s to parse, all of it without the processor
+    When it parses them 20 times while the turn to parse is taken
+    Then all of them are parsed
--- a/features/steps/host_reads_steps.py
+++ b/features/steps/host_reads_steps.py
@@ -169,3 +169,31 @@
 def step_lost(context):
     assert isinstance(context.error, OSError), context.error
     assert not isinstance(context.error, TimeoutError), repr(context.error)
+
+
+@given("a connection whose bytes take {seconds:g} s to parse, all of it without the processor")
+def step_preempted(context, seconds):
+    context.parsed = []
+
+    def feed(data):
+        _block(seconds)
+        context.parsed.append(data)
+
+    context.parsing = _fairreads.FairParsing(feed)
+
+
+@when("it parses them {count:d} times while the turn to parse is taken")
+def step_parse(context, count):
+    context.count = count
+    _fairreads._turn.acquire()
+    context.add_cleanup(_fairreads._turn.release)
+    for _ in range(count):
+        try:
+            context.parsing.parse(b"request", time.monotonic() + 0.1)
+        except TimeoutError:
+            return
+
+
+@then("all of them are parsed")
+def step_parsed(context):
+    assert len(context.parsed) == context.count, len(context.parsed)
--- a/skylarksill/host/_fairreads.py
+++ b/skylarksill/host/_fairreads.py
@@ -80,12 +80,15 @@
             _turn.release()
 
     def _measure(self, portion):
-        """Parses a portion; returns the time that it took in seconds."""
-        started_at = time.monotonic()
+        """Parses a portion; returns the processor time that it took in seconds.
+
+        Time in which the process waits for a processor says nothing about the bytes.
+        """
+        started_at = time.thread_time()
         self._feed(portion)
+        elapsed_s = time.thread_time() - started_at
         ended_at = time.monotonic()
-        regained_s = FREE_PARSING_SHARE * (started_at - self._spent_at)
-        elapsed_s = ended_at - started_at
+        regained_s = FREE_PARSING_SHARE * (ended_at - self._spent_at)
         cost_s = max(0.0, elapsed_s - CHEAP_PORTION_S)
         self._spent_s = max(0.0, self._spent_s - regained_s) + cost_s
         self._spent_at = ended_at
