Check idle connections to the store without a wait

Cause: urllib3 asks select() whether an idle connection is open, which waits in eventlet. There the green thread was woken with a value that isn't select()'s; that the event belonged to the socket of a killed green thread is suspected from reading eventlet, not shown.

Change: the connection is asked by a read that neither waits nor takes bytes.

Test: three rows in host_reads.feature plant that value, fail on the code before with the same TypeError, and pass now. host_wire passes (41), host_store too (26).

--- a/features/host_reads.feature
+++ b/features/host_reads.feature
@@ -37,3 +37,15 @@
     Given a connection whose bytes take 0.01 s to parse, all of it without the processor
     When it parses them 20 times while the turn to parse is taken
     Then all of them are parsed
+
+  # Guards against a check of an idle connection that is woken by another green thread's socket.
+  Scenario Outline: The check of an idle connection to the store is woken for another socket
+    Given an idle connection to the store that <state>
+    When it is checked while a wait for a socket ends with an event of another one
+    Then the connection counts as <result>
+
+    Examples:
+      | state                 | result |
+      | is open               | open   |
+      | the store has closed  | closed |
+      | has unexpected bytes  | closed |
--- a/features/steps/host_reads_steps.py
+++ b/features/steps/host_reads_steps.py
@@ -3,6 +3,7 @@
 import errno
 import time
 import types
+from unittest import mock
 
 import eventlet
 from behave import given, then, when
@@ -11,7 +12,7 @@
 
 from features import host_builders, wire_builders
 from skylarksill import limits
-from skylarksill.host import _fairreads, _upstreamhttp
+from skylarksill.host import _fairreads, _upstreamhttp, boundedpool
 from standins import rawpeer
 
 _, wire, _ = host_builders.import_platform()
@@ -197,3 +198,32 @@
 @then("all of them are parsed")
 def step_parsed(context):
     assert len(context.parsed) == context.count, len(context.parsed)
+
+
+@given("an idle connection to the store that {state}")
+def step_idle_store_connection(context, state):
+    listener = eventlet.listen(("127.0.0.1", 0))
+    context.add_cleanup(lambda: listener.close())
+    context.idle = boundedpool.BoundedConnection(*listener.getsockname(), timeout=1.0)
+    context.idle.connect()
+    context.add_cleanup(context.idle.close)
+    accepted, _ = listener.accept()
+    context.accepted = accepted
+    context.add_cleanup(lambda: accepted.close())
+    if state == "the store has closed":
+        accepted.shutdown(socket.SHUT_RDWR)
+    elif state == "has unexpected bytes":
+        accepted.sendall(b"x")
+    eventlet.sleep(0.05)
+
+
+@when("it is checked while a wait for a socket ends with an event of another one")
+def step_check_idle(context):
+    woken = TypeError("cannot unpack non-iterable int object")
+    with mock.patch("urllib3.connection.wait_for_read", side_effect=woken):
+        context.is_connected = context.idle.is_connected
+
+
+@then("the connection counts as {result}")
+def step_idle_result(context, result):
+    assert context.is_connected is (result == "open")
--- a/skylarksill/host/boundedpool.py
+++ b/skylarksill/host/boundedpool.py
@@ -83,6 +83,23 @@
             connected.setsockopt(*option)
         return BoundedSocket(connected)
 
+    @property
+    def is_connected(self):
+        """True if the connection is open and nothing has arrived that nobody asked for.
+
+        urllib3 waits in select(), from which eventlet can wake it for another green thread.
+        """
+        if self.sock is None:
+            return False
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            # The caller opens a new connection.
+            return False
+        return False
+
 
 class BoundedPool(urllib3.HTTPConnectionPool):
     """A pool of BoundedConnections."""
