Log what a denied request asked for, how old the configuration is, and where changes come from

Belief keeps the time at which its configuration was last confirmed: by a read, by an ask that found nothing newer, or by a source, which passes on the age of its own confirmation (version 5 of the stream). The line of a denied request has site, path, the number of routes and that age; store.incomplete says which reads have not brought what the store holds; belief lines have their source; three gauges show generation, age and contact. No decision depends on any of it yet.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -79,6 +79,7 @@
   Scenario: A path without a route is answered with 404
     When the client sends "GET /other/1" without a body
     Then the answer is 404
+    And the log names the path "/other/1", the routes and the age of the configuration
 
   Scenario Outline: Malformed input gets a clear error and the connection closes
     When the client sends the raw bytes <bytes>
--- a/features/host_world.py
+++ b/features/host_world.py
@@ -76,6 +76,7 @@
             for name, item in self.workers.items()
         }
         self.belief.accept_configuration(host_builders.build_configuration(routes=self._routes))
+        self.belief.record_confirmation(time.monotonic())
         self.belief.replace_upstreams(upstreams, 0.0)
         services = self.belief.configuration.services
         self.fleet.apply(upstreams, services, (), host_builders.BOUNDS, 0.0)
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -247,6 +247,9 @@
     status, body = _send_get(context.ports[0] + 1, "/metrics")
     assert status == 200
     assert b'skylarksill_requests_total{label="catalogue 200 answered"} 1' in body, body
+    gauges = dict(line.split() for line in body.splitlines() if b"{" not in line)
+    assert float(gauges[b"skylarksill_configuration_age_seconds"]) < 5.0, body
+    assert gauges[b"skylarksill_store_lost"] == b"0", body
 
 
 @when("the host program is signaled to reload and to stop during a request")
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -230,7 +230,7 @@
         table,
         context.follower,
         log,
-        lambda changes: None,
+        lambda changes, source: None,
         lambda: True,
         keyring.Keyring,
     )
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -1,6 +1,7 @@
 """Steps of host_requests.feature."""
 
 import dataclasses
+import json
 import time
 
 import eventlet
@@ -156,6 +157,15 @@
     assert headers["x-skylarksill-request-id"] == "r1"
 
 
+@then('the log names the path "{path}", the routes and the age of the configuration')
+def step_logs_denial(context, path):
+    context.world.log.flush()
+    line = json.loads(context.world.log_bytes.splitlines()[-1])
+    routes = context.world.belief.configuration.routes
+    assert (line["reason"], line["site"], line["path"]) == ("no_route", "shop.example", path), line
+    assert line["routes"] == len(routes) and 0 <= line["configuration_age_ms"] < 5_000, line
+
+
 @then("the answer is {status:d}")
 def step_status(context, status):
     assert context.answer[0] == status, context.answer
--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -1,6 +1,7 @@
 """Codec of the stream between a source and a follower: msgpack messages with a length before."""
 
 import dataclasses
+import math
 import struct
 import zlib
 
@@ -9,7 +10,7 @@
 from skylarksill import records as shared
 from skylarksill.host import fields, records, relay
 
-VERSION = 4
+VERSION = 5
 # A configuration with 500 routes, together with 500 upstreams, takes about 150 kB.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # A follower's request holds a version, three small numbers, a nonce and a seal.
@@ -106,6 +107,7 @@
             update.removed_ids,
             update.evacuated,
             update.evacuation_ages,
+            update.configuration_age_s if math.isfinite(update.configuration_age_s) else None,
         )
     )
 
@@ -121,7 +123,8 @@
         if fields.check(is_compressed, bool):
             packed = _decompress(packed)
         sequence, revisions, is_complete, is_store_lost, *rest = _unpack(packed)
-        configuration, is_snapshot, upstreams, lapses, removed_ids, evacuated, ages = rest
+        configuration, is_snapshot, upstreams, lapses, removed_ids, evacuated, *ages = rest
+        evacuation_ages, configuration_age_s = ages
         return relay.BeliefUpdate(
             sequence=fields.check_integer(sequence),
             revisions={
@@ -135,7 +138,8 @@
             lapses=_decode_times(lapses),
             removed_ids=tuple(fields.check(item, str) for item in fields.check(removed_ids, list)),
             evacuated=tuple(fields.check(item, str) for item in fields.check(evacuated, list)),
-            evacuation_ages=_decode_times(ages),
+            evacuation_ages=_decode_times(evacuation_ages),
+            configuration_age_s=_decode_age(configuration_age_s),
         )
     except (
         ValueError,
@@ -156,6 +160,10 @@
     }
 
 
+def _decode_age(seconds):
+    return math.inf if seconds is None else fields.check_number(seconds)
+
+
 def _decompress(packed):
     """Returns the decompressed bytes, which are at most MAX_MESSAGE_BYTES.
 
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -42,6 +42,8 @@
       has_upstreams: True once the store's list of upstreams has been read.
       revisions: The store's revision up to which each kind of object is known.
       sequence: Number of changes of belief since the start of this process.
+      confirmed_at: Monotonic time at which the configuration is last known to have been the store's
+        newest; minus infinity before the first read.
     """
 
     def __init__(self):
@@ -53,6 +55,7 @@
         self.has_upstreams = False
         self.revisions = dict.fromkeys(records.ObjectKind, 0)
         self.sequence = 0
+        self.confirmed_at = float("-inf")
         self._change_log = collections.deque()
         self._change_log_start = 0
         self._lapse_deadlines = {}
@@ -74,6 +77,14 @@
             self._is_after_outage = False
             self._grace_until = now + LAPSE_GRACE_S
 
+    def record_confirmation(self, at):
+        """Records that the configuration was current at a monotonic time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def get_configuration_age_s(self, now):
+        """Returns the seconds since ``confirmed_at``."""
+        return now - self.confirmed_at
+
     def accept_configuration(self, configuration):
         """Accepts a configuration unless it is older than the accepted one.
 
--- a/skylarksill/host/counters.py
+++ b/skylarksill/host/counters.py
@@ -1,7 +1,8 @@
-"""Counters and latency histograms, served as text on the metrics address."""
+"""Counters, gauges and latency histograms, served as text on the metrics address."""
 
 import bisect
 import collections
+import math
 
 # Upper bounds of the histogram buckets in seconds.
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
@@ -12,6 +13,7 @@
 
     def __init__(self):
         self._counts = collections.Counter()
+        self._gauges = {}
         self._histograms = {}
 
     def count(self, name, label="", amount=1):
@@ -22,6 +24,10 @@
         """Returns a counter's value."""
         return self._counts[name, label]
 
+    def set(self, name, value):
+        """Sets a gauge."""
+        self._gauges[name] = value
+
     def observe_duration(self, name, label, seconds):
         """Adds a duration in seconds to a histogram."""
         histogram = self._histograms.get((name, label))
@@ -35,6 +41,8 @@
         lines = []
         for (name, label), value in sorted(self._counts.items()):
             lines.append(f"skylarksill_{name}_total{_format_label(label)} {value}")
+        for name, value in sorted(self._gauges.items()):
+            lines.append(f"skylarksill_{name} {_format_value(value)}")
         for (name, label), histogram in sorted(self._histograms.items()):
             lines += _format_histogram(name, label, histogram)
         return "\n".join(lines) + "\n"
@@ -53,5 +61,9 @@
     return lines
 
 
+def _format_value(value):
+    return "+Inf" if value == math.inf else f"{value:g}"
+
+
 def _format_label(label):
     return f'{{label="{label}"}}' if label else ""
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -139,7 +139,7 @@
 
     Args:
       record: HostRecord of the source.
-      apply_update: Function that applies a BeliefUpdate to this host's belief.
+      apply_update: Function that applies a BeliefUpdate of a host to this host's belief.
       find_generation: Function that returns the generation of this host's configuration.
       log: The EventLog.
       get_keyring: Function that returns the current keyring.Keyring.
@@ -186,7 +186,7 @@
                 )
                 update = self._exchange(source, reader, request)
                 self._record_answer(update, sequence)
-                self._apply_update(update)
+                self._apply_update(update, self.record.host_id)
                 sequence = update.sequence
         finally:
             source.close()
@@ -219,8 +219,8 @@
       table: The PeerTable.
       belief: The belief.Belief.
       log: The EventLog.
-      handle_changes: Function of a tuple of belief.Change that is called after each update with
-        changes.
+      handle_changes: Function of a tuple of belief.Change and the id of the host that they come
+        from, which is called after each update with changes.
       is_store_lost: Function that returns True while the store can't be reached.
       get_keyring: Function that returns the current keyring.Keyring.
     """
@@ -273,10 +273,10 @@
         configuration = self._belief.configuration
         return configuration.generation if configuration else 0
 
-    def _apply_update(self, update):
+    def _apply_update(self, update, source):
         changes = relay.apply_update(self._belief, update, time.monotonic())
         if changes:
-            self._handle_changes(changes)
+            self._handle_changes(changes, source)
 
 
 def _set_options(stream):
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -36,6 +36,8 @@
 BLOCKED_RETRY_AFTER_S = 60.0
 # A client whose request arrives late in a stop is to try another host at once.
 STOPPING_RETRY_AFTER_S = 0.02
+# Characters of a host name or a path in the log.
+MAX_LOGGED_NAME = 100
 # Reason of the end of a request on which the host itself has failed.
 FAILED_REASON = "host_failed"
 
@@ -134,8 +136,7 @@
             return self._reject(request, "no_configuration", placement.UNAVAILABLE_RETRY_AFTER_S)
         route = belief.route_table.find(request.site, request.path)
         if route is None:
-            self._record_end(request, None, 404, "no_route")
-            return answers.make_answer(404, b"no route\n")
+            return self._deny(request)
         fingerprint = poison.fingerprint_request(request)
         if self.poisons.is_blocked(fingerprint, request.received_at):
             return self._reject(request, "blocked", BLOCKED_RETRY_AFTER_S)
@@ -148,6 +149,21 @@
         self._find_budget(service_id).count_request(request.received_at)
         return _Progress(route, service_id, request.received_at + remaining_s, fingerprint)
 
+    def _deny(self, request):
+        """Answers that no route matches a request."""
+        age_s = self._belief.get_configuration_age_s(time.monotonic())
+        self._record_end(
+            request,
+            None,
+            404,
+            "no_route",
+            site=request.site[:MAX_LOGGED_NAME],
+            path=request.path[:MAX_LOGGED_NAME],
+            routes=len(self._belief.configuration.routes),
+            configuration_age_ms=int(age_s * 1000) if math.isfinite(age_s) else None,
+        )
+        return answers.make_answer(404, b"no route\n")
+
     def _place_and_send(self, request, progress, cancellation):
         """Returns the answer to the client, or None if the request was cancelled."""
         while not cancellation.is_cancelled:
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -228,10 +228,18 @@
         return lookup.answer_lookup(request, serving, self.own, max_lifetime_s, self._lookup_codec)
 
     def _answer_metrics(self, request, cancellation):
+        configuration = self.belief.configuration
+        self.counters.set(
+            "configuration_generation", configuration.generation if configuration else 0
+        )
+        self.counters.set(
+            "configuration_age_seconds", self.belief.get_configuration_age_s(time.monotonic())
+        )
+        self.counters.set("store_lost", int(self._is_store_lost()))
         return answers.make_answer(200, self.counters.format().encode())
 
-    def _handle_belief_changes(self, changes):
-        self._watcher.handle_changes(changes)
+    def _handle_belief_changes(self, changes, source=watching.STORE_SOURCE):
+        self._watcher.handle_changes(changes, source)
 
     def _handle_restart_report(self, report):
         self.fleet.apply_restart_report(report, time.monotonic())
--- a/skylarksill/host/relay.py
+++ b/skylarksill/host/relay.py
@@ -32,6 +32,8 @@
       removed_ids: Ids of the upstreams that have been removed since the follower's last update.
       evacuated: All zones whose upstreams get no requests.
       evacuation_ages: Dict of the seconds since a zone's last evacuation ended.
+      configuration_age_s: Seconds since the source's configuration was confirmed; infinity if it
+        never was.
     """
 
     sequence: int
@@ -45,6 +47,7 @@
     removed_ids: tuple[str, ...]
     evacuated: tuple[str, ...]
     evacuation_ages: dict[str, float]
+    configuration_age_s: float
 
 
 def choose_sources(serving, region):
@@ -92,6 +95,7 @@
         removed_ids=() if is_snapshot else tuple(changed - own.upstreams.keys()),
         evacuated=tuple(own.evacuated),
         evacuation_ages=own.list_evacuation_ages(now),
+        configuration_age_s=own.get_configuration_age_s(now),
     )
 
 
@@ -111,6 +115,7 @@
     changes = []
     if _advance_revision(own, update, records.ObjectKind.CONFIGURATION) and update.configuration:
         changes += own.accept_configuration(update.configuration)
+    own.record_confirmation(now - update.configuration_age_s)
     if update.is_complete and _advance_revision(own, update, records.ObjectKind.UPSTREAMS):
         changes += _apply_upstreams(own, update, now)
     if _advance_revision(own, update, records.ObjectKind.EVACUATIONS):
--- a/skylarksill/host/storecontact.py
+++ b/skylarksill/host/storecontact.py
@@ -106,11 +106,17 @@
         self._refusals += 1
 
     def record_incomplete(self, asked_at, now):
-        """Records an answer whose revision the belief has not reached, as all is read anew."""
+        """Records an answer whose revision the belief has not reached, as all is read anew.
+
+        Returns:
+          True if it is the first such answer since the belief was current.
+        """
         self._unanswered = [at for at in self._unanswered if at != asked_at]
         self._next_at = min(self._next_at, now + REPEAT_AFTER_S)
-        if self._incomplete_since is None:
-            self._incomplete_since = now
+        if self._incomplete_since is not None:
+            return False
+        self._incomplete_since = now
+        return True
 
     def record_answer(self, asked_at, now):
         """Records that an ask was answered, and that the belief has reached the store's revision.
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -31,10 +31,21 @@
 # Interval at which a watch checks whether peers keep the belief current, and of the checks whether
 # an ask is due or was answered.
 POLL_S = 0.1
+# Source of changes of belief in the log, unless they come from another host.
+STORE_SOURCE = "store"
 # After the first reads a host waits this long for sources, since a host with one needs no watches.
 SOURCE_WAIT_S = 1.5
 
 
+# State of the reads of a kind, by whether a call is under way and whether a read has succeeded.
+_READ_STATES = {
+    (True, True): "watching",
+    (True, False): "reading",
+    (False, True): "watch_paused",
+    (False, False): "read_paused",
+}
+
+
 class StoreClient(typing.Protocol):
     """Interface to the platform's store.
 
@@ -122,10 +133,17 @@
         """Applies changed records.Bounds."""
         self._contact.set_bounds(bounds)
 
-    def handle_changes(self, changes):
-        """Logs changes of belief and calls ``on_change``."""
+    def handle_changes(self, changes, source=STORE_SOURCE):
+        """Logs changes of belief and calls ``on_change``.
+
+        Args:
+          changes: Tuple of belief.Change.
+          source: Where the changes come from: STORE_SOURCE, or the id of a host.
+        """
         for change in changes:
-            self._log.write(f"belief.{change.kind}", subject=change.subject, value=change.value)
+            self._log.write(
+                f"belief.{change.kind}", subject=change.subject, value=change.value, source=source
+            )
         self._on_change()
 
     # Reads and watches.
@@ -168,8 +186,11 @@
             del self._calls[kind]
 
     def _read_once(self, kind, read, replace):
+        started_at = time.monotonic()
         revision, objects = self._call(kind, read)
         self._belief.record_contact(time.monotonic())
+        if kind is records.ObjectKind.CONFIGURATION:
+            self._belief.record_confirmation(started_at)
         self.handle_changes(self._replace_objects(kind, revision, objects, replace))
 
     def _replace_objects(self, kind, revision, objects, replace):
@@ -269,8 +290,10 @@
         now = time.monotonic()
         self._belief.record_contact(now)
         if not is_current:
-            self._contact.record_incomplete(asked_at, now)
+            if self._contact.record_incomplete(asked_at, now):
+                self._log.write("store.incomplete", **self._describe_reads())
             return
+        self._belief.record_confirmation(asked_at)
         was_lost = self._contact.is_lost
         meaning = self._contact.record_answer(asked_at, now)
         if meaning is storecontact.AnswerMeaning.EARLIER_LOST:
@@ -279,6 +302,13 @@
             self._log.write("store.regained")
             self._on_change()
 
+    def _describe_reads(self):
+        """Returns the state of the reads of each kind, for the log."""
+        return {
+            kind.value: _READ_STATES[kind in self._calls, bool(self._belief.revisions[kind])]
+            for kind in (records.ObjectKind.CONFIGURATION, records.ObjectKind.UPSTREAMS)
+        }
+
     def _catch_up(self, revision):
         """Reads what the waiting watches have not reported up to a revision of the store.
 
