--- /dev/null
+++ b/bench/configuration_spread.py
@@ -0,0 +1,526 @@
+"""Hosts that keep up with an operator's versions of the configuration, in virtual time.
+
+``python -m bench.configuration_spread --seed 1 --runs 100`` plays random series of versions and
+faults, and prints what each host had wrong. The hosts' own code runs: watches, asks, streams
+between hosts, and all decoders; the store, the network and the clock are simulated.
+"""
+
+import argparse
+import collections
+import dataclasses
+import enum
+import json
+import os
+import random
+import sys
+import time
+import types
+import weakref
+
+import eventlet
+import greenlet
+
+from bench import _operatorwrites, _spreadstore, _virtualtime
+from features import host_builders
+from skylarksill.host import belief, following, keyring, peers, records, supervision, watching
+from standins import platformdata
+
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+HOSTS = (
+    ("n1", "north-a"),
+    ("n2", "north-b"),
+    ("n3", "north-a"),
+    ("s1", "south-a"),
+    ("s2", "south-a"),
+)
+# One way to the store, by region.
+STORE_DELAYS_S = {"north": 0.0005, "south": 0.055}
+RUN_S = 45.0
+# All faults end this long before the end of a run.
+CALM_END_S = 9.0
+CHECK_INTERVAL_S = 0.05
+OUTAGE_S = 4.0
+BOUNDS = host_builders.BOUNDS
+# Within this time hosts learn of others that have gone, or have lost the store.
+MAX_VIEW_DELAY_S = 1.5
+FOREIGN_SPECS = (
+    None,
+    [],
+    "text",
+    {"configVersion": 10**30, "routes": {}},
+    {"configVersion": 2**62, "routes": {}, "services": {}, "limits": None},
+    platformdata.build_configuration_spec(1_000_000, routes={"r-1": {}}),
+    platformdata.build_configuration_spec(2_000_000),
+    json.loads("[" * 70 + "]" * 70),
+)
+FOREIGN_NAMES = ("Main", "main2", "a", "main\ud800", "zz", "main/")
+
+
+class Fault(enum.Enum):
+    """What happens to a host, to the store or between two hosts."""
+
+    RESTART = "restart"
+    POWER_LOSS = "power_loss"
+    STORE_MODE = "store_mode"
+    HOST_STORE_MODE = "host_store_mode"
+    DROP_HISTORY = "drop_history"
+    CUT_WATCHES = "cut_watches"
+    SILENCE_WATCHES = "silence_watches"
+    CUT_HOSTS = "cut_hosts"
+    DELAY = "delay"
+    VIEW = "view"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """Something that a host had wrong.
+
+    Attributes:
+      rule: Number of the rule, see ``Run``, or 0 for an exception.
+      host_id: The host.
+      at: Seconds since the start of the run.
+      detail: What was seen.
+    """
+
+    rule: int
+    host_id: str
+    at: float
+    detail: str
+
+
+class _Log:
+    """Collects the exceptions of one host and its last log lines."""
+
+    def __init__(self, host_id, report, trace):
+        self._host_id = host_id
+        self._report = report
+        self._trace = trace
+
+    def write(self, event, **fields):
+        self._trace.append((_virtualtime.read_clock(), self._host_id, event, fields))
+
+    def write_exception(self, task, error):
+        self._report(0, self._host_id, f"{task}: {error!r}")
+
+
+class _Table:
+    """What a host knows about the others: the truth, some time later."""
+
+    def __init__(self, run, host_id):
+        self._run = run
+        self._host_id = host_id
+
+    def list_serving(self, now):
+        return self._run.list_serving(self._host_id, now)
+
+
+class _Host:
+    """One host; each start makes a new incarnation of all its parts."""
+
+    def __init__(self, run, index, host_id, zone):
+        self.host_id = host_id
+        self.record = dataclasses.replace(
+            host_builders.build_host_record(host_id, zone, ZONES[zone]),
+            gossip=("127.0.0.1", 2_000 + index),
+        )
+        self._run = run
+        self.is_running = False
+        self.disturbed_at = _virtualtime.read_clock()
+        # Ordered, so that a seed plays the same run each time.
+        self.threads = weakref.WeakKeyDictionary()
+        self.streams = weakref.WeakKeyDictionary()
+
+    def start(self):
+        """Starts the host without any state."""
+        run = self._run
+        self.is_running = True
+        self.started_at = _virtualtime.read_clock()
+        self.generation = 0
+        self.probed_table = self.probes = None
+        log = _Log(self.host_id, run.report, run.trace)
+        self.belief = belief.Belief()
+        self.source_since = None
+        self.follower = following.BeliefFollower(
+            self.record,
+            _Table(run, self.host_id),
+            self.belief,
+            log,
+            lambda changes, source: self.watcher.handle_changes(changes),
+            lambda: self.watcher.is_store_lost,
+            lambda: run.keyring,
+        )
+        store = _spreadstore.SimulatedStore(self.host_id, run.store, ZONES, log)
+        self.watcher = watching.Watcher(
+            store, self.belief, log, self._apply, self.follower.has_current_source, BOUNDS
+        )
+        self.server = following.BeliefServer(
+            self.record.gossip,
+            self.belief,
+            log,
+            lambda: self.watcher.is_store_lost,
+            lambda: run.keyring,
+        )
+        self.server.start()
+        self.follower.start()
+        self.watcher.start()
+
+    def _apply(self):
+        self.server.wake_followers()
+        self._run.check_table(self)
+
+    def stop(self, is_silent):
+        """Ends the process, with its connections, or as a machine that loses power."""
+        self.is_running = False
+        self.server.stop()
+        for stream in list(self.streams):
+            if is_silent:
+                stream.vanish()
+            else:
+                stream.close()
+        for thread in list(self.threads):
+            if not thread.dead:
+                eventlet.kill(thread)
+        self.threads.clear()
+        self.streams.clear()
+
+
+class Run:
+    """One run. Rules that each host has to keep:
+
+    1. Its routes are those of exactly the version that its generation names.
+    2. In one incarnation, its generation doesn't fall.
+    3. It denies no path that all versions allow since the one that was newest when it was current.
+    4. With a sound store and own links, or a current source, it is current within ``apply_s``.
+
+    Args:
+      seed: Seed of everything that happens.
+      outage: Mode of the store towards all hosts in the only fault, during which it drops its
+        history; None for random faults.
+
+    Attributes:
+      findings: List of Finding.
+      counts: Counter of checks and events.
+      trace: The hosts' last log lines.
+    """
+
+    def __init__(self, seed, outage=None):
+        random.seed(seed)
+        self._random = random.Random(f"run {seed}")
+        self._outage = outage
+        self.findings = []
+        self.counts = collections.Counter()
+        self.trace = collections.deque(maxlen=4_000)
+        self.keyring = keyring.parse_keys([("k1", "ab" * 32)])
+        self.store = _spreadstore.Store(seed)
+        self._network = _virtualtime.Network(seed)
+        self._network.opened = self._note_stream
+        self._network.find_own_address = lambda: self._find_owner().record.gossip
+        self._operator = _operatorwrites.Operator(seed)
+        self._acknowledged = []
+        self._owners = weakref.WeakKeyDictionary()
+        self._started_at = _virtualtime.read_clock()
+        self._store_disturbed_at = float("-inf")
+        self._views = {}
+        self._probes = ()
+        self.hosts = [_Host(self, index, *item) for index, item in enumerate(HOSTS)]
+        for host in self.hosts:
+            self.store.delays[host.host_id] = STORE_DELAYS_S[host.record.region]
+
+    def play(self):
+        """Plays the run; returns the findings."""
+        self._patch()
+        self._publish(self._operator.newest)
+        for index in range(3):
+            name = f"i-{index}"
+            self.store.write("servers", name, platformdata.build_upstream_spec())
+        for host in self.hosts:
+            self._start(host)
+        end = _virtualtime.read_clock() + RUN_S
+        eventlet.spawn(self._write_versions, end - 3.0)
+        eventlet.spawn(self._write_others, end - 3.0)
+        cause_faults = self._cause_faults if self._outage is None else self._cause_outage
+        eventlet.spawn(cause_faults, end - CALM_END_S)
+        while _virtualtime.read_clock() < end:
+            eventlet.sleep(CHECK_INTERVAL_S)
+            for host in self.hosts:
+                if host.is_running:
+                    self.check(host)
+        self.counts["versions"] += len(self._operator.versions)
+        return self.findings
+
+    def _patch(self):
+        for module in (watching, following, _spreadstore.store):
+            module.time = _virtualtime.TIME
+        following.socket = _virtualtime.make_socket_module(self._network)
+        following._fairreads = types.SimpleNamespace(FairReader=lambda stream: stream)
+        following.eventlet = types.SimpleNamespace(
+            sleep=eventlet.sleep, Timeout=eventlet.Timeout, listen=self._network.listen
+        )
+        following.event = types.SimpleNamespace(Event=_virtualtime.Event)
+        supervision.eventlet = types.SimpleNamespace(sleep=eventlet.sleep, spawn=self._spawn)
+
+    def _spawn(self, function, *arguments):
+        owner = self._find_owner()
+        thread = eventlet.spawn(function, *arguments)
+        self._owners[thread] = owner
+        owner.threads[thread] = True
+        return thread
+
+    def _find_owner(self):
+        return self._owners[greenlet.getcurrent()]
+
+    def _note_stream(self, stream):
+        self._find_owner().streams[stream] = True
+
+    def _start(self, host):
+        thread = eventlet.spawn(host.start)
+        self._owners[thread] = host
+        thread.wait()
+        host.disturbed_at = _virtualtime.read_clock()
+
+    def report(self, rule, host_id, detail):
+        """Adds a Finding."""
+        at = _virtualtime.read_clock() - self._started_at
+        self.findings.append(Finding(rule, host_id, round(at, 3), detail))
+
+    # The operator, and other writers.
+
+    def _publish(self, version):
+        self.store.write("config", "main", version.spec)
+        self._acknowledged.append((_virtualtime.read_clock(), version))
+        self._probes = _operatorwrites.list_probes([item for _, item in self._acknowledged[-6:]])
+
+    def _write_versions(self, end):
+        while _virtualtime.read_clock() < end:
+            pause_s = self._random.choice((0.02, 0.3, 0.5, 1.0, 2.0, 4.0))
+            eventlet.sleep(pause_s * (0.5 + self._random.random()))
+            self._publish(self._operator.write())
+
+    def _write_others(self, end):
+        while _virtualtime.read_clock() < end:
+            eventlet.sleep(self._random.random() * 1.5)
+            match self._random.randrange(5):
+                case 0:
+                    name = self._random.choice(FOREIGN_NAMES)
+                    self.store.write("config", name, self._random.choice(FOREIGN_SPECS))
+                case 1:
+                    self.store.delete("config", self._random.choice(FOREIGN_NAMES))
+                case 2:
+                    name = f"i-{self._random.randrange(6)}"
+                    state = self._random.choice(("ready", "draining", "odd", None))
+                    spec = platformdata.build_upstream_spec(state=state)
+                    self.store.write("servers", name, spec)
+                case 3:
+                    self.store.delete("servers", f"i-{self._random.randrange(6)}")
+                case 4:
+                    zone = self._random.choice(list(ZONES))
+                    if self._random.random() < 0.5:
+                        self.store.write("evacuations", zone, {})
+                    else:
+                        self.store.delete("evacuations", zone)
+
+    # Faults.
+
+    def _cause_faults(self, end):
+        eventlet.sleep(3.0 + 4.0 * self._random.random())
+        while _virtualtime.read_clock() < end:
+            fault = self._random.choice(list(Fault))
+            # At most until the end of the faults.
+            seconds = min(
+                self._random.choice((0.2, 0.7, 1.5, 3.0, 6.0)), end - _virtualtime.read_clock()
+            )
+            self.counts[fault.value] += 1
+            eventlet.spawn(self._cause, fault, self._random.choice(self.hosts), seconds)
+            eventlet.sleep(self._random.choice((0.1, 1.0, 3.0, 8.0)) * self._random.random())
+
+    def _cause_outage(self, end):
+        del end
+        eventlet.sleep(10.0)
+        eventlet.spawn(self._disturb_store, self.hosts, self._outage, OUTAGE_S)
+        eventlet.sleep(OUTAGE_S - 1.0)
+        self.store.drop_history()
+
+    def _disturb_store(self, hosts, mode, seconds):
+        until = _virtualtime.read_clock() + seconds
+        while _virtualtime.read_clock() < until:
+            self._store_disturbed_at = _virtualtime.read_clock()
+            for host in hosts:
+                self.store.modes[host.host_id] = mode
+            eventlet.sleep(CHECK_INTERVAL_S)
+        for host in hosts:
+            self.store.modes.pop(host.host_id, None)
+        self._store_disturbed_at = _virtualtime.read_clock()
+
+    def _cause(self, fault, host, seconds):
+        self.trace.append((_virtualtime.read_clock(), host.host_id, fault.value, seconds))
+        match fault:
+            case Fault.RESTART | Fault.POWER_LOSS if host.is_running:
+                host.stop(fault is Fault.POWER_LOSS)
+                eventlet.sleep(seconds)
+                self._start(host)
+            case Fault.STORE_MODE | Fault.HOST_STORE_MODE:
+                hosts = self.hosts if fault is Fault.STORE_MODE else [host]
+                if fault is Fault.HOST_STORE_MODE and self._random.random() < 0.4:
+                    hosts = [
+                        item for item in self.hosts if item.record.region == host.record.region
+                    ]
+                self._disturb_store(
+                    hosts, self._random.choice(list(_spreadstore.Mode)[1:]), seconds
+                )
+            case Fault.DROP_HISTORY:
+                self.store.drop_history()
+            case Fault.CUT_WATCHES:
+                self.store.cut_off(host.host_id, False)
+            case Fault.SILENCE_WATCHES:
+                self.store.cut_off(host.host_id, True)
+                # An answer is lost.
+                self._store_disturbed_at = _virtualtime.read_clock()
+            case Fault.CUT_HOSTS:
+                other = self._random.choice(self.hosts)
+                pair = frozenset((host.record.gossip, other.record.gossip))
+                self._network.cuts[pair] = _virtualtime.read_clock() + seconds
+                self._disturb((host, other), seconds)
+            case Fault.DELAY:
+                self._network.delays[host.record.gossip] = 1.4
+                self._disturb((host,), seconds)
+                eventlet.sleep(seconds)
+                self._network.delays.pop(host.record.gossip, None)
+            case Fault.VIEW:
+                # The host takes some others for dead.
+                count = self._random.randint(0, len(self.hosts) - 1)
+                others = self._random.sample(self.hosts, count)
+                until = _virtualtime.read_clock() + seconds
+                self._views[host.host_id] = (
+                    until,
+                    {item.host_id for item in others} - {host.host_id},
+                )
+
+    def _disturb(self, hosts, seconds):
+        for host in hosts:
+            host.disturbed_at = max(host.disturbed_at, _virtualtime.read_clock() + seconds)
+
+    def list_serving(self, host_id, now):
+        """Returns the peers.Peer records that a host believes to serve."""
+        until, hidden = self._views.get(host_id, (0.0, ()))
+        hidden = hidden if now < until else ()
+        listed = []
+        for host in self.hosts:
+            is_self = host.host_id == host_id
+            # Others are known some time after their start.
+            if not host.is_running or host.host_id in hidden:
+                continue
+            if not host.belief.is_complete and not is_self:
+                continue
+            peer = peers.Peer(host.record, 1, records.HostState.SERVING, now)
+            peer.is_store_lost = host.watcher.is_store_lost
+            listed.append(peer)
+        return listed
+
+    # Checks.
+
+    def check(self, host):
+        """Checks all rules at one host."""
+        self.check_table(host)
+        now = _virtualtime.read_clock()
+        known = host.belief.configuration
+        generation = known.generation if known else 0
+        if host.follower.has_current_source():
+            host.source_since = host.source_since or now
+        else:
+            host.source_since = None
+        due = [version for at, version in self._acknowledged if at <= now - BOUNDS.apply_s]
+        if not due:
+            return
+        calm_since = max(host.disturbed_at, host.started_at)
+        is_in_touch = now - max(calm_since, self._store_disturbed_at) >= BOUNDS.contact_s
+        others_since = max(
+            max(item.disturbed_at, item.started_at) if item.is_running else now
+            for item in self.hosts
+        )
+        has_source = (
+            host.source_since is not None
+            and now - host.source_since >= BOUNDS.apply_s
+            and now - max(calm_since, others_since, self._store_disturbed_at) >= BOUNDS.contact_s
+        )
+        if is_in_touch or has_source:
+            self.counts["current"] += 1
+            if generation < due[-1].number:
+                source = "source" if has_source else "store"
+                self.report(4, host.host_id, f"{generation} after {due[-1].number}, {source}")
+
+    def check_table(self, host):
+        """Checks rules 1 to 3 if the host has a new table or there are new probes."""
+        known = host.belief.configuration
+        if known is None:
+            return
+        if known.generation < host.generation:
+            self.report(2, host.host_id, f"{known.generation} after {host.generation}")
+        host.generation = known.generation
+        table = host.belief.route_table
+        if host.probed_table is table and host.probes is self._probes:
+            return
+        host.probed_table, host.probes = table, self._probes
+        version = self._operator.versions.get(known.generation)
+        if version is None:
+            self.report(1, host.host_id, f"no version {known.generation}")
+            return
+        since = [item for _, item in self._acknowledged if item.number >= version.number]
+        matched = set()
+        for site, path in self._probes:
+            route = table.find(site, path)
+            expected = version.find(site, path)
+            if route is None:
+                is_right = expected is None
+            else:
+                is_right = expected is not None and expected[0] == route.route_id
+                if is_right and expected[0] not in matched:
+                    matched.add(expected[0])
+                    is_right = _operatorwrites.matches(route, *expected)
+            if not is_right:
+                self.report(1, host.host_id, f"{known.generation} {site}{path}: {route} {expected}")
+            if route is None and all(item.find(site, path) for item in since):
+                self.report(3, host.host_id, f"{known.generation} {site}{path} denied")
+        self.counts["probes"] += len(self._probes)
+
+
+def play(seed, outage=None):
+    """Plays the run of a seed; returns the Run."""
+    _virtualtime.start()
+    run = Run(seed, outage)
+    run.play()
+    return run
+
+
+def main():
+    """Plays the runs; exits with 1 if a host had something wrong."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
+    parser.add_argument("--runs", type=int, default=20)
+    parser.add_argument(
+        "--outage",
+        type=_spreadstore.Mode,
+        help="only fault: so the store treats all hosts while it drops its history",
+    )
+    parser.add_argument("--trace", action="store_true", help="print the hosts' last log lines")
+    arguments = parser.parse_args()
+    started_at = time.monotonic()
+    counts = collections.Counter()
+    wrong = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.runs):
+        run = play(seed, arguments.outage)
+        counts += run.counts
+        wrong += bool(run.findings)
+        for finding in run.findings[:3]:
+            print(f"seed {seed}: {finding}")
+        if arguments.trace:
+            for line in run.trace:
+                print(line)
+    print(dict(counts))
+    print(f"{arguments.runs} runs, {wrong} wrong, {time.monotonic() - started_at:.1f} s")
+    sys.stdout.flush()
+    # The hosts' green threads have no end.
+    os._exit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/steps/configuration_spread_steps.py
@@ -0,0 +1,29 @@
+"""Steps of configuration_spread.feature."""
+
+import subprocess
+import sys
+
+from behave import then, when
+
+LIMIT_S = 120
+
+
+@when("{runs:d} runs of versions and faults are played from seed {seed:d}")
+def step_play(context, runs, seed):
+    _play(context, "--seed", str(seed), "--runs", str(runs))
+
+
+@when('all hosts lose the store for 4 s by "{mode}", and it drops its history')
+def step_outage(context, mode):
+    _play(context, "--runs", "1", "--outage", mode)
+
+
+@then("no host had other routes than those of one version, in order and in time")
+def step_right(context):
+    assert context.played.returncode == 0, context.played.stdout + context.played.stderr
+
+
+def _play(context, *arguments):
+    # The runs need a hub of green threads of their own.
+    command = [sys.executable, "-W", "ignore", "-m", "bench.configuration_spread", *arguments]
+    context.played = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
