Let paused reads of the store go on once it has answered any ask

Callers got answers of an old configuration for good, and lookups and draining followed upstreams of that time, at every host, after the store had refused all hosts (or closed their connections) and dropped its history before it answered again.

Cause: a read or watch that fails twice pauses until an ask sent after it has been answered. The ask catches up with the store's revision first, finds the history gone, sets the kind's revision to 0 and counts as incomplete, so that the paused watch reads everything. But the pause went on: an incomplete answer did not count as one, and all later asks were incomplete, as the revision stayed 0. The host also stayed "store lost". A host with a peer that was not lost recovered by its update; if all were lost, none did. Class: two tasks that wait for each other.

The contact now records an incomplete answer as an answer of the store, so the pause ends and all is read anew; the store still counts as lost until the belief has reached its revision.

--- a/skylarksill/host/storecontact.py
+++ b/skylarksill/host/storecontact.py
@@ -108,9 +108,12 @@
     def record_incomplete(self, asked_at, now):
         """Records an answer whose revision the belief has not reached, as all is read anew.
 
+        The reads may be paused until the store has answered.
+
         Returns:
           True if it is the first such answer since the belief was current.
         """
+        self.answered_at = max(self.answered_at, asked_at)
         self._unanswered = [at for at in self._unanswered if at != asked_at]
         self._next_at = min(self._next_at, now + REPEAT_AFTER_S)
         if self._incomplete_since is not None:
