Turn unknown routes away as not run while the configuration may be outdated

A host knows when its configuration was last the store's newest. Beyond configApply it can't say that a route doesn't exist, so it answers 503 with a short Retry-After, and clients try another host; the reason is outdated. Routes that it knows are served as before. The scenario failed before (404).

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -81,6 +81,15 @@
     Then the answer is 404
     And the log names the path "/other/1", the routes and the age of the configuration
 
+  # Guards against proper requests denied for good (DENIED): clients don't retry a 404, and a host that
+  # is behind can't know that a route does not exist.
+  Scenario: A host whose configuration may be outdated does not deny unknown paths
+    Given the host's configuration was last confirmed 3 s ago
+    When the client sends "GET /other/1" without a body
+    Then the answer is 503 with a retry delay
+    When the client sends an idempotent request
+    Then the answer is 200
+
   Scenario Outline: Malformed input gets a clear error and the connection closes
     When the client sends the raw bytes <bytes>
     Then the answer is <status> and the connection closes
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -48,6 +48,11 @@
     context.world.belief.configuration = None
 
 
+@given("the host's configuration was last confirmed {seconds:g} s ago")
+def step_outdated(context, seconds):
+    context.world.belief.confirmed_at = time.monotonic() - seconds
+
+
 @given("the upstreams take {seconds:g} s")
 def step_run_time(context, seconds):
     for item in context.world.workers.values():
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -38,6 +38,8 @@
 STOPPING_RETRY_AFTER_S = 0.02
 # Characters of a host name or a path in the log.
 MAX_LOGGED_NAME = 100
+# A client that asks a host which may be behind for an unknown route is to try another host at once.
+OUTDATED_RETRY_AFTER_S = 0.02
 # Reason of the end of a request on which the host itself has failed.
 FAILED_REASON = "host_failed"
 
@@ -150,18 +152,20 @@
         return _Progress(route, service_id, request.received_at + remaining_s, fingerprint)
 
     def _deny(self, request):
-        """Answers that no route matches a request."""
+        """Answers a request that no route matches.
+
+        A host whose configuration may be outdated can't know that no route exists.
+        """
         age_s = self._belief.get_configuration_age_s(time.monotonic())
-        self._record_end(
-            request,
-            None,
-            404,
-            "no_route",
-            site=request.site[:MAX_LOGGED_NAME],
-            path=request.path[:MAX_LOGGED_NAME],
-            routes=len(self._belief.configuration.routes),
-            configuration_age_ms=int(age_s * 1000) if math.isfinite(age_s) else None,
-        )
+        fields = {
+            "site": request.site[:MAX_LOGGED_NAME],
+            "path": request.path[:MAX_LOGGED_NAME],
+            "routes": len(self._belief.configuration.routes),
+            "configuration_age_ms": int(age_s * 1000) if math.isfinite(age_s) else None,
+        }
+        if age_s > self.bounds.apply_s:
+            return self._reject(request, "outdated", OUTDATED_RETRY_AFTER_S, **fields)
+        self._record_end(request, None, 404, "no_route", **fields)
         return answers.make_answer(404, b"no route\n")
 
     def _place_and_send(self, request, progress, cancellation):
@@ -442,7 +446,7 @@
         self._record_end(request, progress, answer.status, "answered")
         return answer
 
-    def _reject(self, request, reason, retry_after_s, progress=None, rejection=None):
+    def _reject(self, request, reason, retry_after_s, progress=None, rejection=None, **fields):
         """Answers that the request was not run and may be retried after a delay in seconds."""
         remaining_s = request.deadline_s
         if remaining_s is not None:
@@ -455,6 +459,7 @@
             reason,
             retry_after_s=round(retry_after_s, 3),
             wait_s=round(rejection.wait_s, 3) if rejection else None,
+            **fields,
         )
         return answers.make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
 
