--- /dev/null
+++ b/features/steps/request_matching_steps.py
@@ -0,0 +1,22 @@
+"""Steps of request_matching.feature."""
+
+from behave import then, when
+
+from bench import request_matching
+
+PLAIN = "plain"
+
+
+@when('{count:d} connections send pipelined requests whose sites are named by "{form}"')
+def step_send(context, count, form):
+    forms = () if form == PLAIN else (request_matching.Form(form),)
+    context.wrong = [
+        f"seed {seed}: {text}"
+        for seed in range(1, count + 1)
+        for text in request_matching.Run(seed, forms).play()
+    ]
+
+
+@then("each request got its own route, id, body and site")
+def step_matched(context):
+    assert not context.wrong, context.wrong[:5]
