Take the site of a request from a target in absolute form

Callers that sent a URI as the target, such as GET http://site/path HTTP/1.1, got 404 for routes that exist, and the Host header counted where it named another host. RFC 9112, section 3.2.2, obliges servers to accept such targets and to replace the Host header by the target's host.

Cause: the path was all of the target up to the query, so it began with the scheme. The request is now built from the authority, and the path and query, of the target; upstreams get the origin form and the replaced Host header. A target without a host or with a user is answered 400.

--- a/features/request_matching.feature
+++ b/features/request_matching.feature
@@ -13,3 +13,13 @@
       | absolute     |
       | ipv6         |
       | trailing_dot |
+
+  Scenario Outline: Targets without a host or with a user, and requests without a Host header, name no site
+    Then a request for "<target>" with the Host header "<host>" names no site
+
+    Examples:
+      | target                  | host    |
+      | http:///a/              | s       |
+      | http://user@s/a/        | s       |
+      | http://s/a/             | missing |
+      | /a/                     | missing |
--- a/skylarksill/host/_requestfields.py
+++ b/skylarksill/host/_requestfields.py
@@ -1,5 +1,6 @@
 """Records of clients' requests, from their lines and headers."""
 
+import re
 import time
 
 from skylarksill.host import records
@@ -7,11 +8,16 @@
 # A later deadline bounds nothing, as each route has a time-out.
 MAX_DEADLINE_DIGITS = 12
 MAX_DEADLINE_S = 10**MAX_DEADLINE_DIGITS / 1000
+# A target in absolute form: authority, path and query (RFC 9112, section 3.2.2).
+_ABSOLUTE_TARGET = re.compile(rb"https?://([^/?#]*)([^#]*)", re.IGNORECASE)
 
 
 def build_request(method, target, headers, body, names):
     """Returns the records.Request, or None if it names no site.
 
+    The host of a target in absolute form replaces the Host header, and the path and the query are
+    what is left of it.
+
     Args:
       method: The method.
       target: The request target.
@@ -19,9 +25,15 @@
       body: The complete body.
       names: The records.HeaderNames.
     """
+    if all(name != b"host" for name, _ in headers):
+        return None
+    authority, target = _split_target(target)
+    if authority is not None:
+        headers = [(name, value) for name, value in headers if name != b"host"]
+        headers.append((b"host", authority))
     fields = dict(headers)
-    site = fields.get(b"host")
-    if site is None:
+    site = fields[b"host"]
+    if authority == b"":
         return None
     return records.Request(
         method=method,
@@ -36,6 +48,16 @@
     )
 
 
+def _split_target(target):
+    """Returns the authority, or None if the target has none, and the target in origin form."""
+    match = _ABSOLUTE_TARGET.match(target)
+    if match is None:
+        return None, target
+    # Targets of http have no user, and other recipients might take one for the host.
+    authority = b"" if b"@" in match[1] else match[1]
+    return authority, match[2] if match[2].startswith(b"/") else b"/" + match[2]
+
+
 def find_cookie(header, name):
     """Returns the value of a cookie, or None."""
     for pair in (header or b"").split(b";"):
