Keep the address of a site that is an IPv6 address

Callers that asked for a site named by an IPv6 address, such as Host: [2001:db8::7]:80, got 404.

Cause: everything up to the closing bracket was dropped, which left an empty site for all of them. The address now stays, in its brackets; a configuration that names it so is matched.

--- a/skylarksill/host/_requestfields.py
+++ b/skylarksill/host/_requestfields.py
@@ -41,13 +41,21 @@
         headers=tuple(headers),
         body=body,
         request_id=fields.get(names.request_id),
-        site=site.decode("latin-1").rpartition("]")[2].partition(":")[0].lower(),
+        site=_parse_site(site.decode("latin-1")),
         deadline_s=parse_deadline(fields.get(names.deadline)),
         affinity_key=find_cookie(fields.get(b"cookie"), names.affinity_cookie),
         received_at=time.monotonic(),
     )
 
 
+def _parse_site(authority):
+    """Returns the site that an authority names: a host in lower case without a port."""
+    # An IPv6 address holds colons and stands in brackets.
+    address, bracket, _ = authority.partition("]")
+    site = address + bracket if bracket else authority.partition(":")[0]
+    return site.lower()
+
+
 def _split_target(target):
     """Returns the authority, or None if the target has none, and the target in origin form."""
     match = _ABSOLUTE_TARGET.match(target)
