Match a site's name with a dot at its end

Callers that spelled a site with the dot that ends a complete name in DNS, such as Host: shop.example., got 404 though the site has routes.

Cause: the site was compared with the dot. It is now removed from what the request names; the Host header passed to upstreams stays as it was.

--- a/skylarksill/host/_requestfields.py
+++ b/skylarksill/host/_requestfields.py
@@ -49,11 +49,14 @@
 
 
 def _parse_site(authority):
-    """Returns the site that an authority names: a host in lower case without a port."""
+    """Returns the site that an authority names: a host in lower case without a port.
+
+    A dot at the end of a name only says that it is complete.
+    """
     # An IPv6 address holds colons and stands in brackets.
     address, bracket, _ = authority.partition("]")
     site = address + bracket if bracket else authority.partition(":")[0]
-    return site.lower()
+    return site.removesuffix(".").lower()
 
 
 def _split_target(target):
