--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -126,6 +126,7 @@
         self._run = run
         self.is_running = False
         self.disturbed_at = _virtualtime.read_clock()
+        self.refused_at = self.hides_until = float("-inf")
         # Ordered, so that a seed plays the same run each time.
         self.threads = weakref.WeakKeyDictionary()
         self.streams = weakref.WeakKeyDictionary()
@@ -139,7 +140,6 @@
         self.probed_table = self.probes = None
         log = _Log(self.host_id, run.report, run.trace)
         self.belief = belief.Belief()
-        self.source_since = None
         self.follower = following.BeliefFollower(
             self.record,
             _Table(run, self.host_id),
@@ -164,6 +164,15 @@
         self.follower.start()
         self.watcher.start()
 
+    def is_calm(self, now):
+        """Returns True if the process and its links have been undisturbed for ``contact_s``."""
+        since = max(self.started_at, self.disturbed_at)
+        return self.is_running and now - since >= BOUNDS.contact_s
+
+    def is_served(self, now):
+        """Returns True if the store has served the host for ``contact_s``."""
+        return now - self.refused_at >= BOUNDS.contact_s
+
     def _apply(self):
         self.server.wake_followers()
         self._run.check_table(self)
@@ -190,7 +199,8 @@
     1. Its routes are those of exactly the version that its generation names.
     2. In one incarnation, its generation doesn't fall.
     3. It denies no path that all versions allow since the one that was newest when it was current.
-    4. With a sound store and own links, or a current source, it is current within ``apply_s``.
+    4. With sound links it is current within ``apply_s`` if the store serves it, or serves another
+       host that it knows.
 
     Args:
       seed: Seed of everything that happens.
@@ -219,7 +229,6 @@
         self._acknowledged = []
         self._owners = weakref.WeakKeyDictionary()
         self._started_at = _virtualtime.read_clock()
-        self._store_disturbed_at = float("-inf")
         self._views = {}
         self._probes = ()
         self.hosts = [_Host(self, index, *item) for index, item in enumerate(HOSTS)]
@@ -327,7 +336,8 @@
             fault = self._random.choice(list(Fault))
             # At most until the end of the faults.
             seconds = min(
-                self._random.choice((0.2, 0.7, 1.5, 3.0, 6.0)), end - _virtualtime.read_clock()
+                self._random.choice((0.2, 0.7, 1.5, 3.0, 6.0, 12.0)),
+                end - _virtualtime.read_clock(),
             )
             self.counts[fault.value] += 1
             eventlet.spawn(self._cause, fault, self._random.choice(self.hosts), seconds)
@@ -343,13 +353,13 @@
     def _disturb_store(self, hosts, mode, seconds):
         until = _virtualtime.read_clock() + seconds
         while _virtualtime.read_clock() < until:
-            self._store_disturbed_at = _virtualtime.read_clock()
             for host in hosts:
                 self.store.modes[host.host_id] = mode
+                host.refused_at = _virtualtime.read_clock()
             eventlet.sleep(CHECK_INTERVAL_S)
         for host in hosts:
             self.store.modes.pop(host.host_id, None)
-        self._store_disturbed_at = _virtualtime.read_clock()
+            host.refused_at = _virtualtime.read_clock()
 
     def _cause(self, fault, host, seconds):
         self.trace.append((_virtualtime.read_clock(), host.host_id, fault.value, seconds))
@@ -374,7 +384,7 @@
             case Fault.SILENCE_WATCHES:
                 self.store.cut_off(host.host_id, True)
                 # An answer is lost.
-                self._store_disturbed_at = _virtualtime.read_clock()
+                host.refused_at = _virtualtime.read_clock()
             case Fault.CUT_HOSTS:
                 other = self._random.choice(self.hosts)
                 pair = frozenset((host.record.gossip, other.record.gossip))
@@ -390,6 +400,7 @@
                 count = self._random.randint(0, len(self.hosts) - 1)
                 others = self._random.sample(self.hosts, count)
                 until = _virtualtime.read_clock() + seconds
+                host.hides_until = until
                 self._views[host.host_id] = (
                     until,
                     {item.host_id for item in others} - {host.host_id},
@@ -424,29 +435,22 @@
         now = _virtualtime.read_clock()
         known = host.belief.configuration
         generation = known.generation if known else 0
-        if host.follower.has_current_source():
-            host.source_since = host.source_since or now
-        else:
-            host.source_since = None
         due = [version for at, version in self._acknowledged if at <= now - BOUNDS.apply_s]
-        if not due:
+        if not due or not host.is_calm(now):
             return
-        calm_since = max(host.disturbed_at, host.started_at)
-        is_in_touch = now - max(calm_since, self._store_disturbed_at) >= BOUNDS.contact_s
-        others_since = max(
-            max(item.disturbed_at, item.started_at) if item.is_running else now
-            for item in self.hosts
+        can_follow = now - host.hides_until >= BOUNDS.contact_s and any(
+            other is not host and other.is_calm(now) and other.is_served(now)
+            for other in self.hosts
         )
-        has_source = (
-            host.source_since is not None
-            and now - host.source_since >= BOUNDS.apply_s
-            and now - max(calm_since, others_since, self._store_disturbed_at) >= BOUNDS.contact_s
-        )
-        if is_in_touch or has_source:
-            self.counts["current"] += 1
-            if generation < due[-1].number:
-                source = "source" if has_source else "store"
-                self.report(4, host.host_id, f"{generation} after {due[-1].number}, {source}")
+        if host.is_served(now):
+            source = "store"
+        elif can_follow:
+            source = "peer"
+        else:
+            return
+        self.counts[f"current by {source}"] += 1
+        if generation < due[-1].number:
+            self.report(4, host.host_id, f"{generation} after {due[-1].number}, {source}")
 
     def check_table(self, host):
         """Checks rules 1 to 3 if the host has a new table or there are new probes."""
