--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -15,7 +15,7 @@
 from bench.soak import checks, clients, schedule, upstreams, world
 
 FAULTS_S = 10.0
-# A run takes about 20 s; one that hangs is killed and reported as a violation.
+# A run takes about 35 s; one that hangs is killed and reported as a violation.
 RUN_TIMEOUT_S = 120
 
 
@@ -34,6 +34,7 @@
     events = schedule.make_schedule(
         seed, faults_s, len(soak_world.hosts), len(soak_world.upstreams), len(upstreams.ZONES)
     )
+    events += schedule.make_partial_phase(seed, faults_s, len(soak_world.hosts))
     load = clients.Clients(soak_world, seed, load_factor)
     try:
         soak_world.start()
@@ -58,7 +59,8 @@
         "requests": len(soak_world.observations.client_requests),
         "served": sum(request.status == 200 for request in soak_world.observations.client_requests),
         "runs": len(soak_world.observations.runs),
-        "faults": len(events),
+        "versions": len(soak_world.observations.versions),
+        "faults": sum(not isinstance(event, schedule.EditRoutes) for _, event in events),
         "violations": violations,
         "folder": str(folder),
     }
@@ -75,7 +77,7 @@
         failure = f"the run took longer than {RUN_TIMEOUT_S} s"
     except (IndexError, json.JSONDecodeError):
         failure = f"the run failed: {result.stderr.strip()[-300:]}"
-    empty = {"seed": seed, "requests": 0, "served": 0, "runs": 0, "faults": 0}
+    empty = {"seed": seed, "requests": 0, "served": 0, "runs": 0, "versions": 0, "faults": 0}
     return {**empty, "violations": [failure], "folder": str(folder)}
 
 
@@ -101,13 +103,11 @@
             return
         _print_violations(results[0])
     violated = sum(len(result["violations"]) for result in results)
-    totals = {
-        name: sum(item[name] for item in results) for name in ("requests", "served", "faults")
-    }
-    print(
-        f"soak: seeds={len(results)} requests={totals['requests']} served={totals['served']}"
-        f" faults={totals['faults']} violations={violated}"
+    totals = " ".join(
+        f"{name}={sum(item[name] for item in results)}"
+        for name in ("requests", "served", "versions", "faults")
     )
+    print(f"soak: seeds={len(results)} {totals} violations={violated}")
     sys.exit(1 if violated else 0)
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from bench.soak import bounds, demandchecks, losschecks, records
+from bench.soak import bounds, demandchecks, denialchecks, losschecks, records
 from standins import platformdata
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -29,6 +29,7 @@
         check_retries,
         check_recovery,
         losschecks.check_losses,
+        denialchecks.check_denials,
         *demandchecks.CHECKS,
     )
     return [text for check in checks for text in check(observations)] + observations.crashes
@@ -88,7 +89,7 @@
         left_at = observations.leave_times.get(run.upstream_id)
         if left_at is None or run.at <= left_at:
             continue
-        bound_s = _find_bound_s(
+        bound_s = bounds.find_bound_s(
             observations, requests_by_id[run.request_id].host, left_at, run.at, bounds.DRAIN_S
         )
         if run.at > left_at + bound_s:
@@ -104,7 +105,9 @@
             if run.zone != evacuation.zone or not evacuation.begin < run.at < evacuation.end:
                 continue
             host = requests_by_id[run.request_id].host
-            bound_s = _find_bound_s(observations, host, evacuation.begin, run.at, bounds.EVACUATE_S)
+            bound_s = bounds.find_bound_s(
+                observations, host, evacuation.begin, run.at, bounds.EVACUATE_S
+            )
             if run.at > evacuation.begin + bound_s:
                 yield f"{run.request_id} reached evacuated zone {run.zone}"
 
@@ -125,7 +128,7 @@
         if request.status != 404:
             continue
         written_at = observations.generations[generation]
-        bound_s = _find_bound_s(
+        bound_s = bounds.find_bound_s(
             observations, request.host, written_at, request.sent_at, bounds.CONFIG_APPLY_S
         )
         if request.sent_at > written_at + bound_s:
@@ -174,18 +177,5 @@
             yield f"host {host} did not serve again after the last fault"
 
 
-def _find_bound_s(observations, host, since, until, bound_s):
-    """Returns the bound that applies to a host in a time span, or infinity if none does."""
-    begin = since - bounds.CONTACT_S
-    bound_s += bounds.SCHEDULING_DELAY_S
-    if observations.is_disturbed(host, begin, until, records.DisturbedPart.PROCESS):
-        return float("inf")
-    if observations.is_disturbed(None, begin, until, records.DisturbedPart.STORE):
-        return float("inf")
-    if observations.is_disturbed(host, begin, until, records.DisturbedPart.STORE_PATH):
-        return bound_s + bounds.PEER_PROPAGATION_S
-    return bound_s
-
-
 def _has_restarted(observations, host, begin, end):
     return observations.is_disturbed(host, begin, end, records.DisturbedPart.PROCESS)
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from bench.soak import channels, checks, hosts, losschecks, records
+from bench.soak import channels, checks, configurations, hosts, losschecks, records
 from standins import platformdata
 
 MEAN_PAUSE_S = 0.12
@@ -19,6 +19,11 @@
 LONG_WORK_MS = (300, 1800)
 MAX_PIPELINED = 6
 PIPELINE_POLL_S = 0.01
+# Tests of the routes: clients for each host, the longest pause, and requests on a connection.
+TESTERS_PER_HOST = 3
+MAX_TEST_PAUSE_S = 0.4
+MAX_KEPT_TESTS = 30
+NEW_CONNECTION_SHARE = 0.7
 
 
 class Clients:
@@ -44,6 +49,10 @@
         for index, (use, options) in enumerate(kinds):
             rng = random.Random(f"{self._seed}-{index}")
             self._threads.append(eventlet.spawn(self._run, use, options, rng))
+        for index in range(len(self._world.hosts) * TESTERS_PER_HOST):
+            rng = random.Random(f"{self._seed}-test-{index}")
+            host = index % len(self._world.hosts)
+            self._threads.append(eventlet.spawn(self._test_routes, host, rng))
 
     def finish(self):
         """Stops the clients after their current requests."""
@@ -86,11 +95,12 @@
         except OSError:
             return None
 
-    def _make_request(self, channel, target):
+    def _make_request(self, channel, target, site=platformdata.SITE):
         self._request_count += 1
         is_idempotent = not target.startswith("/order/")
         request_id = f"r{self._seed}-{self._request_count}"
         request = records.ClientRequest(request_id, target, is_idempotent, channel.host, 0.0)
+        request.site = site
         self._world.observations.client_requests.append(request)
         return request
 
@@ -107,6 +117,39 @@
         channel.send(request, [_format(request)])
         channel.read_answer()
 
+    def _test_routes(self, host, rng):
+        """Sends requests that show which routes a host knows, also while it is in trouble."""
+        while not self.is_finishing:
+            channel = self._connect(host)
+            count = 1 if rng.random() < NEW_CONNECTION_SHARE else rng.randint(2, MAX_KEPT_TESTS)
+            for number in range(1, count + 1):
+                if channel is not None and channel.is_open and not self.is_finishing:
+                    site, target = self._draw_test(rng)
+                    request = self._make_request(channel, target, site)
+                    headers = ["Connection: close"] if number == count else []
+                    channel.send(request, [_format(request, headers)])
+                    channel.read_answer()
+                    eventlet.sleep(rng.uniform(0.0, MAX_TEST_PAUSE_S))
+            if channel is None:
+                eventlet.sleep(MEAN_PAUSE_S)
+            else:
+                channel.close()
+
+    def _draw_test(self, rng):
+        """Returns a site and a target of a route that stays, changes, or never was."""
+        changed = [*self._world.changed_places] or configurations.EDITED_PLACES
+        places = rng.choices(
+            (
+                configurations.KEPT_PLACES,
+                changed,
+                configurations.EDITED_PLACES,
+                configurations.UNKNOWN_PLACES,
+            ),
+            (4, 4, 1, 1),
+        )[0]
+        site, prefix = rng.choice(places)
+        return site, f"{prefix}{rng.choice(('', 'deep/', ''))}{rng.randrange(OBJECT_COUNT)}"
+
     # Ways to use a connection until it closes or the load ends.
 
     def _use_plainly(self, channel, rng):
@@ -185,14 +228,16 @@
 )
 
 
-def _format(request):
+def _format(request, headers=()):
     method, body = ("GET", None) if request.is_idempotent else ("POST", b"an order")
     return platformdata.format_request(
         f"{method} {request.target}",
         request.request_id,
         body,
         key=request.target,
+        headers=headers,
         deadline_ms=int(1000 * losschecks.get_deadline_s(request.target)),
+        site=request.site,
     )
 
 
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -34,11 +34,13 @@
 
     Attributes:
       mode: The current Mode; set it with ``set_mode``.
+      delay_s: Delay of all bytes in either direction, in seconds; it is no fault.
     """
 
     def __init__(self, target, ip="127.0.0.1"):
         self.target = target
         self.mode = Mode.PASS
+        self.delay_s = 0.0
         self._pairs = set()
         self._socket = eventlet.listen((ip, 0))
         self.address = self._socket.getsockname()
@@ -88,6 +90,8 @@
         try:
             while True:
                 data = source.recv(READ_BYTES)
+                if self.delay_s:
+                    eventlet.sleep(self.delay_s)
                 if self.mode is Mode.DELAY:
                     eventlet.sleep(DELAY_S)
                 while self._is_blocked(is_toward_target):
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -3,6 +3,11 @@
 import dataclasses
 import enum
 
+from standins import platformdata
+
+# What a configuration allows a request for which it has no route.
+NO_SERVICES = frozenset()
+
 
 class DisturbedPart(enum.Enum):
     """What is disturbed: a host process, its connections to the store, or the store itself."""
@@ -33,6 +38,7 @@
     is_signed: bool = False
     completed_at: float | None = None
     is_behind: bool = False
+    site: str = platformdata.SITE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +50,7 @@
     zone: str
     region: str
     at: float
+    service: str = "catalogue"
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +92,16 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Version:
+    """A version of the configuration; ``routes`` are services by site and path prefix."""
+
+    number: int
+    sent_at: float
+    acknowledged_at: float
+    routes: dict[tuple[str, str], frozenset[str]]
+
+
 class DemandKind(enum.Enum):
     """What an upstream asks for in its answers."""
 
@@ -112,6 +129,7 @@
       leave_times: Time at which the store had acknowledged an upstream's draining, by id.
       generations: Time at which the store had acknowledged a generation, by number; each one adds
         a route.
+      versions: All versions of the configuration, with those that add no generation, as sent.
       upstream_faults: Pairs of begin and end of the faults of an upstream, by id.
       refusals: The requests that upstreams refused, with a time to return.
       demands: What upstreams asked for.
@@ -128,6 +146,7 @@
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     leave_times: dict[str, float] = dataclasses.field(default_factory=dict)
     generations: dict[int, float] = dataclasses.field(default_factory=dict)
+    versions: list[Version] = dataclasses.field(default_factory=list)
     upstream_faults: dict[str, list[tuple[float, float]]] = dataclasses.field(default_factory=dict)
     refusals: list[Refusal] = dataclasses.field(default_factory=list)
     demands: list[Demand] = dataclasses.field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -19,6 +19,14 @@
 CHANGE_PAUSE_S = 2.5
 ODD_STOP_PAUSE_S = 8.0
 SIGNALLED_SHARE = 0.7
+# Versions that edit routes: the mean time between them, and bursts in place of a single one.
+EDIT_PAUSE_S = 0.35
+BURST_SHARE = 0.15
+BURST_EDITS = (3, 8)
+BURST_PAUSE_S = 0.02
+# Length of the phase in which every second host is spared, and the mean time between its faults.
+PARTIAL_PHASE_S = 14.0
+PARTIAL_PAUSE_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,6 +169,13 @@
     variant: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditRoutes:
+    """Writes a version with edited test routes; ``draw`` decides about the edits."""
+
+    draw: int
+
+
 def make_schedule(seed, length_s, host_count, upstream_count, zone_count):
     """Draws the faults of a run.
 
@@ -185,6 +200,7 @@
         at += rng.expovariate(1.0 / MEAN_PAUSE_S)
     schedule += _make_upstream_events(seed, length_s, upstream_count)
     schedule += _make_planned_events(seed, length_s, host_count)
+    schedule += _make_route_edits(random.Random(f"{seed} routes"), 0.0, length_s)
     return sorted(schedule, key=_get_start)
 
 
@@ -238,6 +254,48 @@
     return [(round(at, 3), event) for at, event in events if at < length_s]
 
 
+def make_partial_phase(seed, begin_s, host_count):
+    """Draws a phase after the others in which routes change and half of the hosts are in trouble.
+
+    Args:
+      seed: Seed of the run.
+      begin_s: Start of the phase in seconds.
+      host_count: Number of hosts; every second one is spared.
+    Returns:
+      A list like that of ``make_schedule``.
+    """
+    rng = random.Random(f"{seed} partial")
+    end_s = begin_s + PARTIAL_PHASE_S
+    events = _make_route_edits(rng, begin_s, end_s)
+    at = begin_s
+    while (at := at + rng.expovariate(1.0 / PARTIAL_PAUSE_S)) < end_s - MIN_FAULT_DURATION_S:
+        host = rng.randrange(0, host_count, 2)
+        length_s = rng.uniform(MIN_FAULT_DURATION_S, min(MAX_FAULT_DURATION_S, end_s - at))
+        event = rng.choice(
+            (
+                KillHost(host),
+                StopHost(host),
+                PauseHost(host, length_s),
+                DisturbStore(host, rng.choice(_MODES), length_s),
+            )
+        )
+        events.append((round(at, 3), event))
+    return sorted(events, key=_get_start)
+
+
+def _make_route_edits(rng, begin_s, end_s):
+    """Draws versions of the routes: a series with a few each second, and bursts."""
+    events = []
+    at = begin_s + rng.expovariate(1.0 / EDIT_PAUSE_S)
+    while at < end_s:
+        burst_pause_s = 0.0
+        for _ in range(rng.randint(*BURST_EDITS) if rng.random() < BURST_SHARE else 1):
+            burst_pause_s += rng.expovariate(1.0 / BURST_PAUSE_S)
+            events.append((at + burst_pause_s, EditRoutes(rng.randrange(1_000_000))))
+        at += burst_pause_s + rng.expovariate(1.0 / EDIT_PAUSE_S)
+    return [(round(at, 3), event) for at, event in events if at < end_s]
+
+
 def _get_start(item):
     return item[0]
 
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -60,5 +60,7 @@
 
     def _record_run(self, request_id):
         region = REGIONS[self.zone]
-        run = records.Run(request_id, self.upstream_id, self.zone, region, time.monotonic())
+        run = records.Run(
+            request_id, self.upstream_id, self.zone, region, time.monotonic(), self._service
+        )
         self._world.observations.runs.append(run)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,6 +1,8 @@
 """Starts the processes, stand-ins and proxies of a soak run and injects faults into them."""
 
+import collections
 import itertools
+import random
 import signal
 import time
 
@@ -10,6 +12,7 @@
     bounds,
     configurations,
     demandchecks,
+    denialchecks,
     hosts,
     proxies,
     records,
@@ -36,6 +39,11 @@
 # Hosts read the file of keys each second.
 KEY_STEP_S = 2.0
 RESTART_RESET_S = 0.05
+# Region of the hosts that are far from the store, and the delay in each direction.
+FAR_REGION = "south"
+FAR_DELAY_S = 0.03
+MAX_VERSION_STEP = 4
+CHANGED_PLACES = 6
 DEMAND_HEADERS = {
     records.DemandKind.LIMIT: f"Server-Limit: {demandchecks.LIMIT}",
     records.DemandKind.LEAVING: "Server-Leaving: 1",
@@ -72,6 +80,9 @@
             )
             for index, ip in enumerate(ips)
         ]
+        for host, zone in zip(self.hosts, upstreams.ZONES, strict=True):
+            if upstreams.REGIONS[zone] == FAR_REGION:
+                host.store_proxy.delay_s = FAR_DELAY_S
         self.upstreams = [
             upstreams.SoakUpstream(index, zone, self)
             for index, zone in enumerate(upstreams.ZONES * UPSTREAMS_PER_ZONE)
@@ -83,6 +94,11 @@
             for index, zone in enumerate(CALM_ZONES)
         ]
         self._routes_variant = 0
+        self._test_routes = configurations.build_test_routes()
+        self._version_steps = random.Random(f"{seed} versions")
+        self._version = 0
+        # Sites and prefixes of the test routes that changed last.
+        self.changed_places = collections.deque(maxlen=CHANGED_PLACES)
         self._active_targets = set()
 
     def start(self):
@@ -105,10 +121,33 @@
     def write_configuration(self):
         """Writes the next generation, which keeps the routes of all earlier ones."""
         self.generation += 1
-        spec = configurations.build_configuration(self.generation, self._routes_variant)
-        self.store.write("config", "main", spec)
+        self._write_version()
         self.observations.generations[self.generation] = time.monotonic()
 
+    def _write_version(self):
+        self._version += self._version_steps.randint(1, MAX_VERSION_STEP)
+        spec = configurations.build_configuration(
+            self.generation, self._routes_variant, self._version, self._test_routes
+        )
+        sent_at = time.monotonic()
+        self.store.write("config", "main", spec)
+        self.observations.versions.append(
+            records.Version(
+                self._version, sent_at, time.monotonic(), denialchecks.list_routes(spec)
+            )
+        )
+
+    def _edit_routes(self, draw):
+        before = self._test_routes
+        self._test_routes = configurations.edit_routes(before, random.Random(draw))
+        names = before.keys() | self._test_routes.keys()
+        for name in sorted(names):
+            old, new = before.get(name), self._test_routes.get(name)
+            if old != new:
+                route = new or old
+                self.changed_places.append((route["host"], route["pathPrefix"]))
+        self._write_version()
+
     def replace_keys(self):
         """Replaces the key of the hosts again and again, in the steps that operators use."""
         for number in itertools.count(1):
@@ -151,6 +190,8 @@
             case schedule.ChangeRoutes(variant):
                 self._routes_variant = variant
                 self.write_configuration()
+            case schedule.EditRoutes(draw):
+                self._edit_routes(draw)
             case schedule.DisturbStore(index, mode, length_s):
                 host = self.hosts[index]
                 disturbance = self._record_disturbance(records.DisturbedPart.STORE_PATH, index)
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -2,6 +2,8 @@
 
 import re
 
+# Site of routes and requests that name no other.
+SITE = "shop.example"
 # Environment variable that names a host's settings file.
 SETTINGS_VARIABLE = "SKYLARKSILL_BOOT"
 READINESS_REQUEST = b"GET /v1/readiness HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n"
@@ -28,7 +30,7 @@
     return {"coldRemaining": f"{cold_s}s"}
 
 
-def build_route_spec(path, kind, service="catalogue", regions=()):
+def build_route_spec(path, kind, service="catalogue", regions=(), site=SITE):
     """Builds a route of the operators' configuration in the format of the platform's store.
 
     Args:
@@ -36,12 +38,13 @@
       kind: ``idempotent`` or ``non_idempotent``.
       service: Service that the route forwards to, or a list of services that get equal parts.
       regions: Regions that may run its requests; empty for all.
+      site: Value of the ``Host`` header.
     """
     services = {"service": service}
     if isinstance(service, list):
         services = {"trafficSplit": [{"service": name, "weight": 1} for name in service]}
     return {
-        "host": "shop.example",
+        "host": site,
         "pathPrefix": path,
         "kind": kind,
         "timeout": "1000ms",
@@ -131,11 +134,11 @@
     return int(found[1]) if found else 0
 
 
-def format_request(line, request_id, body=None, headers=(), key="17", deadline_ms=2000):
+def format_request(line, request_id, body=None, headers=(), key="17", deadline_ms=2000, site=SITE):
     """Returns the bytes of a client's request; ``deadline_ms`` is the time until its deadline."""
     lines = [
         f"{line} HTTP/1.1",
-        "Host: shop.example",
+        f"Host: {site}",
         f"X-Skylarksill-Request-Id: {request_id}",
         f"X-Skylarksill-Deadline-Ms: {deadline_ms}",
         f"Cookie: X-Skylarksill-Affinity-Key={key}",
