--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import json
 import pathlib
+import pickle
 import subprocess
 import sys
 import tempfile
@@ -54,6 +55,9 @@
     unanswered = [item for item in soak_world.observations.client_requests if item.status is None]
     (folder / "unanswered.txt").write_text("\n".join(map(repr, unanswered)), encoding="utf-8")
     violations = checks.list_violations(soak_world.observations)
+    if violations:
+        # For tracing: what the checks have seen.
+        (folder / "observations.pickle").write_bytes(pickle.dumps(soak_world.observations))
     return {
         "seed": seed,
         "requests": len(soak_world.observations.client_requests),
