--- a/features/soak.feature
+++ b/features/soak.feature
@@ -56,6 +56,31 @@
       | 9.0  | process    | 0     |
       | 9.0  | store      | 0     |
 
+  Scenario Outline: What a host makes of a request is explained by a version in force
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When version 7 changes the service of a route from <old> to <new>
+    And a request for it <late> s later <outcome>, with a disturbance of <trouble>
+    Then the promise found broken is <violated>
+
+    Examples:
+      | old       | new       | late | outcome          | trouble    | violated        |
+      | catalogue | catalogue | 1.0  | got 404          | nothing    | no version      |
+      | catalogue | catalogue | 1.0  | got 404          | process    | no version      |
+      | catalogue | larder    | 1.0  | got 301          | nothing    | no version      |
+      | catalogue | catalogue | 1.0  | got 429          | nothing    | nothing         |
+      | catalogue | catalogue | 1.0  | got 404 upstream | nothing    | nothing         |
+      | catalogue | none      | 1.0  | got 404          | nothing    | nothing         |
+      | none      | catalogue | 2.6  | got 404          | nothing    | nothing         |
+      | none      | catalogue | 3.0  | got 404          | nothing    | versions before |
+      | none      | catalogue | 3.0  | got 404          | store_path | nothing         |
+      | none      | catalogue | 9.5  | got 404          | store_path | versions before |
+      | none      | catalogue | 9.5  | got 404          | process    | nothing         |
+      | none      | catalogue | 9.5  | got 404          | store      | nothing         |
+      | catalogue | none      | 2.6  | ran              | nothing    | nothing         |
+      | catalogue | none      | 3.0  | ran              | nothing    | versions before |
+      | catalogue | larder    | 3.0  | ran              | nothing    | versions before |
+      | larder    | none      | 1.0  | ran              | nothing    | no version      |
+
   Scenario: A generation that arrives while requests wait was not given up before
     Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
     When a 404 of a generation sent 0.5 s before a success of it is planted
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -34,7 +34,7 @@
 @then("each kind of fault occurs in them")
 def step_kinds(context):
     kinds = {type(event) for events in context.schedules for _, event in events}
-    assert len(kinds) == 18, kinds
+    assert len(kinds) == 19, kinds
     assert all(0.0 < at < 10.0 for events in context.schedules for at, _ in events)
 
 
@@ -115,6 +115,35 @@
     _add_missing(context.observations, "gen-2", NOW + 1.0)
 
 
+@when("version 7 changes the service of a route from {old} to {new}")
+def step_versions(context, old, new):
+    for number, at, service in ((3, NOW - 50.0, old), (7, NOW, new)):
+        routes = {("shop.example", path): {"catalogue"} for path in ("/read/", "/order/")}
+        # A longer prefix and another site, whose routes are not those of the request.
+        routes |= {("shop.example", "/ta/deep/"): {"yard"}, ("depot.example", "/ta/"): {"yard"}}
+        if service != "none":
+            routes["shop.example", "/ta/"] = {service}
+        context.observations.versions.append(records.Version(number, at - 0.1, at, routes))
+
+
+@when("a request for it {late:g} s later {outcome}, with a disturbance of {trouble}")
+def step_handled(context, late, outcome, trouble):
+    request = _add_served(context.observations, "test", "/ta/1", True, NOW + late)
+    if outcome != "ran":
+        context.observations.runs.pop()
+        request.status, request.is_signed = int(outcome.split()[1]), "upstream" in outcome
+    if trouble != "nothing":
+        step_trouble(context, trouble)
+
+
+@then("the promise found broken is {violated}")
+def step_violated(context, violated):
+    if violated == "nothing":
+        step_none(context)
+    else:
+        step_exactly(context, violated)
+
+
 @when("a stop that cuts off a request is planted")
 def step_cut_off(context):
     _add_cut(context.observations, NOW + 1.0)
