--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -172,3 +172,9 @@
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a slow client sends a request for 5000000 bytes
     Then after 5.0 s the client reads an answer of 5000000 bytes
+
+  # Guards against a kernel that counts the time since a client's first pause and not the last one.
+  Scenario: A client that pauses again and again while it receives an answer gets all of it
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a slow client sends a request for 5000000 bytes
+    Then with a pause of 0.6 s after each 200000 bytes the client reads an answer of 5000000 bytes
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -24,6 +24,8 @@
 
 _, wire, _ = host_builders.import_platform()
 # Resets the connection when it is closed.
+# Bytes that a slow client reads at once.
+READ_BYTES = 65_536
 RESETTING = struct.pack("ii", 1, 0)
 
 
@@ -326,6 +328,22 @@
     _read_answer(context, size)
 
 
+@then(
+    "with a pause of {seconds:g} s after each {part:d} bytes the client reads an answer of"
+    " {size:d} bytes"
+)
+def step_read_with_pauses(context, seconds, part, size):
+    received = pauses = 0
+    # The head of the answer comes on top.
+    while received < size:
+        data = context.client.recv(READ_BYTES)
+        assert data, f"the connection ended after {received} bytes"
+        received += len(data)
+        if received // part > pauses:
+            pauses += 1
+            eventlet.sleep(seconds)
+
+
 @then(
     "after {seconds:g} s the client reads an answer of {size:d} bytes"
     " that says that it is the last one"
