Leave it to the server to give up a client that accepts nothing

Cause: the kernel's user time-out of a connection with a shut window counts from the first window probe, and starts anew only once the window holds the whole next segment. With a small receive buffer that never happens, so a second pause of some tenths of a second, 10 s after the first, ends the connection.

Change: clients' connections have no user time-out. The server's own bounds remain: 10 s in which the kernel accepts no byte, the idle time-out, and the linger time after it, which look at what the client has acknowledged.

--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -36,7 +36,8 @@
 MIN_IDLE_S = 0.2
 # Unread bytes that are discarded at most before a close that can't wait.
 MAX_DISCARDED_BYTES = 1_048_576
-# A connection whose client accepts, or acknowledges, no byte of an answer for this long is closed.
+# A connection whose client accepts no byte of an answer for this long is closed. The kernel's user
+# time-out can't do that: it may count from the first of several pauses of a client.
 WRITE_TIMEOUT_S = 10.0
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
@@ -122,9 +123,6 @@
         """Serves the connection until it ends."""
         try:
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._socket.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(WRITE_TIMEOUT_S * 1000)
-            )
             self._read_requests()
         except OSError as error:
             self._server.log.write("client.connection_lost", error=str(error))
