--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -178,3 +178,10 @@
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a slow client sends a request for 5000000 bytes
     Then with a pause of 0.6 s after each 200000 bytes the client reads an answer of 5000000 bytes
+
+  # Guards against clients that are gone and hold their connection since the kernel took the answer.
+  Scenario: A client that reads nothing of its answer loses its connection
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And clients may be idle for 1.5 s
+    When a slow client sends a request for 1000000 bytes
+    Then within 10 s the server has closed its connection
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -328,6 +328,14 @@
     _read_answer(context, size)
 
 
+@then("within {seconds:g} s the server has closed its connection")
+def step_closed(context, seconds):
+    end = time.monotonic() + seconds
+    while context.server.server.connections and time.monotonic() < end:
+        eventlet.sleep(0.1)
+    assert not context.server.server.connections
+
+
 @then(
     "with a pause of {seconds:g} s after each {part:d} bytes the client reads an answer of"
     " {size:d} bytes"
