--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -148,7 +148,9 @@
             (4, 4, 1, 1),
         )[0]
         site, prefix = rng.choice(places)
-        return site, f"{prefix}{rng.choice(('', 'deep/', ''))}{rng.randrange(OBJECT_COUNT)}"
+        target = f"{prefix}{rng.choice(('', 'deep/', ''))}"
+        ending = rng.choice(("", f"{rng.randrange(OBJECT_COUNT)}", "?of=/kept/deep/1"))
+        return site, target + ending
 
     # Ways to use a connection until it closes or the load ends.
 
--- a/bench/soak/denialchecks.py
+++ b/bench/soak/denialchecks.py
@@ -77,7 +77,7 @@
 
 def _match(version, request):
     """Returns the services of the route that a version selects, which are empty without one."""
-    path = request.target
+    path = request.target.partition("?")[0]
     while path:
         path = path[: path.rindex("/") + 1]
         if (request.site, path) in version.routes:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -27,6 +27,8 @@
 # Length of the phase in which every second host is spared, and the mean time between its faults.
 PARTIAL_PHASE_S = 14.0
 PARTIAL_PAUSE_S = 2.5
+# Share of these phases that begin with a kill of all hosts.
+ALL_KILLED_SHARE = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -257,6 +259,8 @@
 def make_partial_phase(seed, begin_s, host_count):
     """Draws a phase after the others in which routes change and half of the hosts are in trouble.
 
+    Some begin with a kill of all hosts.
+
     Args:
       seed: Seed of the run.
       begin_s: Start of the phase in seconds.
@@ -268,6 +272,8 @@
     end_s = begin_s + PARTIAL_PHASE_S
     events = _make_route_edits(rng, begin_s, end_s)
     at = begin_s
+    if rng.random() < ALL_KILLED_SHARE:
+        events += [(at, KillHost(host)) for host in range(host_count)]
     while (at := at + rng.expovariate(1.0 / PARTIAL_PAUSE_S)) < end_s - MIN_FAULT_DURATION_S:
         host = rng.randrange(0, host_count, 2)
         length_s = rng.uniform(MIN_FAULT_DURATION_S, min(MAX_FAULT_DURATION_S, end_s - at))
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -128,7 +128,7 @@
 
 @when("a request for it {late:g} s later {outcome}, with a disturbance of {trouble}")
 def step_handled(context, late, outcome, trouble):
-    request = _add_served(context.observations, "test", "/ta/1", True, NOW + late)
+    request = _add_served(context.observations, "test", "/ta/1?of=/ta/deep/1", True, NOW + late)
     if outcome != "ran":
         context.observations.runs.pop()
         request.status, request.is_signed = int(outcome.split()[1]), "upstream" in outcome
