Add failing scenarios: reads that stop for good after a loss of history

Callers saw 404 for routes that the operators had added: a host whose watch got 410 read all objects anew, and after two failed reads of one kind never read that kind again, though the store answered everything else.

The read waits in Watcher._pause_after_failure until an ask is answered, and an ask counts as answered only once _catch_up finds a revision of that kind, which the read has to bring. A peer that is a current source ends the wait; a loss of history that all hosts meet leaves none.

The stand-in of the store can now refuse a number of lists of one kind.

--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -128,6 +128,26 @@
     When the settings name another store
     Then it logs within 3 s that this needs a restart
 
+  # Guards against DENIED: hosts never read the configuration again and answered 404 for its new routes.
+  Scenario: The configuration is read again although two reads after a loss of history fail
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store
+    Then it is ready within 10 s and lookup lists it
+    When its watches wait
+    And the store refuses the next 2 lists of config
+    And configuration 9 is written and the store discards its history
+    Then it logs configuration 9 within 5 s
+
+  # Guards against DRAIN: hosts never read the upstreams again and sent requests to those that had left.
+  Scenario: The upstreams are read again although two reads after a loss of history fail
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store
+    Then it is ready within 10 s and lookup lists it
+    When its watches wait
+    And the store refuses the next 2 lists of servers
+    And upstream "u001" drains and the store discards its history
+    Then the host logs that "u001" drains within 5 s
+
   Scenario: A host whose watches get no answer soon detects that the store is lost
     Given a store with a configuration and 2 upstreams
     And a host program that uses the store
--- a/features/steps/host_watching_steps.py
+++ b/features/steps/host_watching_steps.py
@@ -52,6 +52,25 @@
     context.store.write("config", "main", spec)
 
 
+@when("the store refuses the next {count:d} lists of {kind}")
+def step_refuse_lists(context, count, kind):
+    context.store.refused_lists[kind] = count
+
+
+@when("configuration {generation:d} is written and the store discards its history")
+def step_configure_without_history(context, generation):
+    spec = platformdata.build_configuration_spec(generation)
+    context.store.write("config", "main", spec)
+    context.store.forget_history()
+
+
+@when('upstream "{name}" drains and the store discards its history')
+def step_drain_without_history(context, name):
+    spec = dict(context.store.read("servers", name), state="draining")
+    context.store.write("servers", name, spec)
+    context.store.forget_history()
+
+
 @when("the connections of its waiting watches go silent")
 def step_silent_connections(context):
     context.store.silence_waiting_connections()
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -17,6 +17,7 @@
     Attributes:
       address: IP address and port.
       failing_status: HTTP status of all answers, or None for normal service.
+      refused_lists: Dict of the number of next lists that get 503, by kind.
       is_silent: True while calls are received but not answered, nor later.
       calls: Number of calls received.
       raw_values: Dict of the bytes that replace a string in all answers, for values that
@@ -25,6 +26,7 @@
 
     def __init__(self):
         self.failing_status = None
+        self.refused_lists = {}
         self._silences = 0
         self._is_silent = False
         self.calls = 0
@@ -134,6 +136,9 @@
             finally:
                 self._waiting_ports.discard(port)
         if method == "GET" and len(parts) == 1:
+            if self.refused_lists.get(parts[0], 0):
+                self.refused_lists[parts[0]] -= 1
+                return 503, None
             return self._list(parts[0], query.get("after", ""))
         if method == "GET":
             found = self._objects.get((parts[0], parts[1]))
