Add a failing scenario: white space after the value of a header

Callers that sent white space after the value of the Host header got 404 for routes that exist. It is not part of the value (RFC 9112, section 5.1), but httptools removes only what precedes the value, and the site is compared with the rest. For the same reason the deadline and Expect headers go unread.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -80,6 +80,11 @@
     When the client sends "GET /other/1" without a body
     Then the answer is 404
 
+  # Guards against DENIED: the site was compared with the white space, and no route matched.
+  Scenario: White space after the value of a header is not part of it
+    When the client sends a request with white space after the values of its headers
+    Then the answer is 200
+
   Scenario Outline: Malformed input gets a clear error and the connection closes
     When the client sends the raw bytes <bytes>
     Then the answer is <status> and the connection closes
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -85,6 +85,12 @@
     _send(context, platformdata.format_request(line, "r1"))
 
 
+@when("the client sends a request with white space after the values of its headers")
+def step_send_white_space(context):
+    line, *headers = platformdata.format_request("GET /read/1", "r1").split(b"\r\n")[:-2]
+    _send(context, b"\r\n".join([line, *(header + b" \t" for header in headers), b"", b""]))
+
+
 @when('the client sends the body "{body}" in chunks')
 def step_send_chunks(context, body):
     headers = ("Transfer-Encoding: chunked",)
