Drop white space after the values of headers

Callers that sent white space after the value of the Host header got 404 for routes that exist, and their deadlines went unread. It is not part of the value (RFC 9112, section 5.1), but the parser removes only what precedes the value. The same held for what upstreams send: a request id with white space at its end belonged to no request. Both readers now drop it.

--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -298,8 +298,8 @@
         self._count_head_bytes(len(url))
 
     def on_header(self, name, value):
-        """Adds a header."""
-        self._headers.append((name.lower(), value))
+        """Adds a header; white space after its value, which the parser keeps, is not part of it."""
+        self._headers.append((name.lower(), value.rstrip(b" \t")))
         self._count_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self):
--- a/skylarksill/host/_responsereader.py
+++ b/skylarksill/host/_responsereader.py
@@ -118,8 +118,8 @@
         self._count_head_bytes(len(reason))
 
     def on_header(self, name, value):
-        """Adds a header or a trailer."""
-        self._headers.append((name.lower(), value))
+        """Adds a header or a trailer without the white space that the parser keeps at its end."""
+        self._headers.append((name.lower(), value.rstrip(b" \t")))
         self._check_bound(len(self._headers), MAX_HEADERS, "headers")
         self._count_head_bytes(len(name) + len(value))
 
