Confirm no configuration on a host that has none

Callers would have got 404 for new routes from a host that had just started: its asks confirmed that the store held nothing newer than what it had, which was nothing, and the confirmation then counted for a configuration of a peer, 60 s old in the scenario (age 0 before). A confirmation now needs a configuration; that of a first read comes after it is accepted.

--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -105,6 +105,14 @@
     When the source stops answering
     Then that host no longer has a live source within 2 s
 
+  # Guards against DENIED: a host that had read nothing yet took a peer's old configuration for current.
+  Scenario: A host without a configuration has nothing to confirm
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When the store holds nothing that the follower lacks at 100 s
+    And the source's configuration was confirmed at 40 s and the follower is updated at 100 s
+    Then the follower's configuration is 60 s old at 100 s
+
   Scenario: A follower that has stopped sending is disconnected
     Given a source with configuration 3, upstreams "a" and "b" at revision 20
     When a follower connects to it and sends nothing
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -278,6 +278,40 @@
     assert context.follower.recv(1) == b""
 
 
+@when(
+    "the source's configuration was confirmed {age:g} s ago and is not confirmed for {seconds:g} s"
+)
+def step_not_confirmed(context, age, seconds):
+    context.source.confirmed_at = time.monotonic() - age
+    context.follower.confirmed_at = float("-inf")
+    eventlet.sleep(seconds)
+
+
+@then("that host's configuration was confirmed {least:g} to {most:g} s ago")
+def step_confirmed_between(context, least, most):
+    age_s = context.follower.get_configuration_age_s(time.monotonic())
+    assert least <= age_s <= most, age_s
+
+
+@when("the store holds nothing that the follower lacks at {now:g} s")
+def step_nothing_new(context, now):
+    context.follower.record_confirmation(now)
+
+
+@when(
+    "the source's configuration was confirmed at {at:g} s and the follower is updated at {now:g} s"
+)
+def step_update_at(context, at, now):
+    context.source.record_confirmation(at)
+    update = relay.make_update(context.source, relay.UNKNOWN_SEQUENCE, 0, False, now)
+    relay.apply_update(context.follower, update, now)
+
+
+@then("the follower's configuration is {age:g} s old at {now:g} s")
+def step_age_at(context, age, now):
+    assert context.follower.get_configuration_age_s(now) == age
+
+
 @when("the source loses its connection to the store")
 def step_source_without_store(context):
     context.is_store_lost = True
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -78,8 +78,9 @@
             self._grace_until = now + LAPSE_GRACE_S
 
     def record_confirmation(self, at):
-        """Records that the configuration was current at a monotonic time."""
-        self.confirmed_at = max(self.confirmed_at, at)
+        """Records that the configuration, if there is one, was current at a monotonic time."""
+        if self.configuration is not None:
+            self.confirmed_at = max(self.confirmed_at, at)
 
     def get_configuration_age_s(self, now):
         """Returns the seconds since ``confirmed_at``."""
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -189,9 +189,10 @@
         started_at = time.monotonic()
         revision, objects = self._call(kind, read)
         self._belief.record_contact(time.monotonic())
+        changes = self._replace_objects(kind, revision, objects, replace)
         if kind is records.ObjectKind.CONFIGURATION:
             self._belief.record_confirmation(started_at)
-        self.handle_changes(self._replace_objects(kind, revision, objects, replace))
+        self.handle_changes(changes)
 
     def _replace_objects(self, kind, revision, objects, replace):
         """Replaces all objects of a kind, unless peers have meanwhile relayed later changes.
