Encode updates anew before the age that they tell is outdated

Callers would have got 404 for new routes from followers of a source that no longer reached the store: while nothing changed, the source sent the same encoded update with the age of its first encoding, so the followers' configurations looked current for good, and a large age stayed large as well. Updates are now sent again for 0.2 s only.

Class: evidence passed on without its age; no other field of an update has one that the key of the encoded update leaves out.

--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -105,6 +105,14 @@
     When the source stops answering
     Then that host no longer has a live source within 2 s
 
+  # Guards against DENIED: an update that was encoded once went out again and again with its age.
+  Scenario: A follower's configuration is no younger than its source's while nothing changes
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a host without the store that follows the source over loopback
+    Then that host knows "a" and "b" within 2 s and has a live source
+    When the source's configuration was confirmed 1 s ago and is not confirmed for 2 s
+    Then that host's configuration was confirmed 2.9 to 3.9 s ago
+
   # Guards against DENIED: a host that had read nothing yet took a peer's old configuration for current.
   Scenario: A host without a configuration has nothing to confirm
     Given a source with configuration 3, upstreams "a" and "b" at revision 20
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -26,9 +26,9 @@
 # Followers send the next request right after each answer; one that does not has disconnected
 # without closing its stream.
 FOLLOWER_TIMEOUT_S = 3.0
-# Age of an encoded update up to which it is sent again while it tells for how long an upstream is
-# kept.
-LAPSE_AGE_S = 0.2
+# Age of an encoded update up to which it is sent again: it tells how old the configuration is, and
+# for how long upstreams are kept.
+MAX_ENCODED_AGE_S = 0.2
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
 # Interval at which a follower checks which hosts are its sources.
@@ -119,11 +119,8 @@
         is_store_lost = self._is_store_lost()
         revisions = tuple(self._belief.revisions.values())
         now = time.monotonic()
-        # An update with ages is encoded anew each second, one with lapses more often.
-        age = int(now) if self._belief.evacuation_ends else 0
-        if self._belief.list_lapses(now):
-            age = int(now / LAPSE_AGE_S)
-        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost, age)
+        encoded_at = int(now / MAX_ENCODED_AGE_S)
+        key = (self._belief.sequence, revisions, sequence, generation, is_store_lost, encoded_at)
         if self._encoded[0] != key:
             update = relay.make_update(self._belief, sequence, generation, is_store_lost, now)
             self._encoded = (key, _beliefcodec.encode_update(update))
