--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -9,7 +9,6 @@
 import collections
 import dataclasses
 import enum
-import json
 import os
 import random
 import sys
@@ -20,10 +19,10 @@
 import eventlet
 import greenlet
 
-from bench import _operatorwrites, _spreadstore, _virtualtime
+from bench import _virtualtime
 from features import host_builders
 from skylarksill.host import belief, following, keyring, peers, records, supervision, watching
-from standins import platformdata
+from standins import operatorwrites, platformdata, simulatedstore
 
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
 HOSTS = (
@@ -43,17 +42,6 @@
 BOUNDS = host_builders.BOUNDS
 # Within this time hosts learn of others that have gone, or have lost the store.
 MAX_VIEW_DELAY_S = 1.5
-FOREIGN_SPECS = (
-    None,
-    [],
-    "text",
-    {"configVersion": 10**30, "routes": {}},
-    {"configVersion": 2**62, "routes": {}, "services": {}, "limits": None},
-    platformdata.build_configuration_spec(1_000_000, routes={"r-1": {}}),
-    platformdata.build_configuration_spec(2_000_000),
-    json.loads("[" * 70 + "]" * 70),
-)
-FOREIGN_NAMES = ("Main", "main2", "a", "main\ud800", "zz", "main/")
 
 
 class Fault(enum.Enum):
@@ -149,7 +137,7 @@
             lambda: self.watcher.is_store_lost,
             lambda: run.keyring,
         )
-        store = _spreadstore.SimulatedStore(self.host_id, run.store, ZONES, log)
+        store = simulatedstore.SimulatedStore(self.host_id, run.store, ZONES, log)
         self.watcher = watching.Watcher(
             store, self.belief, log, self._apply, self.follower.has_current_source, BOUNDS
         )
@@ -221,11 +209,11 @@
         self.counts = collections.Counter()
         self.trace = collections.deque(maxlen=4_000)
         self.keyring = keyring.parse_keys([("k1", "ab" * 32)])
-        self.store = _spreadstore.Store(seed)
+        self.store = simulatedstore.Store(seed)
         self._network = _virtualtime.Network(seed)
         self._network.opened = self._note_stream
         self._network.find_own_address = lambda: self._find_owner().record.gossip
-        self._operator = _operatorwrites.Operator(seed)
+        self._operator = operatorwrites.Operator(seed)
         self._acknowledged = []
         self._owners = weakref.WeakKeyDictionary()
         self._started_at = _virtualtime.read_clock()
@@ -258,7 +246,7 @@
         return self.findings
 
     def _patch(self):
-        for module in (watching, following, _spreadstore.store):
+        for module in (watching, following, simulatedstore.store):
             module.time = _virtualtime.TIME
         following.socket = _virtualtime.make_socket_module(self._network)
         following._fairreads = types.SimpleNamespace(FairReader=lambda stream: stream)
@@ -296,7 +284,7 @@
     def _publish(self, version):
         self.store.write("config", "main", version.spec)
         self._acknowledged.append((_virtualtime.read_clock(), version))
-        self._probes = _operatorwrites.list_probes([item for _, item in self._acknowledged[-6:]])
+        self._probes = operatorwrites.list_probes([item for _, item in self._acknowledged[-6:]])
 
     def _write_versions(self, end):
         while _virtualtime.read_clock() < end:
@@ -309,10 +297,12 @@
             eventlet.sleep(self._random.random() * 1.5)
             match self._random.randrange(5):
                 case 0:
-                    name = self._random.choice(FOREIGN_NAMES)
-                    self.store.write("config", name, self._random.choice(FOREIGN_SPECS))
+                    name = self._random.choice(operatorwrites.FOREIGN_NAMES)
+                    self.store.write(
+                        "config", name, self._random.choice(operatorwrites.FOREIGN_SPECS)
+                    )
                 case 1:
-                    self.store.delete("config", self._random.choice(FOREIGN_NAMES))
+                    self.store.delete("config", self._random.choice(operatorwrites.FOREIGN_NAMES))
                 case 2:
                     name = f"i-{self._random.randrange(6)}"
                     state = self._random.choice(("ready", "draining", "odd", None))
@@ -374,7 +364,7 @@
                         item for item in self.hosts if item.record.region == host.record.region
                     ]
                 self._disturb_store(
-                    hosts, self._random.choice(list(_spreadstore.Mode)[1:]), seconds
+                    hosts, self._random.choice(list(simulatedstore.Mode)[1:]), seconds
                 )
             case Fault.DROP_HISTORY:
                 self.store.drop_history()
@@ -483,7 +473,7 @@
                 is_right = expected is not None and expected[0] == route.route_id
                 if is_right and expected[0] not in matched:
                     matched.add(expected[0])
-                    is_right = _operatorwrites.matches(route, *expected)
+                    is_right = operatorwrites.matches(route, *expected)
             if not is_right:
                 self.report(1, host.host_id, f"{known.generation} {site}{path}: {route} {expected}")
             if route is None and all(item.find(site, path) for item in since):
@@ -506,7 +496,7 @@
     parser.add_argument("--runs", type=int, default=20)
     parser.add_argument(
         "--outage",
-        type=_spreadstore.Mode,
+        type=simulatedstore.Mode,
         help="only fault: so the store treats all hosts while it drops its history",
     )
     parser.add_argument("--trace", action="store_true", help="print the hosts' last log lines")
--- a/bench/_operatorwrites.py
+++ b/standins/operatorwrites.py
@@ -1,6 +1,7 @@
 """Versions of a configuration as an operator writes them, and which of their routes a path has."""
 
 import dataclasses
+import json
 import random
 
 from standins import platformdata
@@ -12,6 +13,18 @@
 MAX_VERSION_STEP = 4
 FIRST_ROUTES = 12
 MAX_CHANGES = 4
+# What other programs write into the same kind.
+FOREIGN_SPECS = (
+    None,
+    [],
+    "text",
+    {"configVersion": 10**30, "routes": {}},
+    {"configVersion": 2**62, "routes": {}, "services": {}, "limits": None},
+    platformdata.build_configuration_spec(1_000_000, routes={"r-1": {}}),
+    platformdata.build_configuration_spec(2_000_000),
+    json.loads("[" * 70 + "]" * 70),
+)
+FOREIGN_NAMES = ("Main", "main2", "a", "main\ud800", "zz", "main/")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
