Read the platform's names of routes in the stand-ins only

features/host_platform.feature failed: the soak's checks of denied requests named fields of the platform outside its folder and the stand-ins.

--- a/bench/soak/configurations.py
+++ b/bench/soak/configurations.py
@@ -44,7 +44,7 @@
 
 def _toggle_route(routes, rng):
     place = rng.choice(EDITED_PLACES)
-    names = [name for name, route in routes.items() if _get_place(route) == place]
+    names = [name for name, route in routes.items() if platformdata.get_place(route) == place]
     if names:
         del routes[names[0]]
     else:
@@ -58,7 +58,7 @@
 
 def _move_route(routes, rng):
     name = rng.choice(list(routes))
-    routes[name] = _build_test_route(_get_place(routes[name]), rng.choice(_SERVICES))
+    routes[name] = _build_test_route(platformdata.get_place(routes[name]), rng.choice(_SERVICES))
 
 
 def _retime_route(routes, rng):
@@ -70,10 +70,6 @@
     return rng.choice([f"t{index}" for index in range(NAME_COUNT) if f"t{index}" not in routes])
 
 
-def _get_place(route):
-    return route["host"], route["pathPrefix"]
-
-
 def _build_test_route(place, service="catalogue"):
     site, prefix = place
     return platformdata.build_route_spec(prefix, "idempotent", service, site=site)
--- a/bench/soak/denialchecks.py
+++ b/bench/soak/denialchecks.py
@@ -8,6 +8,7 @@
 import collections
 
 from bench.soak import bounds, records
+from standins import platformdata
 
 # Statuses of a host's own that deny nothing: the request was not run, and may be sent again.
 _REFUSALS = (408, 421, 429)
@@ -16,9 +17,7 @@
 def list_routes(spec):
     """Returns the services of each route of a configuration's spec, by site and path prefix."""
     return {
-        (route["host"], route["pathPrefix"]): frozenset(
-            item["service"] for item in route.get("trafficSplit", [route])
-        )
+        platformdata.get_place(route): platformdata.list_services(route)
         for route in spec["routes"].values()
     }
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -20,7 +20,7 @@
     upstreams,
 )
 from skylarksill.host import keyfile, keyring
-from standins import metadatastore, worker
+from standins import metadatastore, platformdata, worker
 
 UPSTREAMS_PER_ZONE = 2
 # Zones of the upstreams that no fault of the schedule concerns.
@@ -145,7 +145,7 @@
             old, new = before.get(name), self._test_routes.get(name)
             if old != new:
                 route = new or old
-                self.changed_places.append((route["host"], route["pathPrefix"]))
+                self.changed_places.append(platformdata.get_place(route))
         self._write_version()
 
     def replace_keys(self):
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -57,6 +57,16 @@
     }
 
 
+def get_place(route):
+    """Returns the site and the path prefix of a route's spec."""
+    return route["host"], route["pathPrefix"]
+
+
+def list_services(route):
+    """Returns the set of services of a route's spec."""
+    return frozenset(item["service"] for item in route.get("trafficSplit", [route]))
+
+
 def build_configuration_spec(generation=7, service="catalogue", routes=None, cold_rate=11.0):
     """Builds the spec of the operators' configuration in the format of the platform's store."""
     fields = {"healthPath": "/health", "maxConnections": 330, "cold": "3s", "coldRateS": cold_rate}
