--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -19,12 +19,10 @@
 import eventlet
 import greenlet
 
-from bench import _virtualtime
-from features import host_builders
-from skylarksill.host import belief, following, keyring, peers, records, supervision, watching
+from bench import _spreadhost, _virtualtime
+from skylarksill.host import following, keyring, peers, records, supervision, watching
 from standins import operatorwrites, platformdata, simulatedstore
 
-ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
 HOSTS = (
     ("n1", "north-a"),
     ("n2", "north-b"),
@@ -39,7 +37,7 @@
 CALM_END_S = 9.0
 CHECK_INTERVAL_S = 0.05
 OUTAGE_S = 4.0
-BOUNDS = host_builders.BOUNDS
+BOUNDS = _spreadhost.BOUNDS
 # Within this time hosts learn of others that have gone, or have lost the store.
 MAX_VIEW_DELAY_S = 1.5
 
@@ -76,111 +74,6 @@
     detail: str
 
 
-class _Log:
-    """Collects the exceptions of one host and its last log lines."""
-
-    def __init__(self, host_id, report, trace):
-        self._host_id = host_id
-        self._report = report
-        self._trace = trace
-
-    def write(self, event, **fields):
-        self._trace.append((_virtualtime.read_clock(), self._host_id, event, fields))
-
-    def write_exception(self, task, error):
-        self._report(0, self._host_id, f"{task}: {error!r}")
-
-
-class _Table:
-    """What a host knows about the others: the truth, some time later."""
-
-    def __init__(self, run, host_id):
-        self._run = run
-        self._host_id = host_id
-
-    def list_serving(self, now):
-        return self._run.list_serving(self._host_id, now)
-
-
-class _Host:
-    """One host; each start makes a new incarnation of all its parts."""
-
-    def __init__(self, run, index, host_id, zone):
-        self.host_id = host_id
-        self.record = dataclasses.replace(
-            host_builders.build_host_record(host_id, zone, ZONES[zone]),
-            gossip=("127.0.0.1", 2_000 + index),
-        )
-        self._run = run
-        self.is_running = False
-        self.disturbed_at = _virtualtime.read_clock()
-        self.refused_at = self.hides_until = float("-inf")
-        # Ordered, so that a seed plays the same run each time.
-        self.threads = weakref.WeakKeyDictionary()
-        self.streams = weakref.WeakKeyDictionary()
-
-    def start(self):
-        """Starts the host without any state."""
-        run = self._run
-        self.is_running = True
-        self.started_at = _virtualtime.read_clock()
-        self.generation = 0
-        self.probed_table = self.probes = None
-        log = _Log(self.host_id, run.report, run.trace)
-        self.belief = belief.Belief()
-        self.follower = following.BeliefFollower(
-            self.record,
-            _Table(run, self.host_id),
-            self.belief,
-            log,
-            lambda changes, source: self.watcher.handle_changes(changes),
-            lambda: self.watcher.is_store_lost,
-            lambda: run.keyring,
-        )
-        store = simulatedstore.SimulatedStore(self.host_id, run.store, ZONES, log)
-        self.watcher = watching.Watcher(
-            store, self.belief, log, self._apply, self.follower.has_current_source, BOUNDS
-        )
-        self.server = following.BeliefServer(
-            self.record.gossip,
-            self.belief,
-            log,
-            lambda: self.watcher.is_store_lost,
-            lambda: run.keyring,
-        )
-        self.server.start()
-        self.follower.start()
-        self.watcher.start()
-
-    def is_calm(self, now):
-        """Returns True if the process and its links have been undisturbed for ``contact_s``."""
-        since = max(self.started_at, self.disturbed_at)
-        return self.is_running and now - since >= BOUNDS.contact_s
-
-    def is_served(self, now):
-        """Returns True if the store has served the host for ``contact_s``."""
-        return now - self.refused_at >= BOUNDS.contact_s
-
-    def _apply(self):
-        self.server.wake_followers()
-        self._run.check_table(self)
-
-    def stop(self, is_silent):
-        """Ends the process, with its connections, or as a machine that loses power."""
-        self.is_running = False
-        self.server.stop()
-        for stream in list(self.streams):
-            if is_silent:
-                stream.vanish()
-            else:
-                stream.close()
-        for thread in list(self.threads):
-            if not thread.dead:
-                eventlet.kill(thread)
-        self.threads.clear()
-        self.streams.clear()
-
-
 class Run:
     """One run. Rules that each host has to keep:
 
@@ -219,7 +112,9 @@
         self._started_at = _virtualtime.read_clock()
         self._views = {}
         self._probes = ()
-        self.hosts = [_Host(self, index, *item) for index, item in enumerate(HOSTS)]
+        self.hosts = [
+            _spreadhost.SimulatedHost(self, index, *item) for index, item in enumerate(HOSTS)
+        ]
         for host in self.hosts:
             self.store.delays[host.host_id] = STORE_DELAYS_S[host.record.region]
 
@@ -311,7 +206,7 @@
                 case 3:
                     self.store.delete("servers", f"i-{self._random.randrange(6)}")
                 case 4:
-                    zone = self._random.choice(list(ZONES))
+                    zone = self._random.choice(list(_spreadhost.ZONES))
                     if self._random.random() < 0.5:
                         self.store.write("evacuations", zone, {})
                     else:
