Log why a request was refused as it was read, its site and its target

A 400, 408, 413, 431 or 503 that the server gives before a request reaches the forwarder was logged with its status only, so a proper request among them could not be told. The line now has the reason with the limit that was exceeded, and what was read of site and target. The ten rows of malformed input check it; all ten failed before. Found on reading the change again.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -99,19 +99,20 @@
     When the client sends the raw bytes <bytes>
     Then the answer is <status> and the connection closes
     And the upstreams ran nothing
+    And the log names the target "<target>" and the reason "<reason>"
 
     Examples:
-      | bytes               | status |
-      | two lengths         | 400    |
-      | length and chunks   | 400    |
-      | folded header       | 400    |
-      | bare line feeds     | 400    |
-      | space before colon  | 400    |
-      | no host             | 400    |
-      | long head           | 431    |
-      | announced long body | 413    |
-      | long chunked body   | 413    |
-      | slow head           | 408    |
+      | bytes               | status | target   | reason                        |
+      | two lengths         | 400    | /order/1 | Content-Length                |
+      | length and chunks   | 400    | /order/1 | Content-Length                |
+      | folded header       | 400    | /read/1  | header                        |
+      | bare line feeds     | 400    | /read/1  | CR                            |
+      | space before colon  | 400    | /read/1  | header                        |
+      | no host             | 400    | /read/1  | no site                       |
+      | long head           | 431    | /read/1  | head of more than 2000 bytes  |
+      | announced long body | 413    | /order/1 | body of more than 10000 bytes |
+      | long chunked body   | 413    | /order/1 | body of more than 10000 bytes |
+      | slow head           | 408    | /read/1  | head too slow                 |
 
   Scenario: Requests whose bodies exceed the host's buffers are rejected as not run
     Given the host may buffer 5000 bytes of bodies
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -201,6 +201,15 @@
     assert context.reader.is_at_end()
 
 
+@then('the log names the target "{target}" and the reason "{reason}"')
+def step_logs_refusal(context, target, reason):
+    context.world.log.flush()
+    lines = [json.loads(line) for line in context.world.log_bytes.splitlines()]
+    refused = [line for line in lines if line["event"] == "client.refused"]
+    assert len(refused) == 1 and refused[0]["target"] == target, refused
+    assert reason in refused[0]["reason"], refused
+
+
 @then('one upstream got "{line}" with the body "{body}"')
 def step_upstream_got(context, line, body):
     heads = [head for item in context.world.workers.values() for head in item.heads]
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -41,6 +41,8 @@
 WRITE_TIMEOUT_S = 10.0
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
+# Bytes of a host name or a target in the log.
+MAX_LOGGED_NAME = 100
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
 
@@ -76,8 +78,8 @@
 class _BadRequestError(Exception):
     """A request can't be served; ``status`` is the HTTP status to answer with."""
 
-    def __init__(self, status):
-        super().__init__(status)
+    def __init__(self, status, reason):
+        super().__init__(reason)
         self.status = status
 
 
@@ -223,11 +225,13 @@
             self._parsing.parse(data)
             self._send_continue()
         except _BadRequestError as error:
-            self._reject(error.status)
+            self._reject(error.status, str(error))
         except httptools.HttpParserCallbackError as error:
             self._reject_failed(error.__context__ or error)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(400)
+        except httptools.HttpParserUpgrade:
+            self._reject(400, "upgrade")
+        except httptools.HttpParserError as error:
+            self._reject(400, str(error))
         except OSError:
             raise
         except Exception as error:
@@ -251,7 +255,7 @@
                 if time.monotonic() < self._find_timeout():
                     continue
             if self._started_at is not None:
-                self._reject(408)
+                self._reject(408, "body too slow" if self._is_head_complete else "head too slow")
             else:
                 self._set_cause(Cause.IDLE_TIMEOUT)
                 self._take_no_more()
@@ -274,9 +278,10 @@
         self._parser.feed_data(data)
         is_inside_head = self._started_at is not None and not self._is_head_complete
         if is_inside_head and self._unreported_bytes > self._limits.max_head_bytes:
-            raise _BadRequestError(431)
+            raise _BadRequestError(431, f"head of more than {self._limits.max_head_bytes} bytes")
         if not is_inside_head and self._unreported_bytes > MAX_FRAMING_BYTES:
-            raise _BadRequestError(400 if self._started_at is None else 413)
+            status = 400 if self._started_at is None else 413
+            raise _BadRequestError(status, f"framing of more than {MAX_FRAMING_BYTES} bytes")
 
     def _send_continue(self):
         """Sends what the head of a request whose body is still due asks for."""
@@ -309,7 +314,7 @@
         fields = dict(self._headers)
         length = fields.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
-            raise _BadRequestError(413)
+            raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
         if fields.get(b"expect", b"").lower() == b"100-continue" and not self.pending:
             self._owes_continue = True
 
@@ -319,9 +324,9 @@
         self._body_bytes += len(body)
         self._server.buffered_bytes += len(body)
         if self._server.buffered_bytes > self._server.max_buffered_bytes:
-            raise _BadRequestError(503)
+            raise _BadRequestError(503, "buffers of bodies are full")
         if self._body_bytes > self._limits.max_body_bytes:
-            raise _BadRequestError(413)
+            raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
         self._body += body
 
     def on_message_complete(self):
@@ -335,7 +340,7 @@
             method, self._target, self._headers, bytes(self._body), self._server.names
         )
         if request is None:
-            raise _BadRequestError(400)
+            raise _BadRequestError(400, "no site")
         item = _PendingRequest(method, cancellation.Cancellation())
         self.pending.append(item)
         self._begin_message()
@@ -363,7 +368,7 @@
         self._unreported_bytes = 0
         self._head_bytes += size
         if self._head_bytes > self._limits.max_head_bytes:
-            raise _BadRequestError(431)
+            raise _BadRequestError(431, f"head of more than {self._limits.max_head_bytes} bytes")
 
     def _serve(self, item, request):
         try:
@@ -423,12 +428,19 @@
         if self._state is _State.SERVING:
             self._state = _State.ANSWERING
 
-    def _reject(self, status):
+    def _reject(self, status, reason):
         """Answers an unreadable request with an error and closes the connection after it."""
         if self._state is not _State.SERVING:
             # What follows the last request is no request, and its answer would follow the last one.
             return
-        self._server.log.write("client.refused", status=status)
+        site = dict(self._headers).get(b"host", b"")
+        self._server.log.write(
+            "client.refused",
+            status=status,
+            reason=reason,
+            site=site[:MAX_LOGGED_NAME].decode("latin-1"),
+            target=self._target[:MAX_LOGGED_NAME].decode("latin-1"),
+        )
         self._take_no_more()
         item = _PendingRequest(b"GET", cancellation.Cancellation())
         data = answers.format_answer(answers.make_answer(status, b""), b"GET")
@@ -440,10 +452,10 @@
     def _reject_failed(self, error):
         """Rejects a request after an exception while it was read; nothing of it was passed on."""
         if isinstance(error, _BadRequestError):
-            self._reject(error.status)
+            self._reject(error.status, str(error))
             return
         self._server.log.write_exception("client.read", error)
-        self._reject(503)
+        self._reject(503, "host_failed")
 
     def _write_ready(self):
         """Writes the finished answers that are next in order, in one green thread at a time."""
