--- a/skylarksill/host/counters.py
+++ b/skylarksill/host/counters.py
@@ -9,7 +9,7 @@
 
 
 class Counters:
-    """Counters by name and label, and histograms of durations by name and label."""
+    """Counters and histograms of durations by name and label, and gauges by name."""
 
     def __init__(self):
         self._counts = collections.Counter()
@@ -62,7 +62,7 @@
 
 
 def _format_value(value):
-    return "+Inf" if value == math.inf else f"{value:g}"
+    return "+Inf" if value == math.inf else str(value)
 
 
 def _format_label(label):
