Log site, path and age of the configuration of each request that ends without a route

The lines of requests refused for want of a configuration, as blocked, or in a stop named neither: only those of denied requests did. All requests that end before a route is chosen now have them. The row of a host without a configuration fails before.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -75,6 +75,7 @@
     Given the host has no configuration
     When the client sends an idempotent request
     Then the answer is 503 with a retry delay
+    And the log names the site "shop.example" and the path "/read/1" of the refusal "no_configuration"
 
   Scenario: A path without a route is answered with 404
     When the client sends "GET /other/1" without a body
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -201,6 +201,13 @@
     assert context.reader.is_at_end()
 
 
+@then('the log names the site "{site}" and the path "{path}" of the refusal "{reason}"')
+def step_logs_unrouted(context, site, path, reason):
+    context.world.log.flush()
+    line = json.loads(context.world.log_bytes.splitlines()[-1])
+    assert (line["reason"], line["site"], line["path"]) == (reason, site, path), line
+
+
 @then('the log names the target "{target}" and the reason "{reason}"')
 def step_logs_refusal(context, target, reason):
     context.world.log.flush()
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -157,15 +157,9 @@
         A host whose configuration may be outdated can't know that no route exists.
         """
         age_s = self._belief.get_configuration_age_s(time.monotonic())
-        fields = {
-            "site": request.site[:MAX_LOGGED_NAME],
-            "path": request.path[:MAX_LOGGED_NAME],
-            "routes": len(self._belief.configuration.routes),
-            "configuration_age_ms": int(age_s * 1000) if math.isfinite(age_s) else None,
-        }
         if age_s > self.bounds.apply_s:
-            return self._reject(request, "outdated", OUTDATED_RETRY_AFTER_S, **fields)
-        self._record_end(request, None, 404, "no_route", **fields)
+            return self._reject(request, "outdated", OUTDATED_RETRY_AFTER_S)
+        self._record_end(request, None, 404, "no_route")
         return answers.make_answer(404, b"no route\n")
 
     def _place_and_send(self, request, progress, cancellation):
@@ -446,7 +440,7 @@
         self._record_end(request, progress, answer.status, "answered")
         return answer
 
-    def _reject(self, request, reason, retry_after_s, progress=None, rejection=None, **fields):
+    def _reject(self, request, reason, retry_after_s, progress=None, rejection=None):
         """Answers that the request was not run and may be retried after a delay in seconds."""
         remaining_s = request.deadline_s
         if remaining_s is not None:
@@ -459,7 +453,6 @@
             reason,
             retry_after_s=round(retry_after_s, 3),
             wait_s=round(rejection.wait_s, 3) if rejection else None,
-            **fields,
         )
         return answers.make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
 
@@ -470,6 +463,8 @@
         self._counters.count("requests", f"{service_id} {status} {reason}")
         self._counters.observe_duration("latency", service_id, now - request.received_at)
         configuration = self._belief.configuration
+        if progress is None:
+            fields |= self._describe_target(request, now)
         self._log.write(
             "request",
             id=(request.request_id or b"").decode("latin-1"),
@@ -483,6 +478,17 @@
             **fields,
         )
 
+    def _describe_target(self, request, now):
+        """Returns what a request without a route asked for and what the host knew, for the log."""
+        configuration = self._belief.configuration
+        age_s = self._belief.get_configuration_age_s(now)
+        return {
+            "site": request.site[:MAX_LOGGED_NAME],
+            "path": request.path[:MAX_LOGGED_NAME],
+            "routes": len(configuration.routes) if configuration else 0,
+            "configuration_age_ms": int(age_s * 1000) if math.isfinite(age_s) else None,
+        }
+
 
 def _describe_choice(choice, now):
     """Returns the estimates that led to the choice of an upstream, for the log."""
