Read on until the revision of an ask is reached

An ask for the store's revision caught up with one answer of a watch, and then took the belief for current. Callers would have got 404 for routes that had been added meanwhile.

--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -317,12 +317,19 @@
           True if the belief has reached the revision, or is about to.
         """
         for kind in (records.ObjectKind.CONFIGURATION, records.ObjectKind.UPSTREAMS):
-            known = self._belief.revisions[kind]
-            if not known:
+            if not self._belief.revisions[kind]:
                 # A first read is under way, and a host that serves is not current without it.
                 return not self._belief.is_complete
-            if known >= revision or kind in self._pausing:
-                continue
+            if kind not in self._pausing and not self._catch_up_kind(kind, revision):
+                return False
+        return True
+
+    def _catch_up_kind(self, kind, revision):
+        """Reads the changes of a kind up to a revision; returns True if that is reached.
+
+        An answer holds as many changes as the store chooses, so one may not be enough.
+        """
+        while (known := self._belief.revisions[kind]) < revision:
             try:
                 next_revision, events = self._store.watch(kind, known, CATCH_UP_WAIT_S)
             except HistoryGoneError as error:
@@ -332,6 +339,9 @@
             if self._apply_events(kind, next_revision, events) and events:
                 # The waiting watch should have reported them.
                 self._abandon_call(kind)
+            if self._belief.revisions[kind] <= known:
+                # The answer has brought nothing, or a loss of history has been met meanwhile.
+                return False
         return True
 
     def _abandon_calls(self, before):
