--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -83,6 +83,7 @@
        its configuration was confirmed, since it denies paths for ``apply_s`` from then on.
     4. With sound links it is current within ``apply_s`` if the store serves it, or serves another
        host that it knows while the hosts of its region are undisturbed.
+    5. It then confirms its configuration within ``apply_s``, as it denies no path otherwise.
 
     Args:
       seed: Seed of everything that happens.
@@ -343,6 +344,9 @@
         else:
             return
         self.counts[f"current by {source}"] += 1
+        age_s = host.belief.get_configuration_age_s(now)
+        if age_s > BOUNDS.apply_s:
+            self.report(5, host.host_id, f"{generation} confirmed {age_s:.2f} s ago, {source}")
         if generation < due[-1].number:
             self.report(4, host.host_id, f"{generation} after {due[-1].number}, {source}")
 
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -283,8 +283,6 @@
             )
             if changes:
                 self.handle_changes(changes)
-            # Changes that follow a batch are read after a pause, and confirm nothing before.
-            is_pausing = records.ObjectKind.CONFIGURATION in self._pausing
             is_current = self._catch_up(revision)
         except objectstore.StoreError as error:
             self._contact.record_refusal()
@@ -296,8 +294,7 @@
             if self._contact.record_incomplete(asked_at, now):
                 self._log.write("store.incomplete", **self._describe_reads())
             return
-        if not is_pausing:
-            self._belief.record_confirmation(asked_at)
+        self._belief.record_confirmation(asked_at)
         was_lost = self._contact.is_lost
         meaning = self._contact.record_answer(asked_at, now)
         if meaning is storecontact.AnswerMeaning.EARLIER_LOST:
@@ -323,7 +320,10 @@
             if not self._belief.revisions[kind]:
                 # A first read is under way, and a host that serves is not current without it.
                 return not self._belief.is_complete
-            if kind not in self._pausing and not self._catch_up_kind(kind, revision):
+            # Upstreams change often, and their next batch is read soon; the configuration is to be
+            # confirmed by now.
+            is_left = kind is records.ObjectKind.UPSTREAMS and kind in self._pausing
+            if not is_left and not self._catch_up_kind(kind, revision):
                 return False
         return True
 
