Soak: take an orderly end for no reset once the client has ended its sending side

The kernel shows a connection that both sides have ended in the state of one that was reset, so the receiver dropped bytes that its client had not read yet and reported a reset. The reset is now told by the error of the socket.

--- a/bench/soak/channels.py
+++ b/bench/soak/channels.py
@@ -4,6 +4,7 @@
 import time
 
 import eventlet
+from eventlet import hubs
 from eventlet.green import socket
 
 from bench.soak.lossrule import End
@@ -114,6 +115,12 @@
     def __init__(self, client, is_slow):
         self._client = client
         self._is_slow = is_slow
+        self._has_ended_sending = False
+
+    def end_sending(self):
+        """Ends the sending side of the socket, on which the other side's end is no reset."""
+        self._has_ended_sending = True
+        self._client.shutdown(socket.SHUT_WR)
 
     def recv(self, size):
         """Returns the next bytes.
@@ -126,29 +133,41 @@
             eventlet.sleep(SLOW_PAUSE_S)
             size = SLOW_READ_BYTES
         self._check_reset()
-        try:
-            data = self._client.recv(size)
-        except TimeoutError as timeout:
-            data = self._receive_ready(size, timeout)
+        data = self._receive(size)
         if not data:
-            # Green sockets show a reset that they wait for as an end of the stream.
+            # The sender may have met the reset before.
             self._check_reset()
         return data
 
     def _check_reset(self):
-        if self._client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE:
+        """Raises a ConnectionResetError if the connection was reset.
+
+        The kernel shows a connection that both sides have ended in the same state, but without an
+        error.
+        """
+        if self._client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_CLOSE:
+            return
+        error = self._client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error or not self._has_ended_sending:
             raise ConnectionResetError("the host reset the connection")
 
-    def _receive_ready(self, size, timeout):
-        """Returns what has arrived while this process was late, or raises the time-out."""
+    def _receive(self, size):
+        """Receives past green sockets, which show a reset as an end of the stream."""
         timeout_s = self._client.gettimeout()
-        self._client.settimeout(0.0)
-        try:
-            return self._client.recv(size)
-        except BlockingIOError:
-            raise timeout from None
-        finally:
-            self._client.settimeout(timeout_s)
+        timeout = None
+        while True:
+            try:
+                return self._client.fd.recv(size)
+            except BlockingIOError:
+                if timeout is not None:
+                    raise timeout from None
+            try:
+                hubs.trampoline(
+                    self._client.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
+                )
+            except TimeoutError as error:
+                # Bytes may have arrived while this process was late.
+                timeout = error
 
 
 def _is_own_timeout(error):
