Site rig: clients that end their sending side, waves, and counts of what is excused

Each result counts the excused requests by reason, and a lost one says how its upstreams' runs ended and whether its client had half-closed.

--- a/bench/siterun/__main__.py
+++ b/bench/siterun/__main__.py
@@ -10,7 +10,7 @@
 import tempfile
 
 import skylarksill  # noqa: F401  silences eventlet's notice
-from bench.siterun import losses, records, rig, schedule
+from bench.siterun import conditions, losses, records, rig, schedule
 from bench.soak import hosts
 
 LENGTH_S = 30.0
@@ -20,7 +20,9 @@
 MAX_LATENESS_S = 0.15
 
 
-def run_seed(seed, folder, length_s=LENGTH_S, share=1.0, busy_count=0, checkout=hosts.ROOT):
+def run_seed(
+    seed, folder, length_s=LENGTH_S, share=1.0, busy_count=0, checkout=hosts.ROOT, played=()
+):
     """Plays the planned work of one seed.
 
     Args:
@@ -30,23 +32,25 @@
       share: Share of the site's clients and requests.
       busy_count: Number of busy processes beside the hosts.
       checkout: Folder of the checkout whose host program is played.
+      played: The conditions.Condition items that are played.
     Returns:
       A dict with counts, the losses as text and the folder.
     """
-    played = rig.Rig(seed, folder, share, busy_count, checkout)
-    upstream_count = sum(sum(zone.upstreams.values()) for zone in played.site.zones)
+    site_rig = rig.Rig(seed, folder, share, busy_count, checkout, played)
+    upstream_count = sum(sum(zone.upstreams.values()) for zone in site_rig.site.zones)
     events = schedule.make_schedule(
-        seed, length_s, len(played.hosts), upstream_count, len(rig.CHANGED_SETTINGS)
+        seed, length_s, len(site_rig.hosts), upstream_count, len(rig.CHANGED_SETTINGS)
     )
     (folder / "schedule.txt").write_text("\n".join(map(repr, events)), encoding="utf-8")
     try:
-        played.start()
-        played.play(events, length_s)
+        site_rig.start()
+        site_rig.play(events, length_s)
     finally:
-        played.stop()
-    observations = played.observations
+        site_rig.stop()
+    observations = site_rig.observations
     (folder / "observations.pickle").write_bytes(pickle.dumps(observations))
-    found = losses.find_losses(observations, played.site)
+    judgement = losses.judge(observations, site_rig.site)
+    found = judgement.losses
     clauses = collections.Counter(loss.clause.value for loss in found)
     ends = collections.Counter(
         str(attempt.status) if attempt.end is records.End.ANSWERED else attempt.end.value
@@ -61,9 +65,11 @@
         "reloads": len(observations.reloads),
         "versions": len(observations.versions),
         "lateness_ms": int(1000 * observations.lateness_s),
+        "half_closed": sum(attempt.is_half_closed for attempt in observations.attempts),
         "ends": dict(ends.most_common()),
         "lost": len({loss.attempt.request_id for loss in found}),
         "clauses": dict(clauses),
+        "excuses": {excuse.value: count for excuse, count in judgement.excuses.most_common()},
         "losses": [loss.describe() for loss in found],
         "folder": str(folder),
     }
@@ -74,7 +80,7 @@
     command = [sys.executable, "-m", "bench.siterun", "--seed", str(seed), "--json"]
     command += ["--length", str(options.length), "--share", str(options.share)]
     command += ["--busy", str(options.busy), "--checkout", str(options.checkout)]
-    command += ["--folder", str(folder)]
+    command += ["--folder", str(folder), "--with", ",".join(sorted(options.conditions))]
     limit_s = options.length + RUN_MARGIN_S
     try:
         result = subprocess.run(command, capture_output=True, text=True, timeout=limit_s)
@@ -95,6 +101,13 @@
     parser.add_argument("--share", type=float, default=1.0, help="share of clients and requests")
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside the hosts")
     parser.add_argument("--checkout", default=hosts.ROOT, help="root of the host program")
+    parser.add_argument(
+        "--with",
+        dest="conditions",
+        type=conditions.parse_conditions,
+        default=frozenset(),
+        help=f"what is played beside planned work: {', '.join(conditions.Condition)}",
+    )
     parser.add_argument("--folder", help="folder for settings and logs")
     parser.add_argument("--json", action="store_true", help="print the result as JSON")
     options = parser.parse_args(arguments)
@@ -109,7 +122,13 @@
     if options.json:
         folder.mkdir(parents=True, exist_ok=True)
         result = run_seed(
-            options.seed, folder, options.length, options.share, options.busy, options.checkout
+            options.seed,
+            folder,
+            options.length,
+            options.share,
+            options.busy,
+            options.checkout,
+            options.conditions,
         )
         print(json.dumps(result))
         return
--- a/bench/siterun/clients.py
+++ b/bench/siterun/clients.py
@@ -15,7 +15,7 @@
 from eventlet import event, queue  # isort: skip
 from eventlet.green import socket  # isort: skip
 
-from bench.siterun import records, shape
+from bench.siterun import conditions, records, shape
 from bench.soak import channels, hosts
 from standins import platformdata
 
@@ -39,6 +39,8 @@
 # Share of the requests that their client gives up early.
 GIVE_UP_SHARE = 0.02
 WATCH_INTERVAL_S = 0.05
+# Share of the requests on kept connections after which a client ends its sending side.
+HALF_CLOSE_SHARE = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +55,7 @@
       begins_at: Monotonic time of the first requests.
       ends_at: Monotonic time of the last requests.
       path: File that receives the attempts.
+      conditions: Names of the conditions.Condition items that are played.
     """
 
     seed: int
@@ -62,6 +65,14 @@
     begins_at: float
     ends_at: float
     path: str
+    conditions: list[str] = dataclasses.field(default_factory=list)
+
+    @property
+    def site(self):
+        """The shape.SiteShape that is played."""
+        is_waving = conditions.Condition.WAVES in self.conditions
+        site = shape.raise_waves(shape.THREE_REGIONS) if is_waving else shape.THREE_REGIONS
+        return shape.thin_out(site, self.share)
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,8 +127,8 @@
             raise
         eventlet.sleep(2 * delay_s)
         self._socket.settimeout(None)
-        receiver = channels.Receiver(self._socket, is_slow)
-        self._reader = platformdata.AnswerReader(_DelayedReceiver(receiver, delay_s))
+        self._receiver = channels.Receiver(self._socket, is_slow)
+        self._reader = platformdata.AnswerReader(_DelayedReceiver(self._receiver, delay_s))
         self._unsent = queue.LightQueue()
         self._sender = eventlet.spawn(self._send_parts)
         eventlet.spawn_n(self._read_answers)
@@ -130,8 +141,11 @@
             return len(self.waiting) < most_waiting
         return time.monotonic() < self.used_at + REUSE_IDLE_S
 
-    def send(self, attempt, parts, rng):
-        """Sends an attempt in parts with pauses; returns its _Exchange."""
+    def send(self, attempt, parts, rng, half_close_share):
+        """Sends an attempt in parts with pauses; returns its _Exchange.
+
+        The connection's sending side is ended after a share of the attempts that aren't its first.
+        """
         attempt.is_kept = self._sent_count > 0
         attempt.is_behind = bool(self.waiting)
         self._sent_count += 1
@@ -142,6 +156,10 @@
             is_last = index == len(parts) - 1
             self._unsent.put((due, part, exchange if is_last else None))
             due += rng.uniform(0.0, MAX_PART_PAUSE_S)
+        if half_close_share and attempt.is_kept and rng.random() < half_close_share:
+            attempt.is_half_closed = True
+            self.is_open = False
+            self._unsent.put((due, None, None))
         return exchange
 
     def leave(self):
@@ -154,6 +172,9 @@
             due, data, completed = self._unsent.get()
             eventlet.sleep(max(0.0, due - time.monotonic()))
             try:
+                if data is None:
+                    self._receiver.end_sending()
+                    return
                 self._socket.sendall(data)
             except OSError:
                 # The host has closed the connection; what it sent before is still read.
@@ -200,12 +221,16 @@
 
 
 class _Client:
-    """A client: it looks hosts up, keeps connections, and retries within its deadline."""
+    """A client: it looks hosts up, keeps connections, and retries within its deadline.
+
+    Attributes:
+      zone: Its shape.ZoneShape.
+    """
 
     def __init__(self, order, site, zone, number, attempts):
         self._order = order
         self._site = site
-        self._zone = zone
+        self.zone = zone
         self._name = f"{order.seed}-{zone.name}-{number}"
         self._rng = random.Random(self._name)
         self._attempts = attempts
@@ -214,6 +239,8 @@
         self._addresses = []
         self._expires_at = 0.0
         self._is_slow = self._rng.random() < SLOW_SHARE
+        is_half_closing = conditions.Condition.HALF_CLOSE in order.conditions
+        self._half_close_share = HALF_CLOSE_SHARE if is_half_closing else 0.0
 
     def request(self):
         """Draws a request and sends it, with retries."""
@@ -248,7 +275,7 @@
         )
         self._attempts.append(attempt)
         parts = self._format(kind, target, request_id, remaining_s)
-        exchange = connection.send(attempt, parts, self._rng)
+        exchange = connection.send(attempt, parts, self._rng, self._half_close_share)
         patience_s = remaining_s
         if self._rng.random() < GIVE_UP_SHARE:
             patience_s *= self._rng.random()
@@ -312,14 +339,14 @@
         candidates = sorted(
             self._order.hosts,
             key=lambda item: (
-                item[1] != self._zone.name,
-                regions[item[1]] != self._zone.region,
+                item[1] != self.zone.name,
+                regions[item[1]] != self.zone.region,
                 self._rng.random(),
             ),
         )
         for ip, _ in candidates[:MAX_LOOKUPS]:
             try:
-                addresses, lifetime_s = _ask(ip, self._zone, self._site.client_delay_s)
+                addresses, lifetime_s = _ask(ip, self.zone, self._site.client_delay_s)
             except (OSError, EOFError):
                 # The next one is asked.
                 continue
@@ -358,7 +385,7 @@
     Returns:
       A tuple of the list of records.Attempt and the longest standstill in seconds.
     """
-    site = shape.thin_out(shape.THREE_REGIONS, order.share)
+    site = order.site
     rng = random.Random(f"{order.seed} {order.zones}")
     attempts = []
     standstills = []
@@ -369,20 +396,41 @@
         if zone.name in order.zones
         for number in range(zone.clients)
     ]
-    rate_per_s = site.rate_per_s * len(order.zones) / len(site.zones)
     eventlet.sleep(max(0.0, order.begins_at - time.monotonic()))
     pool = eventlet.GreenPool(len(clients) * MAX_PIPELINED)
-    at = time.monotonic()
-    while at < order.ends_at:
-        at += rng.expovariate(rate_per_s)
+    for at, client in draw_arrivals(rng, site, clients, time.monotonic(), order.ends_at):
         eventlet.sleep(max(0.0, at - time.monotonic()))
-        pool.spawn_n(rng.choice(clients).request)
+        pool.spawn_n(client.request)
     pool.waitall()
     for attempt in attempts:
         attempt.standstill_s = sum_standstills(standstills, attempt)
     return attempts, max((end - begin for begin, end in standstills), default=0.0)
 
 
+def draw_arrivals(rng, site, clients, begins_at, ends_at):
+    """Yields pairs of the time of a request and its client.
+
+    Args:
+      rng: Random generator.
+      site: The shape.SiteShape.
+      clients: The clients of some zones, each with its shape.ZoneShape as ``zone``.
+      begins_at: Time before all requests, in seconds.
+      ends_at: Time before the last one.
+    """
+    phases = {zone.name: index / len(site.zones) for index, zone in enumerate(site.zones)}
+    zone_count = len({client.zone.name for client in clients})
+    most = 1.0 + site.wave.amplitude if site.wave else 1.0
+    at = begins_at
+    while at < ends_at:
+        at += rng.expovariate(most * site.rate_per_s * zone_count / len(site.zones))
+        client = rng.choice(clients)
+        if site.wave:
+            factor = site.wave.find_factor(phases[client.zone.name], at - begins_at)
+            if rng.random() * most >= factor:
+                continue
+        yield at, client
+
+
 def watch_standstills(standstills):
     """Adds pairs of begin and end of the times in which this process got no processor time."""
     while True:
--- a/bench/siterun/losses.py
+++ b/bench/siterun/losses.py
@@ -25,6 +25,22 @@
 PROMISES = (408, 421, 429, 503)
 
 
+class Excuse(enum.StrEnum):
+    """Why a request that ended without an upstream's answer is not lost."""
+
+    LEFT = "left by its client"
+    INCOMPLETE = "its last byte was not sent"
+    TIME_UP = "its time was up"
+    BROKEN_OFF = "broken off by all its upstreams"
+    WORKED_LATE = "at work in the last sixth of a stop"
+    HOST_ANSWERED = "answered by the host"
+    BEHIND = "cut unsent behind another request"
+    WITHIN_SLACK = "cut unsent within the slack"
+    CALM = "cut on a new connection or unsent, without planned work"
+    FEW_KEPT = "cut on a kept connection, as few others"
+    USUAL = "cut beside a configuration, as often as without"
+
+
 class Clause(enum.StrEnum):
     """A clause of the rule: the occasion, and what became of the request."""
 
@@ -55,20 +71,37 @@
     clause: Clause
     attempt: records.Attempt
     after_s: float | None
+    runs: tuple[records.Run, ...] = ()
 
     def describe(self):
         """Returns the loss as a line of text."""
         attempt = self.attempt
         held_s = attempt.ended_at - attempt.completed_at
         occasion = f" at +{self.after_s:.2f} s" if self.after_s is not None else ""
+        ends = ", ".join(run.end.value for run in self.runs) or "not sent"
+        half_closed = ", half-closed by its client" if attempt.is_half_closed else ""
         return (
             f"{attempt.request_id} ({attempt.kind}) at {attempt.host}: {self.clause}{occasion},"
-            f" {held_s:.2f} s after its last byte ({attempt.end.value}, {attempt.status})"
+            f" {held_s:.2f} s after its last byte ({attempt.end.value}, {attempt.status};"
+            f" upstreams: {ends}{half_closed})"
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judgement:
+    """What became of the requests without an upstream's answer: lost, or excused by a reason."""
+
+    losses: list[Loss]
+    excuses: collections.Counter[Excuse]
+
+
 def find_losses(observations, site):
-    """Returns the Loss items that break the rule.
+    """Returns the Loss items that break the rule; see ``judge``."""
+    return judge(observations, site).losses
+
+
+def judge(observations, site):
+    """Returns the Judgement of a run.
 
     Args:
       observations: The records.Observations.
@@ -79,22 +112,40 @@
         if run.end is not records.RunEnd.REFUSED:
             runs[run.request_id].append(run)
     losses, cuts = [], []
+    excuses = collections.Counter()
     for attempt in observations.attempts:
         attempt_runs = runs[attempt.request_id]
         losses += _judge_repeats(site, attempt, attempt_runs)
-        if _is_sound(attempt) or _is_excused(observations, site, attempt, attempt_runs):
+        if _is_answered_by_upstream(attempt):
+            continue
+        excuse = _find_excuse(observations, site, attempt, attempt_runs)
+        if excuse is not None:
+            excuses[excuse] += 1
             continue
         if attempt.end is records.End.ANSWERED:
-            losses += _judge_replaced(observations, site, attempt, attempt_runs)
+            found = list(_judge_replaced(observations, site, attempt, attempt_runs))
+            excuse = Excuse.HOST_ANSWERED
         else:
             cuts.append(attempt)
-            losses += _judge_cut(observations, site, attempt, attempt_runs)
+            found = list(_judge_cut(observations, site, attempt, attempt_runs))
+            excuse = _explain_cut(observations, site, attempt, attempt_runs)
+        losses += found
+        excuses[excuse] += not found
     kept = [loss for loss in losses if loss.clause is Clause.KEPT_CUT]
     if not lossrule.breaks_kept_clause(kept):
-        losses = [loss for loss in losses if loss.clause is not Clause.KEPT_CUT]
+        losses = _excuse_losses(losses, (Clause.KEPT_CUT,), Excuse.FEW_KEPT, excuses)
     if not _is_frequent_beside_configurations(observations, site, cuts):
-        losses = [loss for loss in losses if loss.clause not in _CONFIGURATION_CLAUSES]
-    return losses
+        losses = _excuse_losses(losses, _CONFIGURATION_CLAUSES, Excuse.USUAL, excuses)
+    return Judgement(losses, +excuses)
+
+
+def _excuse_losses(losses, clauses, excuse, excuses):
+    """Returns the losses of other clauses; counts the excuse of what is lost by no other one."""
+    others = [loss for loss in losses if loss.clause not in clauses]
+    lost = {loss.attempt.request_id for loss in others}
+    excused = {loss.attempt.request_id for loss in losses if loss.clause in clauses} - lost
+    excuses[excuse] += len(excused)
+    return others
 
 
 def _judge_repeats(site, attempt, runs):
@@ -103,26 +154,37 @@
         return
     begun = [run for run in runs if run.began_at < float("inf")]
     if attempt.status in PROMISES and not attempt.is_signed and begun:
-        yield Loss(Clause.REFUSED_RUN, attempt, None)
+        yield Loss(Clause.REFUSED_RUN, attempt, None, tuple(runs))
     if len(begun) > 1:
-        yield Loss(Clause.RUN_TWICE, attempt, None)
+        yield Loss(Clause.RUN_TWICE, attempt, None, tuple(runs))
 
 
-def _is_sound(attempt):
-    """Returns True if the client got an upstream's answer, or if no host ended it."""
-    if attempt.completed_at is None or attempt.end is records.End.CLIENT_LEFT:
-        return True
+def _is_answered_by_upstream(attempt):
     return attempt.end is records.End.ANSWERED and attempt.is_signed
 
 
-def _is_excused(observations, site, attempt, runs):
-    """Returns True if its time was up, the upstreams broke off, or one worked on late in a stop."""
+def _find_excuse(observations, site, attempt, runs):
+    """Returns the Excuse that holds whatever the host did, or None."""
+    if attempt.end is records.End.CLIENT_LEFT:
+        return Excuse.LEFT
+    if attempt.completed_at is None:
+        return Excuse.INCOMPLETE
     if attempt.ended_at >= attempt.sent_at + _find_time_s(observations, site, attempt):
-        return True
+        return Excuse.TIME_UP
     if runs and all(run.end is records.RunEnd.BROKEN_OFF for run in runs):
-        return True
+        return Excuse.BROKEN_OFF
     stop = _find_stop(observations, site, attempt)
-    return bool(stop) and _was_at_work_late(stop, site, attempt, runs)
+    if stop and _was_at_work_late(stop, site, attempt, runs):
+        return Excuse.WORKED_LATE
+    return None
+
+
+def _explain_cut(observations, site, attempt, runs):
+    """Returns the Excuse of a request that was cut and is not lost."""
+    occasion, _ = _find_occasion(observations, site, attempt)
+    if occasion is None or runs:
+        return Excuse.CALM
+    return Excuse.BEHIND if attempt.is_behind else Excuse.WITHIN_SLACK
 
 
 def _judge_replaced(observations, site, attempt, runs):
@@ -132,19 +194,20 @@
         run.end is records.RunEnd.HOST_LEFT or run.ended_at > attempt.ended_at for run in runs
     )
     if stop and is_at_work:
-        yield Loss(Clause.STOP_REPLACED, attempt, attempt.ended_at - stop.requested_at)
+        after_s = attempt.ended_at - stop.requested_at
+        yield Loss(Clause.STOP_REPLACED, attempt, after_s, tuple(runs))
 
 
 def _judge_cut(observations, site, attempt, runs):
     """Yields the Loss items of a request whose connection the host has ended."""
     if runs and attempt.is_kept:
-        yield Loss(Clause.KEPT_CUT, attempt, None)
+        yield Loss(Clause.KEPT_CUT, attempt, None, tuple(runs))
     occasion, after_s = _find_occasion(observations, site, attempt)
     if occasion is None:
         return
     cut, unsent = _CUT_CLAUSES[occasion]
     if runs:
-        yield Loss(cut, attempt, after_s)
+        yield Loss(cut, attempt, after_s, tuple(runs))
     elif not attempt.is_behind and _find_held_s(attempt) > LOSS_SLACK_S:
         yield Loss(unsent, attempt, after_s)
 
--- a/bench/siterun/records.py
+++ b/bench/siterun/records.py
@@ -38,6 +38,7 @@
       is_signed: Whether the answer bears the signature of an upstream.
       standstill_s: Part of the time from its last byte to its end in which the client's own process
         stood still, in seconds.
+      is_half_closed: Whether the client has ended its sending side behind it.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     status: int | None = None
     is_signed: bool = False
     standstill_s: float = 0.0
+    is_half_closed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -61,9 +61,10 @@
       share: Share of the site's clients and requests.
       busy_count: Number of busy processes on the processors of the hosts.
       checkout: Folder of the checkout whose host program is played.
+      played: The conditions.Condition items that are played.
     """
 
-    def __init__(self, seed, folder, share=1.0, busy_count=0, checkout=hosts.ROOT):
+    def __init__(self, seed, folder, share=1.0, busy_count=0, checkout=hosts.ROOT, played=()):
         self.site = shape.thin_out(shape.THREE_REGIONS, share)
         self.observations = records.Observations()
         self._seed = seed
@@ -76,6 +77,7 @@
         )
         self._version = 0
         self._busy_count = busy_count
+        self._conditions = frozenset(played)
         self._host_processors = set()
         self._processes = []
         self._active = set()
@@ -163,6 +165,7 @@
                 begins_at=begins_at,
                 ends_at=ends_at,
                 path=str(self._folder / f"attempts-{index}.msgpack"),
+                conditions=sorted(self._conditions),
             )
             orders.append((order, self._start_clients(index, order)))
         eventlet.sleep(begins_at + WARM_UP_S - time.monotonic())
--- a/bench/siterun/shape.py
+++ b/bench/siterun/shape.py
@@ -83,12 +83,35 @@
         return f"/{self.name}/"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wave:
+    """A wave of the rate of requests, in which each zone has its own phase.
+
+    Attributes:
+      amplitude: Largest deviation from the mean rate, as a share of it.
+      period_s: Length of a wave in seconds.
+    """
+
+    amplitude: float
+    period_s: float
+
+    def find_factor(self, phase, at_s):
+        """Returns the rate as a share of the mean rate.
+
+        Args:
+          phase: Phase of the zone as a share of a wave.
+          at_s: Time since the first requests in seconds.
+        """
+        return 1.0 + self.amplitude * math.sin(2.0 * math.pi * (at_s / self.period_s + phase))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SiteShape:
     """A site; ``settings`` are the lines of the host's settings that differ from the usual ones.
 
     Attributes:
       rate_per_s: Requests of all clients in a second.
+      wave: The Wave, or None if the clients send at a steady rate.
       client_delay_s: Delay from a client to a host, and back.
       region_delay_s: Delay from a host to the store of another region, and back.
     """
@@ -102,6 +125,7 @@
     grace_s: float
     apply_s: float
     settings: tuple[str, ...]
+    wave: Wave | None = None
 
     @property
     def regions(self):
@@ -210,6 +234,16 @@
 )
 
 
+# Requests of all clients in a second on the site's sheet, and their waves.
+SHEET_RATE_PER_S = 548.0
+SHEET_WAVE = Wave(0.55, 36.0)
+
+
+def raise_waves(shape):
+    """Returns a shape whose clients send the requests of the site's sheet, in waves."""
+    return dataclasses.replace(shape, rate_per_s=SHEET_RATE_PER_S, wave=SHEET_WAVE)
+
+
 def thin_out(shape, share):
     """Returns a shape with a share of the clients and requests, for machines with little room."""
     zones = tuple(
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -57,6 +57,53 @@
       | 1     | are cut at an upstream                    | 1.8  | 2.0   | a configuration |
       | 1     | are cut at an upstream                    | 0.1  | 3.0   | a reload        |
 
+  Scenario Outline: A request that is excused is counted by its reason
+    Given a run of the site with 40 answered requests
+    When <count> requests <fate> after <held> s, <after> s after <work>
+    Then <count> requests are excused as "<excuse>" and no others
+
+    Examples:
+      | count | fate                                     | held | after | work            | excuse        |
+      | 2     | are left by their client                 | 0.3  | 0.5   | a stop          | LEFT          |
+      | 1     | are cut unsent before their last byte    | 0.3  | 0.5   | a stop          | INCOMPLETE    |
+      | 1     | are cut at an upstream                   | 2.6  | 2.7   | a stop          | TIME_UP       |
+      | 1     | are broken off by an upstream            | 0.1  | 0.5   | a stop          | BROKEN_OFF    |
+      | 1     | are cut in the last sixth at an upstream | 2.3  | 5.1   | a stop          | WORKED_LATE   |
+      | 1     | get a 504 of the host                    | 0.3  | 0.5   | a reload        | HOST_ANSWERED |
+      | 1     | are cut unsent behind others             | 0.3  | 0.5   | a stop          | BEHIND        |
+      | 1     | are cut unsent                           | 0.1  | 0.5   | a stop          | WITHIN_SLACK  |
+      | 2     | are cut unsent                           | 0.3  | 0.5   | nothing         | CALM          |
+      | 4     | are cut at an upstream                   | 0.1  | 0.5   | nothing         | CALM          |
+      | 3     | are cut at an upstream as kept           | 0.1  | 0.5   | nothing         | FEW_KEPT      |
+
+  Scenario: What is excused by one clause and lost by another counts as lost
+    Given a run of the site with 40 answered requests
+    When 1 requests are cut at an upstream as kept after 0.1 s, 0.5 s after a stop
+    Then 1 requests are lost as "STOP_CUT"
+    And 0 requests are excused as "FEW_KEPT" and no others
+
+  Scenario: Cuts beside a configuration that are as frequent without one are counted as usual
+    Given a run of the site with 40 answered requests
+    When 1 requests are cut at an upstream after 0.1 s, 2.0 s after a configuration
+    And 20 requests are cut unsent after 0.1 s, 6 s after nothing
+    Then 1 requests are excused as "USUAL", and 20 as "CALM"
+
+  Scenario: Requests come in waves in which each zone has its own phase
+    When the requests of the site's sheet are drawn for 72 s
+    Then 500 to 600 of them come in a second on average
+    And each zone has 2 to 5 times as many around its crest as around its trough
+    And the crests of the zones differ
+
+  # Guards against a rig that takes an orderly end for a reset, and drops what its client has not read.
+  Scenario Outline: A client that has ended its sending side sees how its connection ends
+    When a host sends 5 bytes and <ends> after the client has ended its sending side
+    Then the client reads <what>
+
+    Examples:
+      | ends                  | what        |
+      | ends the connection   | the 5 bytes |
+      | resets the connection | a reset     |
+
   Scenario Outline: A client that stood still saw the end of its connection late
     Given a run of the site with 40 answered requests
     When 1 requests are cut unsent after 0.5 s, 0.6 s after a stop
@@ -91,6 +138,11 @@
     And 20 requests are cut at an upstream as kept after 0.1 s, 6 s after nothing
     Then 20 requests are lost as "KEPT_CUT"
 
+  Scenario: Requests of clients that end their sending side were lost in a run of the real programs
+    When the site plays seed 5301 with a fifth of its clients for 5 s with half-close
+    Then it served requests beside planned work and lost none
+    And clients have ended their sending side behind 5 requests or more
+
   Scenario: A short run of the real programs loses no request
     When the site plays seed 3 with a fifth of its clients for 5 s
     Then it served requests beside planned work and lost none
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -1,12 +1,19 @@
 """Steps of siterun.feature."""
 
+import collections
 import pathlib
+import random
+import struct
 import tempfile
+from unittest import mock
 
+import eventlet
 from behave import given, then, when
+from eventlet.green import socket
 
 from bench.siterun import __main__ as siterun
 from bench.siterun import clients, losses, records, rig, schedule, shape
+from bench.soak import channels
 
 SITE = shape.THREE_REGIONS
 HOST = "127.1.20.10"
@@ -14,6 +21,8 @@
 # Planned work begins at this time; requests of the calm run are sent long before and after it.
 WORK_AT = 100.0
 CALM_TIMES = (50.0, 150.0)
+SHEET_PERIOD_S = shape.SHEET_WAVE.period_s
+WAVE_PARTS = 12
 
 
 @then("the planned work of seeds 1 to {last:d} is the same twice, and differs from each other")
@@ -221,11 +230,94 @@
     assert losses.find_losses(context.observations, SITE) == []
 
 
+@then('{count:d} requests are excused as "{excuse}" and no others')
+def step_excused(context, count, excuse):
+    excuses = losses.judge(context.observations, SITE).excuses
+    expected = {losses.Excuse[excuse]: count} if count else {}
+    assert excuses == expected, excuses
+
+
+@then('{count:d} requests are excused as "{excuse}", and {others:d} as "{other}"')
+def step_excused_twice(context, count, excuse, others, other):
+    excuses = losses.judge(context.observations, SITE).excuses
+    assert excuses == {losses.Excuse[excuse]: count, losses.Excuse[other]: others}, excuses
+
+
+@when("the requests of the site's sheet are drawn for {seconds:g} s")
+def step_draw(context, seconds):
+    site = shape.raise_waves(SITE)
+    drawn_clients = [
+        mock.Mock(zone=zone, spec=["zone"]) for zone in site.zones for _ in range(zone.clients)
+    ]
+    rng = random.Random(1)
+    context.seconds = seconds
+    context.arrivals = list(clients.draw_arrivals(rng, site, drawn_clients, 0.0, seconds))
+
+
+@then("{least:d} to {most:d} of them come in a second on average")
+def step_rate(context, least, most):
+    assert least <= len(context.arrivals) / context.seconds <= most, len(context.arrivals)
+
+
+@then("each zone has {least:g} to {most:g} times as many around its crest as around its trough")
+def step_crests(context, least, most):
+    context.crests = []
+    for zone in SITE.zones:
+        parts = collections.Counter(
+            int(at % SHEET_PERIOD_S / SHEET_PERIOD_S * WAVE_PARTS)
+            for at, client in context.arrivals
+            if client.zone.name == zone.name
+        )
+        (crest, highest), *_, (_, lowest) = parts.most_common()
+        context.crests.append(crest)
+        assert least <= highest / lowest <= most, (zone.name, parts)
+
+
+@then("the crests of the zones differ")
+def step_crests_differ(context):
+    assert len(set(context.crests)) >= len(context.crests) - 1, context.crests
+
+
+@when("a host sends 5 bytes and {ends} after the client has ended its sending side")
+def step_end_half_closed(context, ends):
+    listener = socket.socket()
+    context.add_cleanup(listener.close)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    client = socket.create_connection(listener.getsockname())
+    context.add_cleanup(client.close)
+    context.receiver = channels.Receiver(client, False)
+    context.receiver.end_sending()
+    host, _ = listener.accept()
+    assert host.recv(1) == b""
+    host.sendall(b"bytes")
+    if ends == "resets the connection":
+        host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    host.close()
+    eventlet.sleep(0.05)
+
+
+@then("the client reads the 5 bytes")
+def step_read_end(context):
+    assert [context.receiver.recv(9), context.receiver.recv(9)] == [b"bytes", b""]
+
+
+@then("the client reads a reset")
+def step_read_reset(context):
+    try:
+        data = context.receiver.recv(9)
+    except ConnectionResetError:
+        return
+    raise AssertionError(f"read {data!r}")
+
+
 @when("the site plays seed {seed:d} with a fifth of its clients for {length:g} s")
-def step_play(context, seed, length):
+@when("the site plays seed {seed:d} with a fifth of its clients for {length:g} s with {names}")
+def step_play(context, seed, length, names=""):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
-    played = siterun.parse_options(["--length", str(length), "--share", "0.2"])
+    arguments = ["--length", str(length), "--share", "0.2", "--with", names]
+    played = siterun.parse_options(arguments)
     context.result = siterun.run_in_process(seed, pathlib.Path(folder.name), played)
 
 
@@ -235,3 +327,8 @@
     assert result is not None
     assert result["ends"]["200"] > 200 and result["stops"] and result["versions"] > 1, result
     assert result["losses"] == [], result
+
+
+@then("clients have ended their sending side behind {count:d} requests or more")
+def step_half_closed(context, count):
+    assert context.result["half_closed"] >= count, context.result
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -203,20 +203,28 @@
         self._data = b""
 
     def read(self):
-        """Returns status, dict of headers and body of the next answer.
+        """Returns status, dict of headers and body of the next final answer.
 
         Raises:
           EOFError: If the connection ends before the answer is complete.
         """
-        while b"\r\n\r\n" not in self._data:
-            self._receive()
-        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        status, head = self._read_head()
+        while 100 <= status < 200:
+            # An interim response has no body, and clients that expect none discard it.
+            status, head = self._read_head()
         headers = parse_fields(head)
         size = int(headers["content-length"])
         while len(self._data) < size:
             self._receive()
         body, self._data = self._data[:size], self._data[size:]
-        return int(head.split()[1]), headers, body
+        return status, headers, body
+
+    def _read_head(self):
+        """Returns the status of the next answer and its head."""
+        while b"\r\n\r\n" not in self._data:
+            self._receive()
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        return int(head.split()[1]), head
 
     def is_at_end(self):
         """Waits for more bytes; returns True if the host closes the connection without any."""
