client.closed says which side ended a connection, and which requests had no answer

The line had the cause and how many requests were unanswered, so a request that a client missed could not be found in the host's log, and a client that had ended its sending side looked like any other that left. It now has ended_by, half_closed_ms and the ids of up to four requests.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -6,11 +6,21 @@
     Given a client server that answers with as many bytes as its target says, after 1.0 s
     When a client sends a request and <what> before the answer
     Then the server logs that a connection ended by <cause> with 1 unanswered request
+    And the line says that the client ended it, with <half-closed> time after the end of its stream
+    And the line names the request
 
     Examples:
-      | what                  | cause       |
-      | closes its connection | client_left |
-      | resets its connection | reset       |
+      | what                  | cause       | half-closed |
+      | closes its connection | client_left | a           |
+      | resets its connection | reset       | no          |
+
+  Scenario: A connection that the process ends with an unanswered request is logged as ended by the host
+    Given a client server that answers with as many bytes as its target says, after 1.0 s
+    When a client sends a request for 10 bytes
+    And the process ends
+    Then the server logs that a connection ended by stop_deadline with 1 unanswered request
+    And the line says that the host ended it, with no time after the end of its stream
+    And the line names the request
 
   # Guards against a stop that takes a connection on which the last answer is still under way for an
   # idle one: 32,768 of 100,163 bytes arrived.
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -88,7 +88,8 @@
 def format_request(size, seconds=None):
     """Formats a request for an answer of ``size`` bytes after some seconds."""
     query = "" if seconds is None else f"?{seconds}"
-    return f"GET /bytes/{size}{query} HTTP/1.1\r\nHost: shop.example\r\n\r\n".encode()
+    fields = f"Host: shop.example\r\n{platformdata.REQUEST_ID_FIELD}: bytes-{size}\r\n"
+    return f"GET /bytes/{size}{query} HTTP/1.1\r\n{fields}\r\n".encode()
 
 
 def connect(context, buffer_bytes=None, segment_bytes=None):
@@ -131,6 +132,19 @@
     assert context.server.counters.get("connections_ended", cause) == 1
 
 
+@then("the line says that the {side} ended it, with {amount} time after the end of its stream")
+def step_logged_side(context, side, amount):
+    (line,) = context.server.list_lines("client.closed")
+    assert line["ended_by"] == side, line
+    assert (line["half_closed_ms"] is None) == (amount == "no"), line
+
+
+@then("the line names the request")
+def step_logged_request(context):
+    (line,) = context.server.list_lines("client.closed")
+    assert line["requests"] == ["bytes-10"], line
+
+
 @given("clients may be idle for {seconds:g} s")
 def step_idle_timeout(context, seconds):
     context.server.limits = records.ClientLimits(idle_timeout_s=seconds)
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -49,8 +49,10 @@
 MAX_HANDED_OVER_BYTES = 212_992
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
-# Bytes of a host name or a target in the log.
+# Bytes of a host name, a target or an id of a request in the log.
 MAX_LOGGED_NAME = 100
+# Requests without an answer whose ids are logged.
+MAX_LOGGED_REQUESTS = 4
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
 
@@ -72,6 +74,11 @@
     STOP_DEADLINE = "stop_deadline"
     ERROR = "error"
 
+    @property
+    def is_by_client(self):
+        """Whether the client ended the connection, as far as the host can tell."""
+        return self in (Cause.CLIENT_LEFT, Cause.RESET, Cause.WRITE_FAILED)
+
 
 class _State(enum.Enum):
     """What a connection still does. States follow each other in this order; some are left out.
@@ -99,6 +106,7 @@
 class _PendingRequest:
     """A request whose answer has not been sent yet; ``data`` is the formatted answer."""
 
+    request_id: bytes | None
     method: bytes
     cancellation: cancellation.Cancellation
     data: bytes | None = None
@@ -131,6 +139,9 @@
         self._unsent_bytes = math.inf
         self._cause = None
         self._dropped = 0
+        self._dropped_ids = []
+        # When the end of the client's stream was read, or None.
+        self._half_closed_at = None
         self._unparsed_bytes = 0
         self._begin_message()
         self._parser = httptools.HttpRequestParser(self)
@@ -216,13 +227,22 @@
             self._server.log.write(
                 "client.closed",
                 cause=self._cause.value,
+                ended_by="client" if self._cause.is_by_client else "host",
+                half_closed_ms=self._find_half_closed_ms(),
                 unanswered=self._dropped,
+                requests=self._dropped_ids,
                 unparsed_bytes=self._unparsed_bytes,
                 is_reading=self._started_at is not None,
                 unsent_bytes=unsent_bytes,
                 is_leaving=self._server.is_leaving,
             )
 
+    def _find_half_closed_ms(self):
+        """Returns the milliseconds since the end of the client's stream; None if it is open."""
+        if self._half_closed_at is None:
+            return None
+        return int(1000 * (time.monotonic() - self._half_closed_at))
+
     def _set_cause(self, cause):
         """Notes why the connection ends; the first cause counts."""
         self._cause = self._cause or cause
@@ -413,7 +433,7 @@
         )
         if request is None:
             raise _BadRequestError(400, "no site")
-        item = _PendingRequest(method, cancellation.Cancellation())
+        item = _PendingRequest(request.request_id, method, cancellation.Cancellation())
         self.pending.append(item)
         self._begin_message()
         if not is_persistent:
@@ -516,7 +536,7 @@
             target=self._target[:MAX_LOGGED_NAME].decode("latin-1"),
         )
         self._take_no_more()
-        item = _PendingRequest(b"GET", cancellation.Cancellation())
+        item = _PendingRequest(None, b"GET", cancellation.Cancellation())
         headers = _REFUSAL_HEADERS if status == 503 else ()
         data = answers.format_answer(answers.make_answer(status, b"", headers), b"GET")
         self._set_answer(item, data)
@@ -585,6 +605,7 @@
     def _finish_half_closed(self):
         """Delivers what is ready, or is so soon, after the end of the client's stream."""
         is_answered = self._state is _State.LINGERING
+        self._half_closed_at = time.monotonic()
         self._take_no_more()
         drops_at = time.monotonic() + HALF_CLOSED_S
         while self._state is _State.ANSWERING and self.pending:
@@ -604,6 +625,9 @@
     def _drop(self, items):
         self._dropped += len(items)
         for item in items:
+            if item.request_id is not None and len(self._dropped_ids) < MAX_LOGGED_REQUESTS:
+                request_id = item.request_id[:MAX_LOGGED_NAME].decode("latin-1")
+                self._dropped_ids.append(request_id)
             self._release_answer(item)
             if item.data is None:
                 item.cancellation.cancel()
--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -47,7 +47,7 @@
         self._exceptions = {}
 
     def write(self, event, **fields):
-        """Logs an event; fields are strings, numbers, booleans or None."""
+        """Logs an event; fields are strings, numbers, booleans, None or lists of them."""
         if not self._take_token() or len(self._buffer) > MAX_BUFFER_BYTES:
             self._dropped += 1
             return
