--- a/bench/siterun/__main__.py
+++ b/bench/siterun/__main__.py
@@ -10,7 +10,7 @@
 import tempfile
 
 import skylarksill  # noqa: F401  silences eventlet's notice
-from bench.siterun import conditions, losses, records, rig, schedule
+from bench.siterun import conditions, hostlogs, losses, records, rig, schedule
 from bench.soak import hosts
 
 LENGTH_S = 30.0
@@ -51,6 +51,7 @@
     (folder / "observations.pickle").write_bytes(pickle.dumps(observations))
     judgement = losses.judge(observations, site_rig.site)
     found = judgement.losses
+    ends_at_hosts = hostlogs.read_ends(folder.glob("host-*.log"))
     clauses = collections.Counter(loss.clause.value for loss in found)
     ends = collections.Counter(
         str(attempt.status) if attempt.end is records.End.ANSWERED else attempt.end.value
@@ -70,11 +71,17 @@
         "lost": len({loss.attempt.request_id for loss in found}),
         "clauses": dict(clauses),
         "excuses": {excuse.value: count for excuse, count in judgement.excuses.most_common()},
-        "losses": [loss.describe() for loss in found],
+        "losses": [f"{loss.describe()}{_find_end(loss, ends_at_hosts)}" for loss in found],
         "folder": str(folder),
     }
 
 
+def _find_end(loss, ends_at_hosts):
+    """Returns what the host has logged about the end of a lost request's connection."""
+    text = ends_at_hosts.get(loss.attempt.request_id)
+    return f"; host: {text}" if text else ""
+
+
 def run_in_process(seed, folder, options):
     """Plays one seed in a process of its own; returns the dict of ``run_seed`` or None."""
     command = [sys.executable, "-m", "bench.siterun", "--seed", str(seed), "--json"]
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -88,6 +88,10 @@
     And 20 requests are cut unsent after 0.1 s, 6 s after nothing
     Then 1 requests are excused as "USUAL", and 20 as "CALM"
 
+  Scenario: The result of a run says how a host saw the end of a lost request's connection
+    Given a log of a host with a connection that ended by reset with request r1 on it
+    Then the end of r1 is told as "reset, half-closed for None ms, 0 bytes unsent" and that of r2 is not
+
   Scenario: Requests come in waves in which each zone has its own phase
     When the requests of the site's sheet are drawn for 72 s
     Then 500 to 600 of them come in a second on average
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -1,6 +1,7 @@
 """Steps of siterun.feature."""
 
 import collections
+import json
 import pathlib
 import random
 import struct
@@ -12,7 +13,7 @@
 from eventlet.green import socket
 
 from bench.siterun import __main__ as siterun
-from bench.siterun import clients, losses, records, rig, schedule, shape
+from bench.siterun import clients, hostlogs, losses, records, rig, schedule, shape
 from bench.soak import channels
 
 SITE = shape.THREE_REGIONS
@@ -243,6 +244,28 @@
     assert excuses == {losses.Excuse[excuse]: count, losses.Excuse[other]: others}, excuses
 
 
+@given("a log of a host with a connection that ended by {cause} with request {request_id} on it")
+def step_host_log(context, cause, request_id):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.log_path = pathlib.Path(folder.name) / "host-0.log"
+    line = {
+        "event": "client.closed",
+        "cause": cause,
+        "half_closed_ms": None,
+        "unsent_bytes": 0,
+        "requests": [request_id],
+    }
+    broken_off = '{"event":"client.closed","cause":'
+    context.log_path.write_text(f'{json.dumps(line)}\n{{"event":"host.stop"}}\n{broken_off}')
+
+
+@then('the end of {first} is told as "{text}" and that of {second} is not')
+def step_host_ends(context, first, text, second):
+    ends = hostlogs.read_ends([context.log_path])
+    assert (ends.get(first), ends.get(second)) == (text, None), ends
+
+
 @when("the requests of the site's sheet are drawn for {seconds:g} s")
 def step_draw(context, seconds):
     site = shape.raise_waves(SITE)
