Ask a client that has ended its sending side whether it still reads

Callers saw: a request on a kept connection, already at an upstream, ended with the connection 0.15 to 0.21 s after the client had ended its sending side (FIN) and read on.

Cause: a FIN doesn't tell a close from a half-close, and the host took it for the end of the client. Class of fault: a guess by time where the other side can be asked.

The host now sends an interim response (100 Continue, which a client that expects none discards; RFC 9110, 15.2.1) 0.15 s after the FIN and then again after longer pauses, at most five times. A client that acknowledges gets its answers; one that acknowledges nothing for 0.25 s, and one of HTTP/1.0, which may not be sent interim responses, loses what is not ready, as before. The decisions are a module without input or output.

Tests: the scenario that asserted the drop after 0.15 s is replaced by one that demands all three answers, and stands as before for HTTP/1.0; cancelling within 0.4 s of a close stands. The client server of host_endings moved to features/client_builders.py.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -303,14 +303,6 @@
       | 0.1  | 100000  | 0.0   |
       | 0.0  | 6000000 | 0.3   |
 
-  Scenario: Only what is not ready soon is dropped after the end of a client's sending side
-    Given a client server that answers with as many bytes as its target says, after 0.0 s
-    When a client sends requests that take 0.1, 1.0 and 0.1 s and ends its sending side
-    Then the client reads an answer of 10 bytes
-    And the connection ends without another answer
-    And the server logs that a connection ended by client_left with 2 unanswered requests
-    And the server holds no bytes of answers
-
   # Guards against GONE: upstreams work on for a client that has closed its connection.
   Scenario: The requests of a client that has closed its connection are cancelled within 0.4 s
     Given a client server that answers with as many bytes as its target says, after 5.0 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -1,6 +1,5 @@
 """Steps of host_endings.feature."""
 
-import json
 import os
 import resource
 import struct
@@ -12,110 +11,33 @@
 from eventlet import patcher
 from eventlet.green import select, socket
 
-from features import host_builders, host_world
+from features import client_builders, host_builders, host_world
 from skylarksill.host import (
     _clientconnection,
     _fairreads,
     answers,
     clientserver,
-    counters,
-    eventlog,
     records,
 )
 from standins import platformdata
 
 _, wire, _ = host_builders.import_platform()
-# Bytes that a slow client reads at once.
-READ_BYTES = 65_536
 # Segments of a network; those of loopback are so large that the kernel buffers whole answers.
 SEGMENT_BYTES = 1400
 # Resets the connection when it is closed.
 RESETTING = struct.pack("ii", 1, 0)
 
 
-class Server:
-    """A ClientServer whose handler answers with as many bytes as the target says.
-
-    Args:
-      work_s: Seconds that each request takes whose target states no other time.
-    """
-
-    def __init__(self, work_s):
-        self.work_s = work_s
-        self.handled = []
-        self.unused = []
-        self.cancellations = []
-        self.counters = counters.Counters()
-        self.limits = records.ClientLimits()
-        self._log_bytes = bytearray()
-        self._log = eventlog.EventLog("test", self._write_log)
-        self.server = clientserver.ClientServer(
-            ("127.0.0.1", 0),
-            self._handle,
-            lambda: self.limits,
-            wire.HEADER_NAMES,
-            self._log,
-            counts=self.counters,
-            release_descriptors=self._release,
-        )
-        self.server.start()
-
-    def _release(self):
-        """Closes an unused descriptor, as a host closes an idle connection to an upstream."""
-        if not self.unused:
-            return False
-        os.close(self.unused.pop())
-        return True
-
-    def list_lines(self, event):
-        """Returns the log lines of an event."""
-        self._log.flush()
-        lines = map(json.loads, self._log_bytes.splitlines())
-        return [line for line in lines if line["event"] == event]
-
-    def _handle(self, request, cancellation):
-        self.handled.append(request)
-        self.cancellations.append(cancellation)
-        size, _, seconds = request.target.rpartition(b"/")[2].partition(b"?")
-        eventlet.sleep(float(seconds or self.work_s))
-        return answers.make_answer(200, b"x" * int(size))
-
-    def _write_log(self, data):
-        self._log_bytes += data
-        return len(data)
-
-
-def format_request(size, seconds=None):
-    """Formats a request for an answer of ``size`` bytes after some seconds."""
-    query = "" if seconds is None else f"?{seconds}"
-    fields = f"Host: shop.example\r\n{platformdata.REQUEST_ID_FIELD}: bytes-{size}\r\n"
-    return f"GET /bytes/{size}{query} HTTP/1.1\r\n{fields}\r\n".encode()
-
-
-def connect(context, buffer_bytes=None, segment_bytes=None):
-    """Returns a client's socket, with a receive buffer and segments of some bytes."""
-    client = socket.socket()
-    if segment_bytes:
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
-    if buffer_bytes:
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-    client.settimeout(host_world.ANSWER_TIMEOUT_S)
-    client.connect(context.server.server.address)
-    # The bound method would not keep the green socket, which closes as it is collected.
-    context.add_cleanup(lambda: client.close())
-    return client
-
-
 @given("a client server that answers with as many bytes as its target says, after {seconds:g} s")
 def step_server(context, seconds):
-    context.server = Server(seconds)
+    context.server = client_builders.Server(seconds)
     context.add_cleanup(context.server.server.stop_listening)
 
 
 @when("a client sends a request and {what} its connection before the answer")
 def step_leave(context, what):
-    client = connect(context)
-    client.sendall(format_request(10))
+    client = client_builders.connect(context)
+    client.sendall(client_builders.format_request(10))
     eventlet.sleep(0.1)
     if what == "resets":
         client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
@@ -153,21 +75,21 @@
 @when("a slow client sends a request for {size:d} bytes")
 def step_slow_client(context, size):
     context.size = size
-    context.client = connect(context, buffer_bytes=4096)
-    context.client.sendall(format_request(size))
+    context.client = client_builders.connect(context, buffer_bytes=4096)
+    context.client.sendall(client_builders.format_request(size))
     eventlet.sleep(0.1)
 
 
 @when("a client sends a request for {size:d} bytes and reads the answer")
 def step_first_request(context, size):
-    context.client = connect(context)
-    context.client.sendall(format_request(size))
+    context.client = client_builders.connect(context)
+    context.client.sendall(client_builders.format_request(size))
     _read_answer(context, size)
 
 
 @when("a client sends a request with a body in chunks of one byte and reads the answer")
 def step_small_chunks(context):
-    context.client = connect(context)
+    context.client = client_builders.connect(context)
     head = b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
     context.client.sendall(head + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
     _read_answer(context, 10)
@@ -177,14 +99,14 @@
 def step_send_and_close(context):
     eventlet.sleep(_clientconnection.MIN_IDLE_S)
     # Neither call lets the server's green threads run.
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     context.server.server.close_idle()
 
 
 @when("it sends another one and the server closes idle connections {seconds:g} s later")
 def step_send_and_close_later(context, seconds):
     eventlet.sleep(_clientconnection.MIN_IDLE_S)
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     eventlet.sleep(seconds)
     context.server.server.close_idle()
 
@@ -198,7 +120,7 @@
 @when("{seconds:g} s later it sends another one")
 def step_send_later(context, seconds):
     eventlet.sleep(seconds)
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
 
 
 @when("the server begins to stop")
@@ -222,7 +144,7 @@
 def step_send_on(context, seconds):
     context.client.recv(1, socket.MSG_PEEK)
     eventlet.sleep(seconds)
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     eventlet.sleep(0.1)
 
 
@@ -231,7 +153,7 @@
     context.client.recv(1, socket.MSG_PEEK)
     eventlet.sleep(seconds)
     # Neither call lets the server's green threads run.
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     context.server.server.end()
 
 
@@ -241,33 +163,37 @@
 )
 def step_slow_clients(context, count, seconds, size):
     for _ in range(count):
-        connect(context, 4096).sendall(format_request(10, seconds) + format_request(size, 0))
+        client_builders.connect(context, 4096).sendall(
+            client_builders.format_request(10, seconds) + client_builders.format_request(size, 0)
+        )
 
 
 @when("another client sends a request that takes {seconds:g} s")
 def step_other_client(context, seconds):
-    context.client = connect(context)
-    context.client.sendall(format_request(10, seconds))
+    context.client = client_builders.connect(context)
+    context.client.sendall(client_builders.format_request(10, seconds))
     eventlet.sleep(0.2)
 
 
 @when("a client sends all but the last byte of a request")
 def step_part(context):
-    context.client = connect(context)
-    context.client.sendall(format_request(10)[:-1])
+    context.client = client_builders.connect(context)
+    context.client.sendall(client_builders.format_request(10)[:-1])
     eventlet.sleep(0.1)
 
 
 @when("the client sends the last byte")
 def step_last_byte(context):
     eventlet.sleep(0.1)
-    context.client.sendall(format_request(10)[-1:])
+    context.client.sendall(client_builders.format_request(10)[-1:])
 
 
 @when("a client sends a request that takes {first:g} s and behind it one that takes {second:g} s")
 def step_pipelined(context, first, second):
-    context.client = connect(context)
-    context.client.sendall(format_request(10, first) + format_request(10, second))
+    context.client = client_builders.connect(context)
+    context.client.sendall(
+        client_builders.format_request(10, first) + client_builders.format_request(10, second)
+    )
     eventlet.sleep(0.1)
 
 
@@ -284,7 +210,7 @@
 def step_stop_listening(context):
     # Neither call lets the server's green threads run.
     plain = patcher.original("socket").create_connection(context.server.server.address)
-    plain.sendall(format_request(10))
+    plain.sendall(client_builders.format_request(10))
     context.server.server.begin_shutdown()
     context.server.server.stop_listening()
     context.client = socket.socket(plain)
@@ -306,7 +232,7 @@
     for _ in range(count):
         plain = patcher.original("socket").create_connection(context.server.server.address)
         context.add_cleanup(plain.close)
-        plain.sendall(format_request(10))
+        plain.sendall(client_builders.format_request(10))
         context.plain_clients.append(plain)
 
 
@@ -371,9 +297,9 @@
 
 @when("a client connects and sends its first request {seconds:g} s later")
 def step_first_later(context, seconds):
-    context.client = connect(context)
+    context.client = client_builders.connect(context)
     eventlet.sleep(seconds)
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
 
 
 @when("{seconds:g} s later the process is paused for {pause:g} s as another request arrives")
@@ -383,15 +309,20 @@
     # After a green thread that was woken by bytes, the hub runs timers before it looks for bytes.
     first.recv(1)
     # Neither call lets the server's green threads run.
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     patcher.original("time").sleep(pause)
 
 
 @when("a client sends a request that asks to close, and {what} behind it")
 def step_behind_close(context, what):
-    context.client = connect(context)
-    behind = {"another request": format_request(10), "bytes that are no request": b"x" * 100}
-    closing = format_request(10, 0.1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    context.client = client_builders.connect(context)
+    behind = {
+        "another request": client_builders.format_request(10),
+        "bytes that are no request": b"x" * 100,
+    }
+    closing = client_builders.format_request(10, 0.1).replace(
+        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+    )
     context.client.sendall(closing + behind[what])
 
 
@@ -417,19 +348,19 @@
 
 
 PARTS = {
-    "a part of a head": format_request(10)[:20],
+    "a part of a head": client_builders.format_request(10)[:20],
     "a request without the rest of its body": (
         b"POST /bytes/10 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\n\r\nhe"
     ),
     "a request for 10 bytes and a part of one behind it": (
-        format_request(10) + format_request(10)[:20]
+        client_builders.format_request(10) + client_builders.format_request(10)[:20]
     ),
 }
 
 
 @when("a client has sent {what} and no more")
 def step_send_part(context, what):
-    context.client = connect(context)
+    context.client = client_builders.connect(context)
     context.client.sendall(PARTS[what])
     eventlet.sleep(0.1)
 
@@ -486,7 +417,7 @@
     received = pauses = 0
     # The head of the answer comes on top.
     while received < size:
-        data = context.client.recv(READ_BYTES)
+        data = context.client.recv(client_builders.READ_BYTES)
         assert data, f"the connection ended after {received} bytes"
         received += len(data)
         if received // part > pauses:
@@ -527,8 +458,8 @@
 @when("a client sends a request for {size:d} bytes")
 def step_client(context, size):
     context.size = size
-    context.client = connect(context)
-    context.client.sendall(format_request(size))
+    context.client = client_builders.connect(context)
+    context.client.sendall(client_builders.format_request(size))
     eventlet.sleep(0.1)
 
 
@@ -538,7 +469,7 @@
     eventlet.sleep(seconds)
     context.client.sendall(BYTES_BEHIND[what])
     eventlet.sleep(0.1)
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     eventlet.sleep(0.1)
 
 
@@ -555,7 +486,7 @@
     while len(context.received) < context.size and (data := context.client.recv(size)):
         context.received += data
         eventlet.sleep(seconds)
-        context.client.sendall(format_request(10))
+        context.client.sendall(client_builders.format_request(10))
 
 
 @then("it has read an answer of {size:d} bytes")
@@ -618,7 +549,7 @@
 @when("another request of it waits unread as the server refuses such requests and ends")
 def step_refuse_waiting(context):
     # None of these calls lets the server's green threads run.
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     context.server.server.begin_shutdown()
     context.server.server.refuse_unread()
     context.server.server.end()
@@ -641,7 +572,7 @@
     (connection,) = context.server.server.connections
     refused = mock.Mock(wraps=connection._socket.fd)
     refused.send.side_effect = BlockingIOError()
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     with mock.patch.object(connection._socket, "fd", refused):
         context.server.server.refuse_unread()
     assert refused.send.called
@@ -651,7 +582,7 @@
 def step_refuse_one(context, seconds):
     eventlet.sleep(seconds)
     # Neither call lets the server's green threads run.
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     context.server.server.refuse_unread()
 
 
@@ -664,8 +595,8 @@
 
 @when("a client sends a request for {size:d} bytes and ends its sending side {seconds:g} s later")
 def step_half_close(context, size, seconds):
-    context.client = connect(context)
-    context.client.sendall(format_request(size))
+    context.client = client_builders.connect(context)
+    context.client.sendall(client_builders.format_request(size))
     eventlet.sleep(seconds)
     context.client.shutdown(socket.SHUT_WR)
     eventlet.sleep(0.05)
@@ -676,9 +607,9 @@
     " and ends its sending side"
 )
 def step_half_close_pipelined(context, first, second, third):
-    context.client = connect(context)
+    context.client = client_builders.connect(context)
     for seconds in (first, second, third):
-        context.client.sendall(format_request(10, seconds))
+        context.client.sendall(client_builders.format_request(10, seconds))
     context.client.shutdown(socket.SHUT_WR)
 
 
@@ -704,9 +635,9 @@
     " and behind it the head of an upload that asks to go on"
 )
 def step_upload_behind(context, seconds):
-    context.client = connect(context)
+    context.client = client_builders.connect(context)
     head = BYTES_BEHIND["a head that asks to go on"]
-    context.client.sendall(format_request(10, seconds) + head)
+    context.client.sendall(client_builders.format_request(10, seconds) + head)
 
 
 @then("the client reads an answer of {size:d} bytes and behind it that it is to go on")
@@ -714,7 +645,7 @@
     expected = b"x" * size + b"HTTP/1.1 100 Continue\r\n\r\n"
     received = b""
     while len(received.partition(b"\r\n\r\n")[2]) < len(expected):
-        data = context.client.recv(READ_BYTES)
+        data = context.client.recv(client_builders.READ_BYTES)
         assert data, received
         received += data
     head, _, rest = received.partition(b"\r\n\r\n")
@@ -728,7 +659,7 @@
 
 @when("a client sends a part of an upload each {seconds:g} s")
 def step_upload_parts(context, seconds):
-    context.client = connect(context)
+    context.client = client_builders.connect(context)
     context.client.sendall(_POST.replace(b"Length: 5", b"Length: 9000") + b"\r\n")
 
     def send_parts():
@@ -747,8 +678,8 @@
 
 @when("a client with a slow network sends a request for {size:d} bytes")
 def step_slow_network(context, size):
-    context.client = connect(context, 4096, SEGMENT_BYTES)
-    context.client.sendall(format_request(size))
+    context.client = client_builders.connect(context, 4096, SEGMENT_BYTES)
+    context.client.sendall(client_builders.format_request(size))
     eventlet.sleep(0.1)
 
 
@@ -766,7 +697,7 @@
     # The connection has sent its last answer.
     eventlet.sleep(0.05)
     # None of these calls lets the server's green threads run.
-    context.client.sendall(format_request(10))
+    context.client.sendall(client_builders.format_request(10))
     patcher.original("time").sleep(seconds)
     context.server.server.close_idle()
 
--- /dev/null
+++ b/features/steps/host_halfclose_steps.py
@@ -0,0 +1,178 @@
+"""Steps of host_halfclose.feature."""
+
+import eventlet
+from behave import given, then, when
+from eventlet.green import socket
+
+from features import client_builders
+from skylarksill.host import halfclose
+
+STEP_S = 0.001
+END_S = 10.0
+INTERIM_BYTES = 25
+# Questions come up to a step late each.
+TOLERANCE_S = 0.01
+
+
+@when("a client sends a request that asks to close and ends its sending side")
+def step_close_and_end(context):
+    context.client = client_builders.connect(context)
+    request = client_builders.format_request(10).replace(
+        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+    )
+    context.client.sendall(request)
+    context.client.shutdown(socket.SHUT_WR)
+
+
+@when(
+    "a client of HTTP/1.0 sends requests that take {first:g}, {second:g} and {third:g} s"
+    " and ends its sending side"
+)
+def step_old_client(context, first, second, third):
+    context.client = client_builders.connect(context)
+    for seconds in (first, second, third):
+        request = client_builders.format_request(10, seconds)
+        request = request.replace(b"HTTP/1.1", b"HTTP/1.0")
+        context.client.sendall(request.replace(b"\r\n\r\n", b"\r\nConnection: keep-alive\r\n\r\n"))
+    context.client.shutdown(socket.SHUT_WR)
+
+
+@when("{seconds:g} s later it closes its connection")
+def step_close(context, seconds):
+    eventlet.sleep(seconds)
+    context.client.close()
+
+
+@when(
+    "a slow client sends requests for {first:d} bytes"
+    " and behind it for {second:d} bytes that takes {seconds:g} s"
+)
+def step_slow_client(context, first, second, seconds):
+    context.client = client_builders.connect(context, 4096)
+    context.client.sendall(client_builders.format_request(first))
+    context.client.sendall(client_builders.format_request(second, seconds))
+
+
+@when("it ends its sending side and reads {count:d} bytes each {pause:g} s")
+def step_read_slowly(context, count, pause):
+    context.client.shutdown(socket.SHUT_WR)
+    context.received = bytearray()
+    while True:
+        eventlet.sleep(pause)
+        part = _receive_up_to(context.client, count)
+        if not part:
+            return
+        context.received += part
+
+
+def _receive_up_to(client, count):
+    received = b""
+    while len(received) < count:
+        data = client.recv(count - len(received))
+        if not data:
+            break
+        received += data
+    return received
+
+
+@then("it has read answers of {first:d} and {second:d} bytes")
+def step_two_answers(context, first, second):
+    rest = bytes(context.received)
+    for size in (first, second):
+        status, rest = _skip_interim(rest)
+        body, rest = rest[:size], rest[size:]
+        assert (status, body) == (200, b"x" * size), (status, size, len(body))
+    assert not rest, rest[:100]
+
+
+def _skip_interim(data):
+    """Returns the status of the next final answer, and what follows its head."""
+    while True:
+        head, _, data = data.partition(b"\r\n\r\n")
+        status = int(head.split()[1])
+        if status >= 200:
+            return status, data
+
+
+@then("the client reads {count:d} interim responses and then an answer of {size:d} bytes")
+def step_interim(context, count, size):
+    received = b""
+    while data := context.client.recv(client_builders.READ_BYTES):
+        received += data
+    *interim, head, body = received.split(b"\r\n\r\n")
+    assert interim == count * [b"HTTP/1.1 100 Continue"], received
+    assert (head.split()[1], body) == (b"200", b"x" * size), received
+
+
+# Clients in simulated time: each step gets the time since the last interim response, or None, and
+# returns whether the connection is reset and how many bytes are not acknowledged.
+
+
+@given("a half-closed client that {accepts} interim responses")
+def step_client(context, accepts):
+    context.half_closed = halfclose.HalfClosedClient(0.0, accepts == "takes")
+
+
+@when("it acknowledges at once")
+def step_acknowledge(context):
+    context.respond = lambda now, asked_s: (False, 0)
+
+
+@when("it resets {seconds:g} s after it is asked")
+def step_reset(context, seconds):
+    context.respond = lambda now, asked_s: (asked_s is not None and asked_s >= seconds, 0)
+
+
+@when("it acknowledges nothing")
+def step_silent(context):
+    context.respond = lambda now, asked_s: (False, INTERIM_BYTES if asked_s is not None else 0)
+
+
+@when("it acknowledges {seconds:g} s after it is asked")
+def step_acknowledge_late(context, seconds):
+    def respond(now, asked_s):
+        return False, INTERIM_BYTES if asked_s is not None and asked_s < seconds else 0
+
+    context.respond = respond
+
+
+@when("it receives {part:d} bytes each {pause:g} s of {size:d} bytes")
+def step_receive(context, part, pause, size):
+    context.respond = lambda now, asked_s: (False, max(0, size - part * int(now / pause)))
+
+
+@when("it receives nothing of {size:d} bytes")
+def step_receive_nothing(context, size):
+    context.respond = lambda now, asked_s: (False, size)
+
+
+@then("it is asked at {asked} s and is {fate} at {at:g} s")
+@then("it is asked at {asked} s and is {fate} for {at:g} s")
+def step_fate(context, asked, fate, at):
+    asked_at, decision, now = _simulate(context.half_closed, context.respond)
+    expected = [] if asked == "no" else [float(text) for text in asked.split(", ")]
+    assert len(asked_at) == len(expected), asked_at
+    for actual, item in zip(asked_at, expected, strict=True):
+        assert abs(actual - item) < STEP_S + TOLERANCE_S, asked_at
+    decisions = {
+        "kept": halfclose.Decision.WAIT,
+        "left": halfclose.Decision.LEAVE,
+        "dropped": halfclose.Decision.DROP,
+    }
+    assert decision is decisions[fate], (decision, now)
+    assert abs(now - at) < 2 * STEP_S + TOLERANCE_S, (decision, now)
+
+
+def _simulate(client, respond):
+    """Returns the times of the questions, the last decision and its time."""
+    asked_at = []
+    now = 0.0
+    while now < END_S:
+        asked_s = now - asked_at[-1] if asked_at else None
+        decision = client.decide(now, *respond(now, asked_s))
+        if decision is halfclose.Decision.ASK:
+            asked_at.append(now)
+        elif decision is not halfclose.Decision.WAIT:
+            return asked_at, decision, now
+        now += STEP_S
+    return asked_at, halfclose.Decision.WAIT, now
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -19,6 +19,7 @@
     _requestfields,
     answers,
     cancellation,
+    halfclose,
     supervision,
 )
 
@@ -35,9 +36,7 @@
 # A connection that was just opened or answered is not idle yet: the client's next request may be on
 # its way, for about a round trip between the farthest regions.
 MIN_IDLE_S = 0.2
-# The end of a client's stream doesn't tell whether it has closed the connection or still reads, so
-# answers that get ready within this time are delivered; upstreams must not work on for longer.
-HALF_CLOSED_S = 0.15
+# After the end of its stream, it looks as often as this whether the client still reads.
 HALF_CLOSED_POLL_S = 0.03
 # Unread bytes that are discarded at most before a close that can't wait.
 MAX_DISCARDED_BYTES = 1_048_576
@@ -47,6 +46,8 @@
 # Bytes of answers that the kernel takes at most as a stop ends, to send them after the process; it
 # grants this many unless it is set up otherwise, and reserves twice as many.
 MAX_HANDED_OVER_BYTES = 212_992
+# An interim response, which clients discard.
+_INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
 # Bytes of a host name, a target or an id of a request in the log.
@@ -104,11 +105,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
-    """A request whose answer has not been sent yet; ``data`` is the formatted answer."""
+    """A request whose answer has not been sent yet.
+
+    Attributes:
+      takes_interim: Whether its client accepts interim responses.
+      data: The formatted answer, or None.
+    """
 
     request_id: bytes | None
     method: bytes
     cancellation: cancellation.Cancellation
+    takes_interim: bool = True
     data: bytes | None = None
 
 
@@ -377,7 +384,7 @@
         """
         if self._owes_continue and self._state is _State.SERVING and not self.pending:
             self._owes_continue = False
-            self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._socket.sendall(_INTERIM_RESPONSE)
 
     # Callbacks of the parser.
 
@@ -433,7 +440,10 @@
         )
         if request is None:
             raise _BadRequestError(400, "no site")
-        item = _PendingRequest(request.request_id, method, cancellation.Cancellation())
+        takes_interim = self._parser.get_http_version() != "1.0"
+        item = _PendingRequest(
+            request.request_id, method, cancellation.Cancellation(), takes_interim
+        )
         self.pending.append(item)
         self._begin_message()
         if not is_persistent:
@@ -603,17 +613,37 @@
         self._end(Cause.NOT_RECEIVED if self._unsent_bytes else Cause.LAST_ANSWER)
 
     def _finish_half_closed(self):
-        """Delivers what is ready, or is so soon, after the end of the client's stream."""
+        """Delivers what is due after the end of the client's stream while the client reads."""
         is_answered = self._state is _State.LINGERING
-        self._half_closed_at = time.monotonic()
+        now = self._half_closed_at = time.monotonic()
         self._take_no_more()
-        drops_at = time.monotonic() + HALF_CLOSED_S
+        takes_interim = all(item.takes_interim for item in self.pending)
+        client = halfclose.HalfClosedClient(now, takes_interim)
         while self._state is _State.ANSWERING and self.pending:
             eventlet.sleep(HALF_CLOSED_POLL_S)
-            if time.monotonic() >= drops_at:
-                self._drop_unready()
+            is_reset = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+            # An answer that is being written will be on its way.
+            unsent_bytes = _count_unsent_bytes(self._socket) or int(self._is_writing)
+            match client.decide(time.monotonic(), is_reset, unsent_bytes):
+                case halfclose.Decision.ASK:
+                    self._send_interim()
+                case halfclose.Decision.DROP:
+                    self._drop_unready()
+                case halfclose.Decision.LEAVE:
+                    self._end(Cause.CLIENT_LEFT)
         self._end(Cause.LAST_ANSWER if is_answered else Cause.CLIENT_LEFT)
 
+    def _send_interim(self):
+        """Sends an interim response; a connection that its client has closed is reset by it."""
+        try:
+            sent = self._socket.fd.send(_INTERIM_RESPONSE)
+        except OSError as error:
+            self._server.log.write("client.write_failed", error=str(error))
+            sent = 0
+        if sent < len(_INTERIM_RESPONSE):
+            # What would follow a part of it is no answer.
+            self._end(Cause.CLIENT_LEFT)
+
     def _drop_unready(self):
         """Drops the first request without an answer, and those behind it."""
         ready = list(itertools.takewhile(lambda item: item.data is not None, self.pending))
