Site rig: disturbances of hosts and the store, early signals, and crowds

The checks know who was disturbed: a disturbed host is excused until it has been in touch for 3 s, what other hosts do around planned work beside it too, and disturbances of the store excuse nothing; both excuses are counted by reason. A request is judged by the last stop of its host, since stops of one host now follow each other within seconds.

--- a/bench/siterun/configurations.py
+++ b/bench/siterun/configurations.py
@@ -37,6 +37,7 @@
     spec = platformdata.build_configuration_spec(number, routes=routes, cold_rate=COLD_RATE_PER_S)
     (fields,) = spec["services"].values()
     spec["services"] = {service.name: dict(fields) for service in site.services}
+    spec["limits"]["idleTimeout"] = f"{int(1000 * site.idle_timeout_s)}ms"
     return spec, timeouts_s
 
 
--- a/bench/siterun/records.py
+++ b/bench/siterun/records.py
@@ -78,6 +78,18 @@
     code: int | None
 
 
+@dataclasses.dataclass(slots=True)
+class Disturbance:
+    """An unplanned disturbance of a host, or of the store if ``host`` is None.
+
+    A host that was killed is disturbed until its new process is started.
+    """
+
+    host: str | None
+    begins_at: float
+    ends_at: float = float("inf")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Version:
     """A version of the configuration; ``timeouts_s`` are those of its routes by kind of request."""
@@ -96,6 +108,7 @@
       reloads: Pairs of a host's IP address and the time of a SIGHUP.
       ended_hosts: Pairs of the IP address of a host whose process has ended by itself, and the time
         at which that was seen.
+      crowd_count: Most idle connections that a crowd had open to one host at a time.
       lateness_s: Longest delay with which a process of the run itself has woken up.
     """
 
@@ -105,6 +118,8 @@
     reloads: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     versions: list[Version] = dataclasses.field(default_factory=list)
     ended_hosts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    crowd_count: int = 0
     lateness_s: float = 0.0
 
 
--- a/bench/siterun/shape.py
+++ b/bench/siterun/shape.py
@@ -112,8 +112,10 @@
     Attributes:
       rate_per_s: Requests of all clients in a second.
       wave: The Wave, or None if the clients send at a steady rate.
+      idle_timeout_s: Time for which hosts keep idle connections of clients, in seconds.
       client_delay_s: Delay from a client to a host, and back.
       region_delay_s: Delay from a host to the store of another region, and back.
+      contact_s: Time for which a host is not in touch after a disturbance, in seconds.
     """
 
     zones: tuple[ZoneShape, ...]
@@ -124,8 +126,10 @@
     region_delay_s: float
     grace_s: float
     apply_s: float
+    contact_s: float
     settings: tuple[str, ...]
     wave: Wave | None = None
+    idle_timeout_s: float = 2.0
 
     @property
     def regions(self):
@@ -226,6 +230,7 @@
     region_delay_s=0.02,
     grace_s=6.0,
     apply_s=2.5,
+    contact_s=3.0,
     settings=(
         "terms.bounds.contact=3000ms",
         "terms.bounds.grace=6s",
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -76,6 +76,45 @@
       | 4     | are cut at an upstream                   | 0.1  | 0.5   | nothing         | CALM          |
       | 3     | are cut at an upstream as kept           | 0.1  | 0.5   | nothing         | FEW_KEPT      |
 
+  Scenario Outline: A loss beside a disturbance that does not excuse it is found
+    Given a run of the site with 40 answered requests
+    When <count> requests <fate> after 0.1 s, 0.5 s after <work>
+    And <what> was disturbed until <before> s before they were sent
+    Then <count> requests are lost as "<clause>"
+
+    Examples:
+      | count | fate                           | work    | what         | before | clause    |
+      | 4     | are cut at an upstream as kept | nothing | another host | 1.0    | KEPT_CUT  |
+      | 4     | are cut at an upstream as kept | nothing | the store    | 1.0    | KEPT_CUT  |
+      | 4     | are cut at an upstream as kept | nothing | their host   | 3.1    | KEPT_CUT  |
+      | 1     | are cut at an upstream         | a stop  | the store    | 0.0    | STOP_CUT  |
+      | 1     | are cut at an upstream         | a stop  | another host | 3.1    | STOP_CUT  |
+      | 1     | run twice                      | nothing | their host   | 1.0    | RUN_TWICE |
+
+  Scenario Outline: A loss that a disturbance excuses is counted by its reason
+    Given a run of the site with 40 answered requests
+    When <count> requests <fate> after 0.1 s, 0.5 s after <work>
+    And <what> was disturbed until <before> s before they were sent
+    Then <count> requests are excused as "<excuse>" and no others
+
+    Examples:
+      | count | fate                           | work            | what         | before | excuse           |
+      | 4     | are cut at an upstream as kept | nothing         | their host   | 2.9    | DISTURBED        |
+      | 4     | are cut unsent                 | nothing         | their host   | 1.0    | DISTURBED        |
+      | 1     | are cut at an upstream         | a stop          | their host   | 1.0    | DISTURBED        |
+      | 1     | are cut at an upstream         | a stop          | another host | 2.9    | BESIDE_DISTURBED |
+      | 1     | are cut at an upstream         | a configuration | another host | 1.0    | BESIDE_DISTURBED |
+
+  # Guards against a judgement by a stop of the process before.
+  Scenario: A request that is cut around the second stop of a host is lost late in the first one's time
+    Given a run of the site with 40 answered requests
+    And an earlier stop of the host 5 s before the next
+    When 1 requests are cut at an upstream after 2.4 s, 0.2 s after a stop
+    Then 1 requests are lost as "STOP_CUT"
+
+  Scenario: Disturbances and early signals depend on the seed only, and each sort of them occurs
+    Then those of seeds 1 to 10 are the same twice, and have signals at each moment of a process
+
   Scenario: What is excused by one clause and lost by another counts as lost
     Given a run of the site with 40 answered requests
     When 1 requests are cut at an upstream as kept after 0.1 s, 0.5 s after a stop
@@ -150,3 +189,8 @@
   Scenario: A short run of the real programs loses no request
     When the site plays seed 3 with a fifth of its clients for 5 s
     Then it served requests beside planned work and lost none
+
+  Scenario: A short run beside disturbances, early signals and a crowd loses no request
+    When the site plays seed 5742 with a fifth of its clients for 8 s with kills,store,early,crowd
+    Then it served requests beside planned work and lost none
+    And hosts and the store were disturbed, and hosts were crowded
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -13,7 +13,17 @@
 from eventlet.green import socket
 
 from bench.siterun import __main__ as siterun
-from bench.siterun import clients, hostlogs, losses, records, rig, schedule, shape
+from bench.siterun import (
+    clients,
+    conditions,
+    disturbances,
+    hostlogs,
+    losses,
+    records,
+    rig,
+    schedule,
+    shape,
+)
 from bench.soak import channels
 
 SITE = shape.THREE_REGIONS
@@ -89,6 +99,36 @@
         _FATES[fate](context, attempt)
 
 
+@when("{what} was disturbed until {before:g} s before they were sent")
+def step_disturb(context, what, before):
+    host = {"their host": HOST, "another host": "127.1.20.11", "the store": None}[what]
+    ends_at = context.observations.attempts[-1].sent_at - before
+    disturbance = records.Disturbance(host, ends_at - 0.5, ends_at)
+    context.observations.disturbances.append(disturbance)
+
+
+@given("an earlier stop of the host {seconds:g} s before the next")
+def step_earlier_stop(context, seconds):
+    stop = records.Stop(HOST, WORK_AT - seconds, WORK_AT - 2.5, 0)
+    context.observations.stops.append(stop)
+
+
+@then(
+    "those of seeds 1 to {last:d} are the same twice, and have signals at each moment of a process"
+)
+def step_series(context, last):
+    def make_all():
+        played = conditions.Condition
+        return [disturbances.make_series(seed, 30.0, 7, played) for seed in range(1, last + 1)]
+
+    series = make_all()
+    assert make_all() == series
+    events = [event for events in series for _, event in events]
+    assert len({type(event) for event in events}) == 4, events
+    early = [event for event in events if isinstance(event, disturbances.StopEarly)]
+    assert {stop.moment for event in early for stop in event.stops} == set(disturbances.Moment)
+
+
 def _add_attempt(context, sent_at, ended_at):
     number = len(context.observations.attempts)
     attempt = records.Attempt(f"r{number}", "reserve", HOST, False, False, 2.5, sent_at, sent_at)
@@ -355,3 +395,10 @@
 @then("clients have ended their sending side behind {count:d} requests or more")
 def step_half_closed(context, count):
     assert context.result["half_closed"] >= count, context.result
+
+
+@then("hosts and the store were disturbed, and hosts were crowded")
+def step_disturbed(context):
+    result = context.result
+    assert result["disturbances"] >= 3 and result["burst_requests"] > 50, result
+    assert result["crowd"] > 0.9 * 0.2 * rig.CROWD_IDLE_COUNT, result
