--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from bench.siterun import shape
+from bench.siterun import grownshape, shape
 
 # Time for which hosts keep the idle connections of a crowd.
 CROWD_IDLE_S = 30.0
@@ -21,6 +21,8 @@
     ready, again and again: accepted connections must not end with them. CROWD opens thousands of
     idle connections to hosts with few descriptors, and bursts beyond their backlog as they stop or
     reload, so that connections wait to be accepted as listening ends.
+
+    GROWN plays the grown fleet of the site, whose requests outlast the time that a stop has.
     """
 
     HALF_CLOSE = "half-close"
@@ -29,6 +31,7 @@
     STORE = "store"
     EARLY = "early"
     CROWD = "crowd"
+    GROWN = "grown"
 
 
 def parse_conditions(text):
@@ -47,9 +50,13 @@
       played: The Conditions that are played.
       share: Share of the site's clients and requests; see shape.thin_out.
     """
-    site = shape.THREE_REGIONS
-    if Condition.WAVES in played:
-        site = shape.raise_waves(site)
+    if Condition.GROWN in played:
+        wave = shape.SHEET_WAVE if Condition.WAVES in played else None
+        site = dataclasses.replace(grownshape.GROWN, wave=wave)
+    elif Condition.WAVES in played:
+        site = shape.raise_waves(shape.THREE_REGIONS)
+    else:
+        site = shape.THREE_REGIONS
     if Condition.CROWD in played:
         site = dataclasses.replace(site, idle_timeout_s=CROWD_IDLE_S)
     return shape.thin_out(site, share)
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -131,6 +131,17 @@
     Given a log of a host with a connection that ended by reset with request r1 on it
     Then the end of r1 is told as "reset, half-closed for None ms, 0 bytes unsent" and that of r2 is not
 
+  Scenario Outline: All processes of a run play the shape that its conditions choose
+    When a run with <names> and a fifth of the clients is prepared
+    Then the site has <hosts> hosts in <zones> zones, <clients> clients, and hosts that keep idle connections <idle> s
+    And its processes of clients play the same site
+
+    Examples:
+      | names       | hosts | zones | clients | idle |
+      | waves       | 7     | 6     | 57      | 2    |
+      | crowd       | 7     | 6     | 57      | 30   |
+      | grown,waves | 23    | 9     | 72      | 2    |
+
   Scenario: Requests come in waves in which each zone has its own phase
     When the requests of the site's sheet are drawn for 72 s
     Then 500 to 600 of them come in a second on average
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -16,6 +16,7 @@
 from bench.siterun import (
     clients,
     conditions,
+    configurations,
     disturbances,
     hostlogs,
     losses,
@@ -306,6 +307,31 @@
     assert (ends.get(first), ends.get(second)) == (text, None), ends
 
 
+@when("a run with {names} and a fifth of the clients is prepared")
+def step_choose(context, names):
+    context.played = conditions.parse_conditions(names)
+    context.site = conditions.build_site(context.played, 0.2)
+
+
+@then(
+    "the site has {host_count:d} hosts in {zone_count:d} zones, {client_count:d} clients,"
+    " and hosts that keep idle connections {idle:d} s"
+)
+def step_site(context, host_count, zone_count, client_count, idle):
+    zones = context.site.zones
+    assert (sum(zone.hosts for zone in zones), len(zones)) == (host_count, zone_count), zones
+    assert sum(zone.clients for zone in zones) == client_count, zones
+    spec, _ = configurations.build_version(context.site, 1, random.Random(1))
+    assert spec["limits"]["idleTimeout"] == f"{1000 * idle}ms", spec["limits"]
+    assert set(spec["services"]) == set(zones[0].upstreams), spec["services"]
+
+
+@then("its processes of clients play the same site")
+def step_same_site(context):
+    order = clients.Order(1, [], 0.2, [], 0.0, 0.0, "", sorted(context.played))
+    assert order.site == context.site
+
+
 @when("the requests of the site's sheet are drawn for {seconds:g} s")
 def step_draw(context, seconds):
     site = shape.raise_waves(SITE)
