Accept waiting connections in parts, and set no further ones up as listening ends

Callers: as a crowded host stopped, nothing was answered for seconds, and the host was killed with what it had.

The clients of the idle connections that a stop closes connect again, so that the end of listening accepts all of them in one turn of the hub.

Change: 256 connections in a row, then what else is due runs. So that this ends, the backlog is set to 0 as listening ends: the system keeps the connections that wait, and sets no further ones up.

The two scenarios fail without the change.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -102,6 +102,23 @@
     Then the server has 1 connection
     And the client reads 200 and that it is the last answer within 0.5 s
 
+  # Guards against a host that stands still for seconds, and is killed, as a crowd connects to it.
+  Scenario: Many connections that wait are accepted in parts, between which others are served
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When 300 clients connect and send requests
+    And the server accepts the first of them
+    Then between 1 and 256 of them are accepted
+    And each of these clients reads 200 within 0.5 s
+
+  Scenario: Many connections that wait as a server stops listening are accepted in parts, and no others
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When 300 clients connect and send requests
+    And the server stops listening
+    Then between 1 and 256 of them are accepted
+    And a client that connects meanwhile is not connected within 0.3 s
+    And each of these clients reads 200 and that it is the last answer within 0.5 s
+    And the server has had 300 connections and has ended listening
+
   # Guards against an end of listening that resets what waits once accepting fails.
   Scenario: Connections that wait as a server without descriptors stops listening are reset
     Given a client server that answers with as many bytes as its target says, after 0.0 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_endings.feature."""
 
+import errno
 import os
 import resource
 import struct
@@ -26,6 +27,8 @@
 SEGMENT_BYTES = 1400
 # Resets the connection when it is closed.
 RESETTING = struct.pack("ii", 1, 0)
+# State of a connection, as the first byte of the kernel's TCP_INFO tells it.
+ESTABLISHED = b"\x01"
 
 
 @given("a client server that answers with as many bytes as its target says, after {seconds:g} s")
@@ -236,6 +239,57 @@
         context.plain_clients.append(plain)
 
 
+@when("{count:d} clients connect and send requests")
+def step_connect_many(context, count):
+    _connect_and_send(context, count)
+
+
+@when("the server accepts the first of them")
+def step_accept_first(context):
+    while not context.server.server.connections:
+        eventlet.sleep(0)
+
+
+@when("the server stops listening")
+def step_stop_listening_at_once(context):
+    context.address = context.server.server.address
+    context.server.server.begin_shutdown()
+    context.server.server.stop_listening()
+
+
+@then("between {least:d} and {most:d} of them are accepted")
+def step_accepted(context, least, most):
+    assert least <= len(context.server.server.connections) <= most
+
+
+@then("a client that connects meanwhile is not connected within {seconds:g} s")
+def step_not_connected(context, seconds):
+    late = patcher.original("socket").socket()
+    context.add_cleanup(late.close)
+    late.setblocking(False)
+    assert late.connect_ex(context.address) == errno.EINPROGRESS
+    eventlet.sleep(seconds)
+    assert late.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) != ESTABLISHED
+
+
+@then("each of these clients reads {status:d} within {seconds:g} s")
+def step_each_reads_status(context, status, seconds):
+    for plain in context.plain_clients:
+        client = socket.socket(plain)
+        client.settimeout(seconds)
+        assert platformdata.AnswerReader(client).read()[0] == status
+
+
+@then("the server has had {count:d} connections and has ended listening")
+def step_ended_listening(context, count):
+    assert len(context.server.handled) == count, len(context.server.handled)
+    try:
+        socket.create_connection(context.address, 0.3).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the server listens on")
+
+
 @when(
     "{count:d} clients connect and send requests,"
     " and all descriptors but {unused:d} unused ones are taken"
@@ -282,7 +336,8 @@
 
 @then("each of these clients reads {status:d} and that it is the last answer within {seconds:g} s")
 def step_each_reads(context, status, seconds):
-    context.restore_descriptors()
+    if hasattr(context, "restore_descriptors"):
+        context.restore_descriptors()
     for plain in context.plain_clients:
         client = socket.socket(plain)
         client.settimeout(seconds)
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -13,6 +13,8 @@
 
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_S = 0.05
+# Connections that are accepted in a row; then what else is due runs, also if more are waiting.
+MAX_ACCEPTED_IN_ROW = 256
 # Connections that are refused their first request and have not ended yet, as a share of those that
 # are served; further ones wait to be accepted.
 MAX_REFUSED_SHARE = 0.125
@@ -117,16 +119,19 @@
     def stop_listening(self):
         """Refuses new connections; those that the system has accepted already are served.
 
-        While they can't be accepted, as for lack of descriptors, the server listens on.
+        While they can't be accepted, as for lack of descriptors, or are too many to be accepted in
+        a row, the server listens on for those alone.
         """
         if self._thread is not None:
             self._thread.kill()
             self._thread = None
             self._socket.setblocking(False)
+            # The system sets no further connections up, while those that wait stay.
+            self._socket.listen(0)
             self._has_waiting = True
-            self._accept_waiting()
+            has_more = self._accept_waiting()
             if self._has_waiting:
-                supervision.spawn(self.log, "client.accept", self._accept_rest)
+                supervision.spawn(self.log, "client.accept", self._accept_rest, has_more)
 
     def close_idle(self):
         """Closes the connections that have no request in progress."""
@@ -192,6 +197,7 @@
             eventlet.sleep(REFUSE_PARTIAL_S)
 
     def _accept(self):
+        accepted = 0
         while True:
             if len(self.connections) >= (1.0 + MAX_REFUSED_SHARE) * self._max_connections:
                 eventlet.sleep(ACCEPT_RETRY_S)
@@ -203,13 +209,21 @@
                     eventlet.sleep(ACCEPT_RETRY_S)
                 continue
             self._open(client)
+            accepted += 1
+            if accepted % MAX_ACCEPTED_IN_ROW == 0:
+                eventlet.sleep(0)
 
     def _accept_waiting(self):
         """Accepts what waits in the listening socket, whose close would reset it, and closes it.
 
-        After an error the socket stays open, as more may wait behind it.
+        After an error, and after many connections, the socket stays open, as more may wait.
+
+        Returns:
+          True if the next connection may be accepted at once.
         """
-        while self._has_waiting:
+        for _ in range(MAX_ACCEPTED_IN_ROW):
+            if not self._has_waiting:
+                return False
             try:
                 client, _ = self._socket.accept()
             except BlockingIOError:
@@ -217,14 +231,15 @@
                 self._socket.close()
             except OSError as error:
                 if not self._has_released(error):
-                    return
+                    return False
             else:
                 self._open(socket.socket(client))
+        return True
 
-    def _accept_rest(self):
+    def _accept_rest(self, has_more):
         while self._has_waiting:
-            eventlet.sleep(ACCEPT_RETRY_S)
-            self._accept_waiting()
+            eventlet.sleep(0 if has_more else ACCEPT_RETRY_S)
+            has_more = self._accept_waiting()
 
     def _has_released(self, error):
         """Logs that accepting failed; returns True if there are descriptors for a further try."""
