Count half-closed connections by what became of their requests

skylarksill_connections_half_closed_total tells idle, answered, left and dropped connections apart, so that the share of such clients can be read from the metrics of a host, which logs only connections that lose something. The scenarios of host_halfclose check three of the four.

--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -9,6 +9,7 @@
     Then the client reads 3 answers, of which only the last one says that it is the last
     And its connection has ended by client_left within 1.0 s
     And the server holds no bytes of answers
+    And the server counts a half-closed connection as answered
 
   Scenario: A client that has asked for the last answer and ends its sending side gets it
     Given a client server that answers with as many bytes as its target says, after 0.5 s
@@ -27,7 +28,7 @@
     And it ends its sending side and reads 200000 bytes each 0.05 s
     Then it has read answers of 3000000 and 20 bytes
 
-  # A client of HTTP/1.0 may not be sent interim responses, so it can't be asked.
+  # A client of HTTP/1.0 may not be sent interim responses, so it can't be probed.
   Scenario: A client of HTTP/1.0 gets what is ready soon after the end of its sending side
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a client of HTTP/1.0 sends requests that take 0.1, 1.0 and 0.1 s and ends its sending side
@@ -35,30 +36,32 @@
     And the connection ends without another answer
     And the server logs that a connection ended by client_left with 2 unanswered requests
     And the server holds no bytes of answers
+    And the server counts a half-closed connection as dropped
 
   Scenario: A client that closes its connection after the end of its sending side is noticed
     Given a client server that answers with as many bytes as its target says, after 5.0 s
     When a client sends a request for 10 bytes and ends its sending side 0.0 s later
     And 0.3 s later it closes its connection
     Then the request is cancelled within 0.4 s
+    And the server counts a half-closed connection as left
 
-  Scenario: A client is asked at most as often as client libraries accept interim responses
+  Scenario: A client is probed at most as often as client libraries accept interim responses
     Given a client server that answers with as many bytes as its target says, after 4.4 s
     When a client sends a request for 10 bytes and ends its sending side 0.0 s later
     Then the client reads 5 interim responses and then an answer of 10 bytes
 
-  # Replays what a host sees of clients that are asked, and when it decides what.
+  # Replays what a host sees of clients that are probed, and when it decides what.
   Scenario Outline: What a half-closed client does decides about its requests
     Given a half-closed client that <accepts> interim responses
     When it <does>
-    Then it is asked at <asked> s and <fate>
+    Then it is probed at <probes> s and <fate>
 
     Examples:
-      | accepts | does                                                  | asked                    | fate                   |
+      | accepts | does                                                  | probes                   | fate                   |
       | takes   | acknowledges at once                                  | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
-      | takes   | resets 0.01 s after it is asked                       | 0.15                     | is left at 0.16 s      |
+      | takes   | resets 0.01 s after it is probed                       | 0.15                     | is left at 0.16 s      |
       | takes   | acknowledges nothing                                  | 0.15                     | is dropped at 0.4 s    |
-      | takes   | acknowledges 0.2 s after it is asked                  | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
+      | takes   | acknowledges 0.2 s after it is probed                  | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
       | takes   | receives 100 bytes each 0.2 s of 2000 bytes           | 4.0, 4.35, 4.85, 5.85, 7.85 | is kept for 10 s       |
       | takes   | receives nothing of 2000 bytes                        | no                       | is dropped at 0.25 s   |
       | refuses | acknowledges at once                                  | no                       | is dropped at 0.15 s   |
--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -4,13 +4,13 @@
 from behave import given, then, when
 from eventlet.green import socket
 
-from features import client_builders
+from features import client_builders, host_world
 from skylarksill.host import halfclose
 
 STEP_S = 0.001
 END_S = 10.0
 INTERIM_BYTES = 25
-# Questions come up to a step late each.
+# Probes come up to a step late each.
 TOLERANCE_S = 0.01
 
 
@@ -104,6 +104,12 @@
     assert (head.split()[1], body) == (b"200", b"x" * size), received
 
 
+@then("the server counts a half-closed connection as {outcome}")
+def step_counted(context, outcome):
+    counters = context.server.counters
+    host_world.wait_until(1.0, lambda: counters.get("connections_half_closed", outcome) == 1)
+
+
 # Clients in simulated time: each step gets the time since the last interim response, or None, and
 # returns whether the connection is reset and how many bytes are not acknowledged.
 
@@ -115,45 +121,45 @@
 
 @when("it acknowledges at once")
 def step_acknowledge(context):
-    context.respond = lambda now, asked_s: (False, 0)
+    context.respond = lambda now, probed_s: (False, 0)
 
 
-@when("it resets {seconds:g} s after it is asked")
+@when("it resets {seconds:g} s after it is probed")
 def step_reset(context, seconds):
-    context.respond = lambda now, asked_s: (asked_s is not None and asked_s >= seconds, 0)
+    context.respond = lambda now, probed_s: (probed_s is not None and probed_s >= seconds, 0)
 
 
 @when("it acknowledges nothing")
 def step_silent(context):
-    context.respond = lambda now, asked_s: (False, INTERIM_BYTES if asked_s is not None else 0)
+    context.respond = lambda now, probed_s: (False, INTERIM_BYTES if probed_s is not None else 0)
 
 
-@when("it acknowledges {seconds:g} s after it is asked")
+@when("it acknowledges {seconds:g} s after it is probed")
 def step_acknowledge_late(context, seconds):
-    def respond(now, asked_s):
-        return False, INTERIM_BYTES if asked_s is not None and asked_s < seconds else 0
+    def respond(now, probed_s):
+        return False, INTERIM_BYTES if probed_s is not None and probed_s < seconds else 0
 
     context.respond = respond
 
 
 @when("it receives {part:d} bytes each {pause:g} s of {size:d} bytes")
 def step_receive(context, part, pause, size):
-    context.respond = lambda now, asked_s: (False, max(0, size - part * int(now / pause)))
+    context.respond = lambda now, probed_s: (False, max(0, size - part * int(now / pause)))
 
 
 @when("it receives nothing of {size:d} bytes")
 def step_receive_nothing(context, size):
-    context.respond = lambda now, asked_s: (False, size)
+    context.respond = lambda now, probed_s: (False, size)
 
 
-@then("it is asked at {asked} s and is {fate} at {at:g} s")
-@then("it is asked at {asked} s and is {fate} for {at:g} s")
-def step_fate(context, asked, fate, at):
-    asked_at, decision, now = _simulate(context.half_closed, context.respond)
-    expected = [] if asked == "no" else [float(text) for text in asked.split(", ")]
-    assert len(asked_at) == len(expected), asked_at
-    for actual, item in zip(asked_at, expected, strict=True):
-        assert abs(actual - item) < STEP_S + TOLERANCE_S, asked_at
+@then("it is probed at {probes} s and is {fate} at {at:g} s")
+@then("it is probed at {probes} s and is {fate} for {at:g} s")
+def step_fate(context, probes, fate, at):
+    probed_at, decision, now = _simulate(context.half_closed, context.respond)
+    expected = [] if probes == "no" else [float(text) for text in probes.split(", ")]
+    assert len(probed_at) == len(expected), probed_at
+    for actual, item in zip(probed_at, expected, strict=True):
+        assert abs(actual - item) < STEP_S + TOLERANCE_S, probed_at
     decisions = {
         "kept": halfclose.Decision.WAIT,
         "left": halfclose.Decision.LEAVE,
@@ -164,15 +170,15 @@
 
 
 def _simulate(client, respond):
-    """Returns the times of the questions, the last decision and its time."""
-    asked_at = []
+    """Returns the times of the probes, the last decision and its time."""
+    probed_at = []
     now = 0.0
     while now < END_S:
-        asked_s = now - asked_at[-1] if asked_at else None
-        decision = client.decide(now, *respond(now, asked_s))
-        if decision is halfclose.Decision.ASK:
-            asked_at.append(now)
+        probed_s = now - probed_at[-1] if probed_at else None
+        decision = client.decide(now, *respond(now, probed_s))
+        if decision is halfclose.Decision.PROBE:
+            probed_at.append(now)
         elif decision is not halfclose.Decision.WAIT:
-            return asked_at, decision, now
+            return probed_at, decision, now
         now += STEP_S
-    return asked_at, halfclose.Decision.WAIT, now
+    return probed_at, halfclose.Decision.WAIT, now
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -619,18 +619,22 @@
         self._take_no_more()
         takes_interim = all(item.takes_interim for item in self.pending)
         client = halfclose.HalfClosedClient(now, takes_interim)
+        outcome = "answered" if self.pending else "idle"
         while self._state is _State.ANSWERING and self.pending:
             eventlet.sleep(HALF_CLOSED_POLL_S)
             is_reset = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
             # An answer that is being written will be on its way.
             unsent_bytes = _count_unsent_bytes(self._socket) or int(self._is_writing)
             match client.decide(time.monotonic(), is_reset, unsent_bytes):
-                case halfclose.Decision.ASK:
+                case halfclose.Decision.PROBE:
                     self._send_interim()
                 case halfclose.Decision.DROP:
+                    outcome = "dropped"
                     self._drop_unready()
                 case halfclose.Decision.LEAVE:
+                    outcome = "left"
                     self._end(Cause.CLIENT_LEFT)
+        self._server.counters.count("connections_half_closed", outcome)
         self._end(Cause.LAST_ANSWER if is_answered else Cause.CLIENT_LEFT)
 
     def _send_interim(self):
--- a/skylarksill/host/halfclose.py
+++ b/skylarksill/host/halfclose.py
@@ -10,23 +10,23 @@
 import enum
 import math
 
-# Pauses before the questions, the first one after the end of the stream. Answers that are ready
-# within that need no question. Each further one notices a client that has closed meanwhile; there
-# are few, as some client libraries accept only five interim responses to a request.
-ASK_PAUSES_S = (0.15, 0.35, 0.5, 1.0, 2.0)
+# Pauses before the probes. Answers that are ready within the first one need no probe. Further probes
+# notice a client that has closed meanwhile; there are few, as some client libraries accept only
+# five interim responses to a request.
+PROBE_PAUSES_S = (0.15, 0.35, 0.5, 1.0, 2.0)
 # A client that acknowledges nothing for this long can't be reached. Upstreams may work for 0.5 s
-# after the close has arrived, of which the first question has taken some.
+# after the close has arrived, of which the first pause has taken some.
 UNACKNOWLEDGED_TIMEOUT_S = 0.25
 
 
 class Decision(enum.Enum):
     """What to do about the client now.
 
-    DROP is for a client that can't be reached or asked: what is ready is still sent to it.
+    DROP is for a client that can't be reached or probed: what is ready is still sent to it.
     """
 
     WAIT = "wait"
-    ASK = "ask"
+    PROBE = "probe"
     DROP = "drop"
     LEAVE = "leave"
 
@@ -40,11 +40,11 @@
     """
 
     def __init__(self, now, takes_interim):
-        self._asks_at = now + ASK_PAUSES_S[0]
+        self._probes_at = now + PROBE_PAUSES_S[0]
         self._progress_at = now
         self._unacknowledged_bytes = 0
         self._takes_interim = takes_interim
-        self._ask_count = 0
+        self._probe_count = 0
 
     def decide(self, now, is_reset, unacknowledged_bytes):
         """Returns the Decision.
@@ -61,14 +61,14 @@
         self._unacknowledged_bytes = unacknowledged_bytes
         if now >= self._progress_at + UNACKNOWLEDGED_TIMEOUT_S:
             return Decision.DROP
-        if now < self._asks_at:
+        if now < self._probes_at:
             return Decision.WAIT
         if not self._takes_interim:
             return Decision.DROP
-        # Bytes that are on their way are a question already.
+        # Bytes that are on their way probe it already.
         if unacknowledged_bytes:
             return Decision.WAIT
-        self._ask_count += 1
-        has_more = self._ask_count < len(ASK_PAUSES_S)
-        self._asks_at = now + ASK_PAUSES_S[self._ask_count] if has_more else math.inf
-        return Decision.ASK
+        self._probe_count += 1
+        has_more = self._probe_count < len(PROBE_PAUSES_S)
+        self._probes_at = now + PROBE_PAUSES_S[self._probe_count] if has_more else math.inf
+        return Decision.PROBE
