--- a/skylarksill/host/halfclose.py
+++ b/skylarksill/host/halfclose.py
@@ -10,7 +10,7 @@
 import enum
 import math
 
-# Pauses before the probes. Answers that are ready within the first one need no probe. Further probes
+# Pauses before the probes. Answers that are ready within the first one need no probe. Further ones
 # notice a client that has closed meanwhile; there are few, as some client libraries accept only
 # five interim responses to a request.
 PROBE_PAUSES_S = (0.15, 0.35, 0.5, 1.0, 2.0)
