A half-closed client that pauses, or is looked at late, keeps its requests

Callers saw: after the end of their sending side, clients that had no room for more of an answer for a quarter of a second lost the requests behind it.

Cause: the host took bytes that it could not send yet, or had sent since its last look, for bytes that the client had left unacknowledged for 0.25 s.

The kernel tells what is on its way and how much the client has acknowledged (TCP_INFO); only silence between two looks at bytes on their way counts. A client that closes with unread bytes resets, so one without room needs no bound beyond that of writing. The state also shows a reset without taking the error from the socket. The host decides right before it waits, so it no longer sends a question on a connection whose last answer was written during the wait.

--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -27,6 +27,14 @@
     And it ends its sending side and reads 200000 bytes each 0.05 s
     Then it has read answers of 3000000 and 20 bytes
 
+  # Guards against LOST: a client that pauses for longer than 0.25 s and has no room for more was taken
+  # for one that can't be reached, and its other requests were dropped.
+  Scenario: A client that pauses while it reads a large answer after the end of its sending side gets the next one
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a slow client sends requests for 3000000 bytes and behind it for 20 bytes that takes 1.0 s
+    And it ends its sending side and reads 1000000 bytes each 0.6 s
+    Then it has read answers of 3000000 and 20 bytes
+
   # A client of HTTP/1.0 may not be sent interim responses, so it can't be asked.
   Scenario: A client of HTTP/1.0 gets what is ready soon after the end of its sending side
     Given a client server that answers with as many bytes as its target says, after 0.0 s
@@ -61,4 +69,13 @@
       | takes   | acknowledges 0.2 s after it is asked                  | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
       | takes   | receives 100 bytes each 0.2 s of 2000 bytes           | 4.0, 4.35, 4.85, 5.85, 7.85 | is kept for 10 s       |
       | takes   | receives nothing of 2000 bytes                        | no                       | is dropped at 0.25 s   |
+      | takes   | has no room for 2000 bytes                            | no                       | is kept for 10 s       |
+      | takes   | is always sent more before it acknowledges, 200 bytes each 0.03 s | no           | is kept for 10 s       |
       | refuses | acknowledges at once                                  | no                       | is dropped at 0.15 s   |
+
+  # Guards against a look that is late and takes what has just been sent for unacknowledged since the
+  # look before.
+  Scenario: A late host does not take an answer that it has just sent for one that its client can't get
+    Given a half-closed client that takes interim responses
+    When a host that is 0.3 s late looks as an answer has just been sent
+    Then it goes on waiting
--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -9,7 +9,6 @@
 
 STEP_S = 0.001
 END_S = 10.0
-INTERIM_BYTES = 25
 # Questions come up to a step late each.
 TOLERANCE_S = 0.01
 
@@ -105,7 +104,9 @@
 
 
 # Clients in simulated time: each step gets the time since the last interim response, or None, and
-# returns whether the connection is reset and how many bytes are not acknowledged.
+# returns what is known of the delivery.
+DELIVERED = halfclose.Delivery()
+ON_ITS_WAY = halfclose.Delivery(is_in_flight=True, is_complete=False)
 
 
 @given("a half-closed client that {accepts} interim responses")
@@ -115,35 +116,67 @@
 
 @when("it acknowledges at once")
 def step_acknowledge(context):
-    context.respond = lambda now, asked_s: (False, 0)
+    context.respond = lambda now, asked_s: DELIVERED
 
 
 @when("it resets {seconds:g} s after it is asked")
 def step_reset(context, seconds):
-    context.respond = lambda now, asked_s: (asked_s is not None and asked_s >= seconds, 0)
+    def respond(now, asked_s):
+        return halfclose.Delivery(is_reset=asked_s is not None and asked_s >= seconds)
+
+    context.respond = respond
 
 
 @when("it acknowledges nothing")
 def step_silent(context):
-    context.respond = lambda now, asked_s: (False, INTERIM_BYTES if asked_s is not None else 0)
+    context.respond = lambda now, asked_s: DELIVERED if asked_s is None else ON_ITS_WAY
 
 
 @when("it acknowledges {seconds:g} s after it is asked")
 def step_acknowledge_late(context, seconds):
     def respond(now, asked_s):
-        return False, INTERIM_BYTES if asked_s is not None and asked_s < seconds else 0
+        return ON_ITS_WAY if asked_s is not None and asked_s < seconds else DELIVERED
 
     context.respond = respond
 
 
 @when("it receives {part:d} bytes each {pause:g} s of {size:d} bytes")
 def step_receive(context, part, pause, size):
-    context.respond = lambda now, asked_s: (False, max(0, size - part * int(now / pause)))
+    def respond(now, asked_s):
+        received = min(size, part * int(now / pause))
+        is_due = received < size
+        return halfclose.Delivery(False, received, is_in_flight=is_due, is_complete=not is_due)
+
+    context.respond = respond
+
+
+@when("it is always sent more before it acknowledges, {part:d} bytes each {pause:g} s")
+def step_receive_for_ever(context, part, pause):
+    def respond(now, asked_s):
+        return halfclose.Delivery(False, part * int(now / pause), True, False)
+
+    context.respond = respond
 
 
 @when("it receives nothing of {size:d} bytes")
 def step_receive_nothing(context, size):
-    context.respond = lambda now, asked_s: (False, size)
+    context.respond = lambda now, asked_s: ON_ITS_WAY
+
+
+@when("it has no room for {size:d} bytes")
+def step_no_room(context, size):
+    context.respond = lambda now, asked_s: halfclose.Delivery(is_complete=False)
+
+
+@when("a host that is {seconds:g} s late looks as an answer has just been sent")
+def step_late_look(context, seconds):
+    context.half_closed.decide(0.0, DELIVERED)
+    context.decision = context.half_closed.decide(seconds, ON_ITS_WAY)
+
+
+@then("it goes on waiting")
+def step_goes_on(context):
+    assert context.decision is halfclose.Decision.WAIT, context.decision
 
 
 @then("it is asked at {asked} s and is {fate} at {at:g} s")
@@ -169,7 +202,7 @@
     now = 0.0
     while now < END_S:
         asked_s = now - asked_at[-1] if asked_at else None
-        decision = client.decide(now, *respond(now, asked_s))
+        decision = client.decide(now, respond(now, asked_s))
         if decision is halfclose.Decision.ASK:
             asked_at.append(now)
         elif decision is not halfclose.Decision.WAIT:
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -46,6 +46,11 @@
 # Bytes of answers that the kernel takes at most as a stop ends, to send them after the process; it
 # grants this many unless it is set up otherwise, and reserves twice as many.
 MAX_HANDED_OVER_BYTES = 212_992
+# What the kernel tells of a connection (linux/tcp.h): its state, the segments on their way, and the
+# bytes that the other side has acknowledged.
+_TCP_INFO = struct.Struct("=B23xI92xQ")
+# State of a connection that was reset, or that both sides have ended.
+_TCP_CLOSE = 7
 # An interim response, which clients discard.
 _INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
@@ -620,19 +625,28 @@
         takes_interim = all(item.takes_interim for item in self.pending)
         client = halfclose.HalfClosedClient(now, takes_interim)
         while self._state is _State.ANSWERING and self.pending:
-            eventlet.sleep(HALF_CLOSED_POLL_S)
-            is_reset = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-            # An answer that is being written will be on its way.
-            unsent_bytes = _count_unsent_bytes(self._socket) or int(self._is_writing)
-            match client.decide(time.monotonic(), is_reset, unsent_bytes):
+            match client.decide(time.monotonic(), self._observe_delivery()):
                 case halfclose.Decision.ASK:
                     self._send_interim()
                 case halfclose.Decision.DROP:
                     self._drop_unready()
                 case halfclose.Decision.LEAVE:
                     self._end(Cause.CLIENT_LEFT)
+            eventlet.sleep(HALF_CLOSED_POLL_S)
         self._end(Cause.LAST_ANSWER if is_answered else Cause.CLIENT_LEFT)
 
+    def _observe_delivery(self):
+        """Returns the halfclose.Delivery of what was sent to a client that reads on."""
+        info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+        state, unacknowledged_segments, acknowledged_bytes = _TCP_INFO.unpack(info)
+        return halfclose.Delivery(
+            is_reset=state == _TCP_CLOSE,
+            acknowledged_bytes=acknowledged_bytes,
+            is_in_flight=unacknowledged_segments > 0,
+            # An answer that is being written will be on its way.
+            is_complete=not (self._is_writing or _count_unsent_bytes(self._socket)),
+        )
+
     def _send_interim(self):
         """Sends an interim response; a connection that its client has closed is reset by it."""
         try:
--- a/skylarksill/host/halfclose.py
+++ b/skylarksill/host/halfclose.py
@@ -7,6 +7,7 @@
 (RFC 9110, section 15.2.1).
 """
 
+import dataclasses
 import enum
 import math
 
@@ -31,6 +32,24 @@
     LEAVE = "leave"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivery:
+    """What the kernel knows of the bytes that were sent to a client.
+
+    Attributes:
+      is_reset: Whether the client has reset the connection.
+      acknowledged_bytes: Bytes that the client has acknowledged on the whole connection.
+      is_in_flight: Whether bytes are on their way that it has not acknowledged. Bytes that wait for
+        room at the client, which answers the kernel's probes, are not on their way.
+      is_complete: Whether nothing is left to send or to be acknowledged.
+    """
+
+    is_reset: bool = False
+    acknowledged_bytes: int = 0
+    is_in_flight: bool = False
+    is_complete: bool = True
+
+
 class HalfClosedClient:
     """What is known of a client since the end of its stream.
 
@@ -41,34 +60,46 @@
 
     def __init__(self, now, takes_interim):
         self._asks_at = now + ASK_PAUSES_S[0]
-        self._progress_at = now
-        self._unacknowledged_bytes = 0
+        # Since when the client has acknowledged nothing of what is on its way.
+        self._silent_since = now
+        self._acknowledged_bytes = 0
+        self._was_in_flight = False
         self._takes_interim = takes_interim
         self._ask_count = 0
 
-    def decide(self, now, is_reset, unacknowledged_bytes):
+    def decide(self, now, delivery):
         """Returns the Decision.
 
         Args:
           now: Monotonic seconds.
-          is_reset: Whether the client has reset the connection.
-          unacknowledged_bytes: Bytes sent to the client that it has not acknowledged.
+          delivery: The Delivery.
         """
-        if is_reset:
+        if delivery.is_reset:
             return Decision.LEAVE
-        if not unacknowledged_bytes or unacknowledged_bytes < self._unacknowledged_bytes:
-            self._progress_at = now
-        self._unacknowledged_bytes = unacknowledged_bytes
-        if now >= self._progress_at + UNACKNOWLEDGED_TIMEOUT_S:
+        if self._measure_silence(now, delivery) >= UNACKNOWLEDGED_TIMEOUT_S:
             return Decision.DROP
         if now < self._asks_at:
             return Decision.WAIT
         if not self._takes_interim:
             return Decision.DROP
         # Bytes that are on their way are a question already.
-        if unacknowledged_bytes:
+        if not delivery.is_complete:
             return Decision.WAIT
         self._ask_count += 1
         has_more = self._ask_count < len(ASK_PAUSES_S)
         self._asks_at = now + ASK_PAUSES_S[self._ask_count] if has_more else math.inf
+        # The question is on its way from now on.
+        self._was_in_flight = True
         return Decision.ASK
+
+    def _measure_silence(self, now, delivery):
+        """Returns for how many seconds the client has acknowledged nothing of what is on its way.
+
+        What has been sent since the last look counts from now on, as the process may be late.
+        """
+        has_acknowledged = delivery.acknowledged_bytes != self._acknowledged_bytes
+        if not (delivery.is_in_flight and self._was_in_flight) or has_acknowledged:
+            self._silent_since = now
+        self._acknowledged_bytes = delivery.acknowledged_bytes
+        self._was_in_flight = delivery.is_in_flight
+        return now - self._silent_since
