client.closed tells requests that the host drops of a half-closed client from a client that left

Operators saw: a host that dropped the requests of a client which had ended its sending side, as it may not be asked (HTTP/1.0) or acknowledges nothing, logged that the client had left and ended the connection.

Such a connection now ends by half_closed, and ended_by names the host.

--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -41,7 +41,8 @@
     When a client of HTTP/1.0 sends requests that take 0.1, 1.0 and 0.1 s and ends its sending side
     Then the client reads an answer of 10 bytes
     And the connection ends without another answer
-    And the server logs that a connection ended by client_left with 2 unanswered requests
+    And the server logs that a connection ended by half_closed with 2 unanswered requests
+    And the line says that the host ended it, with a time after the end of its stream
     And the server holds no bytes of answers
 
   Scenario: A client that closes its connection after the end of its sending side is noticed
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -68,9 +68,14 @@
 
 
 class Cause(enum.StrEnum):
-    """Why a connection ended, for logs and counters."""
+    """Why a connection ended, for logs and counters.
+
+    HALF_CLOSED stands for requests that the host has dropped, as their client has ended its sending
+    side and can't be asked whether it reads on.
+    """
 
     CLIENT_LEFT = "client_left"
+    HALF_CLOSED = "half_closed"
     RESET = "reset"
     IDLE_TIMEOUT = "idle_timeout"
     LAST_ANSWER = "last_answer"
@@ -662,6 +667,8 @@
         """Drops the first request without an answer, and those behind it."""
         ready = list(itertools.takewhile(lambda item: item.data is not None, self.pending))
         dropped = list(self.pending)[len(ready) :]
+        if dropped:
+            self._set_cause(Cause.HALF_CLOSED)
         self._drop(dropped)
         for _ in dropped:
             self.pending.pop()
