--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -46,6 +46,11 @@
 # Bytes of answers that the kernel takes at most as a stop ends, to send them after the process; it
 # grants this many unless it is set up otherwise, and reserves twice as many.
 MAX_HANDED_OVER_BYTES = 212_992
+# What the kernel tells of a connection (linux/tcp.h): its state, the segments on their way, and the
+# bytes that the other side has acknowledged.
+_TCP_INFO = struct.Struct("=B23xI92xQ")
+# State of a connection that was reset, or that both sides have ended.
+_TCP_CLOSE = 7
 # An interim response, which clients discard.
 _INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
@@ -63,9 +68,14 @@
 
 
 class Cause(enum.StrEnum):
-    """Why a connection ended, for logs and counters."""
+    """Why a connection ended, for logs and counters.
+
+    HALF_CLOSED stands for requests that the host has dropped, as their client has ended its sending
+    side and can't be probed whether it reads on.
+    """
 
     CLIENT_LEFT = "client_left"
+    HALF_CLOSED = "half_closed"
     RESET = "reset"
     IDLE_TIMEOUT = "idle_timeout"
     LAST_ANSWER = "last_answer"
@@ -621,11 +631,7 @@
         client = halfclose.HalfClosedClient(now, takes_interim)
         outcome = "answered" if self.pending else "idle"
         while self._state is _State.ANSWERING and self.pending:
-            eventlet.sleep(HALF_CLOSED_POLL_S)
-            is_reset = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-            # An answer that is being written will be on its way.
-            unsent_bytes = _count_unsent_bytes(self._socket) or int(self._is_writing)
-            match client.decide(time.monotonic(), is_reset, unsent_bytes):
+            match client.decide(time.monotonic(), self._observe_delivery()):
                 case halfclose.Decision.PROBE:
                     self._send_interim()
                 case halfclose.Decision.DROP:
@@ -634,9 +640,22 @@
                 case halfclose.Decision.LEAVE:
                     outcome = "left"
                     self._end(Cause.CLIENT_LEFT)
+            eventlet.sleep(HALF_CLOSED_POLL_S)
         self._server.counters.count("connections_half_closed", outcome)
         self._end(Cause.LAST_ANSWER if is_answered else Cause.CLIENT_LEFT)
 
+    def _observe_delivery(self):
+        """Returns the halfclose.Delivery of what was sent to a client that reads on."""
+        info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+        state, unacknowledged_segments, acknowledged_bytes = _TCP_INFO.unpack(info)
+        return halfclose.Delivery(
+            is_reset=state == _TCP_CLOSE,
+            acknowledged_bytes=acknowledged_bytes,
+            is_in_flight=unacknowledged_segments > 0,
+            # An answer that is being written will be on its way.
+            is_complete=not (self._is_writing or _count_unsent_bytes(self._socket)),
+        )
+
     def _send_interim(self):
         """Sends an interim response; a connection that its client has closed is reset by it."""
         try:
@@ -652,6 +671,8 @@
         """Drops the first request without an answer, and those behind it."""
         ready = list(itertools.takewhile(lambda item: item.data is not None, self.pending))
         dropped = list(self.pending)[len(ready) :]
+        if dropped:
+            self._set_cause(Cause.HALF_CLOSED)
         self._drop(dropped)
         for _ in dropped:
             self.pending.pop()
