Site rig: noise, broken upstreams, clients that leave at once, small windows, HTTP/1.0, last requests

The checks excuse nothing more for them: what upstreams break off was excused already. That excuse was too wide where an upstream breaks off after the host has cut the request; it now holds only if every upstream had broken off before the end. What the rule excuses around planned work near unplanned disruption counts as lost here.

--- a/bench/siterun/__main__.py
+++ b/bench/siterun/__main__.py
@@ -67,6 +67,10 @@
         "versions": len(observations.versions),
         "lateness_ms": int(1000 * observations.lateness_s),
         "half_closed": sum(attempt.is_half_closed for attempt in observations.attempts),
+        "http_1_0": sum(attempt.is_old for attempt in observations.attempts),
+        "said_last": sum(attempt.is_last for attempt in observations.attempts),
+        "crashes": observations.crashes,
+        "runs": dict(collections.Counter(run.end.value for run in observations.runs)),
         "ends": dict(ends.most_common()),
         "lost": len({loss.attempt.request_id for loss in found}),
         "clauses": dict(clauses),
@@ -95,7 +99,7 @@
     except subprocess.TimeoutExpired:
         print(f"seed {seed}: the run took longer than {limit_s:g} s", flush=True)
     except (IndexError, json.JSONDecodeError):
-        print(f"seed {seed}: the run failed: {result.stderr.strip()[-500:]}", flush=True)
+        print(f"seed {seed}: the run failed: {result.stderr.strip()[-1500:]}", flush=True)
     return None
 
 
--- a/bench/siterun/clients.py
+++ b/bench/siterun/clients.py
@@ -15,7 +15,7 @@
 from eventlet import event, queue  # isort: skip
 from eventlet.green import socket  # isort: skip
 
-from bench.siterun import conditions, records, shape
+from bench.siterun import conditions, disturbances, records, shape, windows
 from bench.soak import channels, hosts
 from standins import platformdata
 
@@ -105,19 +105,26 @@
 
 
 class _Connection:
-    """A connection to a host behind a link with a delay; raises OSError if it can't be opened."""
+    """A connection to a host behind a link with a delay; raises OSError if it can't be opened.
 
-    def __init__(self, host, delay_s, is_slow):
+    Args:
+      host: IP address of the host.
+      delay_s: Delay of the link in seconds.
+      is_slow: Whether the client reads slowly.
+      window_rng: Random generator for a small receive window, or None for a usual one.
+    """
+
+    def __init__(self, host, delay_s, is_slow, window_rng=None):
         self.host = host
         self.waiting = collections.deque()
         self.is_open = True
         self.used_at = time.monotonic()
         self._delay_s = delay_s
-        self._sent_count = 0
+        self.is_kept = False
         self._has_left = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if is_slow:
+        if is_slow or window_rng:
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, channels.SLOW_BUFFER_BYTES)
         self._socket.settimeout(CONNECT_TIMEOUT_S)
         try:
@@ -128,7 +135,12 @@
         eventlet.sleep(2 * delay_s)
         self._socket.settimeout(None)
         self._receiver = channels.Receiver(self._socket, is_slow)
-        self._reader = platformdata.AnswerReader(_DelayedReceiver(self._receiver, delay_s))
+        receiver = _DelayedReceiver(self._receiver, delay_s)
+        self._pauses = []
+        if window_rng:
+            receiver = windows.WindowReceiver(receiver, 2 * delay_s, window_rng)
+            self._pauses = receiver.pauses
+        self._reader = platformdata.AnswerReader(receiver)
         self._unsent = queue.LightQueue()
         self._sender = eventlet.spawn(self._send_parts)
         eventlet.spawn_n(self._read_answers)
@@ -144,11 +156,10 @@
     def send(self, attempt, parts, rng, half_close_share):
         """Sends an attempt in parts with pauses; returns its _Exchange.
 
-        The connection's sending side is ended after a share of the attempts that aren't its first.
+        The connection's sending side is ended after a share of the attempts that aren't its first,
+        or after a share of the last ones that is as large as ``half_close_share``.
         """
-        attempt.is_kept = self._sent_count > 0
-        attempt.is_behind = bool(self.waiting)
-        self._sent_count += 1
+        self.is_kept = True
         exchange = _Exchange(attempt)
         self.waiting.append(exchange)
         due = time.monotonic() + self._delay_s
@@ -156,7 +167,9 @@
             is_last = index == len(parts) - 1
             self._unsent.put((due, part, exchange if is_last else None))
             due += rng.uniform(0.0, MAX_PART_PAUSE_S)
-        if half_close_share and attempt.is_kept and rng.random() < half_close_share:
+        if attempt.is_last:
+            self.is_open = False
+        if half_close_share and rng.random() < half_close_share:
             attempt.is_half_closed = True
             self.is_open = False
             self._unsent.put((due, None, None))
@@ -217,7 +230,9 @@
         self._sender.kill()
         self._socket.close()
         while self.waiting:
-            self.waiting.popleft().end(end)
+            exchange = self.waiting.popleft()
+            exchange.end(end)
+            exchange.attempt.standstill_s = sum_standstills(self._pauses, exchange.attempt)
 
 
 class _Client:
@@ -239,8 +254,8 @@
         self._addresses = []
         self._expires_at = 0.0
         self._is_slow = self._rng.random() < SLOW_SHARE
-        is_half_closing = conditions.Condition.HALF_CLOSE in order.conditions
-        self._half_close_share = HALF_CLOSE_SHARE if is_half_closing else 0.0
+        self._habits = disturbances.ClientHabits(self._rng, order.conditions)
+        self._is_half_closing = conditions.Condition.HALF_CLOSE in order.conditions
 
     def request(self):
         """Draws a request and sends it, with retries."""
@@ -261,6 +276,22 @@
             left_s = max(0.0, deadline - time.monotonic())
             eventlet.sleep(min(exchange.retry_after_s, MAX_RETRY_AFTER_SHARE * left_s))
 
+    def leave(self):
+        """Closes all connections, whatever waits on them."""
+        for connection in self._connections:
+            connection.leave()
+
+    def _find_half_close_share(self, attempt):
+        """Returns the probability that the client ends its sending side behind an attempt.
+
+        A host can't ask a client of HTTP/1.0 whether it still reads, so these don't do it.
+        """
+        if not self._is_half_closing or attempt.is_old:
+            return 0.0
+        if attempt.is_last:
+            return disturbances.LAST_HALF_CLOSE_SHARE
+        return HALF_CLOSE_SHARE if attempt.is_kept else 0.0
+
     def _exchange(self, connection, kind, target, remaining_s):
         self._count += 1
         request_id = f"{self._name}-{self._count}"
@@ -268,14 +299,17 @@
             request_id=request_id,
             kind=kind.name,
             host=connection.host,
-            is_kept=False,
-            is_behind=False,
+            is_kept=connection.is_kept,
+            is_behind=bool(connection.waiting),
             deadline_s=remaining_s,
             sent_at=time.monotonic(),
+            is_old=self._habits.is_old,
+            is_last=self._habits.draw_last(),
         )
         self._attempts.append(attempt)
-        parts = self._format(kind, target, request_id, remaining_s)
-        exchange = connection.send(attempt, parts, self._rng, self._half_close_share)
+        parts = self._format(kind, target, attempt)
+        half_close_share = self._find_half_close_share(attempt)
+        exchange = connection.send(attempt, parts, self._rng, half_close_share)
         patience_s = remaining_s
         if self._rng.random() < GIVE_UP_SHARE:
             patience_s *= self._rng.random()
@@ -285,13 +319,13 @@
             connection.leave()
         return exchange
 
-    def _format(self, kind, target, request_id, remaining_s):
+    def _format(self, kind, target, attempt):
         """Returns the parts of a request."""
         size = int(kind.request_bytes.draw(self._rng))
         body = b"o" * size
-        framing, bodies = [], []
-        if size and self._rng.random() < CHUNKED_SHARE:
-            framing = ["Transfer-Encoding: chunked"]
+        headers, bodies = self._habits.list_headers(attempt.is_last), []
+        if size and not attempt.is_old and self._rng.random() < CHUNKED_SHARE:
+            headers.append("Transfer-Encoding: chunked")
             cut = size // PART_COUNT + 1
             pieces = [body[at : at + cut] for at in range(0, size, cut)]
             bodies = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces] + [b"0\r\n\r\n"]
@@ -300,11 +334,12 @@
             body = None
         head = platformdata.format_request(
             f"{kind.method} {target}",
-            request_id,
+            attempt.request_id,
             body,
-            headers=framing,
+            headers=headers,
             key=target,
-            deadline_ms=int(1000 * remaining_s),
+            deadline_ms=int(1000 * attempt.deadline_s),
+            version="HTTP/1.0" if attempt.is_old else "HTTP/1.1",
         )
         return [head, *bodies]
 
@@ -312,7 +347,8 @@
         """Returns a kept or a new connection, or None if no host accepts one."""
         self._look_up()
         self._connections = [item for item in self._connections if item.is_open]
-        most_waiting = MAX_PIPELINED if kind.habit is shape.Habit.PIPELINE else 0
+        pipelines = kind.habit is shape.Habit.PIPELINE and not self._habits.is_old
+        most_waiting = MAX_PIPELINED if pipelines else 0
         for connection in self._connections if not failed else ():
             if connection.is_reusable(self._addresses, most_waiting):
                 return connection
@@ -321,7 +357,12 @@
             return None
         host = self._rng.choice(addresses)
         try:
-            connection = _Connection(host, self._site.client_delay_s, self._is_slow)
+            connection = _Connection(
+                host,
+                self._site.client_delay_s,
+                self._is_slow,
+                self._rng if self._habits.has_small_window else None,
+            )
         except OSError:
             # The host may be down, or about to end.
             failed.add(host)
@@ -397,16 +438,28 @@
         for number in range(zone.clients)
     ]
     eventlet.sleep(max(0.0, order.begins_at - time.monotonic()))
+    if conditions.Condition.LEAVING_CLIENTS in order.conditions:
+        eventlet.spawn_n(_leave_in_bursts, random.Random(f"{order.seed} bursts"), clients)
     pool = eventlet.GreenPool(len(clients) * MAX_PIPELINED)
     for at, client in draw_arrivals(rng, site, clients, time.monotonic(), order.ends_at):
         eventlet.sleep(max(0.0, at - time.monotonic()))
         pool.spawn_n(client.request)
     pool.waitall()
     for attempt in attempts:
-        attempt.standstill_s = sum_standstills(standstills, attempt)
+        # Pauses of the client itself are known already.
+        own_s = sum_standstills(standstills, attempt)
+        attempt.standstill_s = max(attempt.standstill_s, own_s)
     return attempts, max((end - begin for begin, end in standstills), default=0.0)
 
 
+def _leave_in_bursts(rng, clients):
+    """Has a share of the clients leave in one moment, again and again."""
+    while True:
+        eventlet.sleep(rng.expovariate(1.0 / disturbances.BURST_PAUSE_S))
+        for client in rng.sample(clients, int(disturbances.BURST_SHARE * len(clients))):
+            client.leave()
+
+
 def draw_arrivals(rng, site, clients, begins_at, ends_at):
     """Yields pairs of the time of a request and its client.
 
--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -8,10 +8,27 @@
 
     HALF_CLOSE has clients end their sending side after some requests and read on. WAVES has them
     send the requests of the site's sheet, in waves of each zone's own phase.
+
+    NOISE has upstreams be slower in spells, lose their caches and fail or reject some requests
+    themselves, as those of the sheet do; hosts then place and retry under stops. BROKEN_UPSTREAMS
+    has them break requests off, send bytes that are no answer, crash and return: what others have
+    sent on the same client connection, and to other upstreams, must still be answered.
+
+    LEAVING_CLIENTS has many clients give up at once, which frees many upstreams and connections in
+    one moment. SMALL_WINDOWS has clients read a few KB a round trip and pause, so that answers are
+    still being sent as a host stops. OLD_PROTOCOL has clients speak HTTP/1.0, with and without kept
+    connections, and LAST_CLOSE has them say that a request is the last one: then the host decides
+    when the connection ends.
     """
 
     HALF_CLOSE = "half-close"
     WAVES = "waves"
+    NOISE = "noise"
+    BROKEN_UPSTREAMS = "broken-upstreams"
+    LEAVING_CLIENTS = "leaving-clients"
+    SMALL_WINDOWS = "small-windows"
+    OLD_PROTOCOL = "http-1.0"
+    LAST_CLOSE = "last-close"
 
 
 def parse_conditions(text):
--- a/bench/siterun/losses.py
+++ b/bench/siterun/losses.py
@@ -2,7 +2,8 @@
 
 What a host refuses as not run must not run either, and orders run once.
 
-There is no disturbance in these runs but planned work, so nothing else excuses a host. A process
+Disturbances beside planned work excuse a host only for what its upstreams break off and its clients
+leave; what the rule excuses around planned work near unplanned disruption counts here. A process
 that gets little of a processor is not excused either.
 """
 
@@ -79,11 +80,13 @@
         held_s = attempt.ended_at - attempt.completed_at
         occasion = f" at +{self.after_s:.2f} s" if self.after_s is not None else ""
         ends = ", ".join(run.end.value for run in self.runs) or "not sent"
-        half_closed = ", half-closed by its client" if attempt.is_half_closed else ""
+        habits = ", half-closed by its client" if attempt.is_half_closed else ""
+        habits += ", HTTP/1.0" if attempt.is_old else ""
+        habits += ", last of its connection" if attempt.is_last else ""
         return (
             f"{attempt.request_id} ({attempt.kind}) at {attempt.host}: {self.clause}{occasion},"
             f" {held_s:.2f} s after its last byte ({attempt.end.value}, {attempt.status};"
-            f" upstreams: {ends}{half_closed})"
+            f" upstreams: {ends}{habits})"
         )
 
 
@@ -171,7 +174,7 @@
         return Excuse.INCOMPLETE
     if attempt.ended_at >= attempt.sent_at + _find_time_s(observations, site, attempt):
         return Excuse.TIME_UP
-    if runs and all(run.end is records.RunEnd.BROKEN_OFF for run in runs):
+    if runs and all(_is_broken_off_before(run, attempt.ended_at) for run in runs):
         return Excuse.BROKEN_OFF
     stop = _find_stop(observations, site, attempt)
     if stop and _was_at_work_late(stop, site, attempt, runs):
@@ -179,6 +182,10 @@
     return None
 
 
+def _is_broken_off_before(run, at):
+    return run.end is records.RunEnd.BROKEN_OFF and run.ended_at <= at
+
+
 def _explain_cut(observations, site, attempt, runs):
     """Returns the Excuse of a request that was cut and is not lost."""
     occasion, _ = _find_occasion(observations, site, attempt)
--- a/bench/siterun/records.py
+++ b/bench/siterun/records.py
@@ -13,7 +13,8 @@
     """How a request ended at an upstream.
 
     HOST_LEFT is an end of the connection by the host while the upstream was at work. REFUSED is a
-    refusal by the upstream, which has not run the request.
+    refusal by the upstream, which has not run the request. BROKEN_OFF is an end by the upstream
+    itself before its answer was complete, also of a request on which it had not begun.
     """
 
     RUNNING = "running"
@@ -39,6 +40,8 @@
       standstill_s: Part of the time from its last byte to its end in which the client's own process
         stood still, in seconds.
       is_half_closed: Whether the client has ended its sending side behind it.
+      is_old: Whether it was sent in HTTP/1.0.
+      is_last: Whether the client has said that it is the last one on its connection.
     """
 
     request_id: str
@@ -55,6 +58,8 @@
     is_signed: bool = False
     standstill_s: float = 0.0
     is_half_closed: bool = False
+    is_old: bool = False
+    is_last: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +101,7 @@
       reloads: Pairs of a host's IP address and the time of a SIGHUP.
       ended_hosts: Pairs of the IP address of a host whose process has ended by itself, and the time
         at which that was seen.
+      crashes: Number of crashes of upstreams.
       lateness_s: Longest delay with which a process of the run itself has woken up.
     """
 
@@ -105,6 +111,7 @@
     reloads: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     versions: list[Version] = dataclasses.field(default_factory=list)
     ended_hosts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    crashes: int = 0
     lateness_s: float = 0.0
 
 
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -12,7 +12,8 @@
 import eventlet
 import msgpack
 
-from bench.siterun import clients, configurations, records, schedule, shape, upstreams
+from bench.siterun import clients, configurations, disturbances, records, schedule, shape, upstreams
+from bench.siterun.conditions import Condition
 from bench.soak import hosts
 from skylarksill.host import keyfile, keyring
 from standins import metadatastore, platformdata
@@ -169,6 +170,8 @@
             )
             orders.append((order, self._start_clients(index, order)))
         eventlet.sleep(begins_at + WARM_UP_S - time.monotonic())
+        if Condition.BROKEN_UPSTREAMS in self._conditions:
+            eventlet.spawn_n(self._crash_upstreams, ends_at)
         threads = [eventlet.spawn_after(at, self._apply, event) for at, event in events]
         for thread in threads:
             thread.wait()
@@ -285,6 +288,9 @@
             zone,
             random.Random(f"{self._seed} {self._upstream_number}"),
             self.observations.runs.append,
+            disturbances.Disturbances(
+                f"{self._seed} {self._upstream_number}", played=self._conditions
+            ),
         )
         self._register(upstream, "ready", cold_s)
         return upstream
@@ -312,3 +318,27 @@
         upstream.shut_down()
         eventlet.sleep(DRAIN_PAUSE_S)
         self.upstreams[index] = self._start_upstream(upstream.service, upstream.zone, COLD_S)
+
+    def _crash_upstreams(self, ends_at):
+        rng = random.Random(f"{self._seed} crashes")
+        while time.monotonic() < ends_at:
+            eventlet.sleep(rng.expovariate(1.0 / disturbances.CRASH_PAUSE_S))
+            upstream = rng.choice(self.upstreams)
+            if not upstream.is_leaving:
+                eventlet.spawn_n(self._crash, upstream, rng.uniform(*disturbances.CRASH_TIMES_S))
+
+    def _crash(self, upstream, down_s):
+        """Crashes an upstream, which returns under its id or another one."""
+        # It is neither drained nor crashed meanwhile.
+        upstream.is_leaving = True
+        upstream.crash()
+        self.observations.crashes += 1
+        eventlet.sleep(down_s)
+        self._upstream_number += 1
+        upstream_id = upstream.upstream_id
+        if self._upstream_number % 2:
+            self._store.delete("servers", upstream_id)
+            upstream_id = f"u{self._upstream_number}"
+        upstream.come_back(upstream_id)
+        upstream.is_leaving = False
+        self._register(upstream, "ready", COLD_S)
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -32,6 +32,11 @@
       | 1     | are cut at an upstream               | 0.1  | 2.0   | a configuration | 1    | CONFIGURATION_CUT  |
       | 1     | are cut unsent                       | 0.3  | 2.0   | a configuration | 1    | CONFIGURATION_UNSENT |
       | 4     | are cut at an upstream as kept       | 0.1  | 0.5   | nothing         | 4    | KEPT_CUT           |
+      | 4     | are broken off and cut at a second upstream as kept | 0.1 | 0.5 | nothing | 4 | KEPT_CUT       |
+      | 1     | are cut at an upstream that breaks off later | 0.1 | 0.5 | a stop      | 1    | STOP_CUT           |
+      | 1     | are broken off and get a 502 of the host at a second upstream | 0.3 | 0.5 | a stop | 1 | STOP_REPLACED |
+      | 1     | are broken off and get a 503 of the host | 0.3 | 0.5 | nothing         | 1    | REFUSED_RUN        |
+      | 1     | are broken off and run again         | 0.3  | 0.5   | nothing         | 1    | RUN_TWICE          |
 
   Scenario Outline: What the rule excuses is not lost
     Given a run of the site with 40 answered requests
@@ -42,6 +47,8 @@
       | count | fate                                      | held | after | work            |
       | 3     | are cut at an upstream as kept            | 0.1  | 0.5   | nothing         |
       | 4     | are cut at an upstream                    | 0.1  | 0.5   | nothing         |
+      | 4     | are broken off by an upstream as kept     | 0.1  | 0.5   | nothing         |
+      | 1     | are broken off unread and run again       | 0.3  | 0.5   | nothing         |
       | 1     | are cut unsent                            | 0.1  | 0.5   | a stop          |
       | 1     | are cut unsent behind others              | 0.3  | 0.5   | a stop          |
       | 1     | are cut unsent before their last byte     | 0.3  | 0.5   | a stop          |
@@ -147,6 +154,12 @@
     Then it served requests beside planned work and lost none
     And clients have ended their sending side behind 5 requests or more
 
+  Scenario: Broken upstreams and clients of many habits lose no request of others
+    When the site plays seed 5700 with a fifth of its clients for 5 s with all conditions
+    Then it served requests beside planned work and lost none
+    And clients have ended their sending side behind 5 requests or more
+    And upstreams broke off 5 requests or more, and 50 or more were HTTP/1.0
+
   Scenario: A short run of the real programs loses no request
     When the site plays seed 3 with a fifth of its clients for 5 s
     Then it served requests beside planned work and lost none
--- /dev/null
+++ b/features/siterun_disturbances.feature
@@ -0,0 +1,29 @@
+Feature: Disturbances beside the planned work of a site
+  Guards against a rig that names a disturbance and doesn't play it, or records it as something else.
+
+  Scenario Outline: An upstream breaks a request off
+    Given an upstream that <breaks>
+    When it gets a request
+    Then its connection ends with <what>, and the request is broken off
+
+    Examples:
+      | breaks            | what                   |
+      | breaks UNREAD     | no byte                |
+      | breaks AT_WORK    | no byte                |
+      | breaks IN_HEAD    | a part of a head       |
+      | breaks IN_BODY    | a part of a body       |
+      | breaks NO_ANSWER  | bytes without a status |
+      | crashes           | no byte                |
+
+  Scenario: An upstream that crashed serves again, and has dropped what waited
+    Given an upstream that crashes
+    When it gets a request
+    And it comes back as u9 and gets a request
+    Then 1 request is broken off, and u9 has answered the other
+
+  Scenario: Noise slows upstreams in spells and fails a few requests
+    Then 12 to 18% of 1000 spells are slow, and 0.2 to 0.6% of 20000 requests fail
+
+  Scenario: A client with a small window reads a part at a time, and its pauses are known
+    When a client with a small window reads 400000 bytes
+    Then no part exceeds 4000 bytes, and it has paused for the time that it took beyond its parts
--- /dev/null
+++ b/features/steps/siterun_disturbance_steps.py
@@ -0,0 +1,104 @@
+"""Steps of siterun_disturbances.feature."""
+
+import random
+import time
+from unittest import mock
+
+import eventlet
+from behave import given, then, when
+from eventlet.green import socket
+
+from bench.siterun import conditions, disturbances, records, shape, upstreams, windows
+from standins import platformdata
+
+SITE = shape.THREE_REGIONS
+
+
+@given("an upstream that {fate}")
+def step_breaking_upstream(context, fate):
+    context.runs = []
+    disturbed = mock.create_autospec(disturbances.Disturbances, instance=True)
+    disturbed.find_pace.return_value = 1.0
+    disturbed.empties_cache.return_value = False
+    disturbed.draw_status.return_value = 200
+    has_crash = fate == "crashes"
+    kind = None if has_crash else disturbances.Break[fate.removeprefix("breaks ")]
+    disturbed.draw_break.return_value = kind
+    requests = {request.prefix: request for request in SITE.requests}
+    context.upstream = upstreams.SiteUpstream(
+        "u1", SITE.services[2], requests, "east-a", random.Random(1), context.runs.append, disturbed
+    )
+    context.add_cleanup(context.upstream.shut_down)
+    if has_crash:
+        eventlet.spawn_after(0.05, context.upstream.crash)
+
+
+@when("it gets a request")
+@when("it comes back as {upstream_id} and gets a request")
+def step_break(context, upstream_id=None):
+    if upstream_id:
+        context.upstream.come_back(upstream_id)
+    expected = f"{platformdata.EXPECTED_UPSTREAM_FIELD}: {upstream_id or 'u1'}"
+    client = socket.create_connection(context.upstream.address)
+    client.sendall(platformdata.format_request("GET /check/1", "r1", headers=[expected]))
+    context.received = b""
+    try:
+        while b"\r\n\r\n....." not in context.received and (data := client.recv(65536)):
+            context.received += data
+    except ConnectionResetError:
+        # What arrived before is what counts.
+        return
+    finally:
+        client.close()
+
+
+@then("its connection ends with {what}, and the request is broken off")
+def step_broken(context, what):
+    received = context.received
+    head, separator, body = received.partition(b"\r\n\r\n")
+    fits = {
+        "no byte": received == b"",
+        "a part of a head": received.startswith(b"H") and not separator,
+        "a part of a body": len(body)
+        < int(platformdata.parse_fields(head).get("content-length", 0)),
+        "bytes without a status": bool(received) and not received.startswith(b"HTTP/"),
+    }
+    assert fits[what], received
+    assert [run.end for run in context.runs] == [records.RunEnd.BROKEN_OFF], context.runs
+
+
+@then("1 request is broken off, and {upstream_id} has answered the other")
+def step_back(context, upstream_id):
+    first, second = context.runs
+    assert (first.end, second.end) == (records.RunEnd.BROKEN_OFF, records.RunEnd.ANSWERED)
+    assert second.upstream_id == upstream_id and context.received.startswith(b"HTTP/1.1 200")
+
+
+@then(
+    "{a:g} to {b:g}% of {spells:d} spells are slow, and {c:g} to {d:g}% of {count:d} requests fail"
+)
+def step_noise(context, a, b, spells, c, d, count):
+    disturbed = disturbances.Disturbances("noise", [conditions.Condition.NOISE])
+    slow = sum(disturbed.find_pace(disturbances.SPELL_S * (i + 0.5)) > 2.0 for i in range(spells))
+    failed = sum(disturbed.draw_status() == 500 for _ in range(count))
+    assert a <= 100 * slow / spells <= b and c <= 100 * failed / count <= d, (slow, failed)
+
+
+@when("a client with a small window reads {size:d} bytes")
+def step_read_window(context, size):
+    begin = time.monotonic()
+    source = mock.Mock(recv=bytes)
+    context.receiver = windows.WindowReceiver(source, 0.001, random.Random(3))
+    context.parts = []
+    while sum(context.parts) < size:
+        context.parts.append(len(context.receiver.recv(65536)))
+    context.seconds = time.monotonic() - begin
+
+
+@then(
+    "no part exceeds {most:d} bytes, and it has paused for the time that it took beyond its parts"
+)
+def step_pauses(context, most):
+    assert max(context.parts) <= most
+    pauses_s = sum(end - begin for begin, end in context.receiver.pauses)
+    assert pauses_s > 0.0 and pauses_s + 0.001 * len(context.parts) <= context.seconds
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -13,7 +13,16 @@
 from eventlet.green import socket
 
 from bench.siterun import __main__ as siterun
-from bench.siterun import clients, hostlogs, losses, records, rig, schedule, shape
+from bench.siterun import (
+    clients,
+    conditions,
+    hostlogs,
+    losses,
+    records,
+    rig,
+    schedule,
+    shape,
+)
 from bench.soak import channels
 
 SITE = shape.THREE_REGIONS
@@ -171,6 +180,45 @@
     _add_run(context, attempt, records.RunEnd.BROKEN_OFF)
 
 
+def _break_off_kept(context, attempt):
+    attempt.is_kept = True
+    _break_off(context, attempt)
+
+
+def _break_off_and_cut(context, attempt):
+    # Hosts retry only what is idempotent.
+    attempt.kind = "lookup"
+    _break_off_kept(context, attempt)
+    _add_run(context, attempt)
+
+
+def _cut_before_break(context, attempt):
+    _break_off(context, attempt)
+    context.observations.runs[-1].ended_at += 0.1
+
+
+def _break_off_and_replace(context, attempt):
+    attempt.kind = "lookup"
+    _break_off(context, attempt)
+    _replace(context, attempt)
+
+
+def _break_off_and_refuse(context, attempt):
+    _break_off(context, attempt)
+    attempt.end, attempt.status = records.End.ANSWERED, 503
+
+
+def _break_off_and_run(context, attempt):
+    _break_off(context, attempt)
+    attempt.end, attempt.status, attempt.is_signed = records.End.ANSWERED, 200, True
+    _add_run(context, attempt, records.RunEnd.ANSWERED)
+
+
+def _break_off_unread_and_run(context, attempt):
+    _break_off_and_run(context, attempt)
+    context.observations.runs[-2].began_at = float("inf")
+
+
 _FATES = {
     "are cut at an upstream": _add_run,
     "are cut at an upstream as kept": _cut_kept,
@@ -188,6 +236,13 @@
     "are cut after an upstream's refusal": _cut_refused,
     "are left by their client": _leave,
     "are broken off by an upstream": _break_off,
+    "are broken off by an upstream as kept": _break_off_kept,
+    "are broken off and cut at a second upstream as kept": _break_off_and_cut,
+    "are cut at an upstream that breaks off later": _cut_before_break,
+    "are broken off and get a 502 of the host at a second upstream": _break_off_and_replace,
+    "are broken off and get a 503 of the host": _break_off_and_refuse,
+    "are broken off and run again": _break_off_and_run,
+    "are broken off unread and run again": _break_off_unread_and_run,
 }
 
 
@@ -339,6 +394,8 @@
 def step_play(context, seed, length, names=""):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
+    if names == "all conditions":
+        names = ",".join(conditions.Condition)
     arguments = ["--length", str(length), "--share", "0.2", "--with", names]
     played = siterun.parse_options(arguments)
     context.result = siterun.run_in_process(seed, pathlib.Path(folder.name), played)
@@ -355,3 +412,9 @@
 @then("clients have ended their sending side behind {count:d} requests or more")
 def step_half_closed(context, count):
     assert context.result["half_closed"] >= count, context.result
+
+
+@then("upstreams broke off {count:d} requests or more, and {old:d} or more were HTTP/1.0")
+def step_disturbed(context, count, old):
+    result = context.result
+    assert result["runs"]["broken_off"] >= count and result["http_1_0"] >= old, result
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -151,10 +151,19 @@
     return int(found[1]) if found else 0
 
 
-def format_request(line, request_id, body=None, headers=(), key="17", deadline_ms=2000, site=SITE):
+def format_request(
+    line,
+    request_id,
+    body=None,
+    headers=(),
+    key="17",
+    deadline_ms=2000,
+    site=SITE,
+    version="HTTP/1.1",
+):
     """Returns the bytes of a client's request; ``deadline_ms`` is the time until its deadline."""
     lines = [
-        f"{line} HTTP/1.1",
+        f"{line} {version}",
         f"Host: {site}",
         f"X-Skylarksill-Request-Id: {request_id}",
         f"X-Skylarksill-Deadline-Ms: {deadline_ms}",
@@ -178,9 +187,16 @@
     return answer["addresses"], float(answer["ttl"].removesuffix("ms")) / 1000
 
 
-def format_load(running, waiting, slots):
-    """Formats the header that states the load of an upstream, at its usual pace."""
-    return f"X-Skylarksill-Server-Load: {running},{waiting},{slots},100"
+def format_load(running, waiting, slots, pace=1.0):
+    """Formats the header that states the load of an upstream.
+
+    Args:
+      running: Number of requests that run.
+      waiting: Number of requests that wait.
+      slots: Number of requests that can run at a time.
+      pace: Time that work takes, as a multiple of the usual time.
+    """
+    return f"X-Skylarksill-Server-Load: {running},{waiting},{slots},{int(100 * pace)}"
 
 
 def is_signed(headers):
