--- a/bench/siterun/clients.py
+++ b/bench/siterun/clients.py
@@ -15,7 +15,7 @@
 from eventlet import event, queue  # isort: skip
 from eventlet.green import socket  # isort: skip
 
-from bench.siterun import conditions, disturbances, records, shape, windows
+from bench.siterun import conditions, records, shape, troubles, windows
 from bench.soak import channels, hosts
 from standins import platformdata
 
@@ -70,9 +70,7 @@
     @property
     def site(self):
         """The shape.SiteShape that is played."""
-        is_waving = conditions.Condition.WAVES in self.conditions
-        site = shape.raise_waves(shape.THREE_REGIONS) if is_waving else shape.THREE_REGIONS
-        return shape.thin_out(site, self.share)
+        return conditions.build_site(self.conditions, self.share)
 
 
 @dataclasses.dataclass(slots=True)
@@ -254,7 +252,7 @@
         self._addresses = []
         self._expires_at = 0.0
         self._is_slow = self._rng.random() < SLOW_SHARE
-        self._habits = disturbances.ClientHabits(self._rng, order.conditions)
+        self._habits = troubles.ClientHabits(self._rng, order.conditions)
         self._is_half_closing = conditions.Condition.HALF_CLOSE in order.conditions
 
     def request(self):
@@ -289,7 +287,7 @@
         if not self._is_half_closing or attempt.is_old:
             return 0.0
         if attempt.is_last:
-            return disturbances.LAST_HALF_CLOSE_SHARE
+            return troubles.LAST_HALF_CLOSE_SHARE
         return HALF_CLOSE_SHARE if attempt.is_kept else 0.0
 
     def _exchange(self, connection, kind, target, remaining_s):
@@ -455,8 +453,8 @@
 def _leave_in_bursts(rng, clients):
     """Has a share of the clients leave in one moment, again and again."""
     while True:
-        eventlet.sleep(rng.expovariate(1.0 / disturbances.BURST_PAUSE_S))
-        for client in rng.sample(clients, int(disturbances.BURST_SHARE * len(clients))):
+        eventlet.sleep(rng.expovariate(1.0 / troubles.BURST_PAUSE_S))
+        for client in rng.sample(clients, int(troubles.BURST_SHARE * len(clients))):
             client.leave()
 
 
--- a/bench/siterun/disturbances.py
+++ b/bench/siterun/disturbances.py
@@ -1,122 +1,242 @@
-"""Draws what disturbs an upstream of a run, and what its clients do beyond their usual habits."""
+"""Disturbances and early signals of a run: drawn from its seed, and played on its processes."""
 
+import dataclasses
 import enum
 import random
+import signal
 import time
 
-from bench.siterun.conditions import Condition
-
-# In each part of the time of this length an upstream may be slower than usual.
-SPELL_S = 0.6
-SLOW_SPELL_SHARE = 0.15
-SLOW_FACTOR = 2.5
-# Mean time between two restarts that empty the cache of an upstream.
-CACHE_LIFETIME_S = 20.0
-# Shares of the requests that an upstream fails itself, and rejects without running them.
-FAILED_SHARE = 0.004
-REJECTED_SHARE = 0.004
-# Share of the requests that an upstream breaks off, in one of the ways of Break.
-BROKEN_SHARE = 0.02
-# Mean time between two crashes at a site, and from a crash to the return.
-CRASH_PAUSE_S = 1.5
-CRASH_TIMES_S = (1.0, 4.0)
-# Mean time between two bursts in which a share of a process's clients gives up at once.
-BURST_PAUSE_S = 3.0
-BURST_SHARE = 0.3
-# Shares of the clients with a small receive window, of those that speak HTTP/1.0, and of the
-# latter that keep connections.
-SMALL_WINDOW_SHARE = 0.5
-OLD_PROTOCOL_SHARE = 0.3
-OLD_KEEPING_SHARE = 0.5
-# Share of the requests with which a client says that it closes the connection, and of these behind
-# which it ends its sending side if clients do so.
-LAST_SHARE = 0.1
-LAST_HALF_CLOSE_SHARE = 0.5
-
-
-class Break(enum.Enum):
-    """How an upstream breaks a request off."""
-
-    UNREAD = "closes before it begins"
-    AT_WORK = "closes while at work"
-    IN_HEAD = "closes within the head of the answer"
-    IN_BODY = "closes within the body of the answer"
-    NO_ANSWER = "sends bytes that are no answer"
-
-
-class Disturbances:
-    """What disturbs one upstream.
+import eventlet
+
+from bench.siterun import conditions, records
+from bench.soak import proxies
+
+# Mean time between two series of one sort, and the longest time between two hosts of a series.
+KILL_PAUSE_S = 7.0
+FREEZE_PAUSE_S = 6.0
+STORE_PAUSE_S = 6.0
+EARLY_PAUSE_S = 5.0
+MAX_GAP_S = 1.5
+MAX_HOSTS = 3
+# Times for which hosts are down or paused, and the store is disturbed.
+DOWN_S = (0.1, 2.0)
+FROZEN_S = (0.3, 3.0)
+STORE_S = (0.5, 5.0)
+STORE_MODES = (proxies.Mode.DELAY, proxies.Mode.SILENT, proxies.Mode.RESET)
+# Early signals to a host in turn, and the longest times to them.
+MAX_EARLY_STOPS = 4
+MAX_STARTING_S = 1.2
+MAX_SERVING_S = 1.0
+MAX_SECOND_SIGNAL_S = 0.6
+RESTART_PAUSE_S = 0.1
+READY_TIMEOUT_S = 10.0
+READY_POLL_S = 0.005
+
+
+class Moment(enum.Enum):
+    """When an early signal comes: as the process starts, is ready, or has just become ready."""
+
+    STARTING = "starting"
+    READY = "ready"
+    SERVING = "serving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KillHost:
+    """Kills a host, which starts again ``down_s`` seconds later."""
+
+    host: int
+    down_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseHost:
+    """Stops a host's process for ``frozen_s`` seconds."""
+
+    host: int
+    frozen_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DisturbStore:
+    """Makes the store slow, silent or unreachable for all hosts."""
+
+    mode: proxies.Mode
+    for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlyStop:
+    """SIGTERM at a moment of a new process.
+
+    Attributes:
+      delay_s: Seconds from the moment.
+      signals: Pairs of seconds from SIGTERM and the name of a further signal.
+    """
+
+    moment: Moment
+    delay_s: float
+    signals: tuple[tuple[float, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopEarly:
+    """Stops a host, and then its new processes, one after the other."""
+
+    host: int
+    stops: tuple[EarlyStop, ...]
+
+
+def make_series(seed, length_s, host_count, played):
+    """Draws the disturbances and early signals of a run.
 
     Args:
-      name: Text that decides about all draws.
+      seed: Seed of the run.
+      length_s: Length of the time in which they begin, in seconds.
+      host_count: Number of hosts.
       played: The conditions.Condition items that are played.
+    Returns:
+      A list of (start in seconds, event), ordered by start.
     """
+    sorts = []
+    if conditions.Condition.KILLS in played:
+        sorts += [(_draw_kills, KILL_PAUSE_S), (_draw_pauses, FREEZE_PAUSE_S)]
+    if conditions.Condition.STORE in played:
+        sorts.append((_draw_store, STORE_PAUSE_S))
+    if conditions.Condition.EARLY in played:
+        sorts.append((_draw_early, EARLY_PAUSE_S))
+    events = []
+    for draw, pause_s in sorts:
+        rng = random.Random(f"{seed} {draw.__name__}")
+        begin = rng.uniform(0.0, min(pause_s, length_s / 2))
+        while begin < length_s:
+            at = begin
+            for event in draw(rng, host_count):
+                events.append((round(at, 3), event))
+                at += rng.uniform(0.0, MAX_GAP_S)
+            begin += rng.expovariate(1.0 / pause_s)
+    return sorted(((at, event) for at, event in events if at < length_s), key=lambda item: item[0])
 
-    def __init__(self, name, played=()):
-        self._name = name
-        self._rng = random.Random(f"{name} disturbances")
-        self._is_noisy = Condition.NOISE in played
-        self._breaks = Condition.BROKEN_UPSTREAMS in played
-        self._empties_at = time.monotonic() + self._draw_lifetime_s()
-
-    def _draw_lifetime_s(self):
-        return self._rng.expovariate(1.0 / CACHE_LIFETIME_S)
-
-    def find_pace(self, now):
-        """Returns how many times as long as usual work takes at a time in monotonic seconds."""
-        if not self._is_noisy:
-            return 1.0
-        spell = random.Random(f"{self._name} {int(now / SPELL_S)}")
-        return SLOW_FACTOR if spell.random() < SLOW_SPELL_SHARE else 1.0
-
-    def empties_cache(self, now):
-        """Returns True once after each restart that empties the cache."""
-        if not self._is_noisy or now < self._empties_at:
-            return False
-        self._empties_at = now + self._draw_lifetime_s()
-        return True
-
-    def draw_status(self):
-        """Returns 500 for a request that the upstream fails, 503 if it rejects it, else 200."""
-        drawn = self._rng.random() if self._is_noisy else 1.0
-        if drawn < FAILED_SHARE:
-            return 500
-        return 503 if drawn < FAILED_SHARE + REJECTED_SHARE else 200
-
-    def draw_break(self):
-        """Returns the Break of a request, or None."""
-        if self._breaks and self._rng.random() < BROKEN_SHARE:
-            return self._rng.choice(list(Break))
-        return None
-
-
-class ClientHabits:
-    """What one client does beyond its usual habits.
 
-    Args:
-      rng: Random generator of the client.
-      played: Names of the conditions.Condition items that are played.
+def _sample_hosts(rng, host_count):
+    return rng.sample(range(host_count), rng.randint(1, min(MAX_HOSTS, host_count)))
 
-    Attributes:
-      is_old: Whether it speaks HTTP/1.0, which has no chunks and no pipelining.
-      keeps: Whether it keeps connections; else each of its requests is the last on one.
-      has_small_window: Whether it has a small receive window.
+
+def _draw_kills(rng, host_count):
+    return [KillHost(host, rng.uniform(*DOWN_S)) for host in _sample_hosts(rng, host_count)]
+
+
+def _draw_pauses(rng, host_count):
+    return [PauseHost(host, rng.uniform(*FROZEN_S)) for host in _sample_hosts(rng, host_count)]
+
+
+def _draw_store(rng, host_count):
+    return [DisturbStore(rng.choice(STORE_MODES), rng.uniform(*STORE_S))]
+
+
+def _draw_early(rng, host_count):
+    return [
+        StopEarly(host, tuple(_draw_stop(rng) for _ in range(rng.randint(1, MAX_EARLY_STOPS))))
+        for host in _sample_hosts(rng, host_count)
+    ]
+
+
+def _draw_stop(rng):
+    moment = rng.choice(list(Moment))
+    delay_s = 0.0
+    if moment is not Moment.READY:
+        delay_s = rng.uniform(0.0, MAX_STARTING_S if moment is Moment.STARTING else MAX_SERVING_S)
+    # A process that is only starting has no handler for SIGHUP yet.
+    names = ["SIGTERM"] if moment is Moment.STARTING else ["SIGTERM", "SIGHUP"]
+    signals = ()
+    if rng.random() < 0.5:
+        signals = ((rng.uniform(0.0, MAX_SECOND_SIGNAL_S), rng.choice(names)),)
+    return EarlyStop(moment, delay_s, signals)
+
+
+class Disturber:
+    """Plays the events on the processes of a rig.
+
+    Args:
+      rig: The rig.Rig.
     """
 
-    def __init__(self, rng, played):
-        self._rng = rng
-        self._closes = Condition.LAST_CLOSE in played
-        self.is_old = Condition.OLD_PROTOCOL in played and rng.random() < OLD_PROTOCOL_SHARE
-        self.keeps = not self.is_old or rng.random() < OLD_KEEPING_SHARE
-        is_small = Condition.SMALL_WINDOWS in played
-        self.has_small_window = is_small and rng.random() < SMALL_WINDOW_SHARE
-
-    def draw_last(self):
-        """Returns True for a request with which the client ends the use of a connection."""
-        return not self.keeps or (self._closes and self._rng.random() < LAST_SHARE)
-
-    def list_headers(self, is_last):
-        """Returns the headers that tell the host whether the connection is kept."""
-        if self.is_old:
-            return [] if is_last else ["Connection: keep-alive"]
-        return ["Connection: close"] if is_last else []
+    def __init__(self, rig):
+        self._rig = rig
+        self._store_disturbances = 0
+
+    def apply(self, event):
+        """Plays an event to its end."""
+        match event:
+            case KillHost(index, down_s):
+                self._kill(self._rig.hosts[index], down_s)
+            case PauseHost(index, frozen_s):
+                self._pause(self._rig.hosts[index], frozen_s)
+            case DisturbStore(mode, for_s):
+                self._disturb_store(mode, for_s)
+            case StopEarly(index, stops):
+                self._stop_early(self._rig.hosts[index], stops)
+
+    def _begin(self, host):
+        disturbance = records.Disturbance(host and host.ip, time.monotonic())
+        self._rig.observations.disturbances.append(disturbance)
+        return disturbance
+
+    def _kill(self, host, down_s):
+        with self._rig.claim(host) as is_free:
+            if not is_free:
+                return
+            disturbance = self._begin(host)
+            host.process.kill()
+            host.process.wait()
+            eventlet.sleep(down_s)
+            self._rig.start_host(host)
+            disturbance.ends_at = time.monotonic()
+            self._rig.await_ready(host)
+
+    def _pause(self, host, frozen_s):
+        process = host.process
+        if process.poll() is not None:
+            return
+        disturbance = self._begin(host)
+        process.send_signal(signal.SIGSTOP)
+        eventlet.sleep(frozen_s)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+        disturbance.ends_at = time.monotonic()
+
+    def _disturb_store(self, mode, for_s):
+        disturbance = self._begin(None)
+        self._store_disturbances += 1
+        self._set_store_mode(mode)
+        eventlet.sleep(for_s)
+        self._store_disturbances -= 1
+        if not self._store_disturbances:
+            self._set_store_mode(proxies.Mode.PASS)
+        disturbance.ends_at = time.monotonic()
+
+    def _set_store_mode(self, mode):
+        for host in self._rig.hosts:
+            host.store_proxy.set_mode(mode)
+
+    def _stop_early(self, host, stops):
+        with self._rig.claim(host) as is_free:
+            if not is_free:
+                return
+            self._rig.end_host(host, ())
+            for stop in stops:
+                eventlet.sleep(RESTART_PAUSE_S)
+                self._rig.start_host(host)
+                if stop.moment is not Moment.STARTING:
+                    self._await_first_ready(host)
+                eventlet.sleep(stop.delay_s)
+                self._rig.note_own_end(host)
+                self._rig.end_host(host, stop.signals)
+            eventlet.sleep(RESTART_PAUSE_S)
+            self._rig.start_host(host)
+            self._rig.await_ready(host)
+
+    def _await_first_ready(self, host):
+        ends_at = time.monotonic() + READY_TIMEOUT_S
+        while not host.is_ready() and time.monotonic() < ends_at:
+            eventlet.sleep(READY_POLL_S)
--- a/bench/siterun/records.py
+++ b/bench/siterun/records.py
@@ -83,6 +83,18 @@
     code: int | None
 
 
+@dataclasses.dataclass(slots=True)
+class Disturbance:
+    """An unplanned disturbance of a host, or of the store if ``host`` is None.
+
+    A host that was killed is disturbed until its new process is started.
+    """
+
+    host: str | None
+    begins_at: float
+    ends_at: float = float("inf")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Version:
     """A version of the configuration; ``timeouts_s`` are those of its routes by kind of request."""
@@ -102,6 +114,7 @@
       ended_hosts: Pairs of the IP address of a host whose process has ended by itself, and the time
         at which that was seen.
       crashes: Number of crashes of upstreams.
+      crowd_count: Most idle connections that a crowd had open to one host at a time.
       lateness_s: Longest delay with which a process of the run itself has woken up.
     """
 
@@ -112,6 +125,8 @@
     versions: list[Version] = dataclasses.field(default_factory=list)
     ended_hosts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     crashes: int = 0
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    crowd_count: int = 0
     lateness_s: float = 0.0
 
 
--- a/bench/siterun/upstreams.py
+++ b/bench/siterun/upstreams.py
@@ -9,7 +9,7 @@
 from eventlet import semaphore
 from eventlet.green import socket
 
-from bench.siterun import disturbances, records
+from bench.siterun import records, troubles
 from standins import platformdata, worker
 
 KEEP_ALIVE_S = 10
@@ -38,7 +38,7 @@
       zone: Its availability zone.
       rng: Random generator for work, sizes and ends.
       on_run: Function of a records.Run that is called when it arrives.
-      disturbed: The disturbances.Disturbances of the upstream.
+      disturbed: The troubles.Troubles of the upstream.
     """
 
     def __init__(self, upstream_id, shape, requests, zone, rng, on_run, disturbed):
@@ -138,7 +138,7 @@
         self._on_run(run)
         self._exchanges[client] = run
         broken = self._disturbed.draw_break()
-        if broken is disturbances.Break.UNREAD:
+        if broken is troubles.Break.UNREAD:
             return self._break_off(client, run)
         deadline = time.monotonic() + int(fields[platformdata.DEADLINE_FIELD]) / 1000
         if self._slots.locked() and self._waiting >= self.service.queue:
@@ -183,7 +183,7 @@
         if target in self._known:
             work_s *= KNOWN_OBJECT_SHARE
         wait_s = min(work_s, deadline - now)
-        if broken is disturbances.Break.AT_WORK:
+        if broken is troubles.Break.AT_WORK:
             wait_s *= self._rng.random()
         is_connected = _wait_while_connected(client, wait_s)
         if run.end is records.RunEnd.BROKEN_OFF:
@@ -191,9 +191,9 @@
         if not is_connected:
             run.end, run.ended_at = records.RunEnd.HOST_LEFT, time.monotonic()
             return False
-        if broken is disturbances.Break.AT_WORK:
+        if broken is troubles.Break.AT_WORK:
             return self._break_off(client, run)
-        if broken is disturbances.Break.NO_ANSWER:
+        if broken is troubles.Break.NO_ANSWER:
             return self._break_off(client, run, _NO_ANSWER)
         status = 504 if now + work_s > deadline else status
         size = int(request.answer_bytes.draw(self._rng))
@@ -207,7 +207,7 @@
         """Sends an answer up to a point within its head or its body."""
         lines = self._format_head(fields, 200, [worker.SIGNATURE_HEADER])
         head = "\r\n".join([*lines, f"Content-Length: {size + 1}"]).encode() + b"\r\n\r\n"
-        if broken is disturbances.Break.IN_HEAD:
+        if broken is troubles.Break.IN_HEAD:
             data = head[: self._rng.randrange(1, len(head))]
         else:
             data = head + b"." * self._rng.randint(0, size)
--- a/features/steps/siterun_disturbance_steps.py
+++ b/features/steps/siterun_disturbance_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from eventlet.green import socket
 
-from bench.siterun import conditions, disturbances, records, shape, upstreams, windows
+from bench.siterun import conditions, records, shape, troubles, upstreams, windows
 from standins import platformdata
 
 SITE = shape.THREE_REGIONS
@@ -17,12 +17,12 @@
 @given("an upstream that {fate}")
 def step_breaking_upstream(context, fate):
     context.runs = []
-    disturbed = mock.create_autospec(disturbances.Disturbances, instance=True)
+    disturbed = mock.create_autospec(troubles.Troubles, instance=True)
     disturbed.find_pace.return_value = 1.0
     disturbed.empties_cache.return_value = False
     disturbed.draw_status.return_value = 200
     has_crash = fate == "crashes"
-    kind = None if has_crash else disturbances.Break[fate.removeprefix("breaks ")]
+    kind = None if has_crash else troubles.Break[fate.removeprefix("breaks ")]
     disturbed.draw_break.return_value = kind
     requests = {request.prefix: request for request in SITE.requests}
     context.upstream = upstreams.SiteUpstream(
@@ -78,8 +78,8 @@
     "{a:g} to {b:g}% of {spells:d} spells are slow, and {c:g} to {d:g}% of {count:d} requests fail"
 )
 def step_noise(context, a, b, spells, c, d, count):
-    disturbed = disturbances.Disturbances("noise", [conditions.Condition.NOISE])
-    slow = sum(disturbed.find_pace(disturbances.SPELL_S * (i + 0.5)) > 2.0 for i in range(spells))
+    disturbed = troubles.Troubles("noise", [conditions.Condition.NOISE])
+    slow = sum(disturbed.find_pace(troubles.SPELL_S * (i + 0.5)) > 2.0 for i in range(spells))
     failed = sum(disturbed.draw_status() == 500 for _ in range(count))
     assert a <= 100 * slow / spells <= b and c <= 100 * failed / count <= d, (slow, failed)
 
