Keep no removed upstream on a host that the store refused while it answered others

Cause: a host that only itself was refused learned of the removal as it regained the store, took it for an entry that had expired in an outage, and kept the upstream for LAPSE_GRACE_S (2 s) more.

Change: a host records when the store is known to have answered any host: its own asks, and the confirmations whose age its sources tell (no new field). If these answers have no gap of more than 2 s for the last LAPSE_GRACE_S as it regains the store, no grace starts. An update counts from the time at which it was asked for, so one that was late on its way hides no outage, and those of a source that has lost the store do not count. Without such answers (alone, cut off, just started, refused too briefly to have followed anyone) all stays as it was. New: an outage of less than 2 s starts no grace if the answers before and after it are less than 2 s apart; an entry written each 1.5 s that expires after 4.5 s would have to be missing for 1 s more after such an outage.

The new scenarios of host_relay fail with a permitted gap of 0 (four) and of 9 s (four others).

--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -85,6 +85,37 @@
     And the follower is updated
     Then the follower still knows "b" after 5 s
 
+  # Guards against DRAIN: a host that the store alone refused learned of a removal late, took it for an
+  # entry that had expired in an outage, and kept the upstream beyond `drain`.
+  Scenario Outline: A host that regains the store keeps a removed upstream if the store may have been away
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When until 100 s the follower gets updates <delay> s after their request from a <kind> source, which the store answers each second except from <first> s to <second> s
+    And the store is lost and regained at the follower at 100.0 s
+    And the follower reads from the store at 100.1 s that "b" is removed
+    Then the follower has <outcome> "b"
+
+    Examples:
+      | kind  | delay | first | second | outcome   |
+      | sound | 0.1   | 100   | 100    | forgotten |
+      | sound | 0.1   | 96    | 97     | forgotten |
+      | sound | 0.1   | 92    | 96     | forgotten |
+      | sound | 0.1   | 95    | 98     | kept      |
+      | sound | 0.1   | 96    | 99     | kept      |
+      | sound | 0.1   | 97    | 100    | kept      |
+      | sound | 0.7   | 100   | 100    | forgotten |
+      | sound | 1.5   | 97    | 99     | kept      |
+      | lost  | 0.1   | 100   | 100    | kept      |
+
+  Scenario: A host that has no answers of others to go by keeps a removed upstream
+    Given a source with configuration 3, upstreams "a" and "b" at revision 20
+    And a follower without any state
+    When until 100 s the follower gets updates 0.1 s after their request from a sound source, which the store answers each second except from 100 s to 100 s
+    And the follower starts anew with its upstreams
+    And the store is lost and regained at the follower at 100.0 s
+    And the follower reads from the store at 100.1 s that "b" is removed
+    Then the follower has kept "b"
+
   Scenario: Decoding restores an encoded update, and damaged updates are rejected or harmless
     Given a source with configuration 3, upstreams "a" and "b" at revision 20
     Then an encoded update is decoded to the same update
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -2,12 +2,13 @@
 
 Entries that disappear while the store is unavailable may belong to live upstreams, so they are kept
 for LAPSE_GRACE_S after the store is available again, unless the upstream announced that it leaves.
+A host that the store alone refused, as it served others, keeps none.
 """
 
 import collections
 import dataclasses
 
-from skylarksill.host import records, routes
+from skylarksill.host import records, routes, storeservice
 
 # Upstreams register again within about 2 s after the store is available again.
 LAPSE_GRACE_S = 2.0
@@ -44,6 +45,7 @@
       sequence: Number of changes of belief since the start of this process.
       confirmed_at: Monotonic time at which the configuration is last known to have been the store's
         newest; minus infinity before the first read.
+      store_service: The storeservice.StoreService.
     """
 
     def __init__(self):
@@ -56,6 +58,7 @@
         self.revisions = dict.fromkeys(records.ObjectKind, 0)
         self.sequence = 0
         self.confirmed_at = float("-inf")
+        self.store_service = storeservice.StoreService()
         self._change_log = collections.deque()
         self._change_log_start = 0
         self._lapse_deadlines = {}
@@ -72,10 +75,15 @@
         self._is_after_outage = True
 
     def record_contact(self, now):
-        """Records an answer of the store; the first one after an outage starts LAPSE_GRACE_S."""
+        """Records an answer of the store; the first one after an outage starts LAPSE_GRACE_S.
+
+        It starts none if the store has served others for that long, as whatever expired in an
+        outage before is back by then.
+        """
         if self._is_after_outage:
             self._is_after_outage = False
-            self._grace_until = now + LAPSE_GRACE_S
+            if not self.store_service.has_served(now, LAPSE_GRACE_S):
+                self._grace_until = now + LAPSE_GRACE_S
 
     def record_confirmation(self, at):
         """Records that the configuration, if there is one, was current at a monotonic time."""
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -136,7 +136,8 @@
 
     Args:
       record: HostRecord of the source.
-      apply_update: Function that applies a BeliefUpdate of a host to this host's belief.
+      apply_update: Function that applies a BeliefUpdate to this host's belief; its other arguments
+        are the host that it comes from, and the monotonic time at which it was asked for.
       find_generation: Function that returns the generation of this host's configuration.
       log: The EventLog.
       get_keyring: Function that returns the current keyring.Keyring.
@@ -181,9 +182,10 @@
                     LONG_POLL_S,
                     os.urandom(_beliefcodec.NONCE_BYTES),
                 )
+                asked_at = time.monotonic()
                 update = self._exchange(source, reader, request)
                 self._record_answer(update, sequence)
-                self._apply_update(update, self.record.host_id)
+                self._apply_update(update, self.record.host_id, asked_at)
                 sequence = update.sequence
         finally:
             source.close()
@@ -270,8 +272,10 @@
         configuration = self._belief.configuration
         return configuration.generation if configuration else 0
 
-    def _apply_update(self, update, source):
-        changes = relay.apply_update(self._belief, update, time.monotonic())
+    def _apply_update(self, update, source, asked_at):
+        now = time.monotonic()
+        relay.record_store_answer(self._belief, update, asked_at, now)
+        changes = relay.apply_update(self._belief, update, now)
         if changes:
             self._handle_changes(changes, source)
 
--- a/skylarksill/host/relay.py
+++ b/skylarksill/host/relay.py
@@ -125,6 +125,20 @@
     return tuple(changes)
 
 
+def record_store_answer(own, update, asked_at, now):
+    """Records when the store has last answered a source, unless the source has lost it since.
+
+    Args:
+      own: This host's belief.Belief.
+      update: The source's BeliefUpdate.
+      asked_at: Monotonic time at which the update was asked for; it may have been late on its way.
+      now: Monotonic seconds.
+    """
+    if not update.is_store_lost:
+        age_s = update.configuration_age_s
+        own.store_service.record_answer(asked_at - age_s, now - age_s)
+
+
 def _advance_revision(own, update, kind):
     """Advances the revision of a kind; returns False if the update is older."""
     if update.revisions[kind] < own.revisions[kind]:
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -290,6 +290,7 @@
             return
         now = time.monotonic()
         self._belief.record_contact(now)
+        self._belief.store_service.record_answer(asked_at, now)
         if not is_current:
             if self._contact.record_incomplete(asked_at, now):
                 self._log.write("store.incomplete", **self._describe_reads())
