--- a/bench/siterun/clients.py
+++ b/bench/siterun/clients.py
@@ -124,8 +124,9 @@
         self._has_left = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        window_bytes = windows.draw_window(window_rng) if window_rng else channels.SLOW_BUFFER_BYTES
         if is_slow or window_rng:
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, channels.SLOW_BUFFER_BYTES)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
         self._socket.settimeout(CONNECT_TIMEOUT_S)
         try:
             self._socket.connect((host, hosts.FIRST_PORT))
@@ -138,7 +139,7 @@
         receiver = _DelayedReceiver(self._receiver, delay_s)
         self._pauses = []
         if window_rng:
-            receiver = windows.WindowReceiver(receiver, 2 * delay_s, window_rng)
+            receiver = windows.WindowReceiver(receiver, window_bytes, 2 * delay_s, window_rng)
             self._pauses = receiver.pauses
         self._reader = platformdata.AnswerReader(receiver)
         self._unsent = queue.LightQueue()
--- a/bench/siterun/windows.py
+++ b/bench/siterun/windows.py
@@ -12,24 +12,34 @@
 PAUSES_S = (0.2, 1.0)
 
 
+def draw_window(rng):
+    """Draws the size of a window in bytes.
+
+    A receive buffer of as many bytes has about that window: the kernel doubles it and announces
+    half of it.
+    """
+    return rng.randint(MIN_WINDOW_BYTES, MAX_WINDOW_BYTES)
+
+
 class WindowReceiver:
     """Reads a window's bytes in a round trip from another receiver, and pauses after some reads.
 
     Args:
       receiver: The receiver, with a ``recv`` method.
+      window_bytes: Size of the window.
       round_trip_s: Length of a round trip in seconds.
-      rng: Random generator for the window and the pauses.
+      rng: Random generator for the pauses.
 
     Attributes:
       pauses: Pairs of begin and end of the pauses, in monotonic seconds.
     """
 
-    def __init__(self, receiver, round_trip_s, rng):
+    def __init__(self, receiver, window_bytes, round_trip_s, rng):
         self.pauses = []
         self._receiver = receiver
         self._round_trip_s = round_trip_s
         self._rng = rng
-        self._window_bytes = rng.randint(MIN_WINDOW_BYTES, MAX_WINDOW_BYTES)
+        self._window_bytes = window_bytes
         self._pause_share = rng.choice(PAUSE_SHARES)
 
     def recv(self, size):
--- a/features/steps/siterun_disturbance_steps.py
+++ b/features/steps/siterun_disturbance_steps.py
@@ -88,7 +88,7 @@
 def step_read_window(context, size):
     begin = time.monotonic()
     source = mock.Mock(recv=bytes)
-    context.receiver = windows.WindowReceiver(source, 0.001, random.Random(3))
+    context.receiver = windows.WindowReceiver(source, 4000, 0.001, random.Random(3))
     context.parts = []
     while sum(context.parts) < size:
         context.parts.append(len(context.receiver.recv(65536)))
