--- a/bench/removal_spread.py
+++ b/bench/removal_spread.py
@@ -1,7 +1,9 @@
 """Hosts that learn of removed upstreams while the store refuses some of them, in virtual time.
 
 ``python -m bench.removal_spread --seed 1 --runs 100`` plays random series of removals and refusals,
-and prints which hosts knew a removed upstream for too long; see bench.configuration_spread.
+and prints which hosts knew a removed upstream for too long; see bench.configuration_spread. With
+``--outages`` the store is away for all hosts, and entries that expire in that time come
+back soon after it.
 """
 
 import argparse
@@ -13,12 +15,22 @@
 
 BOUNDS = _spreadhost.BOUNDS
 REMOVAL_RULE = 6
+LAPSE_RULE = 7
 UPSTREAM_COUNT = 24
 # Time in which the hosts read everything before something happens.
 SETTLE_S = 5.0
 REMOVAL_INTERVAL_S = 2.5
 PAUSE_S = 3.0
 REFUSAL_S = (0.5, 1.5, 4.0, 9.0)
+# The store is away for all hosts, and has then been there for them for a while.
+# Watches that wait don't answer.
+OUTAGES = (simulatedstore.Mode.SILENT, simulatedstore.Mode.RESETTING)
+OUTAGE_S = (2.1, 6.0)
+SERVED_S = (6.0, 8.0)
+# Entries expire from this long after the beginning of an outage, and are back in this time after
+# its end. The users' page says about two seconds.
+EXPIRE_AFTER_S = 1.0
+BACK_AFTER_S = 1.8
 # Ways in which the store keeps a host from reading.
 REFUSALS = (
     simulatedstore.Mode.SILENT,
@@ -83,10 +95,62 @@
                 self.report(REMOVAL_RULE, host.host_id, detail)
 
 
-def play(seed):
-    """Plays the run of a seed; returns the RemovalRun."""
+class OutageRun(configuration_spread.Run):
+    """One run, in which links are sound and the store is away for all hosts at the same time.
+
+    Besides the rules of ``Run`` each host has to keep this one:
+
+    7. It knows an upstream whose entry is removed in an outage and is back soon after its end.
+
+    Args:
+      seed: Seed of everything that happens.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self._expired = set()
+
+    def _write_others(self, end):
+        del end
+        for index in range(UPSTREAM_COUNT):
+            self.store.write("servers", f"r-{index}", platformdata.build_upstream_spec())
+
+    def _choose_cause(self):
+        return self._be_away
+
+    def _be_away(self, end):
+        eventlet.sleep(SETTLE_S)
+        while _virtualtime.read_clock() < end:
+            seconds = self._random.uniform(*OUTAGE_S)
+            eventlet.spawn(self._disturb_store, self.hosts, self._random.choice(OUTAGES), seconds)
+            names = self._random.sample(range(UPSTREAM_COUNT), UPSTREAM_COUNT // 2)
+            for index in names:
+                eventlet.spawn(self._expire, f"r-{index}", seconds)
+            self.counts["outages"] += 1
+            eventlet.sleep(seconds + self._random.uniform(*SERVED_S))
+
+    def _expire(self, name, outage_s):
+        expires_after_s = self._random.uniform(EXPIRE_AFTER_S, outage_s)
+        eventlet.sleep(expires_after_s)
+        self.store.delete("servers", name)
+        self._expired.add(name)
+        eventlet.sleep(outage_s - expires_after_s + BACK_AFTER_S * self._random.random())
+        self.store.write("servers", name, platformdata.build_upstream_spec())
+        self._expired.discard(name)
+
+    def check(self, host):
+        """Checks all rules at one host."""
+        super().check(host)
+        for name in sorted(self._expired):
+            self.counts["expired checked"] += 1
+            if name not in host.belief.upstreams:
+                self.report(LAPSE_RULE, host.host_id, f"{name} forgotten")
+
+
+def play(seed, has_outages=False):
+    """Plays the run of a seed; returns the RemovalRun or OutageRun."""
     _virtualtime.start()
-    run = RemovalRun(seed)
+    run = (OutageRun if has_outages else RemovalRun)(seed)
     run.play()
     return run
 
@@ -97,8 +161,13 @@
     parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
     parser.add_argument("--runs", type=int, default=20)
     parser.add_argument("--trace", action="store_true", help="print the hosts' last log lines")
+    parser.add_argument("--outages", action="store_true", help="the store is away for all hosts")
     arguments = parser.parse_args()
-    configuration_spread.play_all(play, arguments.seed, arguments.runs, arguments.trace)
+
+    def play_seed(seed):
+        return play(seed, arguments.outages)
+
+    configuration_spread.play_all(play_seed, arguments.seed, arguments.runs, arguments.trace)
 
 
 if __name__ == "__main__":
