A client that receives its last answer slowly and sends on keeps the end of it

Callers saw a reset in place of the end of an answer: a client with a small receive window that sends a further request behind (LOST, as its request was at an upstream). The host ends a connection after its last answer once all bytes are acknowledged and the client has been silent for 1 s, but the silence counted from the moment at which the answer was handed to the kernel. An answer that took longer than that to be received was followed by the close at once, and what the client sent next reset the connection.

The scenario fails before (ConnectionResetError) and passes now.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -39,6 +39,15 @@
     And the process ends when another request has arrived, 0.05 s after the answer has begun
     Then after 0.5 s the client reads an answer of 100000 bytes that says that it is the last one
 
+  # Guards against a silence that counts from the beginning of the answer: the server closed the
+  # connection as soon as it had sent the last bytes, and a request behind reset it.
+  Scenario: A client that received its last answer slowly and sends on reads the end of it
+    Given a client server that answers with as many bytes as its target says, after 0.3 s
+    When a slow client sends a request for 30000 bytes
+    And the server begins to stop
+    And the client reads 28000 bytes slowly, pauses for 0.6 s and sends another request
+    Then it reads the rest of an answer of 30000 bytes that says that it is the last one
+
   # Guards against idle time-outs that close with unread bytes.
   Scenario: A slow client that sends on gets its whole answer though the idle time-out is over
     Given a client server that answers with as many bytes as its target says, after 0.0 s
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -25,8 +25,9 @@
 
 # Requests of one connection that are processed at the same time; further ones stay unread.
 MAX_PIPELINED = 16
-# After the last answer the server goes on reading until the client has sent nothing for this long,
-# since closing a connection with unread bytes resets it, and the client can lose the answer.
+# After the last answer the server goes on reading until the client has received and sent nothing
+# for this long, since what arrives after the close resets the connection, and the client can lose
+# the end of the answer.
 LINGER_TIMEOUT_S = 1.0
 # Longest time for which it reads on after the client has received all of the last answer, or while
 # the client receives nothing of it.
@@ -143,7 +144,7 @@
         self._quiet_since = time.monotonic()
         # When the client last received a part of the last answer, and the rest at that time.
         self._received_at = None
-        self._unsent_bytes = math.inf
+        self._unsent_bytes = 0
         self._cause = None
         self._dropped = 0
         self._dropped_ids = []
@@ -212,9 +213,7 @@
             self._abandon()
             return False
         self._discard_input()
-        self._state = _State.LINGERING
-        self._received_at = self._quiet_since = time.monotonic()
-        self._shut_down(socket.SHUT_WR)
+        self._begin_lingering()
         return True
 
     def refuse_partial(self):
@@ -588,18 +587,20 @@
         finally:
             self._is_writing = False
         if self._state is _State.ANSWERING and not self.pending:
-            self._state = _State.LINGERING
-            self._received_at = self._quiet_since = time.monotonic()
-            self._shut_down(socket.SHUT_WR)
+            self._begin_lingering()
+
+    def _begin_lingering(self):
+        self._state = _State.LINGERING
+        self._received_at = self._quiet_since = time.monotonic()
+        self._unsent_bytes = _count_unsent_bytes(self._socket)
+        self._shut_down(socket.SHUT_WR)
 
     def _linger(self):
         """Discards input until the client has the last answer and closes its side or is silent."""
         self._discard_partial_request()
         while self._state in (_State.ANSWERING, _State.LINGERING):
-            now = time.monotonic()
-            wakes_at = max(now + LINGER_POLL_S, self._quiet_since + LINGER_TIMEOUT_S)
             try:
-                if not self._reader.receive(wakes_at):
+                if not self._reader.receive(time.monotonic() + LINGER_POLL_S):
                     self._finish_half_closed()
                     return
                 self._quiet_since = time.monotonic()
@@ -671,7 +672,9 @@
         self._unsent_bytes = unsent_bytes
         if now >= self._received_at + MAX_LINGER_S:
             return True
-        return not unsent_bytes and now >= self._quiet_since + LINGER_TIMEOUT_S
+        # The client reads what it has received later, and may send on meanwhile.
+        silent_since = max(self._received_at, self._quiet_since)
+        return not unsent_bytes and now >= silent_since + LINGER_TIMEOUT_S
 
     def _end(self, cause):
         """Makes the reader close the connection; requests without an answer are dropped."""
