A client that receives a large answer slowly gets all of it

Callers saw: the answer to a request on a kept connection ended in the middle.

Cause: the host closes a connection whose client accepts nothing for 10 s, but measured whether the kernel took more. That does so only once a third of its buffer is free, so the client was cut though it received all the while. Class of fault: a time-out that doesn't look at what has arrived.

The wait now goes on while the bytes that the client has not acknowledged become fewer. The client that reads nothing still loses its connection (scenario unchanged).

Test: the new scenario failed on (0 passed, 1 failed) and passes. host_endings and host_halfclose: 67 passed.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -240,6 +240,14 @@
     When a slow client sends a request for 5000000 bytes
     Then with a pause of 0.6 s after each 200000 bytes the client reads an answer of 5000000 bytes
 
+  # Guards against a wait for room that ends though the client receives: the kernel takes more only
+  # once a third of its buffer is free.
+  Scenario: A client that receives a large answer slowly gets all of it
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And a client may accept nothing of an answer for 0.5 s
+    When a slow client sends a request for 4000000 bytes
+    Then with a pause of 0.1 s after each 60000 bytes the client reads an answer of 4000000 bytes
+
   # Guards against clients that are gone and hold their connection since the kernel took the answer.
   Scenario: A client that reads nothing of its answer loses its connection
     Given a client server that answers with as many bytes as its target says, after 0.0 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -473,6 +473,13 @@
     eventlet.sleep(0.1)
 
 
+@given("a client may accept nothing of an answer for {seconds:g} s")
+def step_write_timeout(context, seconds):
+    patch = mock.patch.object(_clientconnection, "WRITE_TIMEOUT_S", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @given("it reads on for at most {seconds:g} s after the last answer")
 def step_max_linger(context, seconds):
     patch = mock.patch.object(_clientconnection, "MAX_LINGER_S", seconds)
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -584,8 +584,7 @@
                 data = self.pending[0].data
                 if self._state is _State.ANSWERING and len(self.pending) == 1:
                     data = answers.mark_last(data)
-                self._socket.settimeout(WRITE_TIMEOUT_S)
-                self._socket.sendall(data)
+                self._send(data)
                 if self._state is _State.ENDED:
                     return
                 self._release_answer(self.pending.popleft())
@@ -602,6 +601,19 @@
             self._received_at = self._quiet_since = time.monotonic()
             self._shut_down(socket.SHUT_WR)
 
+    def _send(self, data):
+        """Sends bytes; raises a TimeoutError once the client accepts none of them for too long."""
+        self._socket.settimeout(WRITE_TIMEOUT_S)
+        rest = memoryview(data)
+        while rest:
+            unsent_bytes = _count_unsent_bytes(self._socket)
+            try:
+                rest = rest[self._socket.send(rest) :]
+            except TimeoutError:
+                # The kernel takes more only once much of its buffer is free.
+                if _count_unsent_bytes(self._socket) >= unsent_bytes:
+                    raise
+
     def _linger(self):
         """Discards input until the client has the last answer and closes its side or is silent."""
         self._discard_partial_request()
