--- a/bench/siterun/losses.py
+++ b/bench/siterun/losses.py
@@ -3,8 +3,9 @@
 What a host refuses as not run must not run either, and orders run once.
 
 A host that is killed or paused is excused until it has been calm for a while, and so is what other
-hosts do around planned work beside it; a disturbance of the store excuses nothing. A process that
-gets little of a processor is not excused either.
+hosts do around planned work beside it; a disturbance of the store excuses nothing, and one of
+upstreams and clients only what these break off and leave. A process that gets little of a processor
+is not excused either.
 """
 
 import collections
@@ -84,11 +85,13 @@
         held_s = attempt.ended_at - attempt.completed_at
         occasion = f" at +{self.after_s:.2f} s" if self.after_s is not None else ""
         ends = ", ".join(run.end.value for run in self.runs) or "not sent"
-        half_closed = ", half-closed by its client" if attempt.is_half_closed else ""
+        habits = ", half-closed by its client" if attempt.is_half_closed else ""
+        habits += ", HTTP/1.0" if attempt.is_old else ""
+        habits += ", last of its connection" if attempt.is_last else ""
         return (
             f"{attempt.request_id} ({attempt.kind}) at {attempt.host}: {self.clause}{occasion},"
             f" {held_s:.2f} s after its last byte ({attempt.end.value}, {attempt.status};"
-            f" upstreams: {ends}{half_closed})"
+            f" upstreams: {ends}{habits})"
         )
 
 
@@ -200,7 +203,7 @@
         return Excuse.INCOMPLETE
     if attempt.ended_at >= attempt.sent_at + _find_time_s(observations, site, attempt):
         return Excuse.TIME_UP
-    if runs and all(run.end is records.RunEnd.BROKEN_OFF for run in runs):
+    if runs and all(_is_broken_off_before(run, attempt.ended_at) for run in runs):
         return Excuse.BROKEN_OFF
     stop = _find_stop(observations, site, attempt)
     if stop and _was_at_work_late(stop, site, attempt, runs):
@@ -208,6 +211,10 @@
     return None
 
 
+def _is_broken_off_before(run, at):
+    return run.end is records.RunEnd.BROKEN_OFF and run.ended_at <= at
+
+
 def _explain_cut(observations, site, attempt, runs):
     """Returns the Excuse of a request that was cut and is not lost."""
     if attempt.host in _find_disturbed(observations, site, attempt):
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -22,6 +22,7 @@
     disturbances,
     records,
     schedule,
+    troubles,
     upstreams,
 )
 from bench.soak import hosts
@@ -192,6 +193,8 @@
         if conditions.Condition.CROWD in self._conditions:
             orders.append(self._start_crowd(ends_at))
         eventlet.sleep(begins_at + WARM_UP_S - time.monotonic())
+        if conditions.Condition.BROKEN_UPSTREAMS in self._conditions:
+            eventlet.spawn_n(self._crash_upstreams, ends_at)
         threads = [eventlet.spawn_after(at, self._apply, event) for at, event in events]
         for thread in threads:
             thread.wait()
@@ -370,6 +373,7 @@
             zone,
             random.Random(f"{self._seed} {self._upstream_number}"),
             self.observations.runs.append,
+            troubles.Troubles(f"{self._seed} {self._upstream_number}", played=self._conditions),
         )
         self._register(upstream, "ready", cold_s)
         return upstream
@@ -397,3 +401,27 @@
         upstream.shut_down()
         eventlet.sleep(DRAIN_PAUSE_S)
         self.upstreams[index] = self._start_upstream(upstream.service, upstream.zone, COLD_S)
+
+    def _crash_upstreams(self, ends_at):
+        rng = random.Random(f"{self._seed} crashes")
+        while time.monotonic() < ends_at:
+            eventlet.sleep(rng.expovariate(1.0 / troubles.CRASH_PAUSE_S))
+            upstream = rng.choice(self.upstreams)
+            if not upstream.is_leaving:
+                eventlet.spawn_n(self._crash, upstream, rng.uniform(*troubles.CRASH_TIMES_S))
+
+    def _crash(self, upstream, down_s):
+        """Crashes an upstream, which returns under its id or another one."""
+        # It is neither drained nor crashed meanwhile.
+        upstream.is_leaving = True
+        upstream.crash()
+        self.observations.crashes += 1
+        eventlet.sleep(down_s)
+        self._upstream_number += 1
+        upstream_id = upstream.upstream_id
+        if self._upstream_number % 2:
+            self._store.delete("servers", upstream_id)
+            upstream_id = f"u{self._upstream_number}"
+        upstream.come_back(upstream_id)
+        upstream.is_leaving = False
+        self._register(upstream, "ready", COLD_S)
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -25,8 +25,9 @@
 
 # Requests of one connection that are processed at the same time; further ones stay unread.
 MAX_PIPELINED = 16
-# After the last answer the server goes on reading until the client has sent nothing for this long,
-# since closing a connection with unread bytes resets it, and the client can lose the answer.
+# After the last answer the server goes on reading until the client has received and sent nothing
+# for this long, since what arrives after the close resets the connection, and the client can lose
+# the end of the answer.
 LINGER_TIMEOUT_S = 1.0
 # Longest time for which it reads on after the client has received all of the last answer, or while
 # the client receives nothing of it.
@@ -46,6 +47,11 @@
 # Bytes of answers that the kernel takes at most as a stop ends, to send them after the process; it
 # grants this many unless it is set up otherwise, and reserves twice as many.
 MAX_HANDED_OVER_BYTES = 212_992
+# What the kernel tells of a connection (linux/tcp.h): its state, the segments on their way, and the
+# bytes that the other side has acknowledged.
+_TCP_INFO = struct.Struct("=B23xI92xQ")
+# State of a connection that was reset, or that both sides have ended.
+_TCP_CLOSE = 7
 # An interim response, which clients discard.
 _INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
@@ -63,9 +69,14 @@
 
 
 class Cause(enum.StrEnum):
-    """Why a connection ended, for logs and counters."""
+    """Why a connection ended, for logs and counters.
+
+    HALF_CLOSED stands for requests that the host has dropped, as their client has ended its sending
+    side and can't be probed whether it reads on.
+    """
 
     CLIENT_LEFT = "client_left"
+    HALF_CLOSED = "half_closed"
     RESET = "reset"
     IDLE_TIMEOUT = "idle_timeout"
     LAST_ANSWER = "last_answer"
@@ -143,7 +154,7 @@
         self._quiet_since = time.monotonic()
         # When the client last received a part of the last answer, and the rest at that time.
         self._received_at = None
-        self._unsent_bytes = math.inf
+        self._unsent_bytes = 0
         self._cause = None
         self._dropped = 0
         self._dropped_ids = []
@@ -212,9 +223,7 @@
             self._abandon()
             return False
         self._discard_input()
-        self._state = _State.LINGERING
-        self._received_at = self._quiet_since = time.monotonic()
-        self._shut_down(socket.SHUT_WR)
+        self._begin_lingering()
         return True
 
     def refuse_partial(self):
@@ -574,8 +583,7 @@
                 data = self.pending[0].data
                 if self._state is _State.ANSWERING and len(self.pending) == 1:
                     data = answers.mark_last(data)
-                self._socket.settimeout(WRITE_TIMEOUT_S)
-                self._socket.sendall(data)
+                self._send(data)
                 if self._state is _State.ENDED:
                     return
                 self._release_answer(self.pending.popleft())
@@ -588,18 +596,33 @@
         finally:
             self._is_writing = False
         if self._state is _State.ANSWERING and not self.pending:
-            self._state = _State.LINGERING
-            self._received_at = self._quiet_since = time.monotonic()
-            self._shut_down(socket.SHUT_WR)
+            self._begin_lingering()
+
+    def _begin_lingering(self):
+        self._state = _State.LINGERING
+        self._received_at = self._quiet_since = time.monotonic()
+        self._unsent_bytes = _count_unsent_bytes(self._socket)
+        self._shut_down(socket.SHUT_WR)
+
+    def _send(self, data):
+        """Sends bytes; raises a TimeoutError once the client accepts none of them for too long."""
+        self._socket.settimeout(WRITE_TIMEOUT_S)
+        rest = memoryview(data)
+        while rest:
+            unsent_bytes = _count_unsent_bytes(self._socket)
+            try:
+                rest = rest[self._socket.send(rest) :]
+            except TimeoutError:
+                # The kernel takes more only once much of its buffer is free.
+                if _count_unsent_bytes(self._socket) >= unsent_bytes:
+                    raise
 
     def _linger(self):
         """Discards input until the client has the last answer and closes its side or is silent."""
         self._discard_partial_request()
         while self._state in (_State.ANSWERING, _State.LINGERING):
-            now = time.monotonic()
-            wakes_at = max(now + LINGER_POLL_S, self._quiet_since + LINGER_TIMEOUT_S)
             try:
-                if not self._reader.receive(wakes_at):
+                if not self._reader.receive(time.monotonic() + LINGER_POLL_S):
                     self._finish_half_closed()
                     return
                 self._quiet_since = time.monotonic()
@@ -619,20 +642,33 @@
         self._take_no_more()
         takes_interim = all(item.takes_interim for item in self.pending)
         client = halfclose.HalfClosedClient(now, takes_interim)
+        outcome = "answered" if self.pending else "idle"
         while self._state is _State.ANSWERING and self.pending:
-            eventlet.sleep(HALF_CLOSED_POLL_S)
-            is_reset = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-            # An answer that is being written will be on its way.
-            unsent_bytes = _count_unsent_bytes(self._socket) or int(self._is_writing)
-            match client.decide(time.monotonic(), is_reset, unsent_bytes):
-                case halfclose.Decision.ASK:
+            match client.decide(time.monotonic(), self._observe_delivery()):
+                case halfclose.Decision.PROBE:
                     self._send_interim()
                 case halfclose.Decision.DROP:
+                    outcome = "dropped"
                     self._drop_unready()
                 case halfclose.Decision.LEAVE:
+                    outcome = "left"
                     self._end(Cause.CLIENT_LEFT)
+            eventlet.sleep(HALF_CLOSED_POLL_S)
+        self._server.counters.count("connections_half_closed", outcome)
         self._end(Cause.LAST_ANSWER if is_answered else Cause.CLIENT_LEFT)
 
+    def _observe_delivery(self):
+        """Returns the halfclose.Delivery of what was sent to a client that reads on."""
+        info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+        state, unacknowledged_segments, acknowledged_bytes = _TCP_INFO.unpack(info)
+        return halfclose.Delivery(
+            is_reset=state == _TCP_CLOSE,
+            acknowledged_bytes=acknowledged_bytes,
+            is_in_flight=unacknowledged_segments > 0,
+            # An answer that is being written will be on its way.
+            is_complete=not (self._is_writing or _count_unsent_bytes(self._socket)),
+        )
+
     def _send_interim(self):
         """Sends an interim response; a connection that its client has closed is reset by it."""
         try:
@@ -648,6 +684,8 @@
         """Drops the first request without an answer, and those behind it."""
         ready = list(itertools.takewhile(lambda item: item.data is not None, self.pending))
         dropped = list(self.pending)[len(ready) :]
+        if dropped:
+            self._set_cause(Cause.HALF_CLOSED)
         self._drop(dropped)
         for _ in dropped:
             self.pending.pop()
@@ -671,7 +709,9 @@
         self._unsent_bytes = unsent_bytes
         if now >= self._received_at + MAX_LINGER_S:
             return True
-        return not unsent_bytes and now >= self._quiet_since + LINGER_TIMEOUT_S
+        # The client reads what it has received later, and may send on meanwhile.
+        silent_since = max(self._received_at, self._quiet_since)
+        return not unsent_bytes and now >= silent_since + LINGER_TIMEOUT_S
 
     def _end(self, cause):
         """Makes the reader close the connection; requests without an answer are dropped."""
