A stop ends an idle connection by its sending side first, and loses no answer that is read late

Callers saw a reset in place of an answer that had arrived and wasn't read yet: a client that pauses and sends a further request meanwhile, as the host stops.

The scenario fails before (ConnectionResetError) and passes now.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -48,6 +48,15 @@
     And the client reads 28000 bytes slowly, pauses for 0.6 s and sends another request
     Then it reads the rest of an answer of 30000 bytes that says that it is the last one
 
+  # Guards against a stop that closes an idle connection for reading too: the request that crosses the
+  # close reset the connection, and the client lost the answer before it.
+  Scenario: A client that reads late and sends on as the server stops reads the answer before
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client has received an answer of 1000 bytes and has not read it
+    And the server begins to stop and closes idle connections each 0.05 s
+    And the client sends another request 0.4 s later
+    Then it reads an answer of 1000 bytes and the end
+
   # Guards against idle time-outs that close with unread bytes.
   Scenario: A slow client that sends on gets its whole answer though the idle time-out is over
     Given a client server that answers with as many bytes as its target says, after 0.0 s
--- a/features/steps/host_lingering_steps.py
+++ b/features/steps/host_lingering_steps.py
@@ -31,3 +31,27 @@
         context.received += data
     head, _, body = context.received.partition(b"\r\n\r\n")
     assert b"connection: close" in head and body == size * b"x", (head, len(body))
+
+
+@when("a client has received an answer of {size:d} bytes and has not read it")
+def step_receive_unread(context, size):
+    context.client = client_builders.connect(context)
+    context.client.sendall(client_builders.format_request(size))
+    context.receiver = channels.Receiver(context.client, False)
+    context.received = b""
+    eventlet.sleep(PART_PAUSE_S)
+
+
+@when("the client sends another request {seconds:g} s later")
+def step_send_on(context, seconds):
+    eventlet.sleep(seconds)
+    context.client.sendall(client_builders.format_request(10))
+    eventlet.sleep(PART_PAUSE_S)
+
+
+@then("it reads an answer of {size:d} bytes and the end")
+def step_read_to_end(context, size):
+    while data := context.receiver.recv(client_builders.READ_BYTES):
+        context.received += data
+    body = context.received.partition(b"\r\n\r\n")[2]
+    assert body == size * b"x", len(body)
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -183,13 +183,16 @@
     def end_if_idle(self):
         """Ends the connection from another green thread if no request or answer is under way."""
         if self._is_idle():
-            self._end(Cause.STOP_IDLE)
-        elif not self._has_input() and self._has_lingered(time.monotonic()):
+            # A request that crosses the end would reset a closed connection, and the client would
+            # lose what it has not read of the answer before.
+            self._set_cause(Cause.STOP_IDLE)
+            self._take_no_more()
+            self._write_ready()
+            return
+        if not self._has_input() and self._has_lingered(time.monotonic()):
             # Its reader may still wait for a request.
             self._end_lingering()
-        else:
-            return
-        self._shut_down(socket.SHUT_RDWR)
+            self._shut_down(socket.SHUT_RDWR)
 
     def refuse_unread(self, answer):
         """Answers a request that waits unread, without reading it, and ends the stream after that.
