--- a/bench/siterun/upstreams.py
+++ b/bench/siterun/upstreams.py
@@ -57,6 +57,8 @@
         self._idle = set()
         # The records.Run under way, or None, by connection.
         self._exchanges = {}
+        # Connections that the upstream has ended as it crashed; it reads nothing more from them.
+        self._crashed = set()
         self._listen(("127.0.0.1", 0))
 
     def _listen(self, address):
@@ -66,17 +68,20 @@
 
     def crash(self):
         """Ends all connections at once and stops listening; what runs is broken off."""
+        exchanges = dict(self._exchanges)
+        self._crashed.update(exchanges)
+        for run in exchanges.values():
+            if run is not None:
+                _note_break(run)
+        self._known.clear()
         self._thread.kill()
         self._socket.close()
-        self._known.clear()
         is_reset = self._rng.random() < RESET_SHARE
-        for client, run in list(self._exchanges.items()):
-            if run is not None:
-                _note_break(run)
-            if is_reset:
-                _reset_on_close(client)
+        for client in exchanges:
             # The host may have ended it.
             with contextlib.suppress(OSError):
+                if is_reset:
+                    _reset_on_close(client)
                 client.shutdown(socket.SHUT_RDWR)
 
     def come_back(self, upstream_id):
@@ -110,6 +115,8 @@
                     if not received:
                         return
                     data += received
+                if client in self._crashed:
+                    return
                 self._idle.discard(client)
                 head, _, data = data.partition(b"\r\n\r\n")
                 fields = platformdata.parse_fields(head)
@@ -128,6 +135,7 @@
             return
         finally:
             self._idle.discard(client)
+            self._crashed.discard(client)
             del self._exchanges[client]
             client.close()
 
--- a/features/siterun_disturbances.feature
+++ b/features/siterun_disturbances.feature
@@ -21,6 +21,12 @@
     And it comes back as u9 and gets a request
     Then 1 request is broken off, and u9 has answered the other
 
+  # A request that was on its way looked as one that the host had left.
+  Scenario: An upstream that crashes reads nothing that arrived before
+    Given an upstream that breaks nothing off
+    When it crashes as a request has arrived and was not read
+    Then no request has reached it
+
   Scenario: Noise slows upstreams in spells and fails a few requests
     Then 12 to 18% of 1000 spells are slow, and 0.2 to 0.6% of 20000 requests fail
 
--- a/features/steps/siterun_disturbance_steps.py
+++ b/features/steps/siterun_disturbance_steps.py
@@ -21,15 +21,14 @@
     disturbed.find_pace.return_value = 1.0
     disturbed.empties_cache.return_value = False
     disturbed.draw_status.return_value = 200
-    has_crash = fate == "crashes"
-    kind = None if has_crash else disturbances.Break[fate.removeprefix("breaks ")]
-    disturbed.draw_break.return_value = kind
+    kinds = {f"breaks {kind.name}": kind for kind in disturbances.Break}
+    disturbed.draw_break.return_value = kinds.get(fate)
     requests = {request.prefix: request for request in SITE.requests}
     context.upstream = upstreams.SiteUpstream(
         "u1", SITE.services[2], requests, "east-a", random.Random(1), context.runs.append, disturbed
     )
     context.add_cleanup(context.upstream.shut_down)
-    if has_crash:
+    if fate == "crashes":
         eventlet.spawn_after(0.05, context.upstream.crash)
 
 
@@ -52,6 +51,23 @@
         client.close()
 
 
+@when("it crashes as a request has arrived and was not read")
+def step_crash_unread(context):
+    client = socket.create_connection(context.upstream.address)
+    eventlet.sleep(0.02)
+    expected = f"{platformdata.EXPECTED_UPSTREAM_FIELD}: u1"
+    # Past the green socket, so that the upstream doesn't run before it crashes.
+    client.fd.send(platformdata.format_request("GET /check/1", "r1", headers=[expected]))
+    context.upstream.crash()
+    eventlet.sleep(0.1)
+    client.close()
+
+
+@then("no request has reached it")
+def step_none_reached(context):
+    assert context.runs == [], context.runs
+
+
 @then("its connection ends with {what}, and the request is broken off")
 def step_broken(context, what):
     received = context.received
