--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -198,10 +198,10 @@
         self._sock = sock
         self._request_id = request_id
 
-    def sendall(self, data):
-        if b": " + self._request_id + b"\r\n" in data:
+    def send(self, data):
+        if b": " + self._request_id + b"\r\n" in bytes(data):
             _fail()
-        return self._sock.sendall(data)
+        return self._sock.send(data)
 
     def __getattr__(self, name):
         return getattr(self._sock, name)
