Hosts notice that the store has returned from an older copy

What callers would see: after a drill in which the store comes back from a copy some seconds old, hosts go on with revisions that the store gives out again. Followers ignore every update until the revisions have caught up, upstreams that left before the drill are sent to again, live ones and evacuations whose entries the copy lacks are forgotten, and the hosts' own entries stay gone.

Cause: a revision was a bare count, and the belief was replaced by whatever a later read listed. The store's answers now state an era, which rises with each such return (header Store-Era).

Change: a revision is a pair of era and count, which compares as a tuple wherever revisions are compared. A higher era makes all kinds be read anew, by watches and by streams between hosts, abandons the waiting calls and has the host register again. For 5 s the host keeps to what it knew: entries of upstreams that have left or drain are held as draining (so followers learn of them and of their removal), missing ones and evacuations are kept. A configuration is accepted by its generation alone. An answer of an earlier era is refused, and so is a list whose pages are of two eras.

--- a/features/steps/host_keys_steps.py
+++ b/features/steps/host_keys_steps.py
@@ -216,7 +216,7 @@
     context.source.accept_configuration(host_builders.build_configuration())
     context.source.replace_upstreams(upstreams, 0.0)
     for kind in records.ObjectKind:
-        context.source.revisions[kind] = 5
+        context.source.revisions[kind] = records.Revision(0, 5)
     log = eventlog.EventLog("test", len)
     ring = key_builders.build_keyring(key)
     context.server = following.BeliefServer(
--- a/features/steps/host_lapse_steps.py
+++ b/features/steps/host_lapse_steps.py
@@ -51,6 +51,6 @@
     assert name in context.follower.upstreams
 
 
-def _set_revision(local_belief, revision):
+def _set_revision(local_belief, revision, era=0):
     for kind in records.ObjectKind:
-        local_belief.revisions[kind] = revision
+        local_belief.revisions[kind] = records.Revision(era, revision)
--- a/features/steps/host_relay_steps.py
+++ b/features/steps/host_relay_steps.py
@@ -138,7 +138,7 @@
     local_belief = context.follower
     assert sorted(local_belief.upstreams) == _parse_names(names), local_belief.upstreams
     assert local_belief.configuration == host_builders.build_configuration(generation)
-    assert local_belief.revisions[UPSTREAMS] == revision
+    assert local_belief.revisions[UPSTREAMS] == records.Revision(0, revision)
     assert local_belief.is_complete
 
 
@@ -335,9 +335,9 @@
     return local_belief
 
 
-def _set_revisions(local_belief, revision):
+def _set_revisions(local_belief, revision, era=0):
     for kind in records.ObjectKind:
-        local_belief.revisions[kind] = revision
+        local_belief.revisions[kind] = records.Revision(era, revision)
 
 
 def _lose_store(context, loses_store):
--- a/features/steps/host_store_answers_steps.py
+++ b/features/steps/host_store_answers_steps.py
@@ -52,6 +52,13 @@
     _listen(context, [wire_builders.OK + b"Content-Length: %d\r\n\r\n" % len(body) + body], 0.0)
 
 
+@given("a store that answers with the era {era}")
+def step_odd_era(context, era):
+    body = b'{"items": [], "hasMore": false, "storeRevision": 5}'
+    head = f"{platformdata.ERA_HEADER}: {era}\r\nContent-Length: {len(body)}\r\n\r\n"
+    _listen(context, [wire_builders.OK + head.encode() + body], 0.0)
+
+
 def _listen(context, portions, pause_s):
     """Answers the first request with portions of bytes."""
     listener = eventlet.listen(("127.0.0.1", 0))
--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -10,7 +10,7 @@
 from skylarksill import records as shared
 from skylarksill.host import fields, records, relay
 
-VERSION = 5
+VERSION = 6
 # A configuration with 500 routes, together with 500 upstreams, takes about 150 kB.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # A follower's request holds a version, three small numbers, a nonce and a seal.
@@ -97,7 +97,7 @@
         (
             VERSION,
             update.sequence,
-            {kind.value: revision for kind, revision in update.revisions.items()},
+            {kind.value: tuple(revision) for kind, revision in update.revisions.items()},
             update.is_complete,
             update.is_store_lost,
             _encode_configuration(update.configuration),
@@ -128,7 +128,7 @@
         return relay.BeliefUpdate(
             sequence=fields.check_integer(sequence),
             revisions={
-                kind: fields.check_integer(revisions[kind.value]) for kind in records.ObjectKind
+                kind: _decode_revision(revisions[kind.value]) for kind in records.ObjectKind
             },
             is_complete=fields.check(is_complete, bool),
             is_store_lost=fields.check(is_store_lost, bool),
@@ -152,6 +152,14 @@
         raise CodecError(f"malformed update: {error!r}") from error
 
 
+def _decode_revision(item):
+    era, number = item
+    return records.Revision(
+        fields.check_range(era, 0, fields.MAX_INTEGER),
+        fields.check_range(number, 0, fields.MAX_INTEGER),
+    )
+
+
 def _decode_times(times):
     """Returns a dict of seconds by name."""
     return {
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -138,6 +138,8 @@
         )
         self._stopping = eventlet.event.Event()
         self._is_applied = True
+        # The store's era in which this host has registered; None while that is under way.
+        self._registered_era = None
         self._stop_signals = itertools.count()
         self._settling = quotas.SettleTimer(time.clock_gettime(time.CLOCK_BOOTTIME))
 
@@ -297,6 +299,7 @@
             self._expire_lapsed,
             self._drop_stale_connections,
             self._update_view,
+            self._renew_registration,
             self._update_peer_averages,
         ):
             supervision.attempt(self.log, "host.housekeeping", step)
@@ -351,16 +354,25 @@
         """Registers this host in the store and lists the others; retries until both succeed."""
         while True:
             try:
-                self._store.register_host(self.own)
+                era = self._store.register_host(self.own)
                 for record in self._store.list_hosts():
                     self.peers.add_candidate(record, time.monotonic())
                 self._settling.is_listed = True
+                self._registered_era = era
                 self.log.write("host.registered")
                 return
             except objectstore.StoreError as error:
                 self.log.write("host.register_failed", error=str(error))
                 eventlet.sleep(REGISTER_RETRY_S * (1.0 + random.random()))
 
+    def _renew_registration(self):
+        """Registers this host again if the store has returned from an older copy since."""
+        if self._registered_era is None or self.belief.era is None:
+            return
+        if self._registered_era < self.belief.era:
+            self._registered_era = None
+            supervision.spawn_lasting(self.log, "host.register", self._register)
+
     # Signals, reload and shutdown.
 
     def _on_stop(self, signal_number, frame):
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -22,6 +22,27 @@
     EVACUATIONS = "evacuations"
 
 
+class Revision(typing.NamedTuple):
+    """The store's count of its writes; later revisions compare as greater.
+
+    Attributes:
+      era: Rises when the store returns from an older copy, after which the count goes on from that
+        copy's.
+      number: The count of writes, or 0 if none is known.
+    """
+
+    era: int
+    number: int
+
+    @property
+    def is_known(self):
+        """True unless everything is to be read."""
+        return self.number > 0
+
+
+NO_REVISION = Revision(0, 0)
+
+
 class UpstreamState(enum.Enum):
     """State that an upstream states in its entry in the store."""
 
--- a/skylarksill/host/relay.py
+++ b/skylarksill/host/relay.py
@@ -22,7 +22,7 @@
 
     Attributes:
       sequence: Sequence number of the source's belief, which the follower sends next time.
-      revisions: Dict of the store's revision by records.ObjectKind.
+      revisions: Dict of the store's Revision by records.ObjectKind.
       is_complete: True if the source has both configuration and upstreams.
       is_store_lost: True if the source can't reach the store either.
       configuration: A records.Configuration, or None if the follower has it.
@@ -37,7 +37,7 @@
     """
 
     sequence: int
-    revisions: dict[records.ObjectKind, int]
+    revisions: dict[records.ObjectKind, records.Revision]
     is_complete: bool
     is_store_lost: bool
     configuration: records.Configuration | None
@@ -113,7 +113,12 @@
       A tuple of belief.Change.
     """
     changes = []
-    if _advance_revision(own, update, records.ObjectKind.CONFIGURATION) and update.configuration:
+    for revision in update.revisions.values():
+        if revision.is_known:
+            changes += own.enter_era(revision.era, now)
+    _advance_revision(own, update, records.ObjectKind.CONFIGURATION)
+    if update.configuration:
+        # A store that has returned from an older copy has an older one, so revisions don't tell.
         changes += own.accept_configuration(update.configuration)
     own.record_confirmation(now - update.configuration_age_s)
     if update.is_complete and _advance_revision(own, update, records.ObjectKind.UPSTREAMS):
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -54,19 +54,19 @@
     """
 
     def list_configuration(self):
-        """Returns a tuple of revision and Configuration; None in its place if there is none."""
+        """Returns a tuple of Revision and Configuration; None in its place if there is none."""
 
     def list_upstreams(self):
-        """Returns a tuple of revision and dict of Upstream by id."""
+        """Returns a tuple of Revision and dict of Upstream by id."""
 
     def list_evacuations(self):
-        """Returns a tuple of revision and set of zones."""
+        """Returns a tuple of Revision and set of zones."""
 
     def watch(self, kind, revision, wait_s):
         """Waits for events of a kind after ``revision``, for at most ``wait_s`` seconds.
 
         Returns:
-          A tuple of the new revision and the list of events as pairs of name and decoded object,
+          A tuple of the new Revision and the list of events as pairs of name and decoded object,
           which is None for a deleted object.
         """
 
@@ -74,7 +74,7 @@
         """Closes idle connections and uses none of the present ones for further calls."""
 
     def register_host(self, record):
-        """Writes the entry of this host."""
+        """Writes the entry of this host; returns the store's era."""
 
     def list_hosts(self):
         """Returns the HostRecords of all registered hosts."""
@@ -153,7 +153,7 @@
         while True:
             started_at = time.monotonic()
             try:
-                if self._belief.revisions[kind]:
+                if self._belief.revisions[kind].is_known:
                     self._wait_while_source_current()
                     self._watch_once(kind)
                 else:
@@ -200,14 +200,26 @@
         Returns:
           A tuple of belief.Change.
         """
+        self._enter_era(revision.era)
         if revision < self._belief.revisions[kind]:
             return ()
         self._belief.revisions[kind] = revision
         return replace(objects)
 
+    def _enter_era(self, era):
+        """Begins to read everything anew if the store has returned from an older copy."""
+        changes = self._belief.enter_era(era, time.monotonic())
+        if changes:
+            for kind in list(self._calls):
+                self._abandon_call(kind)
+            self.handle_changes(changes)
+
     def _watch_once(self, kind):
         started_at = time.monotonic()
         revision = self._belief.revisions[kind]
+        if not revision.is_known:
+            # The store has returned from an older copy while peers kept the belief current.
+            return
         wait_s = MAX_WATCH_WAIT_S
         next_revision, events = self._call(kind, self._store.watch, kind, revision, wait_s)
         now = time.monotonic()
@@ -250,12 +262,11 @@
             eventlet.sleep(POLL_S)
 
     def _is_replaced(self, kind):
-        return self._belief.revisions[kind] and self._has_current_source()
+        return self._belief.revisions[kind].is_known and self._has_current_source()
 
     def _forget_revision(self, kind, error):
         self._log.write("store.history_gone", kind=kind.value, error=str(error))
-        # Revisions of the store start above 0, so 0 makes the next round read everything.
-        self._belief.revisions[kind] = 0
+        self._belief.forget_revision(kind)
 
     # Asks for the store's revision.
 
@@ -307,7 +318,7 @@
     def _describe_reads(self):
         """Returns the state of the reads of each kind, for the log."""
         return {
-            kind.value: _READ_STATES[kind in self._calls, bool(self._belief.revisions[kind])]
+            kind.value: _READ_STATES[kind in self._calls, self._belief.revisions[kind].is_known]
             for kind in (records.ObjectKind.CONFIGURATION, records.ObjectKind.UPSTREAMS)
         }
 
@@ -318,7 +329,7 @@
           True if the belief has reached the revision, or is about to.
         """
         for kind in (records.ObjectKind.CONFIGURATION, records.ObjectKind.UPSTREAMS):
-            if not self._belief.revisions[kind]:
+            if not self._belief.revisions[kind].is_known:
                 # A first read is under way, and a host that serves is not current without it.
                 return not self._belief.is_complete
             # Upstreams change often, and their next batch is read soon; the configuration is to be
@@ -375,7 +386,7 @@
             case records.ObjectKind.UPSTREAMS:
                 return self._belief.set_upstream(value)
             case records.ObjectKind.EVACUATIONS:
-                zones = self._belief.evacuated
+                zones = self._belief.listed_evacuations
                 return self._replace_evacuated(zones | {name} if value else zones - {name})
 
     def _replace_configuration(self, configuration):
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's metadata store: objects by kind and name, revisions and watches."""
 
+import copy
 import json
 import urllib.parse
 
@@ -7,6 +8,8 @@
 from eventlet import event, wsgi
 from eventlet.green import socket
 
+from standins import platformdata
+
 PAGE_SIZE = 50
 _STATUS = {200: "200 OK", 404: "404 Not Found", 409: "409 Conflict", 410: "410 Gone"}
 
@@ -22,6 +25,7 @@
       calls: Number of calls received.
       raw_values: Dict of the bytes that replace a string in all answers, for values that
         ``json.dumps`` does not write.
+      era: Number of the present era, which rises with each return from a copy.
     """
 
     def __init__(self):
@@ -31,6 +35,7 @@
         self._is_silent = False
         self.calls = 0
         self.raw_values = {}
+        self.era = 1
         self._objects = {}
         self._history = []
         self._oldest_revision = 0
@@ -92,6 +97,25 @@
         self._history.clear()
         self._notify_watches()
 
+    @property
+    def revision(self):
+        """The revision of the last write."""
+        return self._revision
+
+    def make_copy(self):
+        """Returns a copy of all objects and of their history, for ``return_from_copy``."""
+        return copy.deepcopy((self._objects, self._history, self._oldest_revision, self._revision))
+
+    def return_from_copy(self, older):
+        """Goes back to an older copy and cuts off all watches, as after a moment away."""
+        self._objects, self._history, self._oldest_revision, self._revision = copy.deepcopy(older)
+        self.era += 1
+        self.cut_off_watches()
+
+    def list_names(self, kind):
+        """Returns the names of all objects of a kind."""
+        return {name for known, name in self._objects if known == kind}
+
     def read(self, kind, name):
         """Returns the spec of an object, or None."""
         found = self._objects.get((kind, name))
@@ -118,7 +142,8 @@
         if self.failing_status is not None:
             status, body = self.failing_status, None
         status_line = _STATUS.get(status, f"{status} Status")
-        start_response(status_line, [("Content-Type", "application/json")])
+        headers = [("Content-Type", "application/json"), (platformdata.ERA_HEADER, str(self.era))]
+        start_response(status_line, headers)
         data = json.dumps(body).encode()
         for text, raw in self.raw_values.items():
             data = data.replace(json.dumps(text).encode(), raw)
@@ -159,11 +184,13 @@
     def _watch(self, kind, revision, wait_s):
         cuts = self._cuts
         with eventlet.Timeout(wait_s, False):
-            while revision >= self._oldest_revision and not self._list_events(kind, revision):
+            while self._oldest_revision <= revision <= self._revision and not self._list_events(
+                kind, revision
+            ):
                 self._changed.wait()
                 if cuts != self._cuts:
                     return None, None
-        if revision < self._oldest_revision:
+        if not self._oldest_revision <= revision <= self._revision:
             return 410, None
         events = self._list_events(kind, revision)
         return 200, {"events": events, "storeRevision": self._revision}
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -13,6 +13,8 @@
 DEADLINE_FIELD = "x-skylarksill-deadline-ms"
 EXPECTED_UPSTREAM_FIELD = "x-skylarksill-expect-instance"
 NOT_RUN_HEADER = "X-Skylarksill-Not-Executed: 1"
+# Header of the store's answers: how often it has returned from an older copy.
+ERA_HEADER = "Store-Era"
 READINESS_REQUEST = b"GET /v1/readiness HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n"
 
 
--- a/standins/simulatedstore.py
+++ b/standins/simulatedstore.py
@@ -1,5 +1,7 @@
 """The platform's store in virtual time, and the real client of it without its sockets."""
 
+import collections
+import dataclasses
 import enum
 import json
 import random
@@ -17,6 +19,8 @@
 
 FIRST_REVISION = 700
 PAGE_ITEMS = 4
+# Writes that a return from an older copy can lose.
+MAX_COPIES = 400
 
 
 class Mode(enum.Enum):
@@ -31,6 +35,16 @@
     RESETTING = "resetting"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """The store before a write at a virtual time; ``write`` is its kind, name and spec."""
+
+    at: float
+    objects: dict
+    revision: int
+    write: tuple
+
+
 class Store:
     """The store.
 
@@ -51,6 +65,8 @@
         self._changed = _virtualtime.Event()
         self._cut_off = {}
         self._is_holding = False
+        self._era = 1
+        self._copies = collections.deque(maxlen=MAX_COPIES)
         self.modes = {}
         self.delays = {}
 
@@ -79,12 +95,37 @@
         for host_id in self.delays:
             self.cut_off(host_id, False)
 
+    def return_from_copy(self, age_s):
+        """Goes back to how the store was some seconds ago, and ends the watches of all hosts.
+
+        Returns:
+          The list of (time of the write, kind, name, spec) of the lost writes; the spec is None for
+          a deletion.
+        """
+        until = _virtualtime.read_clock() - age_s
+        lost = [item for item in self._copies if item.at > until]
+        if lost:
+            self._objects, self._revision = dict(lost[0].objects), lost[0].revision
+            self._history = [item for item in self._history if item[0] <= self._revision]
+            self._history_start = min(self._history_start, self._revision)
+            self._copies = collections.deque(
+                (item for item in self._copies if item.at <= until), MAX_COPIES
+            )
+        self._era += 1
+        for host_id in self.delays:
+            self.cut_off(host_id, False)
+        return [(item.at, *item.write) for item in lost]
+
     def cut_off(self, host_id, is_silent):
         """Ends the waiting watches of a host, or makes them wait without an end."""
         self._cut_off[host_id] = (self._cut_off.get(host_id, (0, False))[0] + 1, is_silent)
         self._wake()
 
     def _record(self, kind, name, spec, is_deleted):
+        write = (kind, name, None if is_deleted else spec)
+        self._copies.append(
+            _Copy(_virtualtime.read_clock(), dict(self._objects), self._revision, write)
+        )
         self._revision += self._random.randint(1, 2)
         item = {"metadata": {"name": name, "revision": self._revision}, "spec": spec}
         # Encoded at once, so that later changes of the spec by the operator don't show.
@@ -102,7 +143,7 @@
         changed.send()
 
     def call(self, host_id, path, timeout_s):
-        """Returns the status and the bytes of an answer; raises StoreError without one."""
+        """Returns status, bytes and era of an answer; raises StoreError without one."""
         ends_at = _virtualtime.read_clock() + timeout_s
         target = urllib.parse.urlsplit(path)
         kind = target.path.rsplit("/", 1)[1]
@@ -110,14 +151,14 @@
         self._travel(host_id, ends_at)
         if self._get_mode(host_id) is Mode.REFUSING:
             self._travel(host_id, ends_at)
-            return 503, b""
+            return 503, b"", self._era
         if "watch" in query:
             status, answer = self._watch(host_id, kind, query, ends_at)
         else:
             status, answer = 200, self._list(kind, query)
-        data = json.dumps(answer).encode()
+        data, era = json.dumps(answer).encode(), self._era
         self._travel(host_id, ends_at)
-        return status, data
+        return status, data, era
 
     def _get_mode(self, host_id):
         return self.modes.get(host_id, Mode.SOUND)
@@ -155,7 +196,7 @@
         waits_until = _virtualtime.read_clock() + int(query["waitMs"]) / 1000
         cut_off = self._cut_off.get(host_id)
         while True:
-            if revision < self._history_start:
+            if not self._history_start <= revision <= self._revision:
                 return 410, {}
             found = [item for item in self._history if item[0] > revision and item[1] == kind]
             now = _virtualtime.read_clock()
@@ -188,9 +229,9 @@
 
     def _call(self, method, path, body, timeout_s):
         del method, body
-        status, data = self._simulated.call(self._host_id, path, timeout_s)
+        status, data, era = self._simulated.call(self._host_id, path, timeout_s)
         try:
-            return status, jsontext.parse(data) if status == 200 else None
+            return status, jsontext.parse(data) if status == 200 else None, era
         except ValueError as error:
             raise _make_error(repr(error)) from error
 
