A follower that left an older update out asks for its changes again

What callers would see: requests at an upstream that has drained, by a host that follows two sources (DRAIN).

Cause: a follower leaves the upstreams of an update out if it knows later ones from another source, but stated the update's sequence number in its next request, as if it had taken them over. A source whose list was read in pages can hold a change of a later revision than that of the list. Its event then changes nothing there, so no later update names it, and the follower goes on to the later revision without it.

Change: a stream remembers up to where updates were taken over (relay.StreamPosition). Once the source has caught up, the follower asks for all since then, and leaves the upstreams of the update in question out.

--- a/features/host_relay.feature
+++ b/features/host_relay.feature
@@ -163,3 +163,14 @@
     Then that host knows "a" and "b" within 2 s and has a live source
     When the source loses its connection to the store
     Then that host no longer has a live source within 0.2 s
+
+  # Guards against DRAIN: a source had read a drain within a list of an older revision, so the event of
+  # that drain changed nothing there, and its follower, which had left the list out, never learned of it.
+  Scenario: A follower that has left an older update out asks for what it held once more
+    Given a follower that knows "a" and "b" at revision 45 from elsewhere
+    And a source that has read "a" as draining in a list of revision 40
+    When the follower is updated on its stream
+    Then the follower knows "a" and "b" as ready
+    When the source reaches revision 50 without a change
+    And the follower is updated on its stream, until it asks for nothing again
+    Then the follower knows that "a" drains at revision 50
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -137,7 +137,8 @@
     Args:
       record: HostRecord of the source.
       apply_update: Function that applies a BeliefUpdate to this host's belief; its other arguments
-        are the host that it comes from, and the monotonic time at which it was asked for.
+        are the relay.StreamPosition, the host that the update comes from, and the monotonic time
+        at which it was asked for.
       find_generation: Function that returns the generation of this host's configuration.
       log: The EventLog.
       get_keyring: Function that returns the current keyring.Keyring.
@@ -174,19 +175,20 @@
             _set_options(source)
             source.settimeout(ANSWER_TIMEOUT_S)
             reader = _fairreads.FairReader(source)
-            sequence = relay.UNKNOWN_SEQUENCE
+            position = relay.StreamPosition()
+            is_first = True
             while self.is_wanted:
                 request = _beliefcodec.Request(
-                    sequence,
+                    position.sequence,
                     self._find_generation(),
                     LONG_POLL_S,
                     os.urandom(_beliefcodec.NONCE_BYTES),
                 )
                 asked_at = time.monotonic()
                 update = self._exchange(source, reader, request)
-                self._record_answer(update, sequence)
-                self._apply_update(update, self.record.host_id, asked_at)
-                sequence = update.sequence
+                self._record_answer(update, is_first)
+                is_first = False
+                self._apply_update(update, position, self.record.host_id, asked_at)
         finally:
             source.close()
 
@@ -201,10 +203,10 @@
         payload = keyring.unseal(self._get_keyring(), context, message)
         return _beliefcodec.decode_update(payload)
 
-    def _record_answer(self, update, sequence):
+    def _record_answer(self, update, is_first):
         is_current = update.is_complete and not update.is_store_lost
         self._current_at = time.monotonic() if is_current else float("-inf")
-        if sequence == relay.UNKNOWN_SEQUENCE:
+        if is_first:
             self._failures = 0
             peer = self.record.host_id
             self._log.write("relay.following", peer=peer, is_store_lost=update.is_store_lost)
@@ -272,10 +274,11 @@
         configuration = self._belief.configuration
         return configuration.generation if configuration else 0
 
-    def _apply_update(self, update, source, asked_at):
+    def _apply_update(self, update, position, source, asked_at):
         now = time.monotonic()
         relay.record_store_answer(self._belief, update, asked_at, now)
-        changes = relay.apply_update(self._belief, update, now)
+        takes_upstreams = position.advance(self._belief, update)
+        changes = relay.apply_update(self._belief, update, now, takes_upstreams)
         if changes:
             self._handle_changes(changes, source)
 
--- a/skylarksill/host/relay.py
+++ b/skylarksill/host/relay.py
@@ -50,6 +50,42 @@
     configuration_age_s: float
 
 
+class StreamPosition:
+    """How far a follower has taken over the updates of one source.
+
+    Attributes:
+      sequence: Sequence number that the follower states in its next request.
+    """
+
+    def __init__(self):
+        self.sequence = UNKNOWN_SEQUENCE
+        self._applied = UNKNOWN_SEQUENCE
+
+    def advance(self, own, update):
+        """Moves on by an update.
+
+        An update that is older than what the follower knows from elsewhere doesn't count as taken
+        over: the source may have held a change already that the other hasn't passed on yet, and
+        doesn't name it again. Once the source has caught up, the follower asks for all since the
+        last update that it took over.
+
+        Args:
+          own: The follower's belief.Belief.
+          update: The BeliefUpdate.
+        Returns:
+          True if the update's upstreams may be applied, False if they lack earlier changes.
+        """
+        kind = records.ObjectKind.UPSTREAMS
+        is_current = update.is_complete and update.revisions[kind] >= own.revisions[kind]
+        if is_current and self.sequence != self._applied:
+            self.sequence = self._applied
+            return False
+        if is_current:
+            self._applied = update.sequence
+        self.sequence = update.sequence
+        return True
+
+
 def choose_sources(serving, region):
     """Chooses the hosts that the other hosts of a region follow.
 
@@ -99,7 +135,7 @@
     )
 
 
-def apply_update(own, update, now):
+def apply_update(own, update, now, takes_upstreams=True):
     """Applies the parts of an update that are not older than this host's belief.
 
     Sources receive the store's changes at different times, so a part of the update may be older
@@ -109,6 +145,7 @@
       own: This host's belief.Belief.
       update: The BeliefUpdate.
       now: Monotonic seconds.
+      takes_upstreams: False to leave its upstreams out.
     Returns:
       A tuple of belief.Change.
     """
@@ -121,7 +158,11 @@
         # A store that has returned from an older copy has an older one, so revisions don't tell.
         changes += own.accept_configuration(update.configuration)
     own.record_confirmation(now - update.configuration_age_s)
-    if update.is_complete and _advance_revision(own, update, records.ObjectKind.UPSTREAMS):
+    if (
+        takes_upstreams
+        and update.is_complete
+        and _advance_revision(own, update, records.ObjectKind.UPSTREAMS)
+    ):
         changes += _apply_upstreams(own, update, now)
     if _advance_revision(own, update, records.ObjectKind.EVACUATIONS):
         changes += own.replace_evacuated(update.evacuated, now)
