A half-closed client is probed with the beginning of its answer

What callers saw: clients of HTTP/1.0 that end their sending side and read on got no answer to requests that took longer than 0.15 s (LOST).

Cause: the host asks by an interim response whether such a client still reads, and may send none to a client of HTTP/1.0 (RFC 9110, section 15.2), so it dropped their requests. Clients of HTTP/1.1 have to parse interim responses, but small ones don't, and libraries accept few of them.

Change: the probe is the next byte of "HTTP/1.1 ", with which every answer begins. It needs no permission of any version or library, and commits the host to nothing. There are nine, so a client that closes is noticed for 12 s instead of 4.

The scenarios of host_halfclose for HTTP/1.0 and of what is read fail before. The one that asserted the drop of HTTP/1.0 is replaced by one that demands all answers; its checks of cause, log line and counter stand for a client that acknowledges nothing any more. The scenario of five interim responses is replaced by one that demands nothing but the answer.

--- a/bench/siterun/clients.py
+++ b/bench/siterun/clients.py
@@ -281,11 +281,8 @@
             connection.leave()
 
     def _find_half_close_share(self, attempt):
-        """Returns the probability that the client ends its sending side behind an attempt.
-
-        A host can't ask a client of HTTP/1.0 whether it still reads, so these don't do it.
-        """
-        if not self._is_half_closing or attempt.is_old:
+        """Returns the probability that the client ends its sending side behind an attempt."""
+        if not self._is_half_closing:
             return 0.0
         if attempt.is_last:
             return troubles.LAST_HALF_CLOSE_SHARE
--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -36,12 +36,22 @@
     And it ends its sending side and reads 1000000 bytes each 0.6 s
     Then it has read answers of 3000000 and 20 bytes
 
-  # A client of HTTP/1.0 may not be sent interim responses, so it can't be probed.
-  Scenario: A client of HTTP/1.0 gets what is ready soon after the end of its sending side
+  # Guards against LOST: a client of HTTP/1.0 can't be sent interim responses, so it was not probed, and
+  # what took longer than 0.15 s was dropped.
+  Scenario: A client of HTTP/1.0 that ends its sending side gets all of its answers
     Given a client server that answers with as many bytes as its target says, after 0.0 s
     When a client of HTTP/1.0 sends requests that take 0.1, 1.0 and 0.1 s and ends its sending side
+    Then the client reads 3 answers, of which only the last one says that it is the last
+    And its connection has ended by client_left within 1.0 s
+    And the server holds no bytes of answers
+    And the server counts a half-closed connection as answered
+
+  Scenario: A client that can't be reached any more gets what is ready soon after the end of its sending side
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And a kernel that gets no acknowledgement of what it sends after 0.3 s
+    When a client sends requests that take 0.1, 1.0 and 0.1 s and ends its sending side
     Then the client reads an answer of 10 bytes
-    And the connection ends without another answer
+    And the connection ends within the next answer
     And the server logs that a connection ended by half_closed with 2 unanswered requests
     And the line says that the host ended it, with a time after the end of its stream
     And the server holds no bytes of answers
@@ -54,33 +64,42 @@
     Then the request is cancelled within 0.4 s
     And the server counts a half-closed connection as left
 
-  Scenario: A client is probed at most as often as client libraries accept interim responses
+  # Guards against interim responses, which a client may not accept, or accept too few of.
+  Scenario: A client that is probed reads nothing but its answer
     Given a client server that answers with as many bytes as its target says, after 4.4 s
     When a client sends a request for 10 bytes and ends its sending side 0.0 s later
-    Then the client reads 5 interim responses and then an answer of 10 bytes
+    Then 5 bytes of the answer have arrived after 4.2 s
+    And all that the client reads is an answer of 10 bytes
+
+  Scenario: A client that is probed reads its pipelined answers one after the other
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    When a client sends requests that take 0.7, 1.4 and 0.3 s and ends its sending side
+    Then the client reads 3 answers, of which only the last one says that it is the last
 
   # Replays what a host sees of clients that are probed, and when it decides what.
   Scenario Outline: What a half-closed client does decides about its requests
-    Given a half-closed client that <accepts> interim responses
+    Given a half-closed client
     When it <does>
     Then it is probed at <probes> s and <fate>
 
     Examples:
-      | accepts | does                                                  | probes                   | fate                   |
-      | takes   | acknowledges at once                                  | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
-      | takes   | resets 0.01 s after it is probed                       | 0.15                     | is left at 0.16 s      |
-      | takes   | acknowledges nothing                                  | 0.15                     | is dropped at 0.45 s   |
-      | takes   | acknowledges 0.2 s after it is probed                  | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
-      | takes   | acknowledges 0.28 s after it is probed                 | 0.15, 0.5, 1.0, 2.0, 4.0 | is kept for 10 s       |
-      | takes   | receives 100 bytes each 0.2 s of 2000 bytes           | 4.0, 4.35, 4.85, 5.85, 7.85 | is kept for 10 s       |
-      | takes   | receives nothing of 2000 bytes                        | no                       | is dropped at 0.3 s    |
-      | takes   | has no room for 2000 bytes                            | no                       | is kept for 10 s       |
-      | takes   | is always sent more before it acknowledges, 200 bytes each 0.03 s | no           | is kept for 10 s       |
-      | refuses | acknowledges at once                                  | no                       | is dropped at 0.15 s   |
+      | does                                                  | probes                             | fate                   |
+      | acknowledges at once                                  | 0.15, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0 | is kept for 9.9 s      |
+      | resets 0.01 s after it is probed                      | 0.15                               | is left at 0.16 s      |
+      | acknowledges nothing                                  | 0.15                               | is dropped at 0.45 s   |
+      | acknowledges 0.2 s after it is probed                 | 0.15, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0 | is kept for 9.9 s      |
+      | acknowledges 0.28 s after it is probed                | 0.15, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0 | is kept for 9.9 s      |
+      | receives 100 bytes each 0.2 s of 2000 bytes           | 4.0, 4.35, 4.85, 5.85, 7.85, 9.85  | is kept for 9.9 s      |
+      | receives nothing of 2000 bytes                        | no                                 | is dropped at 0.3 s    |
+      | has no room for 2000 bytes                            | no                                 | is kept for 9.9 s      |
+      | is always sent more before it acknowledges, 200 bytes each 0.03 s | no                     | is kept for 9.9 s      |
+
+  Scenario: There is a byte of the answer for each probe
+    Then a client that acknowledges is probed once for each byte of the beginning of an answer
 
   # Guards against a look that is late and takes what has just been sent for unacknowledged since the
   # look before.
   Scenario: A late host does not take an answer that it has just sent for one that its client can't get
-    Given a half-closed client that takes interim responses
+    Given a half-closed client
     When a host that is 0.3 s late looks as an answer has just been sent
     Then it goes on waiting
--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -1,14 +1,16 @@
 """Steps of host_halfclose.feature."""
 
+import time
+
 import eventlet
 from behave import given, then, when
 from eventlet.green import socket
 
 from features import client_builders, host_world
-from skylarksill.host import halfclose
+from skylarksill.host import _clientconnection, answers, halfclose
 
 STEP_S = 0.001
-END_S = 10.0
+END_S = 9.9
 # Probes come up to a step late each.
 TOLERANCE_S = 0.01
 
@@ -78,29 +80,54 @@
 def step_two_answers(context, first, second):
     rest = bytes(context.received)
     for size in (first, second):
-        status, rest = _skip_interim(rest)
+        head, _, rest = rest.partition(b"\r\n\r\n")
+        status = int(head.split()[1])
         body, rest = rest[:size], rest[size:]
         assert (status, body) == (200, b"x" * size), (status, size, len(body))
     assert not rest, rest[:100]
 
 
-def _skip_interim(data):
-    """Returns the status of the next final answer, and what follows its head."""
-    while True:
-        head, _, data = data.partition(b"\r\n\r\n")
-        status = int(head.split()[1])
-        if status >= 200:
-            return status, data
+@given("a kernel that gets no acknowledgement of what it sends after {seconds:g} s")
+def step_unreachable(context, seconds):
+    observe = _clientconnection.Connection._observe_delivery
+    unreachable_at = time.monotonic() + seconds
+
+    def observe_or_miss(connection):
+        is_reachable = time.monotonic() < unreachable_at
+        return observe(connection) if is_reachable else ON_ITS_WAY
+
+    _clientconnection.Connection._observe_delivery = observe_or_miss
+    context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
+
 
+@then("the connection ends within the next answer")
+def step_ends_within(context):
+    rest = context.client.recv(client_builders.READ_BYTES)
+    assert answers.ANSWER_START.startswith(rest), rest
+    assert not rest or context.client.recv(client_builders.READ_BYTES) == b""
 
-@then("the client reads {count:d} interim responses and then an answer of {size:d} bytes")
-def step_interim(context, count, size):
+
+@then("{count:d} bytes of the answer have arrived after {seconds:g} s")
+def step_begun(context, count, seconds):
+    eventlet.sleep(seconds)
+    received = context.client.recv(client_builders.READ_BYTES, socket.MSG_PEEK)
+    assert received == answers.ANSWER_START[:count], received
+
+
+@then("all that the client reads is an answer of {size:d} bytes")
+def step_only_answer(context, size):
     received = b""
     while data := context.client.recv(client_builders.READ_BYTES):
         received += data
-    *interim, head, body = received.split(b"\r\n\r\n")
-    assert interim == count * [b"HTTP/1.1 100 Continue"], received
-    assert (head.split()[1], body) == (b"200", b"x" * size), received
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n")[0] == b"HTTP/1.1 200 OK" and body == b"x" * size, received
+
+
+@then("a client that acknowledges is probed once for each byte of the beginning of an answer")
+def step_probe_count(context):
+    client = halfclose.HalfClosedClient(0.0)
+    decisions = [client.decide(STEP_S * count, DELIVERED) for count in range(30_000)]
+    assert decisions.count(halfclose.Decision.PROBE) == len(answers.ANSWER_START)
 
 
 @then("the server counts a half-closed connection as {outcome}")
@@ -109,15 +136,15 @@
     host_world.wait_until(1.0, lambda: counters.get("connections_half_closed", outcome) == 1)
 
 
-# Clients in simulated time: each step gets the time since the last interim response, or None, and
-# returns what is known of the delivery.
+# Clients in simulated time: each step gets the time since the last probe, or None, and returns what
+# is known of the delivery.
 DELIVERED = halfclose.Delivery()
 ON_ITS_WAY = halfclose.Delivery(is_in_flight=True, is_complete=False)
 
 
-@given("a half-closed client that {accepts} interim responses")
-def step_client(context, accepts):
-    context.half_closed = halfclose.HalfClosedClient(0.0, accepts == "takes")
+@given("a half-closed client")
+def step_client(context):
+    context.half_closed = halfclose.HalfClosedClient(0.0)
 
 
 @when("it acknowledges at once")
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -52,8 +52,8 @@
 _TCP_INFO = struct.Struct("=B23xI92xQ")
 # State of a connection that was reset, or that both sides have ended.
 _TCP_CLOSE = 7
-# An interim response, which clients discard.
-_INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# What a client that waits for it before it sends the body of its request is sent.
+_CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
 # Bytes of a host name, a target or an id of a request in the log.
@@ -72,7 +72,7 @@
     """Why a connection ended, for logs and counters.
 
     HALF_CLOSED stands for requests that the host has dropped, as their client has ended its sending
-    side and can't be probed whether it reads on.
+    side and can't be reached any more.
     """
 
     CLIENT_LEFT = "client_left"
@@ -119,14 +119,12 @@
     """A request whose answer has not been sent yet.
 
     Attributes:
-      takes_interim: Whether its client accepts interim responses.
       data: The formatted answer, or None.
     """
 
     request_id: bytes | None
     method: bytes
     cancellation: cancellation.Cancellation
-    takes_interim: bool = True
     data: bytes | None = None
 
 
@@ -160,6 +158,8 @@
         self._dropped_ids = []
         # When the end of the client's stream was read, or None.
         self._half_closed_at = None
+        # Bytes of the first pending answer that were sent before it was ready.
+        self._begun_bytes = 0
         self._unparsed_bytes = 0
         self._begin_message()
         self._parser = httptools.HttpRequestParser(self)
@@ -396,7 +396,7 @@
         """
         if self._owes_continue and self._state is _State.SERVING and not self.pending:
             self._owes_continue = False
-            self._socket.sendall(_INTERIM_RESPONSE)
+            self._socket.sendall(_CONTINUE_RESPONSE)
 
     # Callbacks of the parser.
 
@@ -452,10 +452,7 @@
         )
         if request is None:
             raise _BadRequestError(400, "no site")
-        takes_interim = self._parser.get_http_version() != "1.0"
-        item = _PendingRequest(
-            request.request_id, method, cancellation.Cancellation(), takes_interim
-        )
+        item = _PendingRequest(request.request_id, method, cancellation.Cancellation())
         self.pending.append(item)
         self._begin_message()
         if not is_persistent:
@@ -586,9 +583,10 @@
                 data = self.pending[0].data
                 if self._state is _State.ANSWERING and len(self.pending) == 1:
                     data = answers.mark_last(data)
-                self._send(data)
+                self._send(data[self._begun_bytes :])
                 if self._state is _State.ENDED:
                     return
+                self._begun_bytes = 0
                 self._release_answer(self.pending.popleft())
                 self._quiet_since = time.monotonic()
                 self._send_continue()
@@ -643,13 +641,12 @@
         is_answered = self._state is _State.LINGERING
         now = self._half_closed_at = time.monotonic()
         self._take_no_more()
-        takes_interim = all(item.takes_interim for item in self.pending)
-        client = halfclose.HalfClosedClient(now, takes_interim)
+        client = halfclose.HalfClosedClient(now)
         outcome = "answered" if self.pending else "idle"
         while self._state is _State.ANSWERING and self.pending:
             match client.decide(time.monotonic(), self._observe_delivery()):
                 case halfclose.Decision.PROBE:
-                    self._send_interim()
+                    self._begin_answer()
                 case halfclose.Decision.DROP:
                     outcome = "dropped"
                     self._drop_unready()
@@ -672,15 +669,16 @@
             is_complete=not (self._is_writing or _count_unsent_bytes(self._socket)),
         )
 
-    def _send_interim(self):
-        """Sends an interim response; a connection that its client has closed is reset by it."""
+    def _begin_answer(self):
+        """Sends the next byte of the first answer; a connection that is closed is reset by it."""
+        probe = answers.ANSWER_START[self._begun_bytes : self._begun_bytes + 1]
         try:
-            sent = self._socket.fd.send(_INTERIM_RESPONSE)
+            self._begun_bytes += self._socket.fd.send(probe)
+        except BlockingIOError:
+            # What the client has no room for probes it as well.
+            return
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
-            sent = 0
-        if sent < len(_INTERIM_RESPONSE):
-            # What would follow a part of it is no answer.
             self._end(Cause.CLIENT_LEFT)
 
     def _drop_unready(self):
--- a/skylarksill/host/answers.py
+++ b/skylarksill/host/answers.py
@@ -4,6 +4,8 @@
 
 from skylarksill.host import _upstreamhttp, records
 
+# What each answer begins with, whatever follows.
+ANSWER_START = b"HTTP/1.1 "
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
@@ -22,7 +24,7 @@
       The bytes of the message.
     """
     reason = answer.reason or _REASONS.get(answer.status, b"Status")
-    lines = [b"HTTP/1.1 %d " % answer.status + reason]
+    lines = [ANSWER_START + b"%d " % answer.status + reason]
     lines += [name + b": " + value for name, value in answer.headers]
     is_bodiless = _upstreamhttp.is_bodiless(method, answer.status)
     if not is_bodiless:
--- a/skylarksill/host/halfclose.py
+++ b/skylarksill/host/halfclose.py
@@ -3,18 +3,17 @@
 Answers the end of a client's stream while its requests are under way. The client may have closed
 the connection, and its upstreams then work in vain, or it reads on and is owed its answers. TCP
 tells only once something is sent: a closed connection answers with a reset, an open one with an
-acknowledgement. What is sent is an interim response, which a client that expects none discards
-(RFC 9110, section 15.2.1).
+acknowledgement. What is sent is the beginning of the answer, one byte at a time, which is the same
+for every answer and so commits the host to nothing.
 """
 
 import dataclasses
 import enum
 import math
 
-# Pauses before the probes. Answers that are ready within the first one need no probe. Further ones
-# notice a client that has closed meanwhile; there are few, as some client libraries accept only
-# five interim responses to a request.
-PROBE_PAUSES_S = (0.15, 0.35, 0.5, 1.0, 2.0)
+# Pauses before the probes, one for each byte of answers.ANSWER_START. Answers that are ready within
+# the first one need no probe. Further ones notice a client that has closed meanwhile.
+PROBE_PAUSES_S = (0.15, 0.35, 0.5, 1.0, 2.0, 2.0, 2.0, 2.0, 2.0)
 # A client that acknowledges nothing for this long can't be reached: the kernel repeats a lost probe
 # after 0.2 s and a round trip. Upstreams may work for 0.5 s after the close has arrived, of which
 # the first pause has taken some.
@@ -24,7 +23,7 @@
 class Decision(enum.Enum):
     """What to do about the client now.
 
-    DROP is for a client that can't be reached or probed: what is ready is still sent to it.
+    DROP is for a client that can't be reached: what is ready is still sent to it.
     """
 
     WAIT = "wait"
@@ -56,16 +55,14 @@
 
     Args:
       now: Monotonic time at which the end was read, in seconds.
-      takes_interim: False if an interim response may not be sent, as to clients of HTTP/1.0.
     """
 
-    def __init__(self, now, takes_interim):
+    def __init__(self, now):
         self._probes_at = now + PROBE_PAUSES_S[0]
         # Since when the client has acknowledged nothing of what is on its way.
         self._silent_since = now
         self._acknowledged_bytes = 0
         self._was_in_flight = False
-        self._takes_interim = takes_interim
         self._probe_count = 0
 
     def decide(self, now, delivery):
@@ -81,8 +78,6 @@
             return Decision.DROP
         if now < self._probes_at:
             return Decision.WAIT
-        if not self._takes_interim:
-            return Decision.DROP
         # Bytes that are on their way probe it already.
         if not delivery.is_complete:
             return Decision.WAIT
