--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -64,6 +64,15 @@
     Then the request is cancelled within 0.4 s
     And the server counts a half-closed connection as left
 
+  # Guards against a client that has left and is counted as one that was answered.
+  Scenario: A client that has reset its connection unnoticed is counted as left
+    Given a client server that answers with as many bytes as its target says, after 5.0 s
+    And a kernel that tells of no reset
+    When a client sends a request for 10 bytes and ends its sending side 0.0 s later
+    And 0.05 s later it resets its connection
+    Then the request is cancelled within 0.4 s
+    And the server counts a half-closed connection as left
+
   # Guards against interim responses, which a client may not accept, or accept too few of.
   Scenario: A client that is probed reads nothing but its answer
     Given a client server that answers with as many bytes as its target says, after 4.4 s
--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_halfclose.feature."""
 
+import struct
 import time
 
 import eventlet
@@ -100,6 +101,22 @@
     context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
 
 
+@given("a kernel that tells of no reset")
+def step_no_reset(context):
+    observe = _clientconnection.Connection._observe_delivery
+    _clientconnection.Connection._observe_delivery = lambda connection: DELIVERED
+    context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
+
+
+@when("{seconds:g} s later it resets its connection")
+def step_reset_connection(context, seconds):
+    eventlet.sleep(seconds)
+    # Without a wait for what is left, the close resets the connection.
+    linger = struct.pack("ii", 1, 0)
+    context.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    context.client.close()
+
+
 @then("the connection ends within the next answer")
 def step_ends_within(context):
     rest = context.client.recv(client_builders.READ_BYTES)
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -646,7 +646,9 @@
         while self._state is _State.ANSWERING and self.pending:
             match client.decide(time.monotonic(), self._observe_delivery()):
                 case halfclose.Decision.PROBE:
-                    self._begin_answer()
+                    if not self._begin_answer():
+                        outcome = "left"
+                        self._end(Cause.CLIENT_LEFT)
                 case halfclose.Decision.DROP:
                     outcome = "dropped"
                     self._drop_unready()
@@ -670,16 +672,21 @@
         )
 
     def _begin_answer(self):
-        """Sends the next byte of the first answer; a connection that is closed is reset by it."""
+        """Sends the next byte of the first answer; a connection that is closed is reset by it.
+
+        Returns:
+          False if the connection has been reset already.
+        """
         probe = answers.ANSWER_START[self._begun_bytes : self._begun_bytes + 1]
         try:
             self._begun_bytes += self._socket.fd.send(probe)
         except BlockingIOError:
             # What the client has no room for probes it as well.
-            return
+            return True
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
-            self._end(Cause.CLIENT_LEFT)
+            return False
+        return True
 
     def _drop_unready(self):
         """Drops the first request without an answer, and those behind it."""
