Site rig: the store is away for a moment and returns from an older copy

Condition drill: what the operator and the upstreams have written since the copy is gone and written again within 1.5 s, by a writer that knows it; the hosts' own entries are lost as well.

--- a/bench/siterun/__main__.py
+++ b/bench/siterun/__main__.py
@@ -76,6 +76,7 @@
         "http_1_0": sum(attempt.is_old for attempt in observations.attempts),
         "said_last": sum(attempt.is_last for attempt in observations.attempts),
         "crashes": observations.crashes,
+        "lost_writes": observations.lost_writes,
         "runs": dict(collections.Counter(run.end.value for run in observations.runs)),
         "ends": dict(ends.most_common()),
         "lost": len({loss.attempt.request_id for loss in found}),
--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -33,6 +33,10 @@
     idle connections to hosts with few descriptors, and bursts beyond their backlog as they stop or
     reload, so that connections wait to be accepted as listening ends.
 
+    DRILL has the store away for a moment and return from a copy some seconds old, again and again:
+    upstreams and configurations that have gone are back, and others are missing, until their
+    writers have written them again.
+
     GROWN plays the grown fleet of the site, whose requests outlast the time that a stop has.
     """
 
@@ -48,6 +52,7 @@
     STORE = "store"
     EARLY = "early"
     CROWD = "crowd"
+    DRILL = "drill"
     GROWN = "grown"
 
 
--- a/bench/siterun/disturbances.py
+++ b/bench/siterun/disturbances.py
@@ -16,12 +16,16 @@
 FREEZE_PAUSE_S = 6.0
 STORE_PAUSE_S = 6.0
 EARLY_PAUSE_S = 5.0
+DRILL_PAUSE_S = 7.0
 MAX_GAP_S = 1.5
 MAX_HOSTS = 3
 # Times for which hosts are down or paused, and the store is disturbed.
 DOWN_S = (0.1, 2.0)
 FROZEN_S = (0.3, 3.0)
 STORE_S = (0.5, 5.0)
+# Age of the copy from which the store returns, and the time for which it is away.
+COPY_AGE_S = (0.5, 5.0)
+AWAY_S = (0.1, 1.5)
 STORE_MODES = (proxies.Mode.DELAY, proxies.Mode.SILENT, proxies.Mode.RESET)
 # Early signals to a host in turn, and the longest times to them.
 MAX_EARLY_STOPS = 4
@@ -65,6 +69,14 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReturnStore:
+    """Copies the store; ``age_s`` later it is away for ``away_s`` and returns from the copy."""
+
+    age_s: float
+    away_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EarlyStop:
     """SIGTERM at a moment of a new process.
@@ -103,6 +115,8 @@
         sorts += [(_draw_kills, KILL_PAUSE_S), (_draw_pauses, FREEZE_PAUSE_S)]
     if conditions.Condition.STORE in played:
         sorts.append((_draw_store, STORE_PAUSE_S))
+    if conditions.Condition.DRILL in played:
+        sorts.append((_draw_return, DRILL_PAUSE_S))
     if conditions.Condition.EARLY in played:
         sorts.append((_draw_early, EARLY_PAUSE_S))
     events = []
@@ -134,6 +148,10 @@
     return [DisturbStore(rng.choice(STORE_MODES), rng.uniform(*STORE_S))]
 
 
+def _draw_return(rng, host_count):
+    return [ReturnStore(rng.uniform(*COPY_AGE_S), rng.uniform(*AWAY_S))]
+
+
 def _draw_early(rng, host_count):
     return [
         StopEarly(host, tuple(_draw_stop(rng) for _ in range(rng.randint(1, MAX_EARLY_STOPS))))
@@ -174,6 +192,8 @@
                 self._pause(self._rig.hosts[index], frozen_s)
             case DisturbStore(mode, for_s):
                 self._disturb_store(mode, for_s)
+            case ReturnStore(age_s, away_s):
+                self._return_store(age_s, away_s)
             case StopEarly(index, stops):
                 self._stop_early(self._rig.hosts[index], stops)
 
@@ -215,6 +235,13 @@
             self._set_store_mode(proxies.Mode.PASS)
         disturbance.ends_at = time.monotonic()
 
+    def _return_store(self, age_s, away_s):
+        rng = random.Random(f"{age_s} {away_s}")
+        older = self._rig.store.copy()
+        eventlet.sleep(age_s)
+        self._disturb_store(proxies.Mode.RESET, away_s)
+        self._rig.observations.lost_writes += self._rig.store.return_from_copy(older, rng)
+
     def _set_store_mode(self, mode):
         for host in self._rig.hosts:
             host.store_proxy.set_mode(mode)
--- a/bench/siterun/records.py
+++ b/bench/siterun/records.py
@@ -114,6 +114,7 @@
       ended_hosts: Pairs of the IP address of a host whose process has ended by itself, and the time
         at which that was seen.
       crashes: Number of crashes of upstreams.
+      lost_writes: Number of objects that the store has held otherwise after its returns.
       crowd_count: Most idle connections that a crowd had open to one host at a time.
       lateness_s: Longest delay with which a process of the run itself has woken up.
     """
@@ -126,6 +127,7 @@
     ended_hosts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     crashes: int = 0
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    lost_writes: int = 0
     crowd_count: int = 0
     lateness_s: float = 0.0
 
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -22,6 +22,7 @@
     disturbances,
     records,
     schedule,
+    storewriter,
     troubles,
     upstreams,
 )
@@ -90,7 +91,8 @@
         self._folder = folder
         self._share = share
         self._rng = random.Random(f"{seed} rig")
-        self._store = metadatastore.MetadataStore()
+        self._metadata_store = metadatastore.MetadataStore()
+        self.store = storewriter.StoreWriter(self._metadata_store)
         (folder / hosts.KEYS_NAME).write_text(
             keyfile.format_keys(keyring.add_key(keyring.Keyring(), "k0")), encoding="utf-8"
         )
@@ -119,7 +121,7 @@
                 ip,
                 zone.name,
                 self.site.regions,
-                self._store.address,
+                self._metadata_store.address,
                 self._folder,
                 [(seed_ip, hosts.INTERNAL_PORT) for seed_ip in ips[:3]],
                 hosts.Program(checkout, self.site.settings, CHANGED_SETTINGS),
@@ -359,7 +361,7 @@
         self._version += rng.randint(1, MAX_VERSION_STEP)
         spec, timeouts_s = configurations.build_version(self.site, self._version, rng)
         sent_at = time.monotonic()
-        self._store.write("config", "main", spec)
+        self.store.write("config", "main", spec)
         version = records.Version(self._version, sent_at, time.monotonic(), timeouts_s)
         self.observations.versions.append(version)
 
@@ -388,7 +390,7 @@
             born=1_700_000_000_000 + self._upstream_number,
             **platformdata.build_cold_fields(cold_s),
         )
-        self._store.write("servers", upstream.upstream_id, spec)
+        self.store.write("servers", upstream.upstream_id, spec)
 
     def _drain(self, index):
         upstream = self.upstreams[index]
@@ -397,7 +399,7 @@
         upstream.is_leaving = True
         self._register(upstream, "draining")
         eventlet.sleep(DRAIN_SERVE_S)
-        self._store.delete("servers", upstream.upstream_id)
+        self.store.delete("servers", upstream.upstream_id)
         upstream.shut_down()
         eventlet.sleep(DRAIN_PAUSE_S)
         self.upstreams[index] = self._start_upstream(upstream.service, upstream.zone, COLD_S)
@@ -420,7 +422,7 @@
         self._upstream_number += 1
         upstream_id = upstream.upstream_id
         if self._upstream_number % 2:
-            self._store.delete("servers", upstream_id)
+            self.store.delete("servers", upstream_id)
             upstream_id = f"u{self._upstream_number}"
         upstream.come_back(upstream_id)
         upstream.is_leaving = False
--- a/features/siterun_disturbances.feature
+++ b/features/siterun_disturbances.feature
@@ -33,3 +33,10 @@
   Scenario: A client with a small window reads a part at a time, and its pauses are known
     When a client with a small window reads 400000 bytes
     Then no part exceeds 4000 bytes, and it has paused for the time that it took beyond its parts
+
+  Scenario: What a store that returns from an older copy has lost is written again
+    Given a store whose writers have written u1 and u2
+    When it is copied, u1 drains, u2 is deleted and u3 is written
+    And it returns from the copy, which differs in 3 objects
+    Then it holds u1 as ready and u2, but not u3
+    And after 1.6 s it holds u1 as draining and u3, but not u2
--- a/features/steps/siterun_disturbance_steps.py
+++ b/features/steps/siterun_disturbance_steps.py
@@ -8,8 +8,16 @@
 from behave import given, then, when
 from eventlet.green import socket
 
-from bench.siterun import conditions, records, shape, troubles, upstreams, windows
-from standins import platformdata
+from bench.siterun import (
+    conditions,
+    records,
+    shape,
+    storewriter,
+    troubles,
+    upstreams,
+    windows,
+)
+from standins import metadatastore, platformdata
 
 SITE = shape.THREE_REGIONS
 
@@ -118,3 +126,35 @@
     assert max(context.parts) <= most
     pauses_s = sum(end - begin for begin, end in context.receiver.pauses)
     assert pauses_s > 0.0 and pauses_s + 0.001 * len(context.parts) <= context.seconds
+
+
+@given("a store whose writers have written u1 and u2")
+def step_writers(context):
+    context.store = metadatastore.MetadataStore()
+    context.add_cleanup(context.store.stop)
+    context.writer = storewriter.StoreWriter(context.store)
+    for name in ("u1", "u2"):
+        context.writer.write("servers", name, platformdata.build_upstream_spec())
+
+
+@when("it is copied, u1 drains, u2 is deleted and u3 is written")
+def step_write_after_copy(context):
+    context.copy = context.writer.copy()
+    drains = platformdata.build_upstream_spec(state="draining")
+    context.writer.write("servers", "u1", drains)
+    context.writer.delete("servers", "u2")
+    context.writer.write("servers", "u3", platformdata.build_upstream_spec())
+
+
+@when("it returns from the copy, which differs in {count:d} objects")
+def step_return(context, count):
+    assert context.writer.return_from_copy(context.copy, random.Random(1)) == count
+
+
+@then("it holds u1 as {state} and {held}, but not {missing}")
+@then("after {seconds:g} s it holds u1 as {state} and {held}, but not {missing}")
+def step_holds(context, state, held, missing, seconds=0.0):
+    if seconds:
+        eventlet.sleep(seconds)
+    assert context.store.read("servers", "u1")["state"] == state
+    assert context.store.list_names("servers") == {"u1", held}, missing
