--- a/bench/features.py
+++ b/bench/features.py
@@ -107,6 +107,8 @@
     passed, failed, known = sort_scenarios(results, known_red, read_occasional(text))
     for result in known:
         print(f"known red: {result.name}: {result.failed_step}: {result.message.strip()}")
+    for result in failed:
+        print(f"failed: {result.name}: {result.failed_step}: {result.message.strip()}")
     for name in known_red.intersection(result.name for result in failed):
         print(f"passed although KNOWN-RED.txt lists it: {name}")
     print(f"{len(passed)} passed, {len(failed)} failed")
