--- a/bench/restored_store.py
+++ b/bench/restored_store.py
@@ -49,10 +49,13 @@
         super().__init__(seed)
         # Specs of all objects by kind and name as their writers know them.
         self._written = {}
+        # When upstreams began to leave, and when evacuations last began or ended, by name.
         self._removed_at = {}
         self._evacuated_at = {}
+        # From when on the store has been there for long enough to bind hosts.
         self._bound_from = float("-inf")
         self._is_restoring = False
+        # Pairs of host and name: for REMOVAL_RULE those that broke it, else those that it binds.
         self._known = {
             rule: set() for rule in (LAPSE_RULE, RESTORED_RULE, EVACUATION_RULE, REMOVAL_RULE)
         }
@@ -147,6 +150,7 @@
         self._bound_from = _virtualtime.read_clock() + BOUNDS.contact_s
         self.counts["returns"] += 1
         self.counts["lost writes"] += len(lost)
+        # Versions that are lost bind hosts from when they are written again.
         lost_at = [at for at, kind, _, _ in lost if kind == "config"]
         versions = [version for at, version in self._acknowledged if lost_at and at >= lost_at[0]]
         self._acknowledged = self._acknowledged[: len(self._acknowledged) - len(versions)]
