Read the configuration part by part; records of accounts and host capacity

Change: what can't be read costs one route, service, account or limit. An unknown kind is never repeated; an unreadable route rejects its requests, so that no shorter prefix takes them over; an unreadable service permits no connections; a key that two accounts list proves neither. Problems are logged (configuration.problem), counted and told by readiness. Accounts, their key digests, quota bounds and the capacity of hosts are decoded and passed on; nothing uses them yet.

--- a/features/steps/host_odd_values_steps.py
+++ b/features/steps/host_odd_values_steps.py
@@ -8,14 +8,17 @@
 from behave import given, then, when
 
 from features import host_builders
+from skylarksill import records as shared
 from skylarksill.host import (
     _beliefcodec,
     _peercodec,
     belief,
+    credentials,
     fleet,
     peers,
     records,
     relay,
+    routes,
     steering,
 )
 from standins import platformdata
@@ -34,6 +37,8 @@
     part, _, name = field.partition(" ")
     kind = {"service": "services", "route": "routes"}.get(part)
     items = spec[kind] if kind else {"": spec}
+    if part == "limits":
+        items = {"": spec["limits"]}
     key = next(iter(items))
     if name == "name":
         items[json.loads(value)] = items.pop(key)
@@ -42,6 +47,68 @@
     context.spec = spec
 
 
+# What is left of a part of the configuration of which one value is odd, by the part that is lost:
+# functions of the decoded configuration and of its route "r-read", which is None if it is missing.
+_LOST_PARTS = {
+    "the service": lambda found, route: found.services["catalogue"].max_connections == 0,
+    "the service's name": lambda found, route: not found.services,
+    "the route": lambda found, route: _rejects_path(found) and route is None,
+    "the route's path": lambda found, route: route is None and not found.unreadable_routes,
+    "the priority": lambda found, route: route.priority > 1_000_000,
+    "the repeats": lambda found, route: route.max_attempts == 1,
+    "the repetition": lambda found, route: route.kind is shared.WorkKind.NON_IDEMPOTENT,
+    "the affinity": lambda found, route: not route.is_sticky,
+    "the access": lambda found, route: not route.is_public,
+    "the idle time": lambda found, route: found.limits.idle_timeout_s == 15.0,
+    "the body size": lambda found, route: found.limits.max_body_bytes == 1_048_576,
+}
+
+
+def _rejects_path(configuration):
+    """Returns True if no shorter prefix may take over the requests of the unreadable route."""
+    table = routes.RouteTable(configuration.routes, configuration.unreadable_routes)
+    found = table.find("shop.example", "/read/1")
+    return isinstance(found, records.UnreadableRoute)
+
+
+@then("only {part} is lost, which is reported, and followers get the rest")
+def step_part_lost(context, part):
+    _, wire, _ = host_builders.import_platform()
+    configuration = wire.decode_configuration(context.spec)
+    by_id = {route.route_id: route for route in configuration.routes}
+    assert _LOST_PARTS[part](configuration, by_id.get("r-read")), configuration
+    assert "r-order" in by_id
+    assert len(configuration.problems) == 1, configuration.problems
+    _use(configuration)
+
+
+@given("the operators' configuration with two accounts where {field} is {value}")
+def step_odd_account(context, field, value):
+    spec = platformdata.build_configuration_spec()
+    first = {"apiKeys": ["key-1"], "priority": 1, "ratePerS": 4, "burst": 4, "allowedRegions": []}
+    spec["tenants"] = {"first": first, "second": {"apiKeys": ["key-2"]}}
+    first[field] = json.loads(value)
+    context.spec = spec
+
+
+@then("the first account is known by {keys}, and {count:d} problems are reported")
+def step_account_known(context, keys, count):
+    _, wire, _ = host_builders.import_platform()
+    configuration = wire.decode_configuration(context.spec)
+    known = {
+        digest: account.account_id
+        for account in configuration.accounts.values()
+        for digest in account.key_digests
+    }
+    first = {digest for digest, account_id in known.items() if account_id == "first"}
+    expected = set() if keys == "no key" else {credentials.compute_key_digest(keys.encode())}
+    assert first == expected, known
+    assert len(configuration.problems) == count, configuration.problems
+    assert configuration.has_unreadable_accounts == bool(count)
+    assert not any("key-" in problem.detail for problem in configuration.problems)
+    _use(configuration)
+
+
 @then("it is rejected as malformed")
 def step_rejected(context):
     _, wire, _ = host_builders.import_platform()
--- a/skylarksill/host/_beliefcodec.py
+++ b/skylarksill/host/_beliefcodec.py
@@ -8,9 +8,9 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import fields, records, relay
+from skylarksill.host import credentials, fields, records, relay
 
-VERSION = 6
+VERSION = 7
 # A configuration with 500 routes, together with 500 upstreams, takes about 150 kB.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # A follower's request holds a version, three small numbers, a nonce and a seal.
@@ -242,13 +242,19 @@
             limits.head_timeout_s,
             limits.idle_timeout_s,
         ),
+        _encode_accounts(configuration.accounts),
+        [(route.site, route.prefix) for route in configuration.unreadable_routes],
+        [
+            (problem.kind.value, problem.subject, problem.detail)
+            for problem in configuration.problems
+        ],
     )
 
 
 def _decode_configuration(item):
     if item is None:
         return None
-    generation, routes, services, limits = item
+    generation, routes, services, limits, accounts, unreadable, problems = item
     decoded = [
         records.Service(
             fields.check(service_id, str),
@@ -269,6 +275,54 @@
             fields.check_number(head_timeout_s),
             fields.check_number(idle_timeout_s),
         ),
+        _decode_accounts(accounts),
+        tuple(
+            records.UnreadableRoute(fields.check(site, str), fields.check(prefix, str))
+            for site, prefix in unreadable
+        ),
+        tuple(
+            records.Problem(
+                records.ProblemKind(kind), fields.check(subject, str), fields.check(detail, str)
+            )
+            for kind, subject, detail in problems
+        ),
+    )
+
+
+def _encode_accounts(accounts):
+    if accounts is None:
+        return None
+    return [
+        (
+            account.account_id,
+            b"".join(sorted(account.key_digests)),
+            account.priority,
+            account.rate,
+            account.burst,
+            sorted(account.regions),
+        )
+        for account in accounts.values()
+    ]
+
+
+def _decode_accounts(items):
+    if items is None:
+        return None
+    decoded = [_decode_account(*item) for item in items]
+    return {account.account_id: account for account in decoded}
+
+
+def _decode_account(account_id, digests, priority, rate, burst, regions):
+    size = credentials.DIGEST_BYTES
+    if len(fields.check(digests, bytes)) % size:
+        raise ValueError(f"digests of {len(digests)} bytes")
+    return records.Account(
+        fields.check(account_id, str),
+        frozenset(digests[start : start + size] for start in range(0, len(digests), size)),
+        fields.check_integer(priority),
+        fields.check_number(rate),
+        fields.check_number(burst),
+        frozenset(fields.check(region, str) for region in regions),
     )
 
 
@@ -285,6 +339,7 @@
         route.max_attempts,
         route.is_sticky,
         sorted(route.regions),
+        route.is_public,
     )
 
 
@@ -301,7 +356,7 @@
         max_attempts,
         *rest,
     ) = item
-    is_sticky, regions = rest
+    is_sticky, regions, is_public = rest
     return records.Route(
         fields.check(route_id, str),
         fields.check(site, str),
@@ -317,4 +372,5 @@
         fields.check_integer(max_attempts),
         fields.check(is_sticky, bool),
         frozenset(fields.check(region, str) for region in regions),
+        fields.check(is_public, bool),
     )
--- a/skylarksill/host/belief.py
+++ b/skylarksill/host/belief.py
@@ -157,7 +157,7 @@
             return ()
         self.sequence += 1
         self.configuration = configuration
-        self.route_table = routes.RouteTable(configuration.routes)
+        self.route_table = routes.RouteTable(configuration.routes, configuration.unreadable_routes)
         return (Change("configuration", "main", str(configuration.generation)),)
 
     def replace_upstreams(self, upstreams, now, lapsed_ids=()):
--- a/skylarksill/host/fields.py
+++ b/skylarksill/host/fields.py
@@ -4,6 +4,8 @@
 import math
 import reprlib
 
+from skylarksill.host import records
+
 MAX_PORT = 65_535
 # Integers of the messages between hosts and of the store's objects.
 MAX_INTEGER = 2**63 - 1
@@ -95,3 +97,20 @@
     """
     ip, port = value
     return check_text(ip), check_range(port, 1, MAX_PORT)
+
+
+def decode_capacity(value):
+    """Returns the records.HostCapacity of a decoded list, or None for None.
+
+    Raises:
+      ValueError: If the value is neither.
+    """
+    if value is None:
+        return None
+    cores, link_bytes_per_s, memory_bytes, descriptors = check(value, list)
+    return records.HostCapacity(
+        check_number(cores),
+        check_number(link_bytes_per_s),
+        check_range(memory_bytes, 0, MAX_INTEGER),
+        check_range(descriptors, 0, MAX_INTEGER),
+    )
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -315,6 +315,8 @@
         if view.is_settled:
             total = service.max_connections
             return quotas.deal_units(total, view.own_id, view.all_ids, record.upstream_id)
+        if not service.max_connections:
+            return 0
         return max(1, service.max_connections // view.count_assumed_hosts())
 
     def _find_cold_s(self, record):
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -146,6 +146,9 @@
         route = belief.route_table.find(request.site, request.path)
         if route is None:
             return self._deny(request)
+        if isinstance(route, records.UnreadableRoute):
+            delay_s = placement.UNAVAILABLE_RETRY_AFTER_S
+            return self._reject(request, "unreadable_route", delay_s)
         fingerprint = poison.fingerprint_request(request)
         if self.poisons.is_blocked(fingerprint, request.received_at):
             return self._reject(request, "blocked", BLOCKED_RETRY_AFTER_S)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -63,6 +63,8 @@
 CLIENT_DESCRIPTOR_SHARE = 0.75
 HOUSEKEEPING_INTERVAL_S = 0.25
 LOG_FLUSH_INTERVAL_S = 0.1
+# Problems of one configuration that are logged; the metric counts all.
+MAX_LOGGED_PROBLEMS = 50
 REGISTER_RETRY_S = 0.5
 # The settings file may change without a SIGHUP; reading it takes less than a millisecond.
 SETTINGS_POLL_INTERVAL_S = 1.0
@@ -111,6 +113,7 @@
             settings.region,
             settings.entry,
             settings.gossip,
+            settings.capacity,
         )
         self.peers = peers.PeerTable(self.own, now)
         self.state = records.HostState.STARTING
@@ -138,6 +141,8 @@
         )
         self._stopping = eventlet.event.Event()
         self._is_applied = True
+        # Generation of the configuration whose problems were logged last.
+        self._reported_generation = None
         # The store's era in which this host has registered; None while that is under way.
         self._registered_era = None
         self._stop_signals = itertools.count()
@@ -237,7 +242,15 @@
 
     def _answer_readiness(self, request, cancellation):
         is_ready = self.state is records.HostState.SERVING
-        return answers.make_answer(200 if is_ready else 503, b"")
+        body = "".join(
+            f"{problem.kind.value} {problem.subject}: {problem.detail}\n"
+            for problem in self._list_problems()
+        )
+        return answers.make_answer(200 if is_ready else 503, body.encode())
+
+    def _list_problems(self):
+        configuration = self.belief.configuration
+        return configuration.problems if configuration else ()
 
     def _answer_lookup(self, request, cancellation):
         serving = self.peers.list_serving(time.monotonic())
@@ -252,6 +265,7 @@
         self.counters.set(
             "configuration_age_seconds", self.belief.get_configuration_age_s(time.monotonic())
         )
+        self.counters.set("configuration_problems", len(self._list_problems()))
         self.counters.set("store_lost", int(self._is_store_lost()))
         self.counters.set("lateness_seconds", self.lateness.estimate_s())
         return answers.make_answer(200, self.counters.format().encode())
@@ -274,6 +288,7 @@
         self._belief_server.wake_followers()
         configuration = self.belief.configuration
         services = configuration.services if configuration else {}
+        self._report_problems()
         self.fleet.apply(
             self.belief.upstreams,
             services,
@@ -286,6 +301,21 @@
             self._set_state(records.HostState.SERVING)
         self._is_applied = True
 
+    def _report_problems(self):
+        """Logs the problems of a configuration once."""
+        configuration = self.belief.configuration
+        if configuration is None or configuration.generation == self._reported_generation:
+            return
+        self._reported_generation = configuration.generation
+        for problem in configuration.problems[:MAX_LOGGED_PROBLEMS]:
+            self.log.write(
+                "configuration.problem",
+                generation=configuration.generation,
+                part=problem.kind.value,
+                subject=problem.subject,
+                detail=problem.detail,
+            )
+
     def _set_state(self, state):
         self.state = state
         self.log.write("host.state", state=state.value)
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -11,6 +11,9 @@
 from skylarksill.host import keyring
 
 RouteId = typing.NewType("RouteId", str)
+AccountId = typing.NewType("AccountId", str)
+# Digest of the key with which a client proves its account; see ``credentials``.
+KeyDigest = typing.NewType("KeyDigest", bytes)
 Address = tuple[str, int]
 
 
@@ -77,6 +80,7 @@
       max_attempts: Largest number of upstreams that may run one request.
       is_sticky: True if upstreams run repeated requests for the same object faster.
       regions: Regions that may run the request; empty for all.
+      is_public: True if its requests need no key of an account.
     """
 
     route_id: RouteId
@@ -90,6 +94,43 @@
     max_attempts: int
     is_sticky: bool
     regions: frozenset[records.RegionId]
+    is_public: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableRoute:
+    """A route that the host could not read, except for the requests that it is for.
+
+    They are rejected: a shorter prefix may lead to a service that must not run them.
+    """
+
+    site: str
+    prefix: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Account:
+    """A client account: who may send requests, how many, and how urgent they are.
+
+    Attributes:
+      key_digests: Digests of the keys with which clients prove that they belong to the account.
+      priority: Lower is more urgent; 0 is the most urgent.
+      rate: Requests a second that all hosts together may pass on; 0 for no limit.
+      burst: Additional requests permitted in each window of the quota.
+      regions: Regions that may run the account's requests; empty for all.
+    """
+
+    account_id: AccountId
+    key_digests: frozenset[KeyDigest]
+    priority: int
+    rate: float
+    burst: float
+    regions: frozenset[records.RegionId]
+
+    @property
+    def is_limited(self):
+        """True if the account has a quota."""
+        return self.rate > 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,14 +159,51 @@
     idle_timeout_s: float = 15.0
 
 
+class ProblemKind(enum.Enum):
+    """Parts of a configuration that may be unreadable on their own."""
+
+    ROUTE = "route"
+    SERVICE = "service"
+    ACCOUNT = "account"
+    LIMITS = "limits"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """A part of a configuration that could not be read as it stands.
+
+    Attributes:
+      subject: Name of the part.
+      detail: What is wrong, and what the host does instead.
+    """
+
+    kind: ProblemKind
+    subject: str
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One generation of the operators' configuration."""
+    """One generation of the operators' configuration.
+
+    Attributes:
+      accounts: Accounts by id, or None if clients need no account.
+      unreadable_routes: Routes whose requests are rejected.
+      problems: What could not be read.
+    """
 
     generation: records.Generation
     routes: tuple[Route, ...]
     services: dict[records.ServiceId, Service]
     limits: ClientLimits
+    accounts: dict[AccountId, Account] | None = None
+    unreadable_routes: tuple[UnreadableRoute, ...] = ()
+    problems: tuple[Problem, ...] = ()
+
+    @property
+    def has_unreadable_accounts(self):
+        """True if a key that no account lists may belong to one that could not be read."""
+        return any(problem.kind is ProblemKind.ACCOUNT for problem in self.problems)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,9 +243,30 @@
     pace: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostCapacity:
+    """What the machine of a host has.
+
+    Attributes:
+      cores: Processor time that the process may use in a second, in seconds.
+      link_bytes_per_s: Bytes a second that its link carries each way.
+      memory_bytes: Memory that the process may use.
+      descriptors: File descriptors that the process may open.
+    """
+
+    cores: float
+    link_bytes_per_s: float
+    memory_bytes: int
+    descriptors: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostRecord:
-    """One incarnation of a host, as it registers in the store and as peers spread it."""
+    """One incarnation of a host, as it registers in the store and as peers spread it.
+
+    Attributes:
+      capacity: The HostCapacity, or None if it is not known.
+    """
 
     host_id: records.HostId
     incarnation: int
@@ -175,6 +274,7 @@
     region: records.RegionId
     entry: Address
     gossip: Address
+    capacity: HostCapacity | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,6 +293,10 @@
       max_lookup_lifetime_s: Longest time for which clients cache a look-up answer, in seconds.
       max_shift: Greatest change of a region's share from one window of 2 s to the next.
       apply_s: Time within which a configuration is to be in force everywhere, in seconds.
+      quota_window_s: Window in which the quota of an account holds, in seconds.
+      quota_overage: Share by which the quota of an account may be exceeded in a window.
+      quota_tolerance: Additional requests by which it may be exceeded in a window.
+      revoke_s: Time within which a removed key ends its use on all hosts, in seconds.
     """
 
     contact_s: float
@@ -206,6 +310,10 @@
     max_lookup_lifetime_s: float
     max_shift: float
     apply_s: float
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.0
+    quota_tolerance: float = 0.0
+    revoke_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,6 +324,7 @@
       regions: Region of each availability zone.
       memory_bytes: Memory that the process may use.
       peer_keys: Keys that authenticate what hosts send to each other.
+      capacity: What the machine has, or None if the settings don't say.
     """
 
     host_id: records.HostId
@@ -232,6 +341,7 @@
     bounds: Bounds
     memory_bytes: int
     peer_keys: keyring.Keyring = keyring.Keyring()
+    capacity: HostCapacity | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -247,6 +357,7 @@
     rate_limit: bytes
     leaving: bytes
     affinity_cookie: bytes
+    account: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/skylarksill/host/routes.py
+++ b/skylarksill/host/routes.py
@@ -10,13 +10,14 @@
 
     Args:
       routes: The routes of one generation of the configuration.
+      unreadable: The records.UnreadableRoutes of the same generation.
     """
 
-    def __init__(self, routes):
-        self._prefixes = {(route.site, route.prefix): route for route in routes}
+    def __init__(self, routes, unreadable=()):
+        self._prefixes = {(route.site, route.prefix): route for route in (*routes, *unreadable)}
 
     def find(self, site, path):
-        """Returns the Route of a request, or None.
+        """Returns the Route or UnreadableRoute of a request, or None.
 
         Args:
           site: Host name that the client asked for, without a port.
