Split the forwarder along the way of a request

The forwarder keeps the placement, and the decision whether a request is sent again. The code of the methods is unchanged.

--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -226,7 +226,7 @@
         case "after it has got the answer":
             forwarder.poisons.record_answer = _fail
         case "while it logs the end":
-            forwarder._record_end = _fail
+            forwarder._endings.record_end = _fail
 
 
 def _fail_while_reading(context):
--- /dev/null
+++ b/skylarksill/host/_endings.py
@@ -0,0 +1,102 @@
+"""Ends of requests: the answer to the client, the counters and the log line."""
+
+import math
+import time
+
+from skylarksill.host import answers, placement
+
+# Clients honour a Retry-After of up to this share of the time until their deadline.
+MAX_RETRY_AFTER_SHARE = 1 / 3
+# Characters of a host name or a path in the log.
+MAX_LOGGED_NAME = 100
+# Reason of the end of a request on which the host itself has failed.
+FAILED_REASON = "host_failed"
+
+
+class Endings:
+    """Ends requests.
+
+    Args:
+      belief: The host's Belief.
+      log: The EventLog.
+      counters: The Counters.
+    """
+
+    def __init__(self, belief, log, counters):
+        self._belief = belief
+        self._log = log
+        self._counters = counters
+
+    def end_unplaced(self, request, progress, rejection):
+        """Ends a request that can't be placed, or rejects it if no send may have run."""
+        if progress.attempts:
+            return self.end_run(request, progress, 502, rejection.reason)
+        return self.reject(request, rejection.reason, rejection.retry_after_s, progress, rejection)
+
+    def end_failed(self, request, progress):
+        """Ends a request on which the host itself has failed."""
+        if progress is not None and progress.trace:
+            return self.end_run(request, progress, 502, FAILED_REASON)
+        retry_after_s = placement.UNAVAILABLE_RETRY_AFTER_S
+        return self.reject(request, FAILED_REASON, retry_after_s, progress)
+
+    def end_run(self, request, progress, status, reason):
+        """Ends a request that may have run.
+
+        The latest answer of an upstream, if there is one, is delivered instead of the host's own.
+        """
+        answer = progress.last_answer
+        if answer is None:
+            self.record_end(request, progress, status, reason)
+            return answers.make_answer(status, b"upstream failed\n")
+        self.record_end(request, progress, answer.status, "answered")
+        return answer
+
+    def reject(self, request, reason, retry_after_s, progress=None, rejection=None):
+        """Answers that the request was not run and may be retried after a delay in seconds."""
+        remaining_s = request.deadline_s
+        if remaining_s is not None:
+            remaining_s -= time.monotonic() - request.received_at
+            retry_after_s = min(retry_after_s, max(0.0, remaining_s) * MAX_RETRY_AFTER_SHARE)
+        self.record_end(
+            request,
+            progress,
+            503,
+            reason,
+            retry_after_s=round(retry_after_s, 3),
+            wait_s=round(rejection.wait_s, 3) if rejection else None,
+        )
+        return answers.make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
+
+    def record_end(self, request, progress, status, reason, **fields):
+        """Counts and logs an ended request."""
+        now = time.monotonic()
+        service_id = progress.service_id if progress else ""
+        self._counters.count("requests", f"{service_id} {status} {reason}")
+        self._counters.observe_duration("latency", service_id, now - request.received_at)
+        configuration = self._belief.configuration
+        if progress is None:
+            fields |= self._describe_target(request, now)
+        self._log.write(
+            "request",
+            id=(request.request_id or b"").decode("latin-1"),
+            route=progress.route.route_id if progress else None,
+            service=service_id,
+            status=status,
+            reason=reason,
+            ms=int((now - request.received_at) * 1000),
+            sends=progress.trace if progress else [],
+            generation=configuration.generation if configuration else None,
+            **fields,
+        )
+
+    def _describe_target(self, request, now):
+        """Returns what a request without a route asked for and what the host knew, for the log."""
+        configuration = self._belief.configuration
+        age_s = self._belief.get_configuration_age_s(now)
+        return {
+            "site": request.site[:MAX_LOGGED_NAME],
+            "path": request.path[:MAX_LOGGED_NAME],
+            "routes": len(configuration.routes) if configuration else 0,
+            "configuration_age_ms": int(age_s * 1000) if math.isfinite(age_s) else None,
+        }
