Identify the accounts of requests, and forward only with a key in force

With accounts in the configuration, a request needs a key unless its route is public. credentials parses the header fields to a key digest or a KeyFault, accounts holds the table from digest to account and decides who a request belongs to. 401 with a challenge is given only if no host can know the key: a host whose configuration may be outdated, or that could not read an account, answers 503. The identity is checked again after a change of the configuration: before each placement, after a wait for credit, and after connecting, right before the send.

The upstream gets the account's name from the host; the client's copies of that header and its key are dropped. Regions of route and account both bind (placement.Query.regions), and the priority of the account ranks before that of the route (priorities). Without accounts the table of waits by rank is as it was; with more pairs than its entries the parts are spread evenly.

The forwarder takes a broker of credit (credit=None: no quotas). A permit is acquired before the placement, kept over sends that certainly did not run, and given back on every path unless a send may have used it.

--- a/features/host_builders.py
+++ b/features/host_builders.py
@@ -104,7 +104,7 @@
 def build_query(key=None, route=None, rank=0, remaining_s=1.0):
     """Builds a placement.Query."""
     route = route or build_route()
-    return placement.Query(route, "catalogue", rank, key, remaining_s, frozenset())
+    return placement.Query(route, "catalogue", rank, key, remaining_s, frozenset(), route.regions)
 
 
 def build_host_record(host_id, zone="north-a", region="north", incarnation=1):
--- a/skylarksill/host/_admission.py
+++ b/skylarksill/host/_admission.py
@@ -1,9 +1,9 @@
-"""Admission of requests: their route, the time that they have, and the service that runs them."""
+"""Admission of requests: their route, account, time, and the service that runs them."""
 
 import math
 import time
 
-from skylarksill.host import _progress, answers, placement, poison, records, routes
+from skylarksill.host import _progress, accounts, answers, placement, poison, records, routes
 
 # Time after a request's deadline before the host answers with a time-out itself, so that an answer
 # which the upstream gives at the deadline arrives first. Clients expect an answer within 0.25 s
@@ -47,6 +47,7 @@
         self._budgets = budgets
         self._endings = endings
         self._splits = routes.SplitTable()
+        self._table = accounts.AccountTable(None)
 
     def begin(self, request):
         """Returns the Progress of a new request, or its Answer if it goes to no upstream."""
@@ -61,6 +62,9 @@
         if isinstance(route, records.UnreadableRoute):
             delay_s = placement.UNAVAILABLE_RETRY_AFTER_S
             return self._endings.reject(request, "unreadable_route", delay_s)
+        identity = self._identify(request, route)
+        if isinstance(identity, accounts.Denial):
+            return self._endings.deny(request, identity)
         fingerprint = poison.fingerprint_request(request)
         if self._poisons.is_blocked(fingerprint, request.received_at):
             return self._endings.reject(request, "blocked", BLOCKED_RETRY_AFTER_S)
@@ -74,15 +78,57 @@
             return self._endings.reject(request, "late", LATE_RETRY_AFTER_S)
         service_id = self._splits.choose(route)
         self._budgets.count_request(service_id, request.received_at)
-        return _progress.Progress(route, service_id, request.received_at + remaining_s, fingerprint)
+        return _progress.Progress(
+            route,
+            service_id,
+            request.received_at + remaining_s,
+            fingerprint,
+            identity,
+            self._find_table(),
+        )
+
+    def renew_identity(self, request, progress):
+        """Identifies a request again if the configuration has changed since.
+
+        A key that was removed ends its use also for requests that wait or are to be repeated.
+
+        Args:
+          request: The records.Request.
+          progress: Its Progress, which gets the identity that counts now.
+        Returns:
+          None, or the accounts.Denial of a request that must not be sent any more.
+        """
+        table = self._find_table()
+        if table is progress.identified_by:
+            return None
+        identity = self._identify(request, progress.route)
+        identity = accounts.confirm_identity(progress.identity, identity)
+        if isinstance(identity, accounts.Denial):
+            return identity
+        progress.identity = identity
+        progress.identified_by = table
+        return None
+
+    def _identify(self, request, route):
+        return self._find_table().identify(request.headers, route.is_public, self._is_outdated())
+
+    def _find_table(self):
+        configuration = self._belief.configuration
+        if self._table.configuration is not configuration:
+            self._table = accounts.AccountTable(configuration)
+        return self._table
+
+    def _is_outdated(self):
+        """Returns True if the configuration may not be the newest one."""
+        age_s = self._belief.get_configuration_age_s(time.monotonic())
+        return age_s > self.bounds.apply_s
 
     def _deny(self, request):
         """Answers a request that no route matches.
 
         A host whose configuration may be outdated can't know that no route exists.
         """
-        age_s = self._belief.get_configuration_age_s(time.monotonic())
-        if age_s > self.bounds.apply_s:
+        if self._is_outdated():
             return self._endings.reject(request, "outdated", OUTDATED_RETRY_AFTER_S)
         self._endings.record_end(request, None, 404, "no_route")
         return answers.make_answer(404, b"no route\n")
--- a/skylarksill/host/_endings.py
+++ b/skylarksill/host/_endings.py
@@ -3,14 +3,20 @@
 import math
 import time
 
-from skylarksill.host import answers, placement
+from skylarksill.host import accounts, answers, placement
 
 # Clients honour a Retry-After of up to this share of the time until their deadline.
 MAX_RETRY_AFTER_SHARE = 1 / 3
+# A client whose key may be in force, though this host doesn't know it, is to try another host at
+# once.
+UNCERTAIN_KEY_RETRY_AFTER_S = 0.02
+_CHALLENGE = (b"www-authenticate", b"Bearer")
 # Characters of a host name or a path in the log.
 MAX_LOGGED_NAME = 100
 # Reason of the end of a request on which the host itself has failed.
 FAILED_REASON = "host_failed"
+# An account that can't be read is so on all hosts, so that asking another one at once is of no use.
+_UNCERTAIN_DELAYS_S = {accounts.DenialReason.UNREADABLE: placement.UNAVAILABLE_RETRY_AFTER_S}
 
 
 class Endings:
@@ -52,6 +58,44 @@
         self.record_end(request, progress, answer.status, "answered")
         return answer
 
+    def deny(self, request, denial, progress=None):
+        """Ends a request that may not run, or must not be sent again.
+
+        Args:
+          request: The records.Request.
+          denial: The accounts.Denial.
+          progress: The Progress of an admitted request, or None.
+        Returns:
+          The records.Answer.
+        """
+        reason = denial.reason.value
+        self._counters.count("refused_keys", reason)
+        if progress is not None and progress.attempts:
+            return self.end_run(request, progress, 502, reason)
+        if not denial.is_certain:
+            delay_s = _UNCERTAIN_DELAYS_S.get(denial.reason, UNCERTAIN_KEY_RETRY_AFTER_S)
+            return self.reject(request, reason, delay_s, progress)
+        self.record_end(request, progress, 401, reason)
+        return answers.make_answer(401, b"no valid key\n", (_CHALLENGE,))
+
+    def refuse_credit(self, request, progress, refusal):
+        """Ends a request whose account has used up its quota.
+
+        Args:
+          request: The records.Request.
+          progress: The Progress.
+          refusal: The accounts.CreditRefusal.
+        Returns:
+          The records.Answer.
+        """
+        self._counters.count("account_refusals", refusal.reason)
+        if progress.attempts:
+            return self.end_run(request, progress, 502, refusal.reason)
+        # The client is told when there is credit, also if it can't wait that long.
+        delay_s = refusal.retry_after_s
+        self.record_end(request, progress, 429, refusal.reason, retry_after_s=round(delay_s, 3))
+        return answers.make_answer(429, b"not run\n", (_format_retry_after(delay_s),))
+
     def reject(self, request, reason, retry_after_s, progress=None, rejection=None):
         """Answers that the request was not run and may be retried after a delay in seconds."""
         remaining_s = request.deadline_s
@@ -66,7 +110,7 @@
             retry_after_s=round(retry_after_s, 3),
             wait_s=round(rejection.wait_s, 3) if rejection else None,
         )
-        return answers.make_answer(503, b"not run\n", ((b"retry-after", b"%.3f" % retry_after_s),))
+        return answers.make_answer(503, b"not run\n", (_format_retry_after(retry_after_s),))
 
     def record_end(self, request, progress, status, reason, **fields):
         """Counts and logs an ended request."""
@@ -75,6 +119,9 @@
         self._counters.count("requests", f"{service_id} {status} {reason}")
         self._counters.observe_duration("latency", service_id, now - request.received_at)
         configuration = self._belief.configuration
+        if progress is not None and not isinstance(progress.identity, accounts.Unrestricted):
+            account = accounts.find_account(progress.identity)
+            fields["account"] = account.account_id if account else None
         if progress is None:
             fields |= self._describe_target(request, now)
         self._log.write(
@@ -100,3 +147,7 @@
             "routes": len(configuration.routes) if configuration else 0,
             "configuration_age_ms": int(age_s * 1000) if math.isfinite(age_s) else None,
         }
+
+
+def _format_retry_after(seconds):
+    return b"retry-after", b"%.3f" % seconds
--- a/skylarksill/host/_progress.py
+++ b/skylarksill/host/_progress.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from skylarksill.host import records
+from skylarksill.host import accounts, records
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,6 +14,9 @@
       service_id: Service that the route's split chose.
       deadline_at: Monotonic time at which the request times out.
       fingerprint: Identifies copies of the request; see ``poison``.
+      identity: The accounts.Unrestricted, Identified or Anonymous that the request belongs to.
+      identified_by: The accounts.AccountTable that has identified it.
+      permit: The accounts.Permit of an account with a quota that no send has used, or None.
       attempts: Number of sends that may have run.
       rejected_sends: Number of sends that upstreams rejected without running them.
       excluded: Ids of upstreams that are not tried again.
@@ -25,6 +28,9 @@
     service_id: str
     deadline_at: float
     fingerprint: bytes
+    identity: accounts.Unrestricted | accounts.Identified | accounts.Anonymous
+    identified_by: accounts.AccountTable
+    permit: accounts.Permit | None = None
     attempts: int = 0
     rejected_sends: int = 0
     excluded: set = dataclasses.field(default_factory=set)
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -3,7 +3,7 @@
 import time
 
 from skylarksill import records as shared
-from skylarksill.host import _admission, _endings, _upstreamhttp, connector, restarts
+from skylarksill.host import _admission, _endings, _upstreamhttp, accounts, connector, restarts
 
 
 class Sender:
@@ -16,19 +16,25 @@
       names: The HeaderNames.
       log: The EventLog.
       counters: The Counters.
+      admission: The Admission.
+      crediting: The Crediting.
       on_unreachable: Function of a records.Upstream that is called when it becomes unreachable.
 
     Attributes:
       restart_reports: The restarts.RestartReports.
     """
 
-    def __init__(self, fleet, steering, pool, names, log, counters, on_unreachable):
+    def __init__(
+        self, fleet, steering, pool, names, log, counters, admission, crediting, on_unreachable
+    ):
         self.restart_reports = restarts.RestartReports()
         self._fleet = fleet
         self._steering = steering
         self._pool = pool
         self._names = names
         self._log = log
+        self._admission = admission
+        self._crediting = crediting
         self._connector = connector.Connector(fleet, pool, log, counters, on_unreachable)
 
     def send(self, request, progress, query, choice, cancellation):
@@ -53,6 +59,8 @@
                 return _upstreamhttp.NotRun("client_gone")
             if not self._fleet.is_available(state):
                 return _upstreamhttp.NotRun("left_meanwhile", is_unsent=True)
+            if not self._may_send(request, progress, upstream):
+                return _upstreamhttp.NotRun("withheld", is_withheld=True)
             begun = time.monotonic()
             if not self._fleet.admit_send(state, begun, connection.opened_at):
                 return _upstreamhttp.NotRun("limit_used_up", is_unsent=True)
@@ -67,6 +75,14 @@
             if connection is not None:
                 self._pool.put_back(connection)
 
+    def _may_send(self, request, progress, upstream):
+        """Returns True if what was checked before the connection was there still holds."""
+        return (
+            self._admission.renew_identity(request, progress) is None
+            and accounts.permits_region(progress.route, progress.identity, upstream.region)
+            and self._crediting.is_covered(progress)
+        )
+
     def _exchange(self, request, progress, choice, connection):
         """Sends a request on a connection and adds the send to the trace."""
         state = choice.upstream
@@ -75,10 +91,16 @@
         if remaining_s <= 0.0:
             return _upstreamhttp.NotRun("no_time_left")
         message = _upstreamhttp.format_request(
-            request, state.record.upstream_id, max(1, int(remaining_s * 1000)), self._names
+            request,
+            state.record.upstream_id,
+            max(1, int(remaining_s * 1000)),
+            self._names,
+            progress.identity,
         )
         trace = _describe_choice(choice, begun)
         progress.trace.append(trace)
+        # From here on the request may run, so its permit is used unless it certainly has not run.
+        permit, progress.permit = progress.permit, None
         try:
             outcome = connection.exchange(
                 request, message, progress.deadline_at + _admission.TIMEOUT_GRACE_S
@@ -86,6 +108,8 @@
         except Exception as error:
             self._log.write_exception("request.exchange", error)
             outcome = _upstreamhttp.MayHaveRun(_endings.FAILED_REASON)
+        if isinstance(outcome, _upstreamhttp.NotRun):
+            progress.permit = permit
         trace["outcome"] = _format_outcome(outcome)
         trace["ms"] = int((time.monotonic() - begun) * 1000)
         return outcome
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -7,7 +7,7 @@
 
 from eventlet.green import socket
 
-from skylarksill.host import _fairreads, _responsereader, fields, records
+from skylarksill.host import _fairreads, _responsereader, accounts, fields, records
 
 # The kernel resets a connection whose bytes stay unacknowledged for this long, so that a peer that
 # no longer responds is noticed.
@@ -69,6 +69,7 @@
       is_misdirected: True if another upstream answered at the address.
       is_unreachable: True if no connection could be opened.
       is_unsent: True if nothing was sent: the upstream has left or a limit of it is used up.
+      is_withheld: True if nothing was sent for a reason that lies in the request and its account.
     """
 
     reason: str
@@ -76,6 +77,7 @@
     is_misdirected: bool = False
     is_unreachable: bool = False
     is_unsent: bool = False
+    is_withheld: bool = False
     load: records.LoadReport | None = None
     demands: Demands = Demands()
 
@@ -273,7 +275,7 @@
             raise error from None
 
 
-def format_request(request, upstream_id, deadline_ms, names):
+def format_request(request, upstream_id, deadline_ms, names, identity):
     """Returns the bytes of a request to an upstream.
 
     Args:
@@ -281,12 +283,13 @@
       upstream_id: Id of the only upstream that may answer.
       deadline_ms: Milliseconds after which the upstream stops processing the request.
       names: The records.HeaderNames.
+      identity: The accounts.Unrestricted, Identified or Anonymous that the request belongs to.
     """
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     replaced = (names.deadline, names.expected_upstream)
     lines += [
         name + b": " + value
-        for name, value in filter_headers(request.headers)
+        for name, value in accounts.select_headers(filter_headers(request.headers), identity, names)
         if name not in replaced
     ]
     lines.append(names.deadline + b": %d" % deadline_ms)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -9,9 +9,12 @@
 from skylarksill import records as shared
 from skylarksill.host import (
     _admission,
+    _crediting,
     _endings,
+    _progress,
     _sending,
     _upstreamhttp,
+    accounts,
     placement,
     poison,
     priorities,
@@ -27,6 +30,10 @@
 MAX_REJECTED_SENDS = 3
 MIN_RETRY_AFTER_S = 0.02
 
+# No host can run a request whose route and account have no region in common, so that a client
+# gains nothing by asking again soon.
+NO_COMMON_REGION = placement.Rejection("no_common_region", placement.UNAVAILABLE_RETRY_AFTER_S)
+
 
 class Forwarder:
     """Forwards requests of clients to upstreams and retries them within the budgets.
@@ -41,13 +48,27 @@
       counters: The Counters.
       bounds: The records.Bounds.
       lateness: The lateness.Lateness of the process.
+      credit: The broker of the accounts' credit, see ``_crediting``; None without quotas.
 
     Attributes:
       poisons: PoisonTable of requests that crash upstreams.
       restart_reports: The restarts.RestartReports.
     """
 
-    def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds, lateness):
+    def __init__(
+        self,
+        belief,
+        fleet,
+        steering,
+        pool,
+        names,
+        log,
+        counters,
+        bounds,
+        lateness,
+        *,
+        credit=None,
+    ):
         self.poisons = poison.PoisonTable()
         self._belief = belief
         self._steering = steering
@@ -57,8 +78,17 @@
         self._admission = _admission.Admission(
             belief, lateness, self.poisons, self._budgets, self._endings, bounds
         )
+        self._crediting = _crediting.Crediting(credit, log)
         self._sender = _sending.Sender(
-            fleet, steering, pool, names, log, counters, self._handle_upstream_down
+            fleet,
+            steering,
+            pool,
+            names,
+            log,
+            counters,
+            self._admission,
+            self._crediting,
+            self._handle_upstream_down,
         )
         self.restart_reports = self._sender.restart_reports
         self._ranks = priorities.PriorityRanks(None)
@@ -81,6 +111,15 @@
     def ends_at(self, ends_at):
         self._admission.ends_at = ends_at
 
+    @property
+    def credit(self):
+        """The broker of the accounts' credit, or None without quotas; see ``_crediting``."""
+        return self._crediting.credit
+
+    @credit.setter
+    def credit(self, credit):
+        self._crediting.credit = credit
+
     def serve(self, request, cancellation):
         """Serves a request.
 
@@ -101,6 +140,9 @@
             self._log.write_exception("request", error)
             if not cancellation.is_cancelled:
                 return self._endings.end_failed(request, progress)
+        finally:
+            if isinstance(progress, _progress.Progress):
+                self._crediting.release(progress)
         if cancellation.is_cancelled:
             self._endings.record_end(request, progress, 0, "client_gone")
             return None
@@ -109,6 +151,9 @@
     def _place_and_send(self, request, progress, cancellation):
         """Returns the answer to the client, or None if the request was cancelled."""
         while not cancellation.is_cancelled:
+            answer = self._check_account(request, progress, cancellation)
+            if answer is not None or cancellation.is_cancelled:
+                return answer
             now = time.monotonic()
             query = self._make_query(request, progress, now)
             choice = self._steering.choose(query, now)
@@ -122,19 +167,54 @@
                 return answer
         return None
 
+    def _check_account(self, request, progress, cancellation):
+        """Returns the Answer to a request that must not be sent, or not be sent again, or None."""
+        answer = self._check_identity(request, progress)
+        if answer is not None:
+            return answer
+        refusal = self._crediting.acquire(progress)
+        if cancellation.is_cancelled:
+            return None
+        if refusal is not None:
+            return self._endings.refuse_credit(request, progress, refusal)
+        # The wait for credit may have been long enough for another configuration.
+        return self._check_identity(request, progress)
+
+    def _check_identity(self, request, progress):
+        """Returns the Answer to a request that no region or no account permits, or None."""
+        denial = self._admission.renew_identity(request, progress)
+        if denial is not None:
+            return self._endings.deny(request, denial, progress)
+        if accounts.find_regions(progress.route, progress.identity) is None:
+            return self._endings.end_unplaced(request, progress, NO_COMMON_REGION)
+        return None
+
     def _make_query(self, request, progress, now):
+        route = progress.route
+        rank, rank_count = self._find_ranks().find_rank(
+            route, progress.service_id, progress.identity
+        )
         return placement.Query(
-            progress.route,
+            route,
             progress.service_id,
-            self._find_ranks().find_rank(progress.route, progress.service_id),
+            rank,
             request.affinity_key,
             progress.deadline_at - now,
             progress.excluded,
+            accounts.find_regions(route, progress.identity),
+            rank_count,
         )
 
     def _handle_outcome(self, request, progress, choice, outcome):
         """Returns the answer to the client, or None if the request is to be placed again."""
         is_idempotent = progress.route.kind is shared.WorkKind.IDEMPOTENT
+        match outcome:
+            case _upstreamhttp.NotRun(reason, is_withheld=True):
+                progress.rejected_sends += 1
+                if progress.rejected_sends <= MAX_REJECTED_SENDS:
+                    return None
+                rejection = placement.Rejection(reason, placement.UNAVAILABLE_RETRY_AFTER_S)
+                return self._endings.end_unplaced(request, progress, rejection)
         progress.excluded.add(choice.upstream.record.upstream_id)
         match outcome:
             case _upstreamhttp.Answered(answer):
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -42,8 +42,9 @@
 # of the target latency, or if its wait is shorter than the second share of it.
 COMPLETION_TARGET_SHARE = 0.8
 MIN_WAIT_TARGET_SHARE = 0.1
-# Part of the longest permitted wait by priority rank of the route among the routes of its service:
-# less urgent requests leave the last slots to more urgent ones.
+# Part of the longest permitted wait by priority rank: less urgent requests leave the last slots to
+# more urgent ones. With more ranks of accounts and routes than these, the parts in between are
+# spread evenly, so that each rank goes before the next.
 RANK_WAIT_SHARES = (1.0, 0.7, 0.5)
 # Cost of a second of slot time in seconds of latency: a request that runs longer on an upstream
 # that doesn't know its object keeps other requests from the slot.
@@ -59,10 +60,12 @@
     Attributes:
       route: The records.Route.
       service_id: Service that the route's split chose.
-      rank: Number of more urgent priorities among the routes of the service.
+      rank: Number of more urgent priorities at the service; see ``priorities``.
       affinity_key: Key of the object, or None.
       remaining_s: Seconds until the request's deadline or time-out.
       excluded: Ids of upstreams that have failed the request.
+      regions: Regions that may run the request; empty for all.
+      rank_count: Number of ranks of accounts and routes, or None without accounts.
     """
 
     route: records.Route
@@ -71,6 +74,8 @@
     affinity_key: bytes | None
     remaining_s: float
     excluded: frozenset
+    regions: frozenset = frozenset()
+    rank_count: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,12 +171,19 @@
       service_time_s: Expected service time in seconds.
     """
     target_s = query.route.target_latency_s
-    share = RANK_WAIT_SHARES[min(query.rank, len(RANK_WAIT_SHARES) - 1)]
-    return share * max(
+    return _find_rank_share(query) * max(
         MIN_WAIT_TARGET_SHARE * target_s, COMPLETION_TARGET_SHARE * target_s - service_time_s
     )
 
 
+def _find_rank_share(query):
+    """Returns the part of the longest permitted wait that a request's rank leaves it."""
+    first, last = RANK_WAIT_SHARES[0], RANK_WAIT_SHARES[-1]
+    if query.rank_count is None or query.rank_count <= len(RANK_WAIT_SHARES):
+        return RANK_WAIT_SHARES[min(query.rank, len(RANK_WAIT_SHARES) - 1)]
+    return first - (first - last) * query.rank / (query.rank_count - 1)
+
+
 def _find_best(upstream_fleet, service_times, query, regions, now, rng):
     """Returns the Placement of least cost, or None if there is no usable upstream."""
     best = None
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -387,7 +387,8 @@
 
     method: bytes
     target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
+    # Not part of the text of a request, as it may end in a log and headers hold the client's key.
+    headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(repr=False)
     body: bytes
     request_id: bytes | None
     site: str
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -42,6 +42,10 @@
           placement.Placement or placement.Rejection.
         """
         first, others = self._split_regions(query)
+        if not first and query.regions and self._fleet.list_regions(query.service_id):
+            return placement.Rejection(
+                "no_upstream_in_regions", placement.UNAVAILABLE_RETRY_AFTER_S
+            )
         choice = self._choose_in_regions(query, first, now)
         if not others or query.excluded:
             return choice
@@ -172,10 +176,10 @@
         )
 
     def _split_regions(self, query):
-        """Returns the regions to search first, and the others that the route permits."""
+        """Returns the regions to search first, and the others that the query permits."""
         regions = self._fleet.list_regions(query.service_id)
-        if query.route.regions:
-            regions = tuple(region for region in regions if region in query.route.regions)
+        if query.regions:
+            regions = tuple(region for region in regions if region in query.regions)
         if self._fleet.region in regions:
             return (self._fleet.region,), regions[1:]
         return regions, ()
