Show the refusals of accounts to operators

The metrics name the 20 accounts with the most requests, and count refused keys and refusals for lack of credit by reason. Labels are escaped, as names of accounts may hold quotes.

--- a/features/host_accounts.feature
+++ b/features/host_accounts.feature
@@ -151,3 +151,18 @@
     When a client with the key "k-acme" sends a request
     Then the answer is 200
     And 2 permits were granted and 1 given back
+
+  Scenario: The metrics name the busiest accounts only
+    Guards against labels without a bound, and a count that grows with each account ever seen.
+    Given requests of 20001 accounts, of the last ones the most
+    Then 10001 accounts are counted, and 20 shown, "t19340" among them
+
+  Scenario: An account that gets 429 is seen in the metrics
+    Given a host with upstreams "a" and "b"
+    And credit for 0 requests of "acme", granted after 0 s
+    When a client with the key "k-acme" sends a request
+    Then the answer is 429 with a retry delay
+    And the metrics show 1 requests of the account "acme" and 1 refused
+
+  Scenario: The name of an account is escaped in the metrics
+    Then the metrics show the account a"b\c as "a\"b\\c"
--- a/features/steps/host_accounts_steps.py
+++ b/features/steps/host_accounts_steps.py
@@ -11,7 +11,15 @@
 from eventlet.green import socket
 
 from features import account_builders, host_builders, host_world
-from skylarksill.host import accounts, credentials, placement, priorities, records
+from skylarksill.host import (
+    accountloads,
+    accounts,
+    counters,
+    credentials,
+    placement,
+    priorities,
+    records,
+)
 from standins import platformdata
 
 SPOOFS = (
@@ -221,7 +229,8 @@
 @then("neither the log nor the metrics hold the key")
 def step_no_key(context):
     context.world.log.flush()
-    texts = (bytes(context.world.log_bytes), context.world.counters.format().encode())
+    counts = (context.world.counters, context.world.forwarder._counters)
+    texts = (bytes(context.world.log_bytes), *(item.format().encode() for item in counts))
     assert texts[0] and all(context.key not in text for text in texts), texts
 
 
@@ -250,3 +259,35 @@
     credit = context.credit
     assert (len(credit.granted), len(credit.returned)) == (granted, returned), vars(credit)
     assert all(permit in credit.granted for permit in credit.returned)
+
+
+@given("requests of {count:d} accounts, of the last ones the most")
+def step_loads(context, count):
+    context.loads = accountloads.AccountLoads()
+    for index in range(count):
+        for number in range(1 + index * 30 // count):
+            context.loads.count(f"t{index}", number == 0)
+
+
+@then('{count:d} accounts are counted, and {shown:d} shown, "{name}" among them')
+def step_shown(context, count, shown, name):
+    assert len(context.loads._loads) == count, len(context.loads._loads)
+    busiest = context.loads.list_busiest()
+    assert len(busiest) == shown and busiest[name] == accountloads.AccountLoad(30, 1), busiest
+
+
+@then("the metrics show the account {name} as {label}")
+def step_label(context, name, label):
+    counts = counters.Counters()
+    counts.set_group("account_requests", {name: 3})
+    assert counts.format() == f"skylarksill_account_requests{{label={label}}} 3\n"
+
+
+@then('the metrics show {count:d} requests of the account "{name}" and {refused:d} refused')
+def step_account_metrics(context, count, name, refused):
+    forwarder = context.world.forwarder
+    forwarder.report_account_loads()
+    lines = forwarder._counters.format().splitlines()
+    assert f'skylarksill_account_requests{{label="{name}"}} {count}' in lines, lines
+    assert f'skylarksill_account_refused_requests{{label="{name}"}} {refused}' in lines, lines
+    assert f'skylarksill_account_refusals_total{{label="no_credit"}} {refused}' in lines, lines
--- a/skylarksill/host/_endings.py
+++ b/skylarksill/host/_endings.py
@@ -3,7 +3,7 @@
 import math
 import time
 
-from skylarksill.host import accounts, answers, placement
+from skylarksill.host import accountloads, accounts, answers, placement
 
 # Clients honour a Retry-After of up to this share of the time until their deadline.
 MAX_RETRY_AFTER_SHARE = 1 / 3
@@ -26,12 +26,16 @@
       belief: The host's Belief.
       log: The EventLog.
       counters: The Counters.
+
+    Attributes:
+      account_loads: The accountloads.AccountLoads.
     """
 
     def __init__(self, belief, log, counters):
         self._belief = belief
         self._log = log
         self._counters = counters
+        self.account_loads = accountloads.AccountLoads()
 
     def end_unplaced(self, request, progress, rejection):
         """Ends a request that can't be placed, or rejects it if no send may have run."""
@@ -122,6 +126,8 @@
         if progress is not None and not isinstance(progress.identity, accounts.Unrestricted):
             account = accounts.find_account(progress.identity)
             fields["account"] = account.account_id if account else None
+            if account is not None:
+                self.account_loads.count(account.account_id, status == 429)
         if progress is None:
             fields |= self._describe_target(request, now)
         self._log.write(
--- a/skylarksill/host/counters.py
+++ b/skylarksill/host/counters.py
@@ -14,6 +14,7 @@
     def __init__(self):
         self._counts = collections.Counter()
         self._gauges = {}
+        self._groups = {}
         self._histograms = {}
 
     def count(self, name, label="", amount=1):
@@ -28,6 +29,15 @@
         """Sets a gauge."""
         self._gauges[name] = value
 
+    def set_group(self, name, values):
+        """Replaces the gauges of a group.
+
+        Args:
+          name: Name of the gauges.
+          values: Dict of values by label, of bounded size.
+        """
+        self._groups[name] = values
+
     def observe_duration(self, name, label, seconds):
         """Adds a duration in seconds to a histogram."""
         histogram = self._histograms.get((name, label))
@@ -43,6 +53,9 @@
             lines.append(f"skylarksill_{name}_total{_format_label(label)} {value}")
         for name, value in sorted(self._gauges.items()):
             lines.append(f"skylarksill_{name} {_format_value(value)}")
+        for name, values in sorted(self._groups.items()):
+            for label, value in values.items():
+                lines.append(f"skylarksill_{name}{_format_label(label)} {_format_value(value)}")
         for (name, label), histogram in sorted(self._histograms.items()):
             lines += _format_histogram(name, label, histogram)
         return "\n".join(lines) + "\n"
@@ -66,4 +79,9 @@
 
 
 def _format_label(label):
-    return f'{{label="{label}"}}' if label else ""
+    return f'{{label="{_escape_label(label)}"}}' if label else ""
+
+
+def _escape_label(label):
+    """Returns a label as the text format has it; names of accounts may hold any character."""
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -73,6 +73,7 @@
         self._belief = belief
         self._steering = steering
         self._log = log
+        self._counters = counters
         self._endings = _endings.Endings(belief, log, counters)
         self._budgets = retrybudgets.RetryBudgets(fleet, bounds)
         self._admission = _admission.Admission(
@@ -120,6 +121,15 @@
     def credit(self, credit):
         self._crediting.credit = credit
 
+    def report_account_loads(self):
+        """Sets the gauges of the busiest accounts."""
+        busiest = self._endings.account_loads.list_busiest()
+        for name, values in (
+            ("account_requests", {key: load.requests for key, load in busiest.items()}),
+            ("account_refused_requests", {key: load.refusals for key, load in busiest.items()}),
+        ):
+            self._counters.set_group(name, values)
+
     def serve(self, request, cancellation):
         """Serves a request.
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -268,6 +268,7 @@
         self.counters.set("configuration_problems", len(self._list_problems()))
         self.counters.set("store_lost", int(self._is_store_lost()))
         self.counters.set("lateness_seconds", self.lateness.estimate_s())
+        self.forwarder.report_account_loads()
         return answers.make_answer(200, self.counters.format().encode())
 
     def _handle_belief_changes(self, changes, source=watching.STORE_SOURCE):
