--- a/features/host_accounts.feature
+++ b/features/host_accounts.feature
@@ -57,6 +57,17 @@
       | north,south | south,west  | south       |
       | north       | south       | none        |
 
+  Scenario Outline: Placement, retries and spill keep to the permitted regions
+    Guards against a request that leaves them as its region has no upstream, or none is left.
+    Then a host in "north" places a request for "<regions>", of which <tried> was tried, in <result>
+
+    Examples:
+      | regions     | tried   | result                 |
+      | north,south | nothing | north                  |
+      | south       | nothing | south                  |
+      | north       | north   | no_upstream            |
+      | west        | nothing | no_upstream_in_regions |
+
   Scenario: The upstream learns the account from the host alone
     Guards against a client that passes for another account, and a key that leaves the host.
     Given a host with upstreams "a" and "b"
@@ -163,6 +174,3 @@
     When a client with the key "k-acme" sends a request
     Then the answer is 429 with a retry delay
     And the metrics show 1 requests of the account "acme" and 1 refused
-
-  Scenario: The name of an account is escaped in the metrics
-    Then the metrics show the account a"b\c as "a\"b\\c"
