--- /dev/null
+++ b/skylarksill/host/_creditholders.py
@@ -0,0 +1,184 @@
+"""Deals the units of each account to holders, and chooses the order in which a host asks them.
+
+Handles 1,000 accounts and 2,000 hosts: the holders of an account are computed when it is used, and
+a host that becomes known later costs one comparison for each account. Hosts that have disappeared
+still count for REMEMBER_S: they may be alive behind a partition and use their shares. Performs no
+I/O.
+"""
+
+import bisect
+import dataclasses
+import hashlib
+import math
+
+from skylarksill import records as shared
+
+# Units of a holder. More holders mean more requests for few permits each, fewer mean that the death
+# of one costs more.
+UNITS_OF_HOLDER = 8
+MIN_HOLDERS = 3
+# Time for which a host counts after it was forgotten. Both sides of a partition that lasts longer
+# deal all units.
+REMEMBER_S = 900.0
+# Holders that a host asks for an account. Each host has others, so all holders are asked.
+MAX_ASKED = 32
+KEY_BYTES = 8
+_RANK_MASK = 2**64 - 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deal:
+    """The holders of an account as this host sees them.
+
+    Attributes:
+      share: Units that this host holds.
+      asked_ids: Other holders in the order in which this host asks them.
+    """
+
+    share: int
+    asked_ids: tuple[shared.HostId, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Ranking:
+    """The first holders of an account.
+
+    Attributes:
+      units: Units that are dealt.
+      version: Value of HolderTable._version at the time of the ranking.
+      host_count: Number of hosts that were compared.
+      first: Sorted pairs of the rank and the position of a host.
+    """
+
+    units: int
+    version: int
+    host_count: int
+    first: list[tuple[int, int]]
+    deal: Deal
+
+
+class HolderTable:
+    """The hosts that count as holders, and the cached deals.
+
+    Args:
+      own_id: Name of this host.
+    """
+
+    def __init__(self, own_id):
+        self._own_id = own_id
+        self._own_hash = _compute_number(own_id)
+        self._hosts = []
+        self._hashes = []
+        self._left_at = {}
+        self._region_ids = frozenset()
+        self._known = frozenset()
+        self._version = 0
+        self._rankings = {}
+
+    @property
+    def host_count(self):
+        """Number of hosts that count."""
+        return len(self._hosts)
+
+    def update(self, all_ids, region_ids, now):
+        """Takes over the hosts that are known.
+
+        Args:
+          all_ids: Frozenset of all known hosts, this one included.
+          region_ids: Frozenset of those of the own region.
+          now: Seconds.
+        """
+        if region_ids is not self._region_ids and region_ids != self._region_ids:
+            self._region_ids = region_ids
+            self._version += 1
+        if all_ids is not self._known and all_ids != self._known:
+            for host_id in self._known - all_ids:
+                self._left_at[host_id] = now
+            added = all_ids - self._known
+            for host_id in sorted(added):
+                if self._left_at.pop(host_id, None) is None:
+                    self._hosts.append(host_id)
+                    self._hashes.append(_compute_number(host_id))
+            self._known = all_ids
+        self._drop_left(now)
+
+    def forget_account(self, account_id):
+        """Drops the cached deal of an account."""
+        self._rankings.pop(account_id, None)
+
+    def find_deal(self, account_id, units):
+        """Returns the Deal of an account with a number of units."""
+        ranking = self._rankings.get(account_id)
+        count = len(self._hosts)
+        if (
+            ranking is not None
+            and ranking.units == units
+            and ranking.version == self._version
+            and ranking.host_count == count
+        ):
+            return ranking.deal
+        holders = min(count, max(MIN_HOLDERS, math.ceil(units / UNITS_OF_HOLDER)))
+        factor = compute_factor(account_id)
+        if (
+            ranking is not None
+            and ranking.version == self._version
+            and len(ranking.first) == holders
+        ):
+            first = ranking.first
+            for position in range(ranking.host_count, count):
+                bisect.insort(first, (self._hashes[position] * factor & _RANK_MASK, position))
+                first.pop()
+        else:
+            ranks = sorted(
+                (number * factor & _RANK_MASK, position)
+                for position, number in enumerate(self._hashes)
+            )
+            first = ranks[:holders]
+        deal = self._make_deal(first, units, factor)
+        self._rankings[account_id] = _Ranking(units, self._version, count, first, deal)
+        return deal
+
+    def _make_deal(self, first, units, factor):
+        if not first:
+            return Deal(0, ())
+        holders = [self._hosts[position] for _, position in first]
+        share = 0
+        if self._own_id in holders:
+            quotient, remainder = divmod(units, len(holders))
+            share = quotient + (holders.index(self._own_id) < remainder)
+        others = [host_id for host_id in holders if host_id != self._own_id]
+        return Deal(share, self._choose_order(others, factor))
+
+    def _choose_order(self, others, factor):
+        """Returns the holders to ask: those of the own region first, rotated by the own hash."""
+        if not others:
+            return ()
+        start = (self._own_hash * factor & _RANK_MASK) % len(others)
+        rotated = others[start:] + others[:start]
+        local = [host_id for host_id in rotated if host_id in self._region_ids]
+        remote = [host_id for host_id in rotated if host_id not in self._region_ids]
+        return tuple((local[:MAX_ASKED] + remote)[: MAX_ASKED + MIN_HOLDERS])
+
+    def _drop_left(self, now):
+        old = {host_id for host_id, at in self._left_at.items() if now - at >= REMEMBER_S}
+        if not old:
+            return
+        for host_id in old:
+            del self._left_at[host_id]
+        self._hosts = [host_id for host_id in self._hosts if host_id not in old]
+        self._hashes = [_compute_number(host_id) for host_id in self._hosts]
+        self._version += 1
+
+
+def compute_key(account_id):
+    """Returns the bytes that name an account in messages between hosts."""
+    return hashlib.blake2b(account_id.encode(), digest_size=KEY_BYTES).digest()
+
+
+def compute_factor(account_id):
+    """Returns the odd number by which the hashes of hosts are multiplied to rank them."""
+    return int.from_bytes(compute_key(account_id), "big") | 1
+
+
+def _compute_number(host_id):
+    return int.from_bytes(hashlib.blake2b(host_id.encode(), digest_size=8).digest(), "big")
--- /dev/null
+++ b/skylarksill/host/accountcredit.py
@@ -0,0 +1,393 @@
+"""Credit of accounts: the limits that all hosts share, request by request.
+
+Handles an account whose requests arrive at hosts that hold no share of its limit and move between
+hosts within a second, at 2,000 hosts and 1,000 accounts. The units of an account are dealt to
+holders, who spend and lend at most their share in each window. Hosts ask holders for permits, each
+of which lets one request pass. At no time do the permits of a window exceed the units that were
+dealt, whatever messages are lost:
+
+* A host uses its own share only if it is settled and has been running for a settle time, a window
+  and the lifetime of a loan. So the hosts that counted without it know it, and what it spent or
+  lent in a former process has left the window.
+* A lent permit counts from the grant until a window after its end, or after the borrower's report.
+* A borrowed permit ends LOAN_S after the credit request was sent, so before its end at the lender.
+
+All times are seconds of a clock that also counts while the machine is suspended. Performs no I/O.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+
+from skylarksill.host import (
+    _creditborrowing,
+    _creditholders,
+    _creditlending,
+    _creditwindow,
+    creditcodec,
+    quotas,
+    records,
+)
+
+LOAN_S = _creditborrowing.LOAN_S
+# Part of the permitted excess that is dealt. The rest covers hosts whose views differ, and requests
+# that arrive at upstreams closer together than they were permitted.
+SLACK_SHARE = 0.5
+# Requests of an account that wait at a host; more are refused at once.
+MAX_WAITING = 256
+# Retry-After of refusals: the least, and the one while no holder has stated a time.
+MIN_RETRY_AFTER_S = 0.05
+UNKNOWN_RETRY_AFTER_S = 0.25
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Permit:
+    """Permission to send one request.
+
+    Attributes:
+      account_id: The account; None if it has no limit.
+      tick: Tick at which an own permit counts.
+      loan: The Loan of a borrowed permit, or None.
+      is_held: False once it is given back.
+    """
+
+    account_id: records.AccountId | None
+    tick: int = 0
+    loan: _creditborrowing.Loan | None = None
+    is_held: bool = True
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Account:
+    """State of an account.
+
+    Attributes:
+      units: Units that are dealt to all holders; 0 once it is removed.
+      spent: The PermitWindow of what this host has spent of its share and lent.
+      debtor: The Debtor.
+      removed_at: Time at which it lost its limit, or None.
+    """
+
+    units: int
+    spent: _creditwindow.PermitWindow
+    debtor: _creditborrowing.Debtor
+    removed_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CreditTotals:
+    """Sums over all accounts, for the metrics.
+
+    Attributes:
+      held: Free units of the own share.
+      lent: Permits that are lent and not reported.
+      borrowed: Borrowed permits that are unspent.
+      expired: Borrowed permits that have ended unspent since the start.
+    """
+
+    held: int
+    lent: int
+    borrowed: int
+    expired: int
+
+
+class CreditTable:
+    """The credit of all accounts at one host.
+
+    Args:
+      own_id: Name of this host.
+      now: Seconds.
+      rng: Source of randomness.
+      holders: The _creditholders.HolderTable, a new one if None.
+    """
+
+    def __init__(self, own_id, now, rng=random, holders=None):
+        self._own_id = own_id
+        self._rng = rng
+        self._unsure_since = now
+        self._seen_at = now
+        self._is_settled = False
+        self._window_s = 0.0
+        self._accounts = {}
+        self._by_key = {}
+        self._hungry = {}
+        self._holders = holders or _creditholders.HolderTable(own_id)
+        self._borrower = _creditborrowing.Borrower(rng)
+        self._lender = _creditlending.Lender()
+
+    def configure(self, accounts, bounds, now):
+        """Takes over the limits in force.
+
+        Args:
+          accounts: Dict of records.Account by id; empty for none.
+          bounds: The records.Bounds.
+          now: Seconds.
+        """
+        self._window_s = bounds.quota_window_s
+        for account in accounts.values():
+            if account.is_limited:
+                self._put(account.account_id, compute_units(account, bounds))
+        for account_id, state in list(self._accounts.items()):
+            state.spent.window_s = self._window_s
+            known = accounts.get(account_id)
+            if (known is None or not known.is_limited) and state.removed_at is None:
+                state.units = 0
+                state.removed_at = now
+        self._drop_removed(now)
+
+    def _put(self, account_id, units):
+        state = self._accounts.get(account_id)
+        if state is not None:
+            state.units = units
+            state.removed_at = None
+            return
+        key = _creditholders.compute_key(account_id)
+        debtor = _creditborrowing.Debtor(account_id, key, _creditwindow.DemandMeter())
+        spent = _creditwindow.PermitWindow(self._window_s)
+        self._accounts[account_id] = self._by_key[key] = _Account(units, spent, debtor)
+
+    def _drop_removed(self, now):
+        """Forgets accounts once all that was spent of them has left the window."""
+        for account_id, state in list(self._accounts.items()):
+            is_removed = state.removed_at is not None
+            if is_removed and now - state.removed_at > self._window_s + 2.0 * LOAN_S:
+                del self._accounts[account_id]
+                self._by_key.pop(state.debtor.key, None)
+                self._hungry.pop(account_id, None)
+                self._holders.forget_account(account_id)
+
+    def update_view(self, view, reachable_ids, now):
+        """Takes over the known hosts.
+
+        Args:
+          view: The quotas.HostView.
+          reachable_ids: Frozenset of the hosts that are alive and don't leave.
+          now: Seconds.
+        """
+        self.observe(now)
+        self._is_settled = view.is_settled
+        self._holders.update(view.all_ids, view.region_ids, now)
+        self._borrower.reachable_ids = reachable_ids
+        self._borrower.region_ids = view.region_ids
+        self._drop_removed(now)
+
+    def observe(self, now):
+        """Notes that the process runs. After a freeze the own share is unused, as at a start."""
+        if now - self._seen_at > quotas.SettleTimer.MAX_PAUSE_S:
+            self._unsure_since = now
+            self._is_settled = False
+        self._seen_at = now
+
+    def is_limited(self, account_id):
+        """Returns True if the account has a limit."""
+        state = self._accounts.get(account_id)
+        return state is not None and state.removed_at is None
+
+    def take(self, account_id, now):
+        """Spends a permit; returns the Permit, or None if there is none at this host."""
+        self.observe(now)
+        state = self._accounts.get(account_id)
+        if state is None or state.removed_at is not None:
+            return Permit(None)
+        loan = state.debtor.take(now)
+        if loan is not None:
+            permit = Permit(account_id, loan=loan)
+        elif self._count_free(state, now) > 0:
+            permit = Permit(account_id, state.spent.add(now))
+        else:
+            return None
+        if self._count_ahead(state, now, _creditborrowing.LOW_S):
+            self._hungry[account_id] = None
+        return permit
+
+    def note_demand(self, account_id, now):
+        """Counts a request, which may be refused later, towards the expected demand."""
+        state = self._accounts.get(account_id)
+        if state is not None:
+            state.debtor.demand.add(now)
+
+    def confirm(self, permit, now):
+        """Lets a permit count from now on, as its request is sent now.
+
+        Returns:
+          False if the permit has ended, so that the request needs another one.
+        """
+        self.observe(now)
+        if permit.account_id is None:
+            return True
+        if not permit.is_held:
+            return False
+        if permit.loan is not None:
+            if permit.loan.expires_at <= now:
+                return False
+            permit.loan.spent_at = now
+            return True
+        state = self._accounts.get(permit.account_id)
+        if state is None:
+            return True
+        state.spent.expire(now)
+        if not state.spent.remove(permit.tick):
+            permit.is_held = False
+            return False
+        permit.tick = state.spent.add(now)
+        return True
+
+    def give_back(self, permit, now):
+        """Returns a permit whose request was not run; later calls change nothing."""
+        if permit.account_id is None or not permit.is_held:
+            return
+        permit.is_held = False
+        if permit.loan is not None:
+            if permit.loan.expires_at > now:
+                permit.loan.free += 1
+                state = self._accounts.get(permit.account_id)
+                if state is not None and permit.loan not in state.debtor.loans:
+                    state.debtor.loans.append(permit.loan)
+            return
+        state = self._accounts.get(permit.account_id)
+        if state is not None:
+            state.spent.expire(now)
+            state.spent.remove(permit.tick)
+
+    def set_waiting(self, account_id, count):
+        """Sets the number of requests of an account that wait for a permit."""
+        state = self._accounts.get(account_id)
+        if state is not None:
+            state.debtor.waiting = count
+            if count:
+                self._hungry[account_id] = None
+
+    def can_borrow(self, account_id, now):
+        """Returns True if a credit request is outstanding, or a holder may have credit."""
+        state = self._accounts.get(account_id)
+        if state is None:
+            return False
+        return self._borrower.has_pending(state.debtor, now) or (
+            self._choose_holder(state, now) is not None
+        )
+
+    def estimate_retry_after_s(self, account_id, now):
+        """Returns a Retry-After in seconds: the time until credit is expected, and a spread."""
+        state = self._accounts.get(account_id)
+        times = []
+        if state is not None:
+            deal = self._holders.find_deal(account_id, state.units)
+            empty_until = state.debtor.empty_until
+            times = [empty_until[host] - now for host in deal.asked_ids if host in empty_until]
+            if deal.share and self._is_usable(now):
+                excess = state.spent.expire(now) - deal.share
+                times.append(state.spent.estimate_wait_s(now, max(0, excess)))
+        credit_s = max(MIN_RETRY_AFTER_S, min(times, default=UNKNOWN_RETRY_AFTER_S))
+        return credit_s * (1.0 + self._rng.random())
+
+    def poll(self, now):
+        """Ends what has expired and chooses whom to ask.
+
+        Returns:
+          A list of pairs of a host id and the creditcodec.CreditRequest for it.
+        """
+        self.observe(now)
+        self._borrower.expire(now)
+        self._lender.expire(now, self._window_s)
+        chosen = collections.defaultdict(list)
+        for account_id in list(self._hungry):
+            state = self._accounts[account_id]
+            debtor = state.debtor
+            if self._borrower.has_pending(debtor, now):
+                continue
+            # Permits that came in after the request began to wait are taken when it wakes.
+            free = debtor.count_free(now) + max(0, self._count_free(state, now))
+            waiting = max(0, debtor.waiting - free)
+            ahead = self._count_ahead(state, now, _creditborrowing.AHEAD_S)
+            if not debtor.waiting:
+                del self._hungry[account_id]
+            holder_id = self._choose_holder(state, now) if waiting or ahead else None
+            if holder_id is not None:
+                chosen[holder_id].append((debtor, waiting, ahead))
+        return self._borrower.make_requests(chosen, now)
+
+    def accept(self, sender_id, grant, now):
+        """Takes the permits of a creditcodec.CreditGrant; returns the ids of the accounts."""
+        self.observe(now)
+        return [debtor.account_id for debtor in self._borrower.accept(sender_id, grant, now)]
+
+    def answer(self, sender, request, now):
+        """Lends permits.
+
+        Args:
+          sender: The envelope.Sender, whose incarnation tells a restarted host apart.
+          request: The creditcodec.CreditRequest.
+          now: Seconds.
+        Returns:
+          The creditcodec.CreditGrant, or None if nothing is asked for or it was answered before.
+        """
+        self.observe(now)
+        self._lender.apply_reports(sender, request.reports, now)
+        if not request.wanted or not self._lender.is_new(sender, request.number):
+            return None
+        granted = tuple(self._grant(sender, request.number, item, now) for item in request.wanted)
+        return creditcodec.CreditGrant(request.number, granted)
+
+    def _grant(self, sender, number, wanted, now):
+        state = self._by_key.get(wanted.key)
+        if state is None:
+            return creditcodec.Granted(wanted.key, 0, UNKNOWN_RETRY_AFTER_S)
+        free = max(0, self._count_free(state, now))
+        demand = state.debtor.demand.measure(now)
+        count = _creditlending.choose_count(wanted.waiting, wanted.ahead, free, demand)
+        if count:
+            self._lender.lend(sender, number, wanted.key, state.spent, count, now)
+        is_short = count < wanted.waiting or free == count
+        retry_s = self._estimate_own_wait_s(state, now) if is_short else 0.0
+        return creditcodec.Granted(wanted.key, count, retry_s)
+
+    def _estimate_own_wait_s(self, state, now):
+        if not self._is_usable(now):
+            return max(UNKNOWN_RETRY_AFTER_S, self._unsure_since + self._compute_unsure_s() - now)
+        share = self._holders.find_deal(state.debtor.account_id, state.units).share
+        excess = max(0, state.spent.expire(now) - share)
+        return max(_creditwindow.TICK_S, state.spent.estimate_wait_s(now, excess))
+
+    def _compute_unsure_s(self):
+        return quotas.SETTLE_S + self._window_s + LOAN_S
+
+    def _is_usable(self, now):
+        """Returns True if this host may spend and lend its own shares."""
+        return self._is_settled and now - self._unsure_since >= self._compute_unsure_s()
+
+    def _count_free(self, state, now):
+        """Returns the units of the own share that are left, below 0 if it has shrunk."""
+        if not self._is_usable(now):
+            return 0
+        share = self._holders.find_deal(state.debtor.account_id, state.units).share
+        return share - state.spent.expire(now) if share else 0
+
+    def _count_ahead(self, state, now, seconds):
+        """Returns the permits that the demand of the next seconds needs and this host lacks."""
+        expected = round(state.debtor.demand.measure(now) * seconds)
+        if not expected:
+            return 0
+        free = state.debtor.count_free(now) + max(0, self._count_free(state, now))
+        return max(0, expected - free)
+
+    def _choose_holder(self, state, now):
+        deal = self._holders.find_deal(state.debtor.account_id, state.units)
+        return self._borrower.choose_holder(state.debtor, deal.asked_ids, now)
+
+    def compute_totals(self, now):
+        """Returns the CreditTotals."""
+        held = sum(max(0, self._count_free(state, now)) for state in self._accounts.values())
+        return CreditTotals(
+            held,
+            self._lender.count_lent(),
+            self._borrower.count_loans(),
+            self._borrower.expired,
+        )
+
+
+def compute_units(account, bounds):
+    """Returns the units of a records.Account that are dealt to all holders."""
+    quota = account.rate * bounds.quota_window_s + account.burst
+    slack = bounds.quota_overage * quota + bounds.quota_tolerance
+    return math.floor(quota + SLACK_SHARE * slack)
