Credit: ask several holders in turn

Change: up to 6 outstanding credit requests of an account, each to another holder, the next one each time; reports wait for a credit request to the same lender.

--- a/bench/_quotaworld.py
+++ b/bench/_quotaworld.py
@@ -55,7 +55,7 @@
 
     def find_deal(self, account_id, units):
         share = quotas.deal_units(units, self._own_id, self._all_ids, account_id)
-        return _creditholders.Deal(share, ())
+        return _creditholders.Deal(share, 0, (), ())
 
 
 class _ForgetfulTable(accountcredit.CreditTable):
--- a/skylarksill/host/_creditborrowing.py
+++ b/skylarksill/host/_creditborrowing.py
@@ -1,10 +1,10 @@
 """Borrowed permits of a host: whom it asks, what it has, and what it reports to the lenders.
 
 Handles demand that appears at hosts which hold no share, holders that are out of credit, dead or
-slow, and answers that are lost or late. An account has one outstanding credit request at a time.
-A loan ends LOAN_S after its credit request was sent, so before the lender stops counting it. Then
-the borrower reports what was spent and when, which frees the rest; a lost report costs credit.
-Performs no I/O.
+slow, and answers that are lost or late. Outstanding credit requests of an account are bounded, and
+each goes to another holder, so that the clients of an account may all be at one host. A loan ends
+LOAN_S after its credit request was sent, so before the lender stops counting it. Then the borrower
+reports what was spent and when, which frees the rest; a lost report costs credit. Performs no I/O.
 """
 
 import collections
@@ -29,9 +29,14 @@
 # the second time.
 AHEAD_S = 0.5
 LOW_S = 0.25
+# A report waits this long for a credit request to the same lender, which takes it along.
+REPORT_S = 0.5
 # Reports that are kept; beyond that the oldest are dropped, which costs credit for a few seconds.
 MAX_KEPT_REPORTS = 10_000
 MAX_ASKS = 20_000
+# Outstanding credit requests of an account. One alone yields the part of a holder in each round
+# trip between regions, which is too little for an account whose clients are all at one host.
+MAX_PENDING = 6
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -61,8 +66,10 @@
     Attributes:
       waiting: Requests that wait for a permit.
       loans: Loans that have permits left, the oldest first.
-      asked: Number of the outstanding credit request, or None.
+      pending: Permits that outstanding credit requests are expected to yield, by their numbers.
       empty_until: Times until which holders are out of credit.
+      turn: Number of times that a holder was chosen; the next one is asked each time, as a holder
+        that was asked recently has less left.
       denials: Answers without credit since the last one with all that was asked for.
     """
 
@@ -71,9 +78,10 @@
     demand: _creditwindow.DemandMeter
     waiting: int = 0
     loans: collections.deque = dataclasses.field(default_factory=collections.deque)
-    asked: int | None = None
+    pending: dict = dataclasses.field(default_factory=dict)
     empty_until: dict = dataclasses.field(default_factory=dict)
     denials: int = 0
+    turn: int = 0
 
     def count_free(self, now):
         """Returns the number of borrowed permits that can be spent."""
@@ -130,11 +138,11 @@
         self.region_ids = frozenset()
         self.expired = 0
 
-    def choose_holder(self, debtor, asked_ids, now):
+    def choose_holder(self, debtor, deal, now, excluded=()):
         """Returns the holder to ask for an account, or None if none is expected to have credit."""
         fallback = None
-        for host_id in asked_ids:
-            if debtor.empty_until.get(host_id, 0.0) > now:
+        for host_id in _rotate(deal, debtor.turn):
+            if debtor.empty_until.get(host_id, 0.0) > now or host_id in excluded:
                 continue
             is_silent = self._silent_until.get(host_id, 0.0) > now
             if host_id in self.reachable_ids and not is_silent:
@@ -143,21 +151,55 @@
                 fallback = host_id
         return fallback
 
-    def has_pending(self, debtor, now):
-        """Returns True while an answer for the account may arrive in time."""
-        ask = self._asks.get(debtor.asked)
-        if ask is None:
-            debtor.asked = None
-            return False
-        if now < ask.answer_by:
-            return True
-        debtor.asked = None
+    def choose_asks(self, debtor, deal, waiting, ahead, now):
+        """Chooses the holders to ask for an account.
+
+        Args:
+          debtor: The Debtor.
+          deal: The _creditholders.Deal.
+          waiting: Permits that are lacking for requests that wait.
+          ahead: Permits that are lacking for requests that are expected.
+          now: Seconds.
+        Returns:
+          A list of tuples of a host id, and the waiting and ahead permits to ask it for.
+        """
+        pending = self.count_pending(debtor, now)
+        covered = min(pending, waiting)
+        waiting -= covered
+        ahead = max(0, ahead - (pending - covered))
+        excluded = {self._asks[number].holder_id for number in debtor.pending}
+        part = max(1, deal.holder_units // 2)
+        asks = []
+        while waiting + ahead and len(debtor.pending) + len(asks) < MAX_PENDING:
+            holder_id = self.choose_holder(debtor, deal, now, excluded)
+            if holder_id is None:
+                break
+            excluded.add(holder_id)
+            debtor.turn += 1
+            for_waiting = min(waiting, part)
+            for_ahead = min(ahead, part - for_waiting)
+            waiting -= for_waiting
+            ahead -= for_ahead
+            asks.append((holder_id, for_waiting, for_ahead))
+        return asks
+
+    def count_pending(self, debtor, now):
+        """Returns the permits that are expected in time; holders that are late count as silent."""
+        for number in list(debtor.pending):
+            ask = self._asks.get(number)
+            if ask is not None and now < ask.answer_by:
+                continue
+            del debtor.pending[number]
+            if ask is not None:
+                self._note_silent(ask.holder_id, now)
+        return sum(debtor.pending.values())
+
+    def _note_silent(self, host_id, now):
         if len(self._silent_until) > len(self.reachable_ids):
             self._silent_until = {
                 host_id: until for host_id, until in self._silent_until.items() if until > now
             }
-        self._silent_until[ask.holder_id] = now + SILENT_S
-        return False
+        self._silent_until[host_id] = now + SILENT_S
 
     def make_requests(self, chosen, now):
         """Makes the messages to holders.
@@ -174,7 +216,8 @@
                 part = items[start : start + creditcodec.MAX_ITEMS]
                 messages.append((holder_id, self._ask(holder_id, part, now)))
         for lender_id in list(self._reports):
-            while self._reports.get(lender_id):
+            loans = self._reports[lender_id]
+            while loans and now - loans[0].expires_at >= REPORT_S:
                 message = creditcodec.CreditRequest(0, (), self._take_reports(lender_id, now))
                 messages.append((lender_id, message))
         return messages
@@ -186,8 +229,8 @@
         self._asks[self._number] = _Ask(holder_id, now, now + wait_s, debtors)
         if len(self._asks) > MAX_ASKS:
             self._asks.popitem(last=False)
-        for debtor in debtors.values():
-            debtor.asked = self._number
+        for debtor, waiting, ahead in items:
+            debtor.pending[self._number] = waiting + ahead
         wanted = tuple(
             creditcodec.Wanted(debtor.key, waiting, ahead) for debtor, waiting, ahead in items
         )
@@ -209,8 +252,7 @@
             debtor = ask.debtors.pop(granted.key, None)
             if debtor is None:
                 continue
-            if debtor.asked == grant.number:
-                debtor.asked = None
+            debtor.pending.pop(grant.number, None)
             self._note_answer(debtor, sender_id, granted, now)
             if granted.count:
                 self._add_loan(debtor, sender_id, grant.number, ask.sent_at, granted.count)
@@ -267,3 +309,11 @@
         if not loans:
             del self._reports[lender_id]
         return tuple(reports)
+
+
+def _rotate(deal, turn):
+    """Yields the holders of the own region from one on, then those of other regions."""
+    for group in (deal.local_ids, deal.remote_ids):
+        start = turn % len(group) if group else 0
+        yield from group[start:]
+        yield from group[:start]
--- a/skylarksill/host/_creditholders.py
+++ b/skylarksill/host/_creditholders.py
@@ -20,7 +20,8 @@
 # Time for which a host counts after it was forgotten. Both sides of a partition that lasts longer
 # deal all units.
 REMEMBER_S = 900.0
-# Holders that a host asks for an account. Each host has others, so all holders are asked.
+# Holders of the own region, and of others, that a host asks for an account. Each host asks other
+# ones, so all holders are asked.
 MAX_ASKED = 32
 KEY_BYTES = 8
 _RANK_MASK = 2**64 - 1
@@ -32,11 +33,15 @@
 
     Attributes:
       share: Units that this host holds.
-      asked_ids: Other holders in the order in which this host asks them.
+      holder_units: Least units of a holder.
+      local_ids: Other holders of the own region in the order in which this host asks them.
+      remote_ids: The same of other regions, which are asked after those.
     """
 
     share: int
-    asked_ids: tuple[shared.HostId, ...]
+    holder_units: int
+    local_ids: tuple[shared.HostId, ...]
+    remote_ids: tuple[shared.HostId, ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,24 +145,24 @@
 
     def _make_deal(self, first, units, factor):
         if not first:
-            return Deal(0, ())
+            return Deal(0, 0, (), ())
         holders = [self._hosts[position] for _, position in first]
         share = 0
+        quotient, remainder = divmod(units, len(holders))
         if self._own_id in holders:
-            quotient, remainder = divmod(units, len(holders))
             share = quotient + (holders.index(self._own_id) < remainder)
         others = [host_id for host_id in holders if host_id != self._own_id]
-        return Deal(share, self._choose_order(others, factor))
+        return Deal(share, quotient, *self._choose_order(others, factor))
 
     def _choose_order(self, others, factor):
-        """Returns the holders to ask: those of the own region first, rotated by the own hash."""
+        """Returns the holders of the own region and the others, rotated by the own hash."""
         if not others:
-            return ()
+            return (), ()
         start = (self._own_hash * factor & _RANK_MASK) % len(others)
         rotated = others[start:] + others[:start]
         local = [host_id for host_id in rotated if host_id in self._region_ids]
         remote = [host_id for host_id in rotated if host_id not in self._region_ids]
-        return tuple((local[:MAX_ASKED] + remote)[: MAX_ASKED + MIN_HOLDERS])
+        return tuple(local[:MAX_ASKED]), tuple(remote[:MAX_ASKED])
 
     def _drop_left(self, now):
         old = {host_id for host_id, at in self._left_at.items() if now - at >= REMEMBER_S}
--- a/skylarksill/host/accountcredit.py
+++ b/skylarksill/host/accountcredit.py
@@ -197,7 +197,7 @@
             permit = Permit(account_id, state.spent.add(now))
         else:
             return None
-        if self._count_ahead(state, now, _creditborrowing.LOW_S):
+        if self._is_low(state, now):
             self._hungry[account_id] = None
         return permit
 
@@ -263,9 +263,10 @@
         state = self._accounts.get(account_id)
         if state is None:
             return False
-        return self._borrower.has_pending(state.debtor, now) or (
-            self._choose_holder(state, now) is not None
-        )
+        if self._borrower.count_pending(state.debtor, now):
+            return True
+        deal = self._holders.find_deal(account_id, state.units)
+        return self._borrower.choose_holder(state.debtor, deal, now) is not None
 
     def estimate_retry_after_s(self, account_id, now):
         """Returns a Retry-After in seconds: the time until credit is expected, and a spread."""
@@ -274,7 +275,8 @@
         if state is not None:
             deal = self._holders.find_deal(account_id, state.units)
             empty_until = state.debtor.empty_until
-            times = [empty_until[host] - now for host in deal.asked_ids if host in empty_until]
+            asked_ids = deal.local_ids + deal.remote_ids
+            times = [empty_until[host] - now for host in asked_ids if host in empty_until]
             if deal.share and self._is_usable(now):
                 excess = state.spent.expire(now) - deal.share
                 times.append(state.spent.estimate_wait_s(now, max(0, excess)))
@@ -294,17 +296,17 @@
         for account_id in list(self._hungry):
             state = self._accounts[account_id]
             debtor = state.debtor
-            if self._borrower.has_pending(debtor, now):
-                continue
             # Permits that came in after the request began to wait are taken when it wakes.
             free = debtor.count_free(now) + max(0, self._count_free(state, now))
             waiting = max(0, debtor.waiting - free)
-            ahead = self._count_ahead(state, now, _creditborrowing.AHEAD_S)
+            expected = debtor.demand.measure(now) * _creditborrowing.AHEAD_S
+            ahead = max(0, round(expected) - max(0, free - debtor.waiting))
             if not debtor.waiting:
                 del self._hungry[account_id]
-            holder_id = self._choose_holder(state, now) if waiting or ahead else None
-            if holder_id is not None:
-                chosen[holder_id].append((debtor, waiting, ahead))
+            deal = self._holders.find_deal(account_id, state.units)
+            for ask in self._borrower.choose_asks(debtor, deal, waiting, ahead, now):
+                holder_id, for_waiting, for_ahead = ask
+                chosen[holder_id].append((debtor, for_waiting, for_ahead))
         return self._borrower.make_requests(chosen, now)
 
     def accept(self, sender_id, grant, now):
@@ -363,17 +365,10 @@
         share = self._holders.find_deal(state.debtor.account_id, state.units).share
         return share - state.spent.expire(now) if share else 0
 
-    def _count_ahead(self, state, now, seconds):
-        """Returns the permits that the demand of the next seconds needs and this host lacks."""
-        expected = round(state.debtor.demand.measure(now) * seconds)
-        if not expected:
-            return 0
-        free = state.debtor.count_free(now) + max(0, self._count_free(state, now))
-        return max(0, expected - free)
-
-    def _choose_holder(self, state, now):
-        deal = self._holders.find_deal(state.debtor.account_id, state.units)
-        return self._borrower.choose_holder(state.debtor, deal.asked_ids, now)
+    def _is_low(self, state, now):
+        """Returns True if the credit at this host won't last for the demand that is expected."""
+        expected = round(state.debtor.demand.measure(now) * _creditborrowing.LOW_S)
+        return expected > state.debtor.count_free(now) + self._count_free(state, now)
 
     def compute_totals(self, now):
         """Returns the CreditTotals."""
