Credit broker: permits of accounts for the requests of a host, over the gossip socket

Cause: accounts with limits need permits of other hosts while their requests wait. Change: CreditBroker asks and lends through sealed datagrams of the gossip socket, wakes waiting requests, and is wired into the host program; a host that was frozen for less than 60 s needs only to be settled again. Features on the decisions and on brokers over loopback.

--- a/features/key_builders.py
+++ b/features/key_builders.py
@@ -82,13 +82,19 @@
         return [host_id for host_id in alive if host_id != self.name]
 
 
-def build_loopback_hosts(names, ring, now):
-    """Builds and starts a LoopbackHost for each name, which know each other's addresses."""
+def build_loopback_hosts(names, ring, now, make_on_credit=lambda name: None):
+    """Builds and starts a LoopbackHost for each name, which know each other's addresses.
+
+    ``make_on_credit`` returns the function for messages about credit by the name of a host.
+    """
     addresses = {name: _find_free_address() for name in names}
-    return {name: start_host(name, addresses, ring, now, int(now * 1000)) for name in names}
+    return {
+        name: start_host(name, addresses, ring, now, int(now * 1000), make_on_credit(name))
+        for name in names
+    }
 
 
-def start_host(name, addresses, ring, now, incarnation):
+def start_host(name, addresses, ring, now, incarnation, on_credit=None):
     """Builds and starts a LoopbackHost; ``addresses`` are those of all hosts by name."""
     record = dataclasses.replace(
         host_builders.build_host_record(name), gossip=addresses[name], incarnation=incarnation
@@ -105,6 +111,7 @@
         counts,
         lambda: (records.HostState.SERVING, {}, False),
         lambda: host.ring,
+        on_credit=on_credit,
     )
     host.gossip.start()
     return host
--- a/skylarksill/host/accountcredit.py
+++ b/skylarksill/host/accountcredit.py
@@ -8,7 +8,8 @@
 
 * A host uses its own share only if it is settled and has been running for a settle time, a window
   and the lifetime of a loan. So the hosts that counted without it know it, and what it spent or
-  lent in a former process has left the window.
+  lent in a former process has left the window. The same holds after a long freeze; after a short
+  one it has to be settled only.
 * A lent permit counts from the grant until a window after its end, or after the borrower's report.
 * A borrowed permit ends LOAN_S after the credit request was sent, so before its end at the lender.
 
@@ -31,9 +32,13 @@
 )
 
 LOAN_S = _creditborrowing.LOAN_S
+compute_key = _creditholders.compute_key
 # Part of the permitted excess that is dealt. The rest covers hosts whose views differ, and requests
 # that arrive at upstreams closer together than they were permitted.
 SLACK_SHARE = 0.5
+# After a shorter freeze a host is still counted by all others, which forget a dead one after 120 s,
+# and remembers what it has spent and lent: it only has to learn of new hosts.
+MAX_KNOWN_PAUSE_S = 60.0
 # Requests of an account that wait at a host; more are refused at once.
 MAX_WAITING = 256
 # Retry-After of refusals: the least, and the one while no holder has stated a time.
@@ -77,7 +82,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditTotals:
-    """Sums over all accounts, for the metrics.
+    """Sums over all accounts.
 
     Attributes:
       held: Free units of the own share.
@@ -99,14 +104,14 @@
       own_id: Name of this host.
       now: Seconds.
       rng: Source of randomness.
-      holders: The _creditholders.HolderTable, a new one if None.
+      holders: The HolderTable, a new one if None.
     """
 
     def __init__(self, own_id, now, rng=random, holders=None):
         self._own_id = own_id
         self._rng = rng
         self._unsure_since = now
-        self._seen_at = now
+        self._seen_at = self._resumed_at = now
         self._is_settled = False
         self._window_s = 0.0
         self._accounts = {}
@@ -173,17 +178,25 @@
         self._drop_removed(now)
 
     def observe(self, now):
-        """Notes that the process runs. After a freeze the own share is unused, as at a start."""
-        if now - self._seen_at > quotas.SettleTimer.MAX_PAUSE_S:
-            self._unsure_since = now
-            self._is_settled = False
+        """Notes that the process runs; after a freeze the own share is unused for a while."""
+        pause_s = now - self._seen_at
         self._seen_at = now
+        if pause_s > quotas.SettleTimer.MAX_PAUSE_S:
+            self._is_settled = False
+            self._resumed_at = now
+            if pause_s > MAX_KNOWN_PAUSE_S:
+                self._unsure_since = now
 
     def is_limited(self, account_id):
         """Returns True if the account has a limit."""
         state = self._accounts.get(account_id)
         return state is not None and state.removed_at is None
 
+    @property
+    def is_hungry(self):
+        """True if ``poll`` has to be called soon, as an account lacks permits."""
+        return bool(self._hungry)
+
     def take(self, account_id, now):
         """Spends a permit; returns the Permit, or None if there is none at this host."""
         self.observe(now)
@@ -260,9 +273,7 @@
 
     def can_borrow(self, account_id, now):
         """Returns True if a credit request is outstanding, or a holder may have credit."""
-        state = self._accounts.get(account_id)
-        if state is None:
-            return False
+        state = self._accounts[account_id]
         if self._borrower.count_pending(state.debtor, now):
             return True
         deal = self._holders.find_deal(account_id, state.units)
@@ -356,7 +367,8 @@
 
     def _is_usable(self, now):
         """Returns True if this host may spend and lend its own shares."""
-        return self._is_settled and now - self._unsure_since >= self._compute_unsure_s()
+        has_settled = self._is_settled and now - self._resumed_at >= quotas.SETTLE_S
+        return has_settled and now - self._unsure_since >= self._compute_unsure_s()
 
     def _count_free(self, state, now):
         """Returns the units of the own share that are left, below 0 if it has shrunk."""
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -86,6 +86,7 @@
       counters: The Counters.
       bounds: The records.Bounds; may be replaced at any time.
       lateness: The lateness.Lateness of the process.
+      credit: The creditbroker.CreditBroker, or None without quotas of accounts.
 
     Attributes:
       poisons: PoisonTable of requests that crash upstreams.
@@ -93,7 +94,9 @@
       ends_at: Monotonic time by which all answers must be given, as the host stops; else infinity.
     """
 
-    def __init__(self, belief, fleet, steering, pool, names, log, counters, bounds, lateness):
+    def __init__(
+        self, belief, fleet, steering, pool, names, log, counters, bounds, lateness, credit=None
+    ):
         self._belief = belief
         self._fleet = fleet
         self._steering = steering
@@ -109,6 +112,7 @@
         self._counters = counters
         self.bounds = bounds
         self._lateness = lateness
+        self._credit = credit
         self._splits = routes.SplitTable()
         self._budgets = {}
         self._priorities = (None, {})
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -1,11 +1,22 @@
-"""Gossip between hosts: exchanges heartbeats and crash reports in UDP datagrams."""
+"""Gossip between hosts: exchanges heartbeats and crash reports in UDP datagrams.
+
+The socket also carries messages about the credit of accounts.
+"""
 
 import time
 
 import eventlet
 from eventlet.green import socket
 
-from skylarksill.host import _peercodec, envelope, exchange, peers, restarts, supervision
+from skylarksill.host import (
+    _peercodec,
+    creditcodec,
+    envelope,
+    exchange,
+    peers,
+    restarts,
+    supervision,
+)
 
 RECEIVE_RETRY_S = 0.25
 # Datagrams that are not authentic are counted, and at most one line is logged in this time.
@@ -27,6 +38,8 @@
       get_keyring: Function that returns the current keyring.Keyring.
       reports: The restarts.RestartReports.
       on_restart: Function of a RestartReport of a peer that is news.
+      on_credit: Function of an envelope.Sender, a payload about credit and the sender's address;
+        it may raise a creditcodec.CreditCodecError.
     """
 
     def __init__(
@@ -41,6 +54,7 @@
         get_keyring,
         reports=None,
         on_restart=None,
+        on_credit=None,
     ):
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
@@ -51,6 +65,7 @@
         self._describe_own = describe_own
         self._reports = reports or restarts.RestartReports()
         self._on_restart = on_restart
+        self._on_credit = on_credit
         self._mailbox = envelope.Mailbox(address, get_keyring)
         self._socket = None
         self._threads = []
@@ -87,6 +102,11 @@
             for address in addresses:
                 self._send_datagram(payload, address, self._table.find_incarnation(address))
 
+    def send_payload(self, payload, address):
+        """Sends bytes that are no digest to the host with a gossip address."""
+        if self._socket is not None:
+            self._send_datagram(payload, address, self._table.find_incarnation(address))
+
     def _send_datagram(self, payload, address, incarnation):
         datagram = self._mailbox.seal(payload, self._table.own, address, incarnation)
         try:
@@ -101,7 +121,11 @@
             try:
                 datagram, address = self._socket.recvfrom(_peercodec.MAX_DATAGRAM_BYTES)
                 self._handle_datagram(datagram, address, time.monotonic())
-            except (_peercodec.CodecError, envelope.EnvelopeError) as error:
+            except (
+                _peercodec.CodecError,
+                creditcodec.CreditCodecError,
+                envelope.EnvelopeError,
+            ) as error:
                 self._reject(address, error)
             except OSError as error:
                 self._log.write("peer.receive_failed", error=str(error))
@@ -113,6 +137,9 @@
             # The sender knows a process of this host that started before its clock was set back.
             self._table.supersede(opened.receiver)
             reply = exchange.make_introduction(self._table)
+        elif self._on_credit is not None and creditcodec.is_credit(opened.payload):
+            self._on_credit(opened.sender, opened.payload, address)
+            reply = None
         else:
             digest = _peercodec.decode_digest(opened.payload, now)
             reply = self._apply_digest(digest, now)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -17,6 +17,7 @@
     belief,
     clientserver,
     counters,
+    creditbroker,
     eventlog,
     fleet,
     following,
@@ -93,17 +94,6 @@
         )
         self.pool = pool.ConnectionPool(names, self.answer_buffers)
         self.steering = steering.Steering(self.fleet, settings.bounds.max_shift)
-        self.forwarder = forwarder.Forwarder(
-            self.belief,
-            self.fleet,
-            self.steering,
-            self.pool,
-            names,
-            self.log,
-            self.counters,
-            settings.bounds,
-            self.lateness,
-        )
         now = time.monotonic()
         incarnation = int(time.time() * 1000)
         self.own = records.HostRecord(
@@ -116,6 +106,21 @@
             settings.capacity,
         )
         self.peers = peers.PeerTable(self.own, now)
+        self.credit = creditbroker.CreditBroker(
+            settings.host_id, self.peers, self._get_view, self.log, self.counters
+        )
+        self.forwarder = forwarder.Forwarder(
+            self.belief,
+            self.fleet,
+            self.steering,
+            self.pool,
+            names,
+            self.log,
+            self.counters,
+            settings.bounds,
+            self.lateness,
+            credit=self.credit,
+        )
         self.state = records.HostState.STARTING
         self._names = names
         self._lookup_codec = lookup_codec
@@ -138,6 +143,7 @@
             self._get_keyring,
             self.forwarder.restart_reports,
             self._handle_restart_report,
+            self.credit.receive,
         )
         self._stopping = eventlet.event.Event()
         self._is_applied = True
@@ -194,6 +200,7 @@
         self._run_housekeeping()
         self._listen()
         self._gossip.start()
+        self.credit.start(self._gossip.send_payload)
         self._belief_server.start()
         self._watcher.start()
         self._belief_follower.start()
@@ -276,6 +283,9 @@
     def _handle_restart_report(self, report):
         self.fleet.apply_restart_report(report, time.monotonic())
 
+    def _get_view(self):
+        return self.fleet.view
+
     def _get_keyring(self):
         return self.settings.peer_keys
 
@@ -289,6 +299,7 @@
         configuration = self.belief.configuration
         services = configuration.services if configuration else {}
         self._report_problems()
+        self.credit.configure(configuration, self.settings.bounds)
         self.fleet.apply(
             self.belief.upstreams,
             services,
