--- a/features/account_builders.py
+++ b/features/account_builders.py
@@ -1,6 +1,7 @@
 """Builders of accounts, and a broker of credit that notes what it is asked."""
 
 import dataclasses
+import math
 import time
 import types
 
@@ -40,7 +41,7 @@
       returned: The permits that came back.
     """
 
-    def __init__(self, count, wait_s=0.0, lifetime_s=None):
+    def __init__(self, count, wait_s=0.0, lifetime_s=math.inf):
         self.granted = []
         self.returned = []
         self._count = count
@@ -52,12 +53,15 @@
         eventlet.sleep(self._wait_s)
         if len(self.granted) == self._count:
             return accounts.CreditRefusal(1.5, "no_credit")
-        permit = types.SimpleNamespace(account_id=account.account_id)
-        if self._lifetime_s is not None:
-            permit.expires_at = time.clock_gettime(time.CLOCK_BOOTTIME) + self._lifetime_s
+        expires_at = time.clock_gettime(time.CLOCK_BOOTTIME) + self._lifetime_s
+        permit = types.SimpleNamespace(account_id=account.account_id, expires_at=expires_at)
         self.granted.append(permit)
         return permit
 
+    def confirm(self, permit):
+        """Returns True if a permit still permits a send."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) < permit.expires_at
+
     def give_back(self, permit):
         """Takes back a permit that was not used."""
         self.returned.append(permit)
--- a/skylarksill/host/_crediting.py
+++ b/skylarksill/host/_crediting.py
@@ -15,9 +15,7 @@
     """Acquires permits for requests, and gives back those that no send may have used.
 
     Args:
-      credit: The broker of credit, with ``acquire(account, wait_s)`` that returns an
-        accounts.Permit or an accounts.CreditRefusal, and ``give_back(permit)``; None without
-        quotas.
+      credit: The broker of credit, see creditbroker.CreditBroker; None without quotas.
       log: The EventLog.
 
     Attributes:
@@ -49,12 +47,14 @@
         return None
 
     def is_covered(self, progress):
-        """Returns True if a request may be sent now as far as the quota of its account goes."""
+        """Returns True if a request may be sent now as far as the quota of its account goes.
+
+        Its permit counts from now on; one that was held for too long has ended.
+        """
         account = accounts.find_account(progress.identity)
         if self.credit is None or account is None or not account.is_limited:
             return True
-        now = time.clock_gettime(time.CLOCK_BOOTTIME)
-        return progress.permit is not None and accounts.is_permit_valid(progress.permit, now)
+        return progress.permit is not None and self.credit.confirm(progress.permit)
 
     def release(self, progress):
         """Gives back the permit that a request holds, if it holds one."""
--- a/skylarksill/host/_progress.py
+++ b/skylarksill/host/_progress.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from skylarksill.host import accounts, records
+from skylarksill.host import accountcredit, accounts, records
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,7 +16,7 @@
       fingerprint: Identifies copies of the request; see ``poison``.
       identity: The accounts.Unrestricted, Identified or Anonymous that the request belongs to.
       identified_by: The accounts.AccountTable that has identified it.
-      permit: The accounts.Permit of an account with a quota that no send has used, or None.
+      permit: The accountcredit.Permit of an account with a quota that no send has used, or None.
       attempts: Number of sends that may have run.
       rejected_sends: Number of sends that upstreams rejected without running them.
       excluded: Ids of upstreams that are not tried again.
@@ -30,7 +30,7 @@
     fingerprint: bytes
     identity: accounts.Unrestricted | accounts.Identified | accounts.Anonymous
     identified_by: accounts.AccountTable
-    permit: accounts.Permit | None = None
+    permit: accountcredit.Permit | None = None
     attempts: int = 0
     rejected_sends: int = 0
     excluded: set = dataclasses.field(default_factory=set)
--- a/skylarksill/host/accounts.py
+++ b/skylarksill/host/accounts.py
@@ -7,8 +7,6 @@
 
 import dataclasses
 import enum
-import math
-import typing
 
 from skylarksill.host import credentials, records
 
@@ -60,17 +58,6 @@
         return self.reason not in _UNCERTAIN_REASONS
 
 
-class Permit(typing.Protocol):
-    """Permission to send one request of an account with a quota.
-
-    Attributes:
-      expires_at: Seconds of the clock that counts suspended time (CLOCK_BOOTTIME) at which the
-        permission ends. A permit without this attribute doesn't end by itself.
-    """
-
-    expires_at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditRefusal:
     """An account has used up its quota.
@@ -201,8 +188,3 @@
     if account is None:
         return kept
     return (*kept, (names.account, account.account_id.encode()))
-
-
-def is_permit_valid(permit, now):
-    """Returns True if a Permit still permits a send; ``now`` is in seconds of CLOCK_BOOTTIME."""
-    return now < getattr(permit, "expires_at", math.inf)
