--- a/features/host_accounts.feature
+++ b/features/host_accounts.feature
@@ -115,6 +115,15 @@
     Then the answer is 401
     And 1 permit was granted and 1 given back
 
+  Scenario: A key that is removed while its host connects to an upstream is used no more
+    Given a host with upstreams "a" and "b"
+    And the host knows the account "acme"
+    And connecting takes 0.2 s
+    And the key of "acme" is removed after 0.1 s
+    When a client with the key "k-acme" sends a request
+    Then the answer is 401
+    And the upstreams ran nothing
+
   Scenario: A request without a permitted region is refused at once with the reason
     Given a host with upstreams "a" and "b"
     And an account "acme" for the region "south" and a route for "north"
@@ -158,7 +167,8 @@
   Scenario: A permit that has expired before the send is replaced
     Guards against a send that no holder of credit counts any more.
     Given a host with upstreams "a" and "b"
-    And 2 permits of "acme" last 0.1 s, and connecting takes 0.2 s
+    And 2 permits of "acme" that last 0.1 s
+    And connecting takes 0.2 s
     When a client with the key "k-acme" sends a request
     Then the answer is 200
     And 2 permits were granted and 1 given back
--- a/features/steps/host_accounts_steps.py
+++ b/features/steps/host_accounts_steps.py
@@ -162,9 +162,13 @@
     _set_credit(context, name, account_builders.FakeCredit(count, wait_s))
 
 
-@given('{count:d} permits of "{name}" last {life_s:g} s, and connecting takes {wait_s:g} s')
-def step_short_credit(context, name, count, life_s, wait_s):
+@given('{count:d} permits of "{name}" that last {life_s:g} s')
+def step_short_credit(context, count, name, life_s):
     _set_credit(context, name, account_builders.FakeCredit(count, lifetime_s=life_s))
+
+
+@given("connecting takes {wait_s:g} s")
+def step_slow_connect(context, wait_s):
     pool = context.world.pool
     connect = pool.open
 
