Take answers with an invalid status for no answers

The parser of the upstreams' answers accepts any three digits as a status. 000 and 099 were dropped as interim answers, after which the request waited for its deadline or took the next answer on the connection for its own. So did 101 without an upgrade. 600 and 999 reached the client.

A status outside 100 to 599, and 101, is now a malformed response as soon as the parser reports it, and so is a body of an interim response. The outcome is "may have run" at once, the connection is closed and the upstream's failure counts. Bytes that are malformed after an answer to an earlier request also end the exchange at once; before, that waited for the deadline.

Answers of the store: the library took 101, 102, 103, 600 and 999 for final answers and left what follows on the connection. Interim answers are skipped now, and other statuses outside 200 to 599 are malformed answers, whose connection is closed.

The half-close probe sends at most "HTTP/1.1 ", which precedes any status, so that it is not affected.

--- a/skylarksill/host/_responsereader.py
+++ b/skylarksill/host/_responsereader.py
@@ -16,6 +16,11 @@
 # Interim (1xx) responses before an answer, and answers to other requests.
 MAX_INTERIM_RESPONSES = 8
 MAX_FOREIGN_ANSWERS = 8
+# Range of statuses (RFC 9110, section 15), and the first one of a final answer.
+MIN_STATUS, MAX_STATUS = 100, 599
+MIN_FINAL_STATUS = 200
+# A host never asks for another protocol, so this is no interim status.
+SWITCHING_STATUS = 101
 _LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -65,6 +70,11 @@
         """True if the upstream has sent more than the responses that were taken."""
         return bool(self.responses) or self.is_message_open or self._is_broken
 
+    def check(self):
+        """Raises a ResponseError if no further response can follow."""
+        if self._is_broken:
+            raise ResponseError("malformed response")
+
     def end_exchange(self):
         """Releases the buffers of the exchange that ended and resets its bounds."""
         self._buffers.release(self._buffered_bytes)
@@ -83,8 +93,8 @@
         self._pending_bytes += len(data)
         if not self._is_broken:
             self._parse(data)
-        if self._is_broken and not self.responses:
-            raise ResponseError("malformed response")
+        if not self.responses:
+            self.check()
         self._check_bound(self._pending_bytes, MAX_HEAD_BYTES, "line")
 
     def end_of_stream(self):
@@ -96,7 +106,7 @@
     def complete_response(self, is_kept_alive):
         """Adds the current response to the complete ones; interim (1xx) responses are dropped."""
         status = self._parser.get_status_code()
-        if status >= 200:
+        if status >= MIN_FINAL_STATUS:
             body = bytes(self._body)
             headers = tuple(self._headers)
             self.responses.append(Response(status, self._reason, headers, body, is_kept_alive))
@@ -116,6 +126,7 @@
         """Appends a part of the reason phrase."""
         self._reason += reason
         self._count_head_bytes(len(reason))
+        self._check_status()
 
     def on_header(self, name, value):
         """Adds a header or a trailer without the white space that the parser keeps at its end."""
@@ -124,13 +135,16 @@
         self._count_head_bytes(len(name) + len(value))
 
     def on_headers_complete(self):
-        """Marks the head as complete."""
+        """Marks the head as complete, which may lack a reason phrase."""
+        self._check_status()
         self.is_head_complete = True
         self._pending_bytes = 0
 
     def on_body(self, body):
         """Appends a part of the body."""
         self._pending_bytes = 0
+        if self._parser.get_status_code() < MIN_FINAL_STATUS:
+            raise ResponseError("body of an interim response")
         self._check_bound(len(self._body) + len(body), MAX_ANSWER_BYTES, "body")
         if not self._buffers.take(len(body)):
             raise ResponseError("buffers of answers are full")
@@ -157,6 +171,11 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._is_broken = True
 
+    def _check_status(self):
+        status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_STATUS:
+            raise ResponseError(f"status {status}")
+
     def _count_head_bytes(self, size):
         self._pending_bytes = 0
         self._head_bytes += size
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -190,6 +190,7 @@
                 foreign_count += 1
                 if foreign_count > _responsereader.MAX_FOREIGN_ANSWERS:
                     raise _responsereader.ResponseError("too many answers to other requests")
+            reader.check()
             data = self._reader.receive(deadline)
             if not data:
                 self.is_reusable = False
--- a/skylarksill/host/boundedpool.py
+++ b/skylarksill/host/boundedpool.py
@@ -4,6 +4,7 @@
 and bodies without end, and never yield while bytes are ready.
 """
 
+import http.client
 import time
 
 import eventlet
@@ -11,6 +12,8 @@
 from eventlet import greenio
 from eventlet.green import socket
 
+# Range of statuses of final answers (RFC 9110, section 15).
+MIN_FINAL_STATUS, MAX_STATUS = 200, 599
 # The largest answer lists a page of objects of 1 MB in all, or the changes of some seconds.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -68,9 +71,29 @@
             eventlet.sleep(time.monotonic() - self._returned_at)
 
 
+class BoundedResponse(http.client.HTTPResponse):
+    """An answer with a valid final status; all interim answers before it are skipped.
+
+    The library below urllib3 skips the status 100 only. It takes other interim answers and statuses
+    out of range for final ones, and the answer that follows would be taken for that of the next
+    request.
+    """
+
+    def _read_status(self):
+        version, status, reason = super()._read_status()
+        if http.client.SWITCHING_PROTOCOLS < status < MIN_FINAL_STATUS:
+            # The caller skips what has this status.
+            status = http.client.CONTINUE
+        if status != http.client.CONTINUE and not MIN_FINAL_STATUS <= status <= MAX_STATUS:
+            raise http.client.BadStatusLine(f"status {status}")
+        return version, status, reason
+
+
 class BoundedConnection(urllib3.connection.HTTPConnection):
     """An HTTP connection on a BoundedSocket."""
 
+    response_class = BoundedResponse
+
     def _new_conn(self):
         try:
             connected = socket.create_connection((self.host, self.port), self.timeout)
