--- a/standins/worker.py
+++ b/standins/worker.py
@@ -109,7 +109,10 @@
                 fields = platformdata.parse_fields(head)
                 size = int(fields.get("content-length", "0"))
                 while len(data) < size:
-                    data += client.recv(65536)
+                    received = client.recv(65536)
+                    if not received:
+                        return
+                    data += received
                 body, data = data[:size], data[size:]
                 self.heads.append(head.decode())
                 self.bodies.append(body)
