Split the client's connection into reading, answering and ending

Parsing and refusing requests are in _requestreading, serving and writing answers in _answersending, and causes, states and pending requests in _connectionstates; waiting, lingering and all ways to end stay in _clientconnection. The two parts are bases of Connection, as all three share its state. The test that lowers WRITE_TIMEOUT_S names the module that has it now.

--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -14,6 +14,7 @@
 
 from features import client_builders, host_builders, host_world
 from skylarksill.host import (
+    _answersending,
     _clientconnection,
     _fairreads,
     answers,
@@ -530,7 +531,7 @@
 
 @given("a client may accept nothing of an answer for {seconds:g} s")
 def step_write_timeout(context, seconds):
-    patch = mock.patch.object(_clientconnection, "WRITE_TIMEOUT_S", seconds)
+    patch = mock.patch.object(_answersending, "WRITE_TIMEOUT_S", seconds)
     patch.start()
     context.add_cleanup(patch.stop)
 
--- /dev/null
+++ b/skylarksill/host/_answersending.py
@@ -0,0 +1,181 @@
+"""Sending of answers in the order of the requests: the other half of a client's connection."""
+
+import itertools
+import time
+
+from eventlet.green import socket
+
+from skylarksill.host import _connectionstates, answers
+
+# A connection whose client accepts no byte of an answer for this long is closed. The kernel's user
+# time-out can't do that: it may count from the first of several pauses of a client.
+WRITE_TIMEOUT_S = 10.0
+# Bytes of answers that the kernel takes at most as a stop ends, to send them after the process; it
+# grants this many unless it is set up otherwise, and reserves twice as many.
+MAX_HANDED_OVER_BYTES = 212_992
+# What a client that waits for it before it sends the body of its request is sent.
+_CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Answer to a request whose handler failed. It promises nothing, as the request may have run.
+FAILED_STATUS = 502
+# Requests without an answer whose ids are logged.
+MAX_LOGGED_REQUESTS = 4
+
+
+class AnswerSending:
+    """Runs requests and sends their answers; a base of _clientconnection.Connection.
+
+    It takes the server, the socket, the state and the pending requests from there.
+    """
+
+    def _begin_answering(self):
+        self._is_writing = False
+        # Bytes of the first pending answer that were sent before it was ready.
+        self._begun_bytes = 0
+
+    def _hand_over(self):
+        """Lets the kernel take what is ready, which it sends on after the end of the process."""
+        ready = sum(len(item.data) for item in self.pending if item.data is not None)
+        size = min(ready, MAX_HANDED_OVER_BYTES)
+        if self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < 2 * size:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+    def _send_continue(self):
+        """Sends what the head of a request whose body is still due asks for.
+
+        It follows the answers to the requests before.
+        """
+        if (
+            self._owes_continue
+            and self._state is _connectionstates.State.SERVING
+            and not self.pending
+        ):
+            self._owes_continue = False
+            self._socket.sendall(_CONTINUE_RESPONSE)
+
+    def _serve(self, item, request):
+        try:
+            answer = self._handle(item, request)
+        except BaseException:
+            # The green thread is ended, so the answers behind this one can't be sent in order.
+            self._abandon()
+            raise
+        finally:
+            self._server.buffered_bytes -= len(request.body)
+        try:
+            self._answer(item, answer)
+        except Exception as error:
+            self._server.log.write_exception("client.answer", error)
+            self._abandon()
+
+    def _handle(self, item, request):
+        """Returns the handler's answer, or one that promises nothing if the handler fails."""
+        try:
+            return self._server.handle(request, item.cancellation)
+        except Exception as error:
+            return self._handle_failure("client.handle", error)
+
+    def _format(self, item, answer):
+        """Encodes a handler's answer, or one that promises nothing if that fails."""
+        try:
+            return answers.format_answer(answer, item.method)
+        except Exception as error:
+            answer = self._handle_failure("client.format", error)
+            return answers.format_answer(answer, item.method)
+
+    def _handle_failure(self, task, error):
+        self._server.log.write_exception(task, error)
+        return answers.make_answer(FAILED_STATUS, b"host failed\n")
+
+    def _answer(self, item, answer):
+        if answer is None or item.data is not None or item.cancellation.is_cancelled:
+            return
+        if self._state is _connectionstates.State.ENDED:
+            return
+        self._set_answer(item, self._format(item, answer))
+        self._write_ready()
+
+    def _set_answer(self, item, data):
+        item.data = data
+        self._server.answer_buffers.hold(len(data))
+
+    def _release_answer(self, item):
+        if item.data is not None:
+            self._server.answer_buffers.release(len(item.data))
+
+    def _write_ready(self):
+        """Writes the finished answers that are next in order, in one green thread at a time."""
+        if self._is_writing:
+            return
+        self._is_writing = True
+        try:
+            while self.pending and self.pending[0].data is not None:
+                if self._server.is_leaving:
+                    self._take_no_more()
+                data = self.pending[0].data
+                if self._state is _connectionstates.State.ANSWERING and len(self.pending) == 1:
+                    data = answers.mark_last(data)
+                self._send(data[self._begun_bytes :])
+                if self._state is _connectionstates.State.ENDED:
+                    return
+                self._begun_bytes = 0
+                self._release_answer(self.pending.popleft())
+                self._quiet_since = time.monotonic()
+                self._send_continue()
+        except OSError as error:
+            self._server.log.write("client.write_failed", error=str(error))
+            self._end(_connectionstates.Cause.WRITE_FAILED)
+            self._shut_down(socket.SHUT_RDWR)
+        finally:
+            self._is_writing = False
+        if self._state is _connectionstates.State.ANSWERING and not self.pending:
+            self._begin_lingering()
+
+    def _send(self, data):
+        """Sends bytes; raises a TimeoutError once the client accepts none of them for too long."""
+        self._socket.settimeout(WRITE_TIMEOUT_S)
+        rest = memoryview(data)
+        while rest:
+            unsent_bytes = _connectionstates.count_unsent_bytes(self._socket)
+            try:
+                rest = rest[self._socket.send(rest) :]
+            except TimeoutError:
+                # The kernel takes more only once much of its buffer is free.
+                if _connectionstates.count_unsent_bytes(self._socket) >= unsent_bytes:
+                    raise
+
+    def _begin_answer(self):
+        """Sends the next byte of the first answer; a connection that is closed is reset by it.
+
+        Returns:
+          False if the connection has been reset already.
+        """
+        probe = answers.ANSWER_START[self._begun_bytes : self._begun_bytes + 1]
+        try:
+            self._begun_bytes += self._socket.fd.send(probe)
+        except BlockingIOError:
+            # What the client has no room for probes it as well.
+            return True
+        except OSError as error:
+            self._server.log.write("client.write_failed", error=str(error))
+            return False
+        return True
+
+    def _drop_unready(self):
+        """Drops the first request without an answer, and those behind it."""
+        ready = list(itertools.takewhile(lambda item: item.data is not None, self.pending))
+        dropped = list(self.pending)[len(ready) :]
+        if dropped:
+            self._set_cause(_connectionstates.Cause.HALF_CLOSED)
+        self._drop(dropped)
+        for _ in dropped:
+            self.pending.pop()
+
+    def _drop(self, items):
+        self._dropped += len(items)
+        for item in items:
+            if item.request_id is not None and len(self._dropped_ids) < MAX_LOGGED_REQUESTS:
+                request_id = item.request_id[: _connectionstates.MAX_LOGGED_NAME].decode("latin-1")
+                self._dropped_ids.append(request_id)
+            self._release_answer(item)
+            if item.data is None:
+                item.cancellation.cancel()
--- /dev/null
+++ b/skylarksill/host/_connectionstates.py
@@ -0,0 +1,72 @@
+"""Causes and states of clients' connections, and what the kernel tells of one."""
+
+import dataclasses
+import enum
+import fcntl
+import struct
+import termios
+
+from skylarksill.host import cancellation
+
+# Bytes of a host name, a target or an id of a request in the log.
+MAX_LOGGED_NAME = 100
+
+
+class Cause(enum.StrEnum):
+    """Why a connection ended, for logs and counters.
+
+    HALF_CLOSED stands for requests that the host has dropped, as their client has ended its sending
+    side and can't be reached any more.
+    """
+
+    CLIENT_LEFT = "client_left"
+    HALF_CLOSED = "half_closed"
+    RESET = "reset"
+    IDLE_TIMEOUT = "idle_timeout"
+    LAST_ANSWER = "last_answer"
+    NOT_RECEIVED = "not_received"
+    WRITE_FAILED = "write_failed"
+    STOP_IDLE = "stop_idle"
+    STOP_DEADLINE = "stop_deadline"
+    ERROR = "error"
+
+    @property
+    def is_by_client(self):
+        """Whether the client ended the connection, as far as the host can tell."""
+        return self in (Cause.CLIENT_LEFT, Cause.RESET, Cause.WRITE_FAILED)
+
+
+class State(enum.Enum):
+    """What a connection still does. States follow each other in this order; some are left out.
+
+    Only ``Connection._end`` and the states that lead to it close a connection: one that has owed
+    an answer first discards input, as a close with unread bytes resets the connection, and the
+    client loses what it has not received.
+    """
+
+    SERVING = "reads requests"
+    ANSWERING = "takes no further request and sends the answers that it owes"
+    LINGERING = "has sent its last answer and discards input"
+    ENDED = "is about to be closed"
+
+
+@dataclasses.dataclass(slots=True)
+class PendingRequest:
+    """A request whose answer has not been sent yet.
+
+    Attributes:
+      data: The formatted answer, or None.
+    """
+
+    request_id: bytes | None
+    method: bytes
+    cancellation: cancellation.Cancellation
+    data: bytes | None = None
+
+
+def count_unsent_bytes(sock):
+    """Returns the bytes that the other side has not acknowledged; 0 if the socket is closed."""
+    try:
+        return struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+    except (OSError, ValueError):
+        return 0
--- /dev/null
+++ b/skylarksill/host/_requestreading.py
@@ -0,0 +1,192 @@
+"""Reading of requests: the parser's part of a client's connection, within the limits of clients."""
+
+import math
+import time
+
+import eventlet
+import httptools
+
+from skylarksill.host import _connectionstates, _fairreads, _requestfields, answers, cancellation
+
+# Bytes outside the head and the body of a request, such as an extension of a chunk's length.
+MAX_FRAMING_BYTES = 16_384
+
+# A client whose request was refused here may send it to another host at once.
+REFUSED_RETRY_AFTER_S = 0.02
+_REFUSAL_HEADERS = ((b"retry-after", b"%.3f" % REFUSED_RETRY_AFTER_S),)
+
+
+class _BadRequestError(Exception):
+    """A request can't be served; ``status`` is the HTTP status to answer with."""
+
+    def __init__(self, status, reason):
+        super().__init__(reason)
+        self.status = status
+
+
+class RequestReading:
+    """Parses the bytes of a client and starts its requests; a base of _clientconnection.Connection.
+
+    It takes the server, the state and the pending requests from there.
+    """
+
+    def _begin_reading(self):
+        self._parsing = _fairreads.FairParsing(self._feed)
+        self._unparsed_bytes = 0
+        self._begin_message()
+        self._parser = httptools.HttpRequestParser(self)
+
+    def _parse(self, data):
+        self._unparsed_bytes = len(data)
+        try:
+            self._parsing.parse(data)
+            self._send_continue()
+        except _BadRequestError as error:
+            self._reject(error.status, str(error))
+        except httptools.HttpParserCallbackError as error:
+            self._reject_failed(error.__context__ or error)
+        except httptools.HttpParserUpgrade:
+            self._reject(400, "upgrade")
+        except httptools.HttpParserError as error:
+            self._reject(400, str(error))
+        except OSError:
+            raise
+        except Exception as error:
+            self._reject_failed(error)
+        finally:
+            self._unparsed_bytes = 0
+
+    def _feed(self, data):
+        """Parses bytes; counts those that the parser reports only with the rest of their part."""
+        self._unparsed_bytes -= len(data)
+        self._unreported_bytes += len(data)
+        self._parser.feed_data(data)
+        is_inside_head = self._started_at is not None and not self._is_head_complete
+        if is_inside_head and self._unreported_bytes > self._limits.max_head_bytes:
+            raise _BadRequestError(431, f"head of more than {self._limits.max_head_bytes} bytes")
+        if not is_inside_head and self._unreported_bytes > MAX_FRAMING_BYTES:
+            status = 400 if self._started_at is None else 413
+            raise _BadRequestError(status, f"framing of more than {MAX_FRAMING_BYTES} bytes")
+
+    def on_message_begin(self):
+        """Starts a request."""
+        self._begin_message()
+        self._started_at = time.monotonic()
+        self._limits = self._server.find_limits()
+
+    def on_url(self, url):
+        """Appends a part of the request target."""
+        self._target += url
+        self._count_head_bytes(len(url))
+
+    def on_header(self, name, value):
+        """Adds a header; white space after its value, which the parser keeps, is not part of it."""
+        self._headers.append((name.lower(), value.rstrip(b" \t")))
+        self._count_head_bytes(len(name) + len(value) + 4)
+
+    def on_headers_complete(self):
+        """Checks the complete head: the declared length, and answers ``Expect: 100-continue``."""
+        self._is_head_complete = True
+        self._unreported_bytes = 0
+        fields = dict(self._headers)
+        length = fields.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+            raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
+        self._owes_continue = fields.get(b"expect", b"").lower() == b"100-continue"
+
+    def on_body(self, body):
+        """Appends a part of the body, within the limits of the server and of the client."""
+        self._unreported_bytes = 0
+        self._body_bytes += len(body)
+        self._server.buffered_bytes += len(body)
+        if self._server.buffered_bytes > self._server.max_buffered_bytes:
+            raise _BadRequestError(503, "buffers of bodies are full")
+        if self._body_bytes > self._limits.max_body_bytes:
+            raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
+        self._body += body
+
+    def on_message_complete(self):
+        """Starts processing a complete request."""
+        if self._state is not _connectionstates.State.SERVING:
+            self._discard_partial_request()
+            return
+        if self._is_surplus and self._server.is_crowded:
+            raise _BadRequestError(503, "too many connections")
+        self._is_surplus = False
+        method = self._parser.get_method()
+        is_persistent = self._parser.should_keep_alive()
+        request = _requestfields.build_request(
+            method, self._target, self._headers, bytes(self._body), self._server.names
+        )
+        if request is None:
+            raise _BadRequestError(400, "no site")
+        item = _connectionstates.PendingRequest(
+            request.request_id, method, cancellation.Cancellation()
+        )
+        self.pending.append(item)
+        self._begin_message()
+        if not is_persistent:
+            self._take_no_more()
+        eventlet.spawn_n(self._serve, item, request)
+
+    def _begin_message(self):
+        self._started_at = None
+        self._is_head_complete = False
+        self._target = b""
+        self._headers = []
+        self._head_bytes = 0
+        self._unreported_bytes = 0
+        self._owes_continue = False
+        self._body = bytearray()
+        self._body_bytes = 0
+
+    def _discard_partial_request(self):
+        """Discards a partly read request."""
+        self._server.buffered_bytes -= self._body_bytes
+        self._begin_message()
+
+    def _count_head_bytes(self, size):
+        self._unreported_bytes = 0
+        self._head_bytes += size
+        if self._head_bytes > self._limits.max_head_bytes:
+            raise _BadRequestError(431, f"head of more than {self._limits.max_head_bytes} bytes")
+
+    def _reject(self, status, reason):
+        """Answers an unreadable request with an error and closes the connection after it."""
+        if self._state is not _connectionstates.State.SERVING:
+            # What follows the last request is no request, and its answer would follow the last one.
+            return
+        site = dict(self._headers).get(b"host", b"")
+        self._server.log.write(
+            "client.refused",
+            status=status,
+            reason=reason,
+            site=site[: _connectionstates.MAX_LOGGED_NAME].decode("latin-1"),
+            target=self._target[: _connectionstates.MAX_LOGGED_NAME].decode("latin-1"),
+        )
+        self._take_no_more()
+        item = _connectionstates.PendingRequest(None, b"GET", cancellation.Cancellation())
+        headers = _REFUSAL_HEADERS if status == 503 else ()
+        data = answers.format_answer(answers.make_answer(status, b"", headers), b"GET")
+        self._set_answer(item, data)
+        self.pending.append(item)
+        self._discard_partial_request()
+        self._write_ready()
+
+    def _reject_failed(self, error):
+        """Rejects a request after an exception while it was read; nothing of it was passed on."""
+        if isinstance(error, _BadRequestError):
+            self._reject(error.status, str(error))
+            return
+        self._server.log.write_exception("client.read", error)
+        self._reject(503, "host_failed")
+
+    def _find_timeout(self):
+        """Returns the monotonic time at which the client has been silent for too long."""
+        client_limits = self._server.find_limits()
+        if self._started_at is None:
+            return math.inf if self.pending else self._quiet_since + client_limits.idle_timeout_s
+        if self._is_head_complete:
+            is_due = self._owes_continue and self.pending
+            return math.inf if is_due else self._quiet_since + client_limits.idle_timeout_s
+        return self._started_at + client_limits.head_timeout_s
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -9,7 +9,13 @@
 from eventlet.green import socket
 
 from skylarksill import limits
-from skylarksill.host import _clientconnection, answers, counters, supervision
+from skylarksill.host import (
+    _clientconnection,
+    _connectionstates,
+    answers,
+    counters,
+    supervision,
+)
 
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_S = 0.05
@@ -184,7 +190,7 @@
     def _close_all(self):
         for connection in list(self.connections):
             supervision.attempt(
-                self.log, "client.end", connection.close, _clientconnection.Cause.STOP_DEADLINE
+                self.log, "client.end", connection.close, _connectionstates.Cause.STOP_DEADLINE
             )
 
     def _refuse_partial(self):
