Copies of popular objects by demand, and learned memory of upstreams

Cause: each object had one preferred upstream, so a popular object filled it while others were idle, and what an upstream remembers was a constant of 48. Change: the new pure module objectcopies estimates the region's demand for an object from the host's own requests and the number of hosts that carry the region, and gives it the first n upstreams of its ranking, in small steps, if runs have a measured gain and the caches have room. A request goes to the better of two copies, never to one with more than 1.5 times their mean load. What cold and warm runs take is learned from the times themselves, and from which recency rank runs are mostly cold, too. What an upstream remembers is also discarded when its address changes.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -12,83 +12,29 @@
 import math
 import random
 
+from bench._fleetloads import LOADS, Load
 from skylarksill import records as shared
 from skylarksill.host import fleet, placement, records, steering
 
+__all__ = ["LOADS", "Load", "Model", "Result"]
+
 SERVICE = shared.ServiceId("catalogue")
 BOUNDS = records.Bounds(4.0, 2.5, 6.0, 0.2, 10.0, 58, 1.5, 5.0, 5.0, 0.15, 2.5)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """A load pattern; times in seconds, ``rate`` in requests per second over all regions.
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Counts of requests by outcome, and of runs by whether the object was cached.
 
     Attributes:
-      popular_share: Share of a region's requests that are for one and the same object.
+      latencies_s: Time to the answer of each answered request.
+      upstream_runs: Number of runs by upstream.
+      popular_runs: Number of runs of the popular object by upstream.
+      popular_total: Requests for the popular object.
+      popular_in_time: Those of them that were answered within the target latency.
+      most_copies: Largest number of copies of an object on any host.
     """
 
-    rate: float
-    length_s: float = 20.0
-    rate_amplitude: float = 0.4
-    period_s: float = 12.0
-    upstreams: tuple[int, ...] = (6, 2, 6)
-    hosts: tuple[int, ...] = (3, 2, 2)
-    slots: int = 5
-    queue: int = 15
-    objects: int = 55
-    cached_objects: int = 30
-    work_s: float = 0.31
-    known_work_factor: float = 0.3
-    slow_share: float = 0.15
-    slow_factor: float = 2.5
-    slow_period_s: float = 0.6
-    target_s: float = 0.4
-    timeout_s: float = 1.0
-    round_trip_s: float = 0.11
-    popular_share: float = 0.0
-
-
-# Load patterns of the deployments: low load, peak load, a sudden burst, a larger deployment whose
-# region with few upstreams has more objects than it can cache on two upstreams each, and one with
-# spare slots whose most popular object takes more than the slots of one upstream.
-LOADS = {
-    "calm": Load(rate=125.0),
-    "scale": Load(rate=278.0),
-    "burst": Load(rate=278.0, rate_amplitude=0.9, period_s=8.0),
-    "grown": Load(
-        rate=512.0,
-        length_s=10.0,
-        period_s=36.0,
-        upstreams=(72, 14, 60),
-        hosts=(8, 8, 8),
-        slots=4,
-        queue=12,
-        objects=237,
-        cached_objects=20,
-        work_s=0.9,
-        known_work_factor=0.25,
-        target_s=0.6,
-        timeout_s=1.5,
-    ),
-    "popular": Load(
-        rate=180.0,
-        upstreams=(20, 20, 20),
-        hosts=(4, 4, 4),
-        objects=150,
-        cached_objects=15,
-        work_s=2.0,
-        known_work_factor=0.25,
-        target_s=1.5,
-        timeout_s=4.0,
-        popular_share=0.25,
-    ),
-}
-
-
-@dataclasses.dataclass(slots=True)
-class Result:
-    """Counts of requests by outcome, and of runs by whether the object was cached."""
-
     in_time: int = 0
     late: int = 0
     rejected: int = 0
@@ -96,6 +42,12 @@
     known_runs: int = 0
     unknown_runs: int = 0
     worst_shift: float = 0.0
+    latencies_s: list = dataclasses.field(default_factory=list)
+    upstream_runs: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    popular_runs: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    popular_total: int = 0
+    popular_in_time: int = 0
+    most_copies: int = 0
 
     @property
     def total(self):
@@ -107,6 +59,26 @@
         """Share of the requests that were answered within the target latency."""
         return self.in_time / max(1, self.total)
 
+    @property
+    def known_share(self):
+        """Share of the runs whose object was cached."""
+        return self.known_runs / max(1, self.known_runs + self.unknown_runs)
+
+    @property
+    def popular_in_time_share(self):
+        """Share of the requests for the popular object that were answered in time."""
+        return self.popular_in_time / max(1, self.popular_total)
+
+    def find_quantile_s(self, share):
+        """Returns the latency in seconds that a share of the answered requests stays within."""
+        found = sorted(self.latencies_s)
+        return found[min(len(found) - 1, int(share * len(found)))] if found else 0.0
+
+    def compute_peak_factor(self, upstream_count):
+        """Returns the runs of the busiest upstream over the mean of all."""
+        mean = sum(self.upstream_runs.values()) / upstream_count
+        return max(self.upstream_runs.values(), default=0) / max(1.0, mean)
+
 
 class _Upstream:
     def __init__(self, record, load, rng):
@@ -179,7 +151,9 @@
         for other in range(len(self._load.hosts)):
             is_own = f"r{other}" == region
             fleet_view.update_round_trip(f"r{other}", 0.002 if is_own else self._load.round_trip_s)
-        return fleet_view, self._make_steering(fleet_view, self._rng)
+        host_steering = self._make_steering(fleet_view, self._rng)
+        host_steering.set_carrier_count(self._load.hosts[int(region[1:])])
+        return fleet_view, host_steering
 
     def _schedule(self, at, function, *arguments):
         heapq.heappush(self._events, (at, next(self._order), function, arguments))
@@ -193,13 +167,19 @@
         )
         rate = load.rate / len(load.hosts) * rate_factor
         self._schedule(now + self._rng.expovariate(rate), self._arrive, region)
-        key = self._draw_object(region)
+        key = self._draw_object(region, now)
+        self.result.popular_total += self._is_popular(key)
         self._place(now, now, region, key, True)
 
-    def _draw_object(self, region):
+    def _draw_object(self, region, now):
         load = self._load
-        is_popular = load.popular_share and self._rng.random() < load.popular_share
-        return b"%d-%d" % (region, 0 if is_popular else self._rng.randrange(load.objects))
+        popular = load.find_popular_object(region, now)
+        if popular is not None and self._rng.random() < load.popular_share:
+            return popular
+        return b"%d-%d" % (region, self._rng.randrange(load.objects))
+
+    def _is_popular(self, key):
+        return key == b"popular" or (not self._load.popular_phases and key.endswith(b"-0"))
 
     def _place(self, now, started_at, region, key, may_retry):
         host = self._rng.choice(self._hosts[region])
@@ -207,6 +187,9 @@
         remaining_s = started_at + self._load.timeout_s - now
         query = placement.Query(self._route, SERVICE, 0, key, remaining_s, frozenset())
         choice = host_steering.choose(query, now)
+        if host_steering.object_copies is not None and self._is_popular(key):
+            copies = host_steering.object_copies.summarize().most_copies
+            self.result.most_copies = max(self.result.most_copies, copies)
         if isinstance(choice, placement.Placement):
             choice.upstream.record_send(now)
             delay_s = fleet_view.estimate_round_trip_s(choice.upstream.record.region) / 2
@@ -232,6 +215,9 @@
         is_known = upstream.access_object(run[1].affinity_key)
         self.result.known_runs += is_known
         self.result.unknown_runs += not is_known
+        self.result.upstream_runs[upstream.record.upstream_id] += 1
+        if self._is_popular(run[1].affinity_key):
+            self.result.popular_runs[upstream.record.upstream_id] += 1
         factor = self._load.known_work_factor if is_known else 1.0
         run_s = self._load.work_s * factor * self._rng.uniform(0.85, 1.15)
         self._runs[run[5], int(now / 2.0)][upstream.record.region] += 1
@@ -257,6 +243,9 @@
         host_steering.record_success(query, choice, report, now - sent_at, now)
         choice.upstream.record_end(True, now)
         latency_s = now - started_at
+        self.result.latencies_s.append(latency_s)
+        if self._is_popular(query.affinity_key):
+            self.result.popular_in_time += latency_s <= self._load.target_s
         if latency_s <= self._load.target_s:
             self.result.in_time += 1
         elif latency_s <= self._load.timeout_s:
@@ -289,6 +278,13 @@
     return steering.Steering(fleet_view, BOUNDS.max_shift, rng)
 
 
+def make_plain_steering(fleet_view, rng):
+    """Returns a Steering with one copy of each object and a fixed number of remembered ones."""
+    plain = _make_steering(fleet_view, rng)
+    plain.object_copies = None
+    return plain
+
+
 def _make_upstream(upstream_id, region, slots):
     return records.Upstream(
         upstream_id=shared.UpstreamId(upstream_id),
@@ -325,18 +321,31 @@
     parser.add_argument("--load", choices=sorted(LOADS), action="append")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=3)
+    parser.add_argument("--copies", choices=("on", "off", "both"), default="on")
     arguments = parser.parse_args()
+    makers = {"on": (_make_steering,), "off": (make_plain_steering,)}
+    makers["both"] = makers["on"] + makers["off"]
     for name in arguments.load or sorted(LOADS):
         for seed in range(arguments.seed, arguments.seed + arguments.runs):
-            result = Model(LOADS[name], seed).run()
-            unknown_share = result.unknown_runs / (result.known_runs + result.unknown_runs)
-            print(
-                f"{name} seed={seed} in_time={result.in_time_share:.3f}"
-                f" late={result.late / result.total:.3f}"
-                f" rejected={result.rejected / result.total:.3f}"
-                f" unknown_runs={unknown_share:.3f}"
-                f" worst_shift={result.worst_shift:.3f}"
-            )
+            for make_steering in makers[arguments.copies]:
+                result = Model(LOADS[name], seed, make_steering).run()
+                state = "off" if make_steering is make_plain_steering else "on"
+                print(f"{name} seed={seed} copies={state} {_describe(result, LOADS[name])}")
+
+
+def _describe(result, load):
+    """Returns the figures of a Result as text."""
+    return (
+        f"in_time={result.in_time_share:.3f}"
+        f" late={result.late / result.total:.3f}"
+        f" rejected={result.rejected / result.total:.3f}"
+        f" unknown_runs={1.0 - result.known_share:.3f}"
+        f" worst_shift={result.worst_shift:.3f}"
+        f" peak={result.compute_peak_factor(sum(load.upstreams)):.2f}"
+        f" p50={result.find_quantile_s(0.5):.3f} p99={result.find_quantile_s(0.99):.3f}"
+        f" popular_in_time={result.popular_in_time_share:.3f}"
+        f" popular_upstreams={len(result.popular_runs)} most_copies={result.most_copies}"
+    )
 
 
 if __name__ == "__main__":
--- a/skylarksill/host/counters.py
+++ b/skylarksill/host/counters.py
@@ -9,7 +9,7 @@
 
 
 class Counters:
-    """Counters and histograms of durations by name and label, and gauges by name."""
+    """Counters and histograms of durations by name and label, and gauges by name and label."""
 
     def __init__(self):
         self._counts = collections.Counter()
@@ -24,9 +24,9 @@
         """Returns a counter's value."""
         return self._counts[name, label]
 
-    def set(self, name, value):
+    def set(self, name, value, label=""):
         """Sets a gauge."""
-        self._gauges[name] = value
+        self._gauges[name, label] = value
 
     def observe_duration(self, name, label, seconds):
         """Adds a duration in seconds to a histogram."""
@@ -41,8 +41,8 @@
         lines = []
         for (name, label), value in sorted(self._counts.items()):
             lines.append(f"skylarksill_{name}_total{_format_label(label)} {value}")
-        for name, value in sorted(self._gauges.items()):
-            lines.append(f"skylarksill_{name} {_format_value(value)}")
+        for (name, label), value in sorted(self._gauges.items()):
+            lines.append(f"skylarksill_{name}{_format_label(label)} {_format_value(value)}")
         for (name, label), histogram in sorted(self._histograms.items()):
             lines += _format_histogram(name, label, histogram)
         return "\n".join(lines) + "\n"
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -334,6 +334,8 @@
             self.mark_cold(state, upstream.cold_s, now)
         if state.record.address != upstream.address:
             state.is_misdirected = False
+            # Another process may answer at the new address, and it remembers nothing.
+            state.forget_objects()
         state.record = upstream
 
     def _remove_upstream(self, upstream_id):
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -9,7 +9,7 @@
 import dataclasses
 import random
 
-from skylarksill.host import records, tracking
+from skylarksill.host import objectcopies, records, tracking
 
 # Number of upstreams in an object's ranking that serve it while the first one is fit, and while it
 # is not. An upstream remembers some 15 to 50 objects and runs others 3 to 4 times longer, so a
@@ -17,6 +17,12 @@
 # than run on an upstream that doesn't know its object.
 FIT_CHOICES = 1
 UNFIT_CHOICES = 2
+# A copy of an object gets no request while it carries more than this multiple of the mean load of
+# the object's copies, relative to their slots. A single request is no load in this sense.
+MAX_COPY_LOAD_FACTOR = 1.5
+# Number of copies that are compared: two random ones suffice to avoid the busiest, and hosts whose
+# knowledge is equally old don't all choose the same one.
+COMPARED_COPIES = 2
 # An upstream is unfit while this share of its answers are failures, while its requests take this
 # many times longer than its reported pace explains, or while it is silent.
 UNFIT_FAILURE_SHARE = 0.3
@@ -75,12 +81,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """The chosen upstream with the expected wait and service time in seconds."""
+    """The chosen upstream with the expected wait and service time in seconds.
+
+    Attributes:
+      knows_object: True if the upstream is expected to remember the object.
+      object_rank: Number of other objects that the upstream has handled for this host since the
+        object; None if it is none of the last ones.
+    """
 
     upstream: tracking.TrackedUpstream
     wait_s: float
     service_time_s: float
     knows_object: bool
+    object_rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +105,9 @@
     wait_s: float = 0.0
 
 
-def choose_upstream(upstream_fleet, service_times, query, regions, now, rng=random):
+def choose_upstream(
+    upstream_fleet, service_times, query, regions, now, rng=random, object_copies=None
+):
     """Chooses the upstream of a request.
 
     Args:
@@ -102,15 +117,17 @@
       regions: Tuple of the regions to search.
       now: Monotonic seconds.
       rng: Source of randomness.
+      object_copies: The objectcopies.ObjectCopies; None if each object has one copy.
     Returns:
       Placement or Rejection.
     """
-    placed = _find_best(upstream_fleet, service_times, query, regions, now, rng)
+    plan = _plan_copies(upstream_fleet, service_times, query, regions, now, object_copies)
+    placed = _find_best(upstream_fleet, service_times, query, regions, now, rng, plan)
     if placed is None:
         return _reject_unplaced(upstream_fleet, query, regions, now)
     limit_s = compute_wait_limit_s(query, placed.service_time_s)
     if placed.wait_s > limit_s:
-        spare = _find_spare(upstream_fleet, service_times, query, regions, now)
+        spare = _find_spare(upstream_fleet, service_times, query, regions, now, plan)
         if spare is not None:
             return spare
         return Rejection("busy", max(MIN_RETRY_AFTER_S, placed.wait_s - limit_s), placed.wait_s)
@@ -137,18 +154,23 @@
     return Rejection("no_upstream", UNAVAILABLE_RETRY_AFTER_S)
 
 
-def _find_spare(upstream_fleet, service_times, query, regions, now):
+def _find_spare(upstream_fleet, service_times, query, regions, now, plan):
     """Returns the Placement of a request whose preferred upstream is full, or None to reject it.
 
     Answers a load of few, very popular objects: their upstreams are full while most others of the
-    service are idle.
+    service are idle. A copy of the object with a free slot needs no spare slots elsewhere.
     """
     if query.affinity_key is None or not query.route.is_sticky:
         return None
     ranking = upstream_fleet.rank(query.service_id, regions, query.affinity_key)
-    for state in _list_usable(upstream_fleet, query, ranking, 1 + SPARE_CHOICES, now)[1:]:
-        placed = estimate_completion(service_times, query, state, now)
+    usable = _list_usable(upstream_fleet, query, ranking, plan.count + SPARE_CHOICES, now)
+    for index, state in enumerate(usable):
+        if plan.count == 1 and index == 0:
+            continue
+        placed = estimate_completion(service_times, query, state, now, plan, index)
         if placed.wait_s <= 0.0 and placed.service_time_s < query.remaining_s:
+            if index < plan.count:
+                return placed
             is_spare = all(
                 upstream_fleet.estimate_busy_share(query.service_id, region, now)
                 <= MAX_SPARE_BUSY_SHARE
@@ -172,16 +194,20 @@
     )
 
 
-def _find_best(upstream_fleet, service_times, query, regions, now, rng):
+def _find_best(upstream_fleet, service_times, query, regions, now, rng, plan):
     """Returns the Placement of least cost, or None if there is no usable upstream."""
+    copies = _choose_copies(upstream_fleet, service_times, query, regions, now, rng, plan)
     best = None
+    for index, state in copies:
+        placed = estimate_completion(service_times, query, state, now, plan, index)
+        cost = _estimate_cost(upstream_fleet, placed, now)
+        if best is None or cost < best[0]:
+            best = (cost, placed)
+    if best is not None:
+        return best[1]
     for state in _list_candidates(upstream_fleet, service_times, query, regions, now, rng):
-        placed = estimate_completion(service_times, query, state, now)
-        failure_share = state.estimate_failure_share(now)
-        cost = upstream_fleet.estimate_round_trip_s(state.record.region) + placed.wait_s
-        cost += placed.service_time_s * (
-            1.0 + CONGESTION_WEIGHT + FAILURE_COST_FACTOR * failure_share
-        )
+        placed = estimate_completion(service_times, query, state, now, plan)
+        cost = _estimate_cost(upstream_fleet, placed, now)
         if best is None and cost <= PREFERRED_TARGET_SHARE * query.route.target_latency_s:
             return placed
         if best is None or cost < best[0]:
@@ -189,6 +215,16 @@
     return best[1] if best else None
 
 
+def _estimate_cost(upstream_fleet, placed, now):
+    """Returns the cost of a Placement in seconds of latency."""
+    state = placed.upstream
+    cost = upstream_fleet.estimate_round_trip_s(state.record.region) + placed.wait_s
+    failure_share = state.estimate_failure_share(now)
+    return cost + placed.service_time_s * (
+        1.0 + CONGESTION_WEIGHT + FAILURE_COST_FACTOR * failure_share
+    )
+
+
 def would_gain(local, remote, round_trip_s, query):
     """Returns True if a request is better served in another region than in the own one.
 
@@ -207,9 +243,24 @@
     return local_s > query.route.target_latency_s > remote_s
 
 
-def estimate_completion(service_times, query, state, now):
-    """Returns the Placement with the expected wait and service time at an upstream."""
-    knows_object = query.affinity_key is not None and state.has_object(query.affinity_key)
+def estimate_completion(
+    service_times, query, state, now, plan=objectcopies.ONE_COPY, copy_index=None
+):
+    """Returns the Placement with the expected wait and service time at an upstream.
+
+    Args:
+      service_times: The ServiceTimes.
+      query: The Query.
+      state: The TrackedUpstream.
+      now: Monotonic seconds.
+      plan: The objectcopies.CopyPlan of the object.
+      copy_index: Place of the upstream among the copies of the object, or None.
+    """
+    key = query.affinity_key
+    object_rank = None if key is None else state.find_object_rank(key)
+    knows_object = object_rank is not None and object_rank < plan.remembered
+    if not knows_object and copy_index is not None and copy_index < plan.warm_count:
+        knows_object = not state.is_cold(now)
     factor = state.estimate_pace(now) * state.estimate_slowness(now)
     service_time_s = service_times.estimate(query.route, query.service_id, knows_object) * factor
     excess = state.estimate_load(now) + 1.0 - state.record.slots
@@ -221,7 +272,7 @@
         wait_s = excess / state.record.slots * mean_service_time_s
     if _is_silent(state, wait_s + service_time_s, now):
         wait_s += state.estimate_silence_s(now)
-    return Placement(state, wait_s, service_time_s, knows_object)
+    return Placement(state, wait_s, service_time_s, knows_object, object_rank)
 
 
 def _is_silent(state, expected_s, now):
@@ -239,6 +290,46 @@
     )
 
 
+def _plan_copies(upstream_fleet, service_times, query, regions, now, object_copies):
+    """Returns the objectcopies.CopyPlan of a request's object."""
+    key = query.affinity_key
+    if object_copies is None or key is None or not query.route.is_sticky:
+        return objectcopies.ONE_COPY
+    supply = None
+    run_times = service_times.find_run_times(query.route, query.service_id)
+    ranking = upstream_fleet.rank(query.service_id, regions, key)
+    if run_times is not None and ranking:
+        supply = objectcopies.Supply(*run_times, ranking[0].record.slots, len(ranking))
+    return object_copies.adjust(query.service_id, key, supply, now)
+
+
+def _choose_copies(upstream_fleet, service_times, query, regions, now, rng, plan):
+    """Returns at most two copies of a popular object to compare, as pairs of index and state.
+
+    Answers a load in which one object needs the slots of several upstreams: none of them may get
+    far more than the others, and unfit ones get nothing while another is fit.
+    """
+    if plan.count == 1:
+        return []
+    ranking = upstream_fleet.rank(query.service_id, regions, query.affinity_key)
+    copies = _list_usable(upstream_fleet, query, ranking, plan.count, now)
+    loads = [state.estimate_load(now) for state in copies]
+    slots = sum(state.record.slots for state in copies)
+    most = MAX_COPY_LOAD_FACTOR * sum(loads) / max(1, slots)
+    permitted = [
+        (index, state)
+        for index, (state, load) in enumerate(zip(copies, loads, strict=True))
+        if load <= max(1.0, most * state.record.slots)
+    ]
+    chosen = []
+    for index, state in rng.sample(permitted, len(permitted)):
+        if _is_fit(service_times, query, state, now):
+            chosen.append((index, state))
+            if len(chosen) == COMPARED_COPIES:
+                break
+    return chosen
+
+
 def _list_candidates(upstream_fleet, service_times, query, regions, now, rng):
     """Returns the upstreams to compare, the preferred upstream of the object first."""
     key = query.affinity_key if query.route.is_sticky else None
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -268,6 +268,8 @@
         self.counters.set("configuration_problems", len(self._list_problems()))
         self.counters.set("store_lost", int(self._is_store_lost()))
         self.counters.set("lateness_seconds", self.lateness.estimate_s())
+        for name, label, value in self.steering.list_copy_gauges():
+            self.counters.set(name, value, label)
         return answers.make_answer(200, self.counters.format().encode())
 
     def _handle_belief_changes(self, changes, source=watching.STORE_SOURCE):
@@ -331,6 +333,7 @@
             self._update_view,
             self._renew_registration,
             self._update_peer_averages,
+            self._update_carrier_count,
         ):
             supervision.attempt(self.log, "host.housekeeping", step)
 
@@ -356,6 +359,11 @@
         averages = self.peers.average_spill_shares(self.settings.region, time.monotonic())
         self.steering.set_peer_averages(averages)
 
+    def _update_carrier_count(self):
+        serving = self.peers.list_serving(time.monotonic())
+        region = self.settings.region
+        self.steering.set_carrier_count(sum(peer.record.region == region for peer in serving))
+
     def _update_view(self):
         """Updates the hosts that share limits, after a freeze once the store has listed them."""
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/skylarksill/host/steering.py
+++ b/skylarksill/host/steering.py
@@ -2,7 +2,10 @@
 
 import random
 
-from skylarksill.host import placement, spill, worktimes
+from skylarksill.host import objectcopies, placement, spill, worktimes
+
+# Services whose remembered objects are shown as metrics, so that their number is bounded.
+MAX_LISTED_SERVICES = 20
 
 
 class Steering:
@@ -15,10 +18,12 @@
 
     Attributes:
       service_times: The ServiceTimes, learned from answers.
+      object_copies: The objectcopies.ObjectCopies; None if each object has one copy.
     """
 
     def __init__(self, fleet, max_shift, rng=random):
         self.service_times = worktimes.ServiceTimes()
+        self.object_copies = objectcopies.ObjectCopies()
         self._fleet = fleet
         self._max_shift = max_shift
         self._rng = rng
@@ -32,6 +37,26 @@
         for controller in self._spill_controllers.values():
             controller.max_shift = max_shift
 
+    def set_carrier_count(self, count):
+        """Sets the number of hosts among which the requests of the own region are spread."""
+        if self.object_copies is not None:
+            self.object_copies.carrier_count = max(1, count)
+
+    def list_copy_gauges(self):
+        """Returns gauges of objects' copies, as tuples of name, label and value.
+
+        The number of remembered objects is listed for the first MAX_LISTED_SERVICES services.
+        """
+        if self.object_copies is None:
+            return []
+        summary = self.object_copies.summarize()
+        counts = sorted(self.object_copies.remembered.list_counts().items())
+        return [
+            ("copied_objects", "", summary.copied_objects),
+            ("most_copies", "", summary.most_copies),
+            *(("remembered_objects", *item) for item in counts[:MAX_LISTED_SERVICES]),
+        ]
+
     def choose(self, query, now):
         """Chooses where a request runs.
 
@@ -41,6 +66,8 @@
         Returns:
           placement.Placement or placement.Rejection.
         """
+        if self.object_copies is not None and _has_copies(query) and not query.excluded:
+            self.object_copies.count_request(query.service_id, query.affinity_key, now)
         first, others = self._split_regions(query)
         choice = self._choose_in_regions(query, first, now)
         if not others or query.excluded:
@@ -84,11 +111,22 @@
         round_trip_s = self._fleet.estimate_round_trip_s(state.record.region)
         run_s = max(0.001, seconds - round_trip_s)
         pace = max(0.1, load.pace) if load is not None else 1.0
+        self._learn_remembered(query, choice, run_s / pace)
         self.service_times.add_sample(
             query.route, query.service_id, choice.knows_object, run_s / pace
         )
         state.record_slowness(run_s / max(0.001, choice.wait_s + choice.service_time_s), now)
 
+    def _learn_remembered(self, query, choice, run_s):
+        """Learns from a run whether the upstream still remembered its object."""
+        if self.object_copies is None or choice.object_rank is None or not _has_copies(query):
+            return
+        run_times = self.service_times.find_run_times(query.route, query.service_id)
+        if run_times is not None:
+            self.object_copies.remembered.add_run(
+                query.service_id, choice.object_rank, run_s, *run_times
+            )
+
     def record_failure(self, choice, load, now):
         """Updates the estimates after a failure answer or a broken one."""
         choice.upstream.record_result(True, now)
@@ -168,7 +206,7 @@
 
     def _choose_in_regions(self, query, regions, now):
         return placement.choose_upstream(
-            self._fleet, self.service_times, query, regions, now, self._rng
+            self._fleet, self.service_times, query, regions, now, self._rng, self.object_copies
         )
 
     def _split_regions(self, query):
@@ -181,6 +219,11 @@
         return regions, ()
 
 
+def _has_copies(query):
+    """Returns True if a request has an object whose copies count."""
+    return query.affinity_key is not None and query.route.is_sticky
+
+
 def _meets_target(choice, query):
     if isinstance(choice, placement.Rejection):
         return False
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -8,6 +8,7 @@
 import collections
 
 from skylarksill import limits
+from skylarksill.host import objectcopies
 
 # The load of other hosts counts in full up to the first age of a report and not at all from the
 # second on. Requests run for 0.1 to 1.8 s, so an older report says little about the current ones.
@@ -29,8 +30,6 @@
 # Pause before an unreachable upstream is probed again; it doubles up to the maximum.
 INITIAL_DOWN_S = 0.3
 MAX_DOWN_S = 2.0
-# Number of recent objects that an upstream is assumed to remember; they remember about 18 to 50.
-MAX_KNOWN_OBJECTS = 48
 # Longest window in which sends are counted.
 MAX_SEND_WINDOW_S = 4.0
 
@@ -172,9 +171,17 @@
         """Returns the share of recent answers that were failures."""
         return _decay(self._failure_share, 0.0, now - self._failure_at, FAILURE_HALF_LIFE_S)
 
-    def has_object(self, key):
-        """Returns True if the upstream recently handled the object with this affinity key."""
-        return key in self._recent_objects
+    def find_object_rank(self, key):
+        """Returns how many other objects the upstream has handled since this one, or None.
+
+        Counts requests of this host only; None if the object is none of the last ones.
+        """
+        if key not in self._recent_objects:
+            return None
+        for rank, other in enumerate(reversed(self._recent_objects)):
+            if other == key:
+                return rank
+        return None
 
     def is_cold(self, now):
         """Returns True while only a limited rate of requests may be sent to the upstream."""
@@ -238,7 +245,7 @@
         """Records that the upstream handled an object."""
         self._recent_objects[key] = None
         self._recent_objects.move_to_end(key)
-        if len(self._recent_objects) > MAX_KNOWN_OBJECTS:
+        if len(self._recent_objects) > objectcopies.MAX_REMEMBERED:
             self._recent_objects.popitem(last=False)
 
     def forget_objects(self):
