Parts of connection limits are computed once; decisions are measured

Cause: each decision hashed the names of all hosts for every upstream that it looked at, to find this host's part of the upstream's connections. Change: the part is kept until the known hosts or the service change.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -127,11 +127,11 @@
                 record = _make_upstream(f"u{region}-{index}", f"r{region}", load.slots)
                 records_by_id[record.upstream_id] = record
                 self._upstreams[record.upstream_id] = _Upstream(record, load, self._rng)
-        self._route = _make_route(load)
+        self.route = _make_route(load)
         service = records.Service(SERVICE, 330, 3.0, 11.0)
-        self._hosts = []
+        self.hosts = []
         for region, count in enumerate(load.hosts):
-            self._hosts.append(
+            self.hosts.append(
                 [self._make_host(f"r{region}", records_by_id, service) for _ in range(count)]
             )
 
@@ -182,10 +182,10 @@
         return key == b"popular" or (not self._load.popular_phases and key.endswith(b"-0"))
 
     def _place(self, now, started_at, region, key, may_retry):
-        host = self._rng.choice(self._hosts[region])
+        host = self._rng.choice(self.hosts[region])
         fleet_view, host_steering = host
         remaining_s = started_at + self._load.timeout_s - now
-        query = placement.Query(self._route, SERVICE, 0, key, remaining_s, frozenset())
+        query = placement.Query(self.route, SERVICE, 0, key, remaining_s, frozenset())
         choice = host_steering.choose(query, now)
         if host_steering.object_copies is not None and self._is_popular(key):
             copies = host_steering.object_copies.summarize().most_copies
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -201,7 +201,11 @@
         service = self._services.get(state.record.service_id)
         if service is None:
             return True
-        return state.in_flight < self._count_connections(state.record, service)
+        # The hash of each host takes a microsecond, too long for each decision with many hosts.
+        if state.connection_view is not self.view or state.connection_service is not service:
+            state.connection_view, state.connection_service = self.view, service
+            state.connection_part = self._count_connections(state.record, service)
+        return state.in_flight < state.connection_part
 
     def has_cold_capacity(self, state, now):
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
--- a/skylarksill/host/placement.py
+++ b/skylarksill/host/placement.py
@@ -23,6 +23,9 @@
 # Number of copies that are compared: two random ones suffice to avoid the busiest, and hosts whose
 # knowledge is equally old don't all choose the same one.
 COMPARED_COPIES = 2
+# Copies that are drawn to find these two; if no drawn one is fit, the request is placed as if the
+# object had one copy.
+DRAWN_COPIES = 4
 # An upstream is unfit while this share of its answers are failures, while its requests take this
 # many times longer than its reported pace explains, or while it is silent.
 UNFIT_FAILURE_SHARE = 0.3
@@ -312,7 +315,12 @@
     if plan.count == 1:
         return []
     ranking = upstream_fleet.rank(query.service_id, regions, query.affinity_key)
-    copies = _list_usable(upstream_fleet, query, ranking, plan.count, now)
+    copies = []
+    for state in ranking:
+        if _is_reachable(query, state):
+            copies.append(state)
+            if len(copies) == plan.count:
+                break
     loads = [state.estimate_load(now) for state in copies]
     slots = sum(state.record.slots for state in copies)
     most = MAX_COPY_LOAD_FACTOR * sum(loads) / max(1, slots)
@@ -322,8 +330,11 @@
         if load <= max(1.0, most * state.record.slots)
     ]
     chosen = []
-    for index, state in rng.sample(permitted, len(permitted)):
-        if _is_fit(service_times, query, state, now):
+    # The costlier tests are for the drawn ones only.
+    for index, state in rng.sample(permitted, min(len(permitted), DRAWN_COPIES)):
+        if _is_usable(upstream_fleet, query, state, now) and _is_fit(
+            service_times, query, state, now
+        ):
             chosen.append((index, state))
             if len(chosen) == COMPARED_COPIES:
                 break
@@ -360,10 +371,15 @@
     return usable
 
 
-def _is_usable(upstream_fleet, query, state, now):
+def _is_reachable(query, state):
+    """Returns True if connections to an upstream are expected to succeed for the request."""
     if state.is_unreachable or state.is_misdirected or state.is_leaving:
         return False
-    if state.record.upstream_id in query.excluded:
+    return state.record.upstream_id not in query.excluded
+
+
+def _is_usable(upstream_fleet, query, state, now):
+    if not _is_reachable(query, state):
         return False
     if not upstream_fleet.has_connection_capacity(state):
         return False
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -59,6 +59,9 @@
       cold_part: Requests that this host may send within a window while the upstream is cold.
       limit_part: Requests that this host may send within a window of the limit.
       part_view: The quotas.HostView from which the parts were computed, or None.
+      connection_part: Connections that this host may have to the upstream.
+      connection_view: The quotas.HostView from which that was computed, or None.
+      connection_service: The records.Service from which that was computed, or None.
     """
 
     __slots__ = (
@@ -90,6 +93,9 @@
         "cold_part",
         "limit_part",
         "part_view",
+        "connection_part",
+        "connection_view",
+        "connection_service",
         "proven_at",
     )
 
@@ -122,6 +128,9 @@
         self.cold_part = 0
         self.limit_part = 0
         self.part_view = None
+        self.connection_part = 0
+        self.connection_view = None
+        self.connection_service = None
         self.proven_at = 0.0
 
     def estimate_load(self, now):
