--- a/bench/_quotaworld.py
+++ b/bench/_quotaworld.py
@@ -130,7 +130,7 @@
         for _ in range(host_count):
             self.make_host()
         for host in self.hosts.values():
-            self.start_host(host)
+            self.start_host(host, is_known=True)
 
     def make_host(self):
         """Adds a host that is down."""
@@ -153,9 +153,15 @@
 
     # Hosts and membership.
 
-    def start_host(self, host):
-        """Starts or restarts a host with nothing remembered; the store lists all others."""
-        self.stop_host(host)
+    def start_host(self, host, is_known=False):
+        """Starts or restarts a host with nothing remembered; the store lists all others.
+
+        Args:
+          host: The Host.
+          is_known: True if the others know it, as they do if it was running.
+        """
+        is_known = is_known or host.incarnation
+        self._end_process(host)
         host.incarnation = next(self._incarnations)
         host.frozen_until = 0.0
         if self._plant is Plant.FIXED_DIVISION:
@@ -170,20 +176,23 @@
         host.known_ids = frozenset(self.hosts)
         host.lost_ids = frozenset()
         self.set_accounts(host, self.accounts)
-        self._tell_others(host, self.learn_s, self._learn)
+        if not is_known:
+            self._tell_others(host, self.learn_s, self._learn)
         self.schedule(0.0, self._tick, host, host.incarnation)
 
     def stop_host(self, host):
         """Kills a host."""
-        if host.incarnation:
-            host.incarnation = 0
-            for account_id, queue in host.waiting.items():
-                for arrived_at in queue:
-                    self.on_refused(account_id, arrived_at)
-            host.waiting = {}
-            host.is_poll_due = False
-            self._tell_others(host, LOSE_S, self._lose)
-            self._tell_others(host, FORGET_S, self._forget)
+        self._end_process(host)
+        self._tell_others(host, LOSE_S, self._lose)
+        self._tell_others(host, FORGET_S, self._forget)
+
+    def _end_process(self, host):
+        host.incarnation = 0
+        for account_id, queue in host.waiting.items():
+            for arrived_at in queue:
+                self.on_refused(account_id, arrived_at)
+        host.waiting = {}
+        host.is_poll_due = False
 
     def freeze_host(self, host, seconds):
         """Freezes a host; what arrives meanwhile is handled when it wakes."""
