Name entry hosts by capacity and load in large regions

Cause: a lookup named all serving hosts of a region, up to 64, without regard to their size. In a region of 48 hosts each gets a fiftieth of the load, and small hosts get as much as large ones.

Change: entryhosts chooses few large hosts that carry the load at half of their capacity, also after the loss of a host or a zone. Hosts are added at once and removed after 10 s, one in 2 s. Regions of at most 24 hosts are named whole. Full records of gossip carry the capacity and the load, heartbeats a byte of the load. Heartbeats carry 16 bits of their number, so an entry takes 9 bytes instead of 10. The format of datagrams is version 9.

--- a/bench/heartbeat_model.py
+++ b/bench/heartbeat_model.py
@@ -23,6 +23,9 @@
 OBSERVED_S = 20.0
 # A frozen host wakes up again; until then the others may take it for dead.
 FREEZE_S = 4.0
+# Hosts that state their capacity and report their load have the longest records.
+CAPACITY = records.HostCapacity(1.7, 12_500_000.0, 300_000_000, 4096)
+LOAD = records.HostLoad(150.0, 0.3, 0.1, 0.05, 0.02)
 
 
 class Scenario(enum.Enum):
@@ -157,6 +160,7 @@
         self._rounds_of_hosts += len(order)
 
     def _send(self, table, now):
+        table.set_own_load(LOAD)
         table.increment_heartbeat(records.HostState.SERVING, now, {"catalogue": 0.3})
         for digest, addresses in exchange.make_messages(table, [], [], now, self._random):
             self._transmit(table, digest, [self._names[address] for address in addresses], now)
@@ -239,7 +243,7 @@
     region = f"region-{index % region_count:02}"
     zone = f"{region}-{index // region_count % ZONES_PER_REGION}"
     name = f"host-{index:04}"
-    return records.HostRecord(name, 1, zone, region, (name, 80), (name, 81))
+    return records.HostRecord(name, 1, zone, region, (name, 80), (name, 81), CAPACITY)
 
 
 def main():
--- a/features/host_builders.py
+++ b/features/host_builders.py
@@ -107,6 +107,13 @@
     return placement.Query(route, "catalogue", rank, key, remaining_s, frozenset())
 
 
+def build_capacity(scale=1.0):
+    """Builds the HostCapacity of a host of usual size, or of a multiple of it."""
+    return records.HostCapacity(
+        0.8 * scale, 10_000_000.0 * scale, int(300_000_000 * scale), int(4_096 * scale)
+    )
+
+
 def build_host_record(host_id, zone="north-a", region="north", incarnation=1):
     """Builds a HostRecord."""
     return records.HostRecord(
--- a/features/host_peers.feature
+++ b/features/host_peers.feature
@@ -63,6 +63,7 @@
     When they exchange heartbeats for 20 s and 1 of 20 datagrams is lost
     Then from 8 s on no host counts a live one as dead
     And a host sends at most <bytes> bytes a second, <far> of them to other regions
+    And all hosts know the load of the others of their region within 6 s of a change
     When a host of each region stops, and the others go on for 10 s
     Then no host names a stopped one later than 6 s after its stop
 
--- a/features/steps/host_peers_steps.py
+++ b/features/steps/host_peers_steps.py
@@ -1,12 +1,22 @@
 """Steps of host_peers.feature."""
 
+import dataclasses
 import json
 import random
 
 from behave import given, then, when
 
 from features import host_builders
-from skylarksill.host import _peercodec, eventlog, exchange, lookup, peers, poison, records
+from skylarksill.host import (
+    _peercodec,
+    eventlog,
+    exchange,
+    hostload,
+    lookup,
+    peers,
+    poison,
+    records,
+)
 
 
 @given('a peer table that received a heartbeat of "{name}" at {now:g} s')
@@ -83,7 +93,7 @@
 def step_codec(context, count):
     context.digest = [_build_peer(f"h{index}", 7, sent_at=99.6) for index in range(count)]
     beats = [
-        peers.Heartbeat(b"k%04d" % index, 9, records.HostState.LEAVING, True, 0.8)
+        peers.Heartbeat(b"k%04d" % index, 9, records.HostState.LEAVING, True, 0.8, 0xA7)
         for index in range(count)
     ]
     crashes = [poison.Crash(b"request", "u1", 7, 99.5)]
@@ -248,8 +258,11 @@
 def step_hosts(context, count):
     context.tables = []
     names = [f"h{index}" for index in range(count)]
+    capacity = host_builders.build_capacity()
     built = [
-        records.HostRecord(name, 1, f"z{index % 9}", f"r{index % 3}", (name, 80), (name, 81))
+        records.HostRecord(
+            name, 1, f"z{index % 9}", f"r{index % 3}", (name, 80), (name, 81), capacity
+        )
         for index, name in enumerate(names)
     ]
     for record in built:
@@ -276,6 +289,22 @@
     context.now = float(seconds)
 
 
+@then("all hosts know the load of the others of their region within {seconds:g} s of a change")
+def step_load_spread(context, seconds):
+    rng = random.Random(5)
+    changed = context.tables[0]
+    load = hostload.round_load(records.HostLoad(300.0, 0.8, 0.4, 0.2, 0.1))
+    for number in range(int(seconds / peers.ROUND_S)):
+        now = context.now + number * peers.ROUND_S
+        for table in context.tables:
+            _send_round(context, table, now, rng, load if table is changed else None)
+    context.now += seconds
+    for table in context.tables:
+        if table.own.region == changed.own.region:
+            (peer,) = table.find_serving([changed.own.host_id], context.now)
+            assert dataclasses.replace(peer.load, requests_per_s=300.0) == load, peer.load
+
+
 @when("a host of each region stops, and the others go on for {seconds:d} s")
 def step_stop_hosts(context, seconds):
     rng = random.Random(6)
@@ -308,8 +337,9 @@
     assert context.bytes_far / seconds <= most_far, context.bytes_far / seconds
 
 
-def _send_round(context, table, now, rng):
+def _send_round(context, table, now, rng, load=None):
     """Sends a PeerTable's datagrams of a round and counts their bytes; 1 of 20 is lost."""
+    table.set_own_load(load or records.HostLoad(150.0, 0.3, 0.1, 0.05, 0.02))
     table.increment_heartbeat(records.HostState.SERVING, now, {"catalogue": 0.3})
     for digest, addresses in exchange.make_messages(table, [], [], now, rng):
         for address in addresses:
@@ -338,4 +368,7 @@
 
 def _build_peer(name, heartbeat, incarnation=1, sent_at=0.0):
     record = host_builders.build_host_record(name, incarnation=incarnation)
-    return peers.Peer(record, heartbeat, records.HostState.SERVING, sent_at, {"catalogue": 0.25})
+    record = dataclasses.replace(record, capacity=host_builders.build_capacity())
+    load = hostload.round_load(records.HostLoad(40.0, 0.3, 0.02, 0.0, None))
+    shares = {"catalogue": 0.25}
+    return peers.Peer(record, heartbeat, records.HostState.SERVING, sent_at, shares, load=load)
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -6,13 +6,14 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import fields, peers, poison, records, restarts
+from skylarksill.host import fields, hostload, peers, poison, records, restarts
 
-VERSION = 8
+VERSION = 9
 MAX_DATAGRAM_BYTES = 16_384
-# Key, heartbeat, and a byte of the state's number in the low bits, a bit for a lost store, and the
-# age in the high bits. The heartbeats of a datagram follow each other without separators.
-_HEARTBEAT = struct.Struct(f">{peers.KEY_BYTES}sIB")
+# Key, low bits of the heartbeat, a byte of the state's number in the low bits, a bit for a lost
+# store, and the age in the high bits, and a byte of the load. The heartbeats of a datagram follow
+# each other without separators.
+_HEARTBEAT = struct.Struct(f">{peers.KEY_BYTES}sHBB")
 _KEY = struct.Struct(f"{peers.KEY_BYTES}s")
 _STATES = (records.HostState.STARTING, records.HostState.SERVING, records.HostState.LEAVING)
 _STATE_MASK = 0b011
@@ -63,6 +64,8 @@
             peer.spill_shares,
             peer.is_store_lost,
             _encode_age(now - peer.last_heartbeat_at),
+            _encode_capacity(peer.record.capacity),
+            hostload.encode_load(peer.load),
         )
         for peer in digest.peers
     ]
@@ -120,7 +123,7 @@
 
 def _decode_peer(item, now):
     host_id, incarnation, zone, region, entry, gossip, heartbeat, state, *rest = item
-    shares, is_store_lost, age = rest
+    shares, is_store_lost, age, capacity, load = rest
     record = records.HostRecord(
         fields.check(host_id, str),
         fields.check_range(incarnation, 0, fields.MAX_INTEGER),
@@ -128,6 +131,7 @@
         fields.check(region, str),
         fields.decode_address(entry),
         fields.decode_address(gossip),
+        fields.decode_capacity(capacity),
     )
     shares = {fields.check(name, str): fields.check(share, float) for name, share in shares.items()}
     if not all(0.0 <= share <= 1.0 for share in shares.values()):
@@ -139,13 +143,18 @@
         now - _decode_age(age),
         shares,
         fields.check(is_store_lost, bool),
+        load=hostload.decode_load(load),
     )
 
 
+def _encode_capacity(capacity):
+    return dataclasses.astuple(capacity) if capacity else None
+
+
 def _encode_heartbeat(beat):
     flags = _STATES.index(beat.state) | (_LOST_BIT if beat.is_store_lost else 0)
     flags |= _encode_age(beat.age_s) << _AGE_SHIFT
-    return _HEARTBEAT.pack(beat.key, beat.heartbeat, flags)
+    return _HEARTBEAT.pack(beat.key, beat.heartbeat % peers.HEARTBEAT_CYCLE, flags, beat.load_byte)
 
 
 def _decode_heartbeats(data):
@@ -156,8 +165,9 @@
             _STATES[flags & _STATE_MASK],
             bool(flags & _LOST_BIT),
             _decode_age(flags >> _AGE_SHIFT),
+            load_byte,
         )
-        for key, heartbeat, flags in _HEARTBEAT.iter_unpack(fields.check(data, bytes))
+        for key, heartbeat, flags, load_byte in _HEARTBEAT.iter_unpack(fields.check(data, bytes))
     ]
 
 
--- a/skylarksill/host/peers.py
+++ b/skylarksill/host/peers.py
@@ -12,12 +12,10 @@
 
 import collections
 import dataclasses
-import functools
-import hashlib
 import math
 import random
 
-from skylarksill.host import _gossiptargets, fields, records
+from skylarksill.host import _gossiptargets, _peerentries, fields, hostload, records
 
 ROUND_S = 0.5
 # Number of hosts in the own region and in other regions that get a datagram in a round. Bytes
@@ -48,46 +46,16 @@
 # record, in case its heartbeats were lost on their way over others.
 PROBE_BEFORE_DEAD_S = 1.2
 MAX_PROBES = 6
-# Heartbeats in a datagram of the own region and of other regions; each takes 10 bytes.
+# Heartbeats in a datagram of the own region and of other regions; each takes 9 bytes.
 MAX_REGION_HEARTBEATS = 300
 MAX_REMOTE_HEARTBEATS = 55
-KEY_BYTES = 5
+KEY_BYTES = _peerentries.KEY_BYTES
+HEARTBEAT_CYCLE = _peerentries.HEARTBEAT_CYCLE
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """What this host knows about one host.
-
-    Attributes:
-      last_heartbeat_at: Monotonic time at which it sent its last known heartbeat.
-      known_at: Monotonic time at which this incarnation became known.
-      spill_shares: Share of objects that the host sends to other regions, by service.
-      is_store_lost: True if the host can't reach the platform's store.
-    """
-
-    record: records.HostRecord
-    heartbeat: int
-    state: records.HostState
-    last_heartbeat_at: float
-    spill_shares: dict = dataclasses.field(default_factory=dict)
-    is_store_lost: bool = False
-    known_at: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """A heartbeat of a host whose record the receiver probably knows.
-
-    Attributes:
-      key: Identifies the incarnation of the host, see ``compute_key``.
-      age_s: Seconds since the host sent it.
-    """
-
-    key: bytes
-    heartbeat: int
-    state: records.HostState
-    is_store_lost: bool
-    age_s: float
+Peer = _peerentries.Peer
+Heartbeat = _peerentries.Heartbeat
+compute_key = _peerentries.compute_key
 
 
 class PeerTable:
@@ -132,6 +100,10 @@
         peer.spill_shares = spill_shares or {}
         peer.is_store_lost = is_store_lost
 
+    def set_own_load(self, load):
+        """Replaces the own HostLoad, rounded as other hosts receive it."""
+        self._peers[self._own_id].load = hostload.round_load(load)
+
     def add_candidate(self, record, now):
         """Adds a host that the store lists; it counts as dead until a heartbeat arrives."""
         known = self._peers.get(record.host_id)
@@ -170,12 +142,16 @@
         """
         host_id = self._ids_by_key.get(beat.key)
         known = self._peers.get(host_id)
-        if known is None or host_id == self._own_id or known.heartbeat >= beat.heartbeat:
+        if known is None or host_id == self._own_id:
+            return None
+        steps = _peerentries.count_steps(known.heartbeat, beat.heartbeat)
+        if steps <= 0:
             return None
         was_alive = self._is_alive(known, now)
-        known.heartbeat = beat.heartbeat
+        known.heartbeat += steps
         known.state = beat.state
         known.is_store_lost = beat.is_store_lost
+        known.load = hostload.apply_byte(known.load, known.heartbeat, beat.load_byte)
         known.last_heartbeat_at = now - beat.age_s
         return host_id if not was_alive and self._is_alive(known, now) else None
 
@@ -265,6 +241,12 @@
         serving = records.HostState.SERVING
         return [peer for peer in self.list_alive(now) if peer.state is serving]
 
+    def find_serving(self, host_ids, now):
+        """Returns the live Peers that serve requests among some hosts, in the order of the ids."""
+        found = filter(None, map(self._peers.get, host_ids))
+        serving = records.HostState.SERVING
+        return [peer for peer in found if peer.state is serving and self._is_alive(peer, now)]
+
     def list_known_ids(self, region=None):
         """Returns the names of the known hosts, dead ones included, in a region or in all."""
         return frozenset(
@@ -345,7 +327,7 @@
         if is_local:
             remote = [peer for peer in rest if peer.record.region != self._region]
             beating += _gossiptargets.sample_remote(remote, MAX_REMOTE_HEARTBEATS)
-        return [own, *full], [_make_heartbeat(peer, now) for peer in beating]
+        return [own, *full], [_peerentries.make_heartbeat(peer, now) for peer in beating]
 
     def _forget_dead(self, now):
         for host_id, peer in list(self._peers.items()):
@@ -369,27 +351,6 @@
     return peer.record.host_id
 
 
-def compute_key(record):
-    """Returns the bytes that identify an incarnation of a host in heartbeats."""
-    return _compute_key(record.host_id, record.incarnation)
-
-
-@functools.lru_cache(maxsize=8_192)
-def _compute_key(host_id, incarnation):
-    text = f"{host_id}\0{incarnation}".encode()
-    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
-
-
-def _make_heartbeat(peer, now):
-    return Heartbeat(
-        compute_key(peer.record),
-        peer.heartbeat,
-        peer.state,
-        peer.is_store_lost,
-        now - peer.last_heartbeat_at,
-    )
-
-
 def _is_newer(entry, known, was_alive):
     """Returns True if an entry replaces the known one of the same host."""
     if entry.record.incarnation == known.record.incarnation:
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -22,6 +22,7 @@
     following,
     forwarder,
     gossip,
+    hostload,
     lateness,
     lookup,
     peers,
@@ -118,7 +119,8 @@
         self.peers = peers.PeerTable(self.own, now)
         self.state = records.HostState.STARTING
         self._names = names
-        self._lookup_codec = lookup_codec
+        self._lookup = lookup.Lookup(self.peers, self.own, lookup_codec, self.log, self.counters)
+        self._load_meter = hostload.LoadMeter(settings.capacity, now, time.process_time())
         self._store = None
         self._load_settings = None
         self._settings_error = ""
@@ -210,7 +212,7 @@
     def _listen(self):
         settings = self.settings
         for address, handle in (
-            (settings.entry, self.forwarder.serve),
+            (settings.entry, self._serve),
             (settings.readiness, self._answer_readiness),
             (settings.lookup, self._answer_lookup),
             (settings.metrics, self._answer_metrics),
@@ -233,6 +235,11 @@
             if address == settings.entry:
                 self._entry = server
 
+    def _serve(self, request, cancellation):
+        answer = self.forwarder.serve(request, cancellation)
+        self._load_meter.count_request(len(request.body), len(answer.body) if answer else 0)
+        return answer
+
     def _find_limits(self):
         configuration = self.belief.configuration
         return configuration.limits if configuration else records.ClientLimits()
@@ -253,9 +260,8 @@
         return configuration.problems if configuration else ()
 
     def _answer_lookup(self, request, cancellation):
-        serving = self.peers.list_serving(time.monotonic())
         max_lifetime_s = self.settings.bounds.max_lookup_lifetime_s
-        return lookup.answer_lookup(request, serving, self.own, max_lifetime_s, self._lookup_codec)
+        return self._lookup.answer(request, max_lifetime_s, time.monotonic())
 
     def _answer_metrics(self, request, cancellation):
         configuration = self.belief.configuration
@@ -320,6 +326,7 @@
         self.state = state
         self.log.write("host.state", state=state.value)
         self._gossip.send()
+        supervision.attempt(self.log, "host.state", self._lookup.update, time.monotonic())
 
     def _describe_own(self):
         return self.state, self.steering.list_spill_shares(), self._is_store_lost()
@@ -331,6 +338,8 @@
             self._update_view,
             self._renew_registration,
             self._update_peer_averages,
+            self._update_load,
+            self._update_named_hosts,
         ):
             supervision.attempt(self.log, "host.housekeeping", step)
 
@@ -356,6 +365,23 @@
         averages = self.peers.average_spill_shares(self.settings.region, time.monotonic())
         self.steering.set_peer_averages(averages)
 
+    def _update_load(self):
+        entry = self._entry
+        memory_share = descriptor_share = 0.0
+        if entry is not None:
+            memory_share = max(
+                entry.buffered_bytes / max(1, entry.max_buffered_bytes),
+                self.answer_buffers.used_bytes / max(1, self.answer_buffers.max_bytes),
+            )
+            descriptor_share = len(entry.connections) / _compute_max_connections()
+        load = self._load_meter.observe(
+            time.monotonic(), time.process_time(), memory_share, descriptor_share
+        )
+        self.peers.set_own_load(load)
+
+    def _update_named_hosts(self):
+        self._lookup.update(time.monotonic())
+
     def _update_view(self):
         """Updates the hosts that share limits, after a freeze once the store has listed them."""
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/skylarksill/host/records.py
+++ b/skylarksill/host/records.py
@@ -260,6 +260,25 @@
     descriptors: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostLoad:
+    """Use of a host, as it reports it; shares are those of its HostCapacity, each None if unknown.
+
+    Attributes:
+      requests_per_s: Requests a second that clients send to it.
+      processor_share: Share of the processor time that the process can use.
+      link_share: Share of what the link carries each way.
+      memory_share: Share of the memory for requests and answers.
+      descriptor_share: Share of the descriptors for clients.
+    """
+
+    requests_per_s: float
+    processor_share: float | None
+    link_share: float | None
+    memory_share: float | None = None
+    descriptor_share: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostRecord:
     """One incarnation of a host, as it registers in the store and as peers spread it.
