Spend less processor time on the load in heartbeats

Cause: the codec computed two logarithms for each heartbeat that it sent and made a new HostLoad for each that it received, also if the load had not changed. Change: levels of shares are cached, and an unchanged load is kept.

--- a/skylarksill/host/hostload.py
+++ b/skylarksill/host/hostload.py
@@ -6,6 +6,7 @@
 decide with the rounded shares, also about themselves, so that they decide alike.
 """
 
+import functools
 import math
 
 from skylarksill.host import fields, records
@@ -50,7 +51,7 @@
 
 def apply_byte(load, heartbeat, load_byte):
     """Returns a known HostLoad, or None, after the byte of a newer heartbeat has arrived."""
-    if load_byte == 0:
+    if load_byte == 0 or encode_byte(load, heartbeat) == load_byte:
         return load
     first, second = _SHARES[load_byte >> _LEVEL_BITS], _SHARES[load_byte & _LEVEL_MASK]
     known = load or records.HostLoad(0.0, None, None)
@@ -89,6 +90,8 @@
     return records.HostLoad(float(requests_per_s), *shares)
 
 
+# Shares that were received are few; math.log for each heartbeat would cost processor time.
+@functools.lru_cache(maxsize=1_024)
 def _find_level(share):
     """Returns the level whose share is nearest by ratio; 0 for None."""
     if share is None:
