--- a/features/credit_builders.py
+++ b/features/credit_builders.py
@@ -17,7 +17,9 @@
 BOUNDS = records.Bounds(4.0, 4.0, 6.0, 0.1, 10.0, 0, 1.0, 0.0, 6.0, 0.1, 4.0, 5.0, 0.1, 20.0)
 START_S = 1_000.0
 # A host that has run for this long uses its share.
-USABLE_AFTER_S = quotas.SETTLE_S + BOUNDS.quota_window_s + accountcredit.LOAN_S
+USABLE_AFTER_S = quotas.SETTLE_S
+# A bucket is full after this long.
+FULL_AFTER_S = 30.0
 STEP_S = 0.5
 
 
@@ -49,12 +51,14 @@
         self.names = list(names)
         self._incarnations = itertools.count(1)
         self.tables = {}
+        self._counted = {}
         self.incarnations = {"other": next(self._incarnations)}
         for name in names:
             self.start(name)
 
-    def start(self, name):
-        """Starts or restarts a host with nothing remembered."""
+    def start(self, name, is_counted=False):
+        """Starts or restarts a host with nothing remembered; see HostView for ``is_counted``."""
+        self._counted[name] = is_counted
         table = self.tables[name] = accountcredit.CreditTable(name, self.now)
         self.incarnations[name] = next(self._incarnations)
         table.configure(self.accounts, BOUNDS, self.now)
@@ -63,6 +67,7 @@
     def update(self, name):
         """Tells a host which hosts there are."""
         view = build_view(name, self.names)
+        view = dataclasses.replace(view, is_counted=self._counted[name])
         self.tables[name].update_view(view, frozenset(self.names), self.now)
 
     def advance(self, seconds):
@@ -154,7 +159,7 @@
         broker.configure(configuration, BOUNDS)
         hosts[name] = BrokerHost(loopback, broker)
     # The start of the hosts is moved into the past, in steps too short to be taken for a freeze.
-    for _ in range(round(USABLE_AFTER_S / STEP_S) + 1):
+    for _ in range(round(FULL_AFTER_S / STEP_S) + 1):
         offset[0] += STEP_S
         for host in hosts.values():
             host.broker.poll()
--- a/features/host_entry_hosts.feature
+++ b/features/host_entry_hosts.feature
@@ -20,7 +20,7 @@
     Then no host was removed until 11.9 s, and from then on one in 2 s until those of 0 s are named
 
   Scenario Outline: Hosts that no longer serve are replaced at once
-    Given a region of 48 hosts in 3 zones, 6 of each zone are 5 times as large as the others
+    Given a region of 72 hosts in 3 zones, 6 of each zone are 5 times as large as the others
     And a load of 2.0 cores and 0.1 of all links
     When the named hosts are chosen at 0 s
     And <lost> is lost and the named hosts are chosen at 1 s
@@ -55,8 +55,8 @@
 
     Examples:
       | count | known    | least | most |
-      | 24    | nothing  | 24    | 24   |
-      | 25    | nothing  | 13    | 13   |
+      | 36    | nothing  | 36    | 36   |
+      | 37    | nothing  | 19    | 19   |
       | 48    | nothing  | 24    | 24   |
       | 48    | load     | 6     | 24   |
       | 48    | capacity | 24    | 24   |
--- a/skylarksill/host/_creditborrowing.py
+++ b/skylarksill/host/_creditborrowing.py
@@ -3,8 +3,8 @@
 Handles demand that appears at hosts which hold no share, holders that are out of credit, dead or
 slow, and answers that are lost or late. Outstanding credit requests of an account are bounded, and
 each goes to another holder, so that the clients of an account may all be at one host. A loan ends
-LOAN_S after its credit request was sent, so before the lender stops counting it. Then the borrower
-reports what was spent and when, which frees the rest; a lost report costs credit. Performs no I/O.
+LOAN_S after its credit request was sent. Then the borrower reports what was not spent, which the
+lender gets back; a lost report costs credit. Performs no I/O.
 """
 
 import collections
@@ -12,10 +12,10 @@
 import random
 
 from skylarksill import records as shared
-from skylarksill.host import _creditwindow, creditcodec, records
+from skylarksill.host import _creditbucket, creditcodec, records
 
 # Lifetime of borrowed permits from the time at which the credit request was sent.
-LOAN_S = 1.0
+LOAN_S = 0.3
 # Time after which another holder is asked: a few round trips within a region, one between regions.
 LOCAL_ANSWER_S = 0.03
 REMOTE_ANSWER_S = 0.13
@@ -27,8 +27,8 @@
 MAX_EMPTY_S = 1.0
 # Demand is expected to go on for this long, and is borrowed for when there is credit for less than
 # the second time.
-AHEAD_S = 0.5
-LOW_S = 0.25
+AHEAD_S = 0.2
+LOW_S = 0.1
 # A report waits this long for a credit request to the same lender, which takes it along.
 REPORT_S = 0.5
 # Reports that are kept; beyond that the oldest are dropped, which costs credit for a few seconds.
@@ -47,7 +47,6 @@
       number: Number of the credit request.
       expires_at: Time at which they end.
       free: Permits that are not spent.
-      spent_at: Time at which the last one was spent.
     """
 
     account_id: records.AccountId
@@ -56,7 +55,6 @@
     number: int
     expires_at: float
     free: int
-    spent_at: float
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -75,7 +73,7 @@
 
     account_id: records.AccountId
     key: bytes
-    demand: _creditwindow.DemandMeter
+    demand: _creditbucket.DemandMeter
     waiting: int = 0
     loans: collections.deque = dataclasses.field(default_factory=collections.deque)
     pending: dict = dataclasses.field(default_factory=dict)
@@ -95,7 +93,6 @@
             return None
         loan = next(loan for loan in self.loans if loan.free and loan.expires_at > now)
         loan.free -= 1
-        loan.spent_at = now
         return loan
 
 
@@ -168,7 +165,7 @@
         waiting -= covered
         ahead = max(0, ahead - (pending - covered))
         excluded = {self._asks[number].holder_id for number in debtor.pending}
-        part = max(1, deal.holder_units // 2)
+        part = max(1, deal.holder_depth // 2)
         asks = []
         while waiting + ahead and len(debtor.pending) + len(asks) < MAX_PENDING:
             holder_id = self.choose_holder(debtor, deal, now, excluded)
@@ -218,7 +215,7 @@
         for lender_id in list(self._reports):
             loans = self._reports[lender_id]
             while loans and now - loans[0].expires_at >= REPORT_S:
-                message = creditcodec.CreditRequest(0, (), self._take_reports(lender_id, now))
+                message = creditcodec.CreditRequest(0, (), self._take_reports(lender_id))
                 messages.append((lender_id, message))
         return messages
 
@@ -234,7 +231,7 @@
         wanted = tuple(
             creditcodec.Wanted(debtor.key, waiting, ahead) for debtor, waiting, ahead in items
         )
-        return creditcodec.CreditRequest(self._number, wanted, self._take_reports(holder_id, now))
+        return creditcodec.CreditRequest(self._number, wanted, self._take_reports(holder_id))
 
     def accept(self, sender_id, grant, now):
         """Takes the permits of a creditcodec.CreditGrant.
@@ -272,9 +269,7 @@
         debtor.empty_until[sender_id] = now + wait_s * self._rng.uniform(0.75, 1.25)
 
     def _add_loan(self, debtor, lender_id, number, sent_at, count):
-        loan = Loan(
-            debtor.account_id, debtor.key, lender_id, number, sent_at + LOAN_S, count, sent_at
-        )
+        loan = Loan(debtor.account_id, debtor.key, lender_id, number, sent_at + LOAN_S, count)
         debtor.loans.append(loan)
         self._loans.append(loan)
 
@@ -296,15 +291,14 @@
         """Returns the number of borrowed permits that are unspent and have not been ended."""
         return sum(loan.free for loan in self._loans)
 
-    def _take_reports(self, lender_id, now):
+    def _take_reports(self, lender_id):
         loans = self._reports.get(lender_id)
         if not loans:
             return ()
         reports = []
         while loans and len(reports) < creditcodec.MAX_REPORTS:
             loan = loans.popleft()
-            age_s = min(now - loan.spent_at, creditcodec.MAX_TIME_MS / 1000)
-            reports.append(creditcodec.Report(loan.number, loan.key, age_s, loan.free))
+            reports.append(creditcodec.Report(loan.number, loan.key, loan.free))
         self._report_count -= len(reports)
         if not loans:
             del self._reports[lender_id]
--- a/skylarksill/host/_creditholders.py
+++ b/skylarksill/host/_creditholders.py
@@ -1,4 +1,4 @@
-"""Deals the units of each account to holders, and chooses the order in which a host asks them.
+"""Deals the quota of each account to holders, and chooses the order in which a host asks them.
 
 Handles 1,000 accounts and 2,000 hosts: the holders of an account are computed when it is used, and
 a host that becomes known later costs one comparison for each account. Hosts that have disappeared
@@ -9,13 +9,12 @@
 import bisect
 import dataclasses
 import hashlib
-import math
 
 from skylarksill import records as shared
 
-# Units of a holder. More holders mean more requests for few permits each, fewer mean that the death
-# of one costs more.
-UNITS_OF_HOLDER = 8
+# Permits that a holder keeps. More holders mean more requests for few permits each, fewer mean that
+# the death of one costs more.
+DEPTH_OF_HOLDER = 4
 MIN_HOLDERS = 3
 # Time for which a host counts after it was forgotten. Both sides of a partition that lasts longer
 # deal all units.
@@ -33,14 +32,14 @@
     """The holders of an account as this host sees them.
 
     Attributes:
-      share: Units that this host holds.
-      holder_units: Least units of a holder.
+      share: Share of the quota that this host holds, from 0 to 1.
+      holder_depth: Permits that each holder keeps at most, at least 1.
       local_ids: Other holders of the own region in the order in which this host asks them.
       remote_ids: The same of other regions, which are asked after those.
     """
 
-    share: int
-    holder_units: int
+    share: float
+    holder_depth: int
     local_ids: tuple[shared.HostId, ...]
     remote_ids: tuple[shared.HostId, ...]
 
@@ -50,14 +49,14 @@
     """The first holders of an account.
 
     Attributes:
-      units: Units that are dealt.
+      depth: Whole permits that all holders keep together.
       version: Value of HolderTable._version at the time of the ranking.
       host_count: Number of hosts that were compared.
       region_ids: Hosts of the own region at that time.
       first: Sorted ranks.
     """
 
-    units: int
+    depth: int
     version: int
     host_count: int
     region_ids: frozenset[shared.HostId]
@@ -112,19 +111,20 @@
         """Drops the cached deal of an account."""
         self._rankings.pop(account_id, None)
 
-    def find_deal(self, account_id, units):
-        """Returns the Deal of an account with a number of units."""
+    def find_deal(self, account_id, depth):
+        """Returns the Deal of an account whose holders keep some whole permits together."""
         ranking = self._rankings.get(account_id)
         count = len(self._hosts)
         if (
             ranking is not None
-            and ranking.units == units
+            and ranking.depth == depth
             and ranking.version == self._version
             and ranking.host_count == count
             and ranking.region_ids is self._region_ids
         ):
             return ranking.deal
-        wanted = max(MIN_HOLDERS, math.ceil(units / UNITS_OF_HOLDER))
+        # A holder that keeps less than one permit could never grant any.
+        wanted = min(max(1, depth), max(MIN_HOLDERS, depth // DEPTH_OF_HOLDER))
         holders = min(count, MAX_HOLDERS, wanted)
         factor = compute_factor(account_id)
         if (
@@ -141,27 +141,19 @@
                 number * factor & _RANK_MASK | position
                 for position, number in enumerate(self._hashes)
             )[:holders]
-        deal = self._make_deal(first, units, factor)
+        deal = self._make_deal(first, depth, factor)
         self._rankings[account_id] = _Ranking(
-            units, self._version, count, self._region_ids, first, deal
+            depth, self._version, count, self._region_ids, first, deal
         )
         return deal
 
-    def get_last_share(self, account_id):
-        """Returns the share in the last Deal of an account; 0 without one."""
-        ranking = self._rankings.get(account_id)
-        return ranking.deal.share if ranking is not None else 0
-
-    def _make_deal(self, first, units, factor):
+    def _make_deal(self, first, depth, factor):
         if not first:
-            return Deal(0, 0, (), ())
+            return Deal(0.0, 1, (), ())
         holders = [self._hosts[rank & _POSITION_MASK] for rank in first]
-        share = 0
-        quotient, remainder = divmod(units, len(holders))
-        if self._own_id in holders:
-            share = quotient + (holders.index(self._own_id) < remainder)
+        share = 1.0 / len(holders) if self._own_id in holders else 0.0
         others = [host_id for host_id in holders if host_id != self._own_id]
-        return Deal(share, quotient, *self._choose_order(others, factor))
+        return Deal(share, max(1, depth // len(holders)), *self._choose_order(others, factor))
 
     def _choose_order(self, others, factor):
         """Returns the holders of the own region and the others, rotated by the own hash."""
--- a/skylarksill/host/_creditlending.py
+++ b/skylarksill/host/_creditlending.py
@@ -1,28 +1,28 @@
-"""Permits that a holder has lent: how many it grants, and until when they count.
+"""Permits that a holder has lent: how many it grants, and what it gets back.
 
 Handles credit requests that arrive twice, borrowers that restart, and lost reports. A lent permit
-counts from the grant until a window after its end. The borrower's report on a loan ends that: what
-was not spent counts no longer, and the rest counts from the time at which it was spent. Performs no
-I/O.
+is taken out of the lender's bucket for good, unless the borrower reports that it was not spent.
+Performs no I/O.
 """
 
 import collections
 import dataclasses
 
-from skylarksill.host import _creditborrowing, _creditwindow
+from skylarksill.host import _creditborrowing, _creditbucket
 
 # Part of what a holder has left beyond its own demand that it lends ahead of demand.
 AHEAD_SHARE = 0.5
 # Borrowers whose last number is kept. The sealed mailbox also rejects repeated datagrams.
 MAX_BORROWERS = 16_384
-# Loans that are kept for the reports on them; without its report a loan counts in full.
+# Loans that are kept for the reports on them, and for how long; a report waits for a message that
+# takes it along.
 MAX_GIVEN_LOANS = 100_000
+KEEP_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _GivenLoan:
-    window: _creditwindow.PermitWindow
-    tick: int
+    bucket: _creditbucket.PermitBucket
     count: int
     granted_at: float
 
@@ -44,40 +44,37 @@
             self._last_numbers.popitem(last=False)
         return True
 
-    def lend(self, sender, number, key, window, count, now):
-        """Counts permits that are lent.
+    def lend(self, sender, number, key, bucket, count, now):
+        """Takes permits out for a borrower.
 
         Args:
           sender: The envelope.Sender of the credit request.
           number: Its number.
           key: Bytes that name the account.
-          window: PermitWindow of the account.
+          bucket: PermitBucket of the account.
           count: Permits lent.
           now: Seconds.
         """
-        tick = window.add(now + _creditborrowing.LOAN_S, count)
-        self._given[sender, number, key] = _GivenLoan(window, tick, count, now)
+        bucket.take(count)
+        self._given[sender, number, key] = _GivenLoan(bucket, count, now)
         if len(self._given) > MAX_GIVEN_LOANS:
             self._given.popitem(last=False)
 
-    def apply_reports(self, sender, reports, now):
-        """Applies the creditcodec.Reports of a borrower."""
+    def apply_reports(self, sender, reports):
+        """Applies the creditcodec.Reports of a borrower, whose loans have ended."""
         for report in reports:
             loan = self._given.get((sender, report.number, report.key))
             if loan is None or report.unused > loan.count:
                 continue
             del self._given[sender, report.number, report.key]
-            loan.window.expire(now)
-            counted = loan.window.remove(loan.tick, loan.count)
-            spent = min(counted, loan.count - report.unused)
-            if spent:
-                loan.window.add(max(loan.granted_at, now - report.age_s), spent)
-
-    def expire(self, now, window_s):
-        """Forgets loans that no longer count."""
+            if report.unused:
+                loan.bucket.give_back(loan.granted_at, report.unused)
+
+    def expire(self, now):
+        """Forgets loans on which no report is expected any more."""
         while self._given:
             name, loan = next(iter(self._given.items()))
-            if now - loan.granted_at < _creditborrowing.LOAN_S + window_s:
+            if now - loan.granted_at < _creditborrowing.LOAN_S + KEEP_S:
                 break
             del self._given[name]
 
@@ -93,7 +90,7 @@
       waiting: Permits for requests that wait; granted in full if there are as many.
       ahead: Permits for requests that are expected.
       free: Permits that the holder has left.
-      demand: Requests that the holder itself had in the last second.
+      demand: Requests that the holder itself is about to have.
     """
     count = min(waiting, free)
     spare = int(AHEAD_SHARE * (free - count - demand))
--- a/skylarksill/host/accountcredit.py
+++ b/skylarksill/host/accountcredit.py
@@ -1,17 +1,15 @@
 """Credit of accounts: the limits that all hosts share, request by request.
 
 Handles an account whose requests arrive at hosts that hold no share of its limit and move between
-hosts within a second, at 2,000 hosts and 1,000 accounts. The units of an account are dealt to
-holders, who spend and lend at most their share in each window. Hosts ask holders for permits, each
-of which lets one request pass. At no time do the permits of a window exceed the units that were
-dealt, whatever messages are lost:
-
-* A host uses its own share only if it is settled and has been running for a settle time, a window
-  and the lifetime of a loan. So the hosts that counted without it know it, and what it spent or
-  lent in a former process has left the window. The same holds after a long freeze; after a short
-  one it has to be settled only.
-* A lent permit counts from the grant until a window after its end, or after the borrower's report.
-* A borrowed permit ends LOAN_S after the credit request was sent, so before its end at the lender.
+hosts within a second, at 2,000 hosts and 1,000 accounts. The quota of an account is dealt to
+holders, each of which has a token bucket with its share. Hosts ask holders for permits, each of
+which lets one request pass. The permits of all holders stay within the quota, whatever messages
+are lost:
+
+* A bucket is empty when a process starts, so it yields nothing that a former process has used.
+* A bucket fills only while the other holders count this host: once it is settled, or once it has
+  listed the hosts if it was registered before it started.
+* A permit, own or borrowed, ends LOAN_S after it was taken out of a bucket at the latest.
 
 All times are seconds of a clock that also counts while the machine is suspended. Performs no I/O.
 """
@@ -22,10 +20,10 @@
 
 from skylarksill.host import (
     _creditborrowing,
+    _creditbucket,
     _creditholders,
     _creditlending,
     _creditrecords,
-    _creditwindow,
     creditcodec,
     quotas,
 )
@@ -33,9 +31,13 @@
 LOAN_S = _creditborrowing.LOAN_S
 compute_key = _creditholders.compute_key
 Permit = _creditrecords.Permit
-# After a shorter freeze a host is still counted by all others, which forget a dead one after 120 s,
-# and remembers what it has spent and lent: it only has to learn of new hosts.
+# After a shorter freeze a host is still counted by all others, which forget a dead one after 120 s:
+# it only has to learn of new hosts.
 MAX_KNOWN_PAUSE_S = 60.0
+# Time after a start or a freeze in which the view of the hosts may be that of before.
+RESUME_S = 1.0
+# Accounts that are removed are remembered for this long, in case they come back.
+REMOVED_S = 10.0
 # Requests of an account that wait at a host; more are refused at once.
 MAX_WAITING = 256
 # Retry-After of refusals: the least, and the one while no holder has stated a time.
@@ -48,14 +50,14 @@
     """State of an account.
 
     Attributes:
-      units: Units that are dealt to all holders; 0 once it is removed.
-      spent: The PermitWindow of what this host has spent of its share and lent.
+      quota: The Quota of all holders together; NO_QUOTA once it is removed.
+      bucket: The PermitBucket of this host's share.
       debtor: The Debtor.
       removed_at: Time at which it lost its limit, or None.
     """
 
-    units: int
-    spent: _creditwindow.PermitWindow
+    quota: _creditrecords.Quota
+    bucket: _creditbucket.PermitBucket
     debtor: _creditborrowing.Debtor
     removed_at: float | None = None
 
@@ -73,10 +75,10 @@
     def __init__(self, own_id, now, rng=random, holders=None):
         self._own_id = own_id
         self._rng = rng
-        self._unsure_since = now
         self._seen_at = self._resumed_at = now
-        self._is_settled = False
-        self._window_s = 0.0
+        self._is_settled = self._is_counted = False
+        # When the own buckets began to fill, or None while they don't.
+        self._usable_since = None
         self._accounts = {}
         self._by_key = {}
         self._hungry = {}
@@ -92,34 +94,32 @@
           bounds: The records.Bounds.
           now: Seconds.
         """
-        self._window_s = bounds.quota_window_s
         for account in accounts.values():
             if account.is_limited:
-                self._put(account.account_id, _creditrecords.compute_units(account, bounds))
+                self._put(account.account_id, _creditrecords.compute_quota(account, bounds), now)
         for account_id, state in list(self._accounts.items()):
-            state.spent.window_s = self._window_s
             known = accounts.get(account_id)
             if (known is None or not known.is_limited) and state.removed_at is None:
-                state.units = 0
+                state.quota = _creditrecords.NO_QUOTA
                 state.removed_at = now
         self._drop_removed(now)
 
-    def _put(self, account_id, units):
+    def _put(self, account_id, quota, now):
         state = self._accounts.get(account_id)
         if state is not None:
-            state.units = units
+            state.quota = quota
             state.removed_at = None
             return
         key = _creditholders.compute_key(account_id)
-        debtor = _creditborrowing.Debtor(account_id, key, _creditwindow.DemandMeter())
-        spent = _creditwindow.PermitWindow(self._window_s)
-        self._accounts[account_id] = self._by_key[key] = _Account(units, spent, debtor)
+        debtor = _creditborrowing.Debtor(account_id, key, _creditbucket.DemandMeter())
+        bucket = _creditbucket.PermitBucket(now)
+        self._accounts[account_id] = self._by_key[key] = _Account(quota, bucket, debtor)
 
     def _drop_removed(self, now):
-        """Forgets accounts once all that was spent of them has left the window."""
+        """Forgets accounts that were removed some time ago."""
         for account_id, state in list(self._accounts.items()):
             is_removed = state.removed_at is not None
-            if is_removed and now - state.removed_at > self._window_s + 2.0 * LOAN_S:
+            if is_removed and now - state.removed_at > REMOVED_S:
                 del self._accounts[account_id]
                 self._by_key.pop(state.debtor.key, None)
                 self._hungry.pop(account_id, None)
@@ -135,20 +135,24 @@
         """
         self.observe(now)
         self._is_settled = view.is_settled
+        self._is_counted = view.is_counted
         self._holders.update(view.all_ids, view.region_ids, now)
         self._borrower.reachable_ids = reachable_ids
         self._borrower.region_ids = view.region_ids
+        # Notes since when the buckets fill.
+        self._is_usable(now)
         self._drop_removed(now)
 
     def observe(self, now):
-        """Notes that the process runs; after a freeze the own share is unused for a while."""
+        """Notes that the process runs; after a freeze the own buckets don't fill for a while."""
         pause_s = now - self._seen_at
         self._seen_at = now
         if pause_s > quotas.SettleTimer.MAX_PAUSE_S:
-            self._is_settled = False
+            self._is_settled = self._is_counted = False
             self._resumed_at = now
             if pause_s > MAX_KNOWN_PAUSE_S:
-                self._unsure_since = now
+                for state in self._accounts.values():
+                    state.bucket.empty()
 
     def is_limited(self, account_id):
         """Returns True if the account has a limit."""
@@ -170,7 +174,8 @@
         if loan is not None:
             permit = Permit(account_id, loan=loan)
         elif self._count_free(state, now) > 0:
-            permit = Permit(account_id, state.spent.add(now))
+            state.bucket.take()
+            permit = Permit(account_id, now)
         else:
             return None
         if self._is_low(state, now):
@@ -184,30 +189,15 @@
             state.debtor.demand.add(now)
 
     def confirm(self, permit, now):
-        """Lets a permit count from now on, as its request is sent now.
-
-        Returns:
-          False if the permit has ended, so that the request needs another one.
-        """
+        """Returns True if a request may be sent now; False if its permit has ended."""
         self.observe(now)
         if permit.account_id is None:
             return True
         if not permit.is_held:
             return False
         if permit.loan is not None:
-            if permit.loan.expires_at <= now:
-                return False
-            permit.loan.spent_at = now
-            return True
-        state = self._accounts.get(permit.account_id)
-        if state is None:
-            return True
-        state.spent.expire(now)
-        if not state.spent.remove(permit.tick):
-            permit.is_held = False
-            return False
-        permit.tick = state.spent.add(now)
-        return True
+            return now < permit.loan.expires_at
+        return now < permit.taken_at + LOAN_S
 
     def give_back(self, permit, now):
         """Returns a permit whose request was not run; later calls change nothing."""
@@ -223,11 +213,11 @@
             return
         state = self._accounts.get(permit.account_id)
         if state is not None:
-            state.spent.expire(now)
-            state.spent.remove(permit.tick)
+            self._fill(state, now)
+            state.bucket.give_back(permit.taken_at)
 
     def count_free(self, account_id, now):
-        """Returns the units of the own share that are left, below 0 if it has shrunk."""
+        """Returns the permits that are left of the own share."""
         return self._count_free(self._accounts[account_id], now)
 
     def set_waiting(self, account_id, count):
@@ -243,7 +233,7 @@
         state = self._accounts[account_id]
         if self._borrower.count_pending(state.debtor, now):
             return True
-        deal = self._holders.find_deal(account_id, state.units)
+        deal = self._find_deal(state)
         return self._borrower.choose_holder(state.debtor, deal, now) is not None
 
     def estimate_retry_after_s(self, account_id, now):
@@ -251,13 +241,12 @@
         state = self._accounts.get(account_id)
         times = []
         if state is not None:
-            deal = self._holders.find_deal(account_id, state.units)
+            deal = self._find_deal(state)
             empty_until = state.debtor.empty_until
             asked_ids = deal.local_ids + deal.remote_ids
             times = [empty_until[host] - now for host in asked_ids if host in empty_until]
-            if deal.share and self._is_usable(now):
-                excess = state.spent.expire(now) - deal.share
-                times.append(state.spent.estimate_wait_s(now, max(0, excess)))
+            if self._fill(state, now):
+                times.append(state.bucket.estimate_wait_s())
         credit_s = max(MIN_RETRY_AFTER_S, min(times, default=UNKNOWN_RETRY_AFTER_S))
         return credit_s * (1.0 + self._rng.random())
 
@@ -269,19 +258,19 @@
         """
         self.observe(now)
         self._borrower.expire(now)
-        self._lender.expire(now, self._window_s)
+        self._lender.expire(now)
         chosen = collections.defaultdict(list)
         for account_id in list(self._hungry):
             state = self._accounts[account_id]
             debtor = state.debtor
             # Permits that came in after the request began to wait are taken when it wakes.
-            free = debtor.count_free(now) + max(0, self._count_free(state, now))
+            free = debtor.count_free(now) + self._count_free(state, now)
             waiting = max(0, debtor.waiting - free)
             expected = debtor.demand.measure(now) * _creditborrowing.AHEAD_S
             ahead = max(0, round(expected) - max(0, free - debtor.waiting))
             if not debtor.waiting:
                 del self._hungry[account_id]
-            deal = self._holders.find_deal(account_id, state.units)
+            deal = self._find_deal(state)
             for ask in self._borrower.choose_asks(debtor, deal, waiting, ahead, now):
                 holder_id, for_waiting, for_ahead = ask
                 chosen[holder_id].append((debtor, for_waiting, for_ahead))
@@ -303,7 +292,7 @@
           The creditcodec.CreditGrant, or None if nothing is asked for or it was answered before.
         """
         self.observe(now)
-        self._lender.apply_reports(sender, request.reports, now)
+        self._lender.apply_reports(sender, request.reports)
         if not request.wanted or not self._lender.is_new(sender, request.number):
             return None
         granted = tuple(self._grant(sender, request.number, item, now) for item in request.wanted)
@@ -313,36 +302,48 @@
         state = self._by_key.get(wanted.key)
         if state is None:
             return creditcodec.Granted(wanted.key, 0, UNKNOWN_RETRY_AFTER_S)
-        free = max(0, self._count_free(state, now))
-        demand = state.debtor.demand.measure(now)
+        free = self._count_free(state, now)
+        demand = state.debtor.demand.measure(now) * _creditborrowing.AHEAD_S
         count = _creditlending.choose_count(wanted.waiting, wanted.ahead, free, demand)
         if count:
-            self._lender.lend(sender, number, wanted.key, state.spent, count, now)
+            self._lender.lend(sender, number, wanted.key, state.bucket, count, now)
         is_short = count < wanted.waiting or free == count
         retry_s = self._estimate_own_wait_s(state, now) if is_short else 0.0
         return creditcodec.Granted(wanted.key, count, retry_s)
 
     def _estimate_own_wait_s(self, state, now):
-        if not self._is_usable(now):
-            return max(UNKNOWN_RETRY_AFTER_S, self._unsure_since + self._compute_unsure_s() - now)
-        share = self._holders.find_deal(state.debtor.account_id, state.units).share
-        excess = max(0, state.spent.expire(now) - share)
-        return max(_creditwindow.TICK_S, state.spent.estimate_wait_s(now, excess))
+        if not self._fill(state, now):
+            return UNKNOWN_RETRY_AFTER_S
+        return max(MIN_RETRY_AFTER_S, state.bucket.estimate_wait_s())
 
-    def _compute_unsure_s(self):
-        return quotas.SETTLE_S + self._window_s + LOAN_S
+    def _find_deal(self, state):
+        return self._holders.find_deal(state.debtor.account_id, int(state.quota.depth))
 
     def _is_usable(self, now):
-        """Returns True if this host may spend and lend its own shares."""
-        has_settled = self._is_settled and now - self._resumed_at >= quotas.SETTLE_S
-        return has_settled and now - self._unsure_since >= self._compute_unsure_s()
+        """Returns True if the other holders count this host, so that its buckets fill."""
+        pause_s = now - self._resumed_at
+        is_usable = (self._is_settled and pause_s >= quotas.SETTLE_S) or (
+            self._is_counted and pause_s >= RESUME_S
+        )
+        if not is_usable:
+            self._usable_since = None
+        elif self._usable_since is None:
+            self._usable_since = now
+        return is_usable
+
+    def _fill(self, state, now):
+        """Fills the bucket of an account; returns True if this host may use it."""
+        share = self._find_deal(state).share
+        if not share or not self._is_usable(now):
+            state.bucket.skip(now)
+            return False
+        quota = state.quota
+        state.bucket.fill(self._usable_since, now, quota.rate * share, quota.depth * share)
+        return True
 
     def _count_free(self, state, now):
-        """Returns the units of the own share that are left, below 0 if it has shrunk."""
-        if not self._is_usable(now):
-            return 0
-        share = self._holders.find_deal(state.debtor.account_id, state.units).share
-        return share - state.spent.expire(now) if share else 0
+        """Returns the permits that are left of the own share."""
+        return max(0, int(state.bucket.level)) if self._fill(state, now) else 0
 
     def _is_low(self, state, now):
         """Returns True if the credit at this host won't last for the demand that is expected."""
@@ -351,11 +352,7 @@
 
     def compute_totals(self, now):
         """Returns the _creditrecords.CreditTotals."""
-        held = 0
-        if self._is_usable(now):
-            for account_id, state in self._accounts.items():
-                share = self._holders.get_last_share(account_id)
-                held += max(0, share - state.spent.expire(now)) if share else 0
+        held = sum(max(0, int(state.bucket.level)) for state in self._accounts.values())
         return _creditrecords.CreditTotals(
             held,
             self._lender.count_lent(),
--- a/skylarksill/host/creditcodec.py
+++ b/skylarksill/host/creditcodec.py
@@ -48,13 +48,11 @@
 
     Attributes:
       number: Number of the credit request with which they were asked for.
-      age_s: Seconds since the last of them was spent.
       unused: Permits that were not spent and no longer can be.
     """
 
     number: int
     key: bytes
-    age_s: float
     unused: int
 
 
@@ -99,11 +97,7 @@
     match message:
         case CreditRequest(number, wanted, reports):
             items = [(item.key, item.waiting, item.ahead) for item in wanted]
-            told = [
-                # Rounded down: a lower age keeps the permits counted for longer.
-                (item.number, item.key, int(item.age_s * 1000), item.unused)
-                for item in reports
-            ]
+            told = [(item.number, item.key, item.unused) for item in reports]
             content = (VERSION, REQUEST_KIND, number, items, told)
         case CreditGrant(number, granted):
             items = [(item.key, item.count, int(item.retry_s * 1000)) for item in granted]
@@ -147,10 +141,9 @@
             Report(
                 fields.check_range(lent_number, 0, MAX_NUMBER),
                 _check_key(key),
-                fields.check_range(age_ms, 0, MAX_TIME_MS) / 1000,
                 _check_count(unused),
             )
-            for lent_number, key, age_ms, unused in _check_list(reports, MAX_REPORTS)
+            for lent_number, key, unused in _check_list(reports, MAX_REPORTS)
         ),
     )
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -153,6 +153,9 @@
         self._reported_generation = None
         # The store's era in which this host has registered; None while that is under way.
         self._registered_era = None
+        self._has_tried = False
+        # True if the store listed this host before the process started, or all others know it.
+        self._is_counted = False
         self._stop_signals = itertools.count()
         self._settling = quotas.SettleTimer(time.clock_gettime(time.CLOCK_BOOTTIME))
 
@@ -408,7 +411,9 @@
             self.peers.list_known_ids(self.settings.region),
             self.peers.list_known_ids(),
             self._settling.is_settled(now),
+            self._is_counted and self._settling.is_listed,
         )
+        self._is_counted = self._is_counted or view.is_settled
         before = self.fleet.view
         if view == before:
             return
@@ -424,11 +429,14 @@
     def _register(self):
         """Registers this host in the store and lists the others; retries until both succeed."""
         while True:
+            is_first, self._has_tried = not self._has_tried, True
             try:
-                era = self._store.register_host(self.own)
+                era, was_known = self._store.register_host(self.own)
                 for record in self._store.list_hosts():
                     self.peers.add_candidate(record, time.monotonic())
                 self._settling.is_listed = True
+                # An entry may be that of an earlier try whose answer was lost.
+                self._is_counted = self._is_counted or (is_first and was_known)
                 self._registered_era = era
                 self.log.write("host.registered")
                 return
--- a/skylarksill/host/quotas.py
+++ b/skylarksill/host/quotas.py
@@ -29,12 +29,15 @@
       region_ids: The hosts of its region.
       all_ids: The hosts of all regions.
       is_settled: True if the host knows all others that use their parts, and they know it.
+      is_counted: True if the host was registered before it started and has listed the others since,
+        so that they count it and it knows all that were registered before.
     """
 
     own_id: shared.HostId
     region_ids: frozenset[shared.HostId]
     all_ids: frozenset[shared.HostId]
     is_settled: bool
+    is_counted: bool = False
 
     def count_assumed_hosts(self):
         """Returns the number of hosts in all regions, at least the assumed one while unsettled."""
--- a/skylarksill/host/watching.py
+++ b/skylarksill/host/watching.py
@@ -74,7 +74,11 @@
         """Closes idle connections and uses none of the present ones for further calls."""
 
     def register_host(self, record):
-        """Writes the entry of this host; returns the store's era."""
+        """Writes the entry of this host.
+
+        Returns:
+          A tuple of the store's era, and True if there was an entry of the host before.
+        """
 
     def list_hosts(self):
         """Returns the HostRecords of all registered hosts."""
