Count the bytes held for clients once per host, and end slow ones first

Crowds of clients took the program beyond the memory of its machine. Bodies were held, uncounted, while their answers were written; answers were held two or three times; parts of answers that timed out stayed until the next garbage collection; each listener had a limit of its own for bodies; the message for an upstream was a copy of the body.

bytebudget.ByteBudget (pure) counts the bodies and answers of all listeners, 30% of the memory together. When there is no room, slow holders are ended: those of the address that holds the most first, then the largest. A partial upload gets 503, as nothing of it was passed on; a slow reader is disconnected (cause no_room). A client that moves 32 KB/s is never ended. A body may take 30% of the memory while its listener holds no other; the listeners for lookups, readiness and metrics take bodies of 64 KiB. Request, handler's answer and parts of answers are released at once, large bodies are sent without a copy, and the allocator returns large blocks to the system. The connections of a listener read 4 MiB together before parsing.

--- a/bench/request_matching.py
+++ b/bench/request_matching.py
@@ -16,7 +16,7 @@
 import eventlet
 
 from features import host_builders
-from skylarksill.host import _clientconnection, routes
+from skylarksill.host import _clientconnection, bytebudget, counters, routes
 
 _, wire, _ = host_builders.import_platform()
 
@@ -71,7 +71,8 @@
     def __init__(self, received):
         self.names = wire.HEADER_NAMES
         self.buffered_bytes = 0
-        self.max_buffered_bytes = 10_000_000
+        self.answer_buffers = bytebudget.ByteBudget(10_000_000, time.monotonic)
+        self.counters = counters.Counters()
         self.connections = set()
         self.is_leaving = False
         self.log = self
@@ -85,6 +86,10 @@
             max_body_bytes=100_000,
         )
 
+    def take_body(self, size, held_bytes, holder):
+        self.buffered_bytes += size
+        return self.answer_buffers.take(size, holder)
+
     def handle(self, request, cancellation):
         del cancellation
         self._received.append(request)
--- a/skylarksill/host/_answersending.py
+++ b/skylarksill/host/_answersending.py
@@ -31,6 +31,8 @@
         self._is_writing = False
         # Bytes of the first pending answer that were sent before it was ready.
         self._begun_bytes = 0
+        # Bytes of the answer that is being written which the kernel has taken.
+        self._sent_bytes = 0
 
     def _hand_over(self):
         """Lets the kernel take what is ready, which it sends on after the end of the process."""
@@ -52,28 +54,44 @@
             self._owes_continue = False
             self._socket.sendall(_CONTINUE_RESPONSE)
 
-    def _serve(self, item, request):
+    def _serve(self, item):
+        size = len(item.request.body)
         try:
-            answer = self._handle(item, request)
+            answer = self._handle(item)
         except BaseException:
             # The green thread is ended, so the answers behind this one can't be sent in order.
             self._abandon()
             raise
         finally:
-            self._server.buffered_bytes -= len(request.body)
+            item.request = None
+            self._server.buffered_bytes -= size
+            self._server.answer_buffers.release(size)
         try:
-            self._answer(item, answer)
+            is_ready = self._prepare(item, answer)
+            # A slow reader keeps this green thread, but only the encoded answer.
+            answer = None
+            if is_ready:
+                self._write_ready()
         except Exception as error:
             self._server.log.write_exception("client.answer", error)
             self._abandon()
 
-    def _handle(self, item, request):
+    def _handle(self, item):
         """Returns the handler's answer, or one that promises nothing if the handler fails."""
         try:
-            return self._server.handle(request, item.cancellation)
+            return self._server.handle(item.request, item.cancellation)
         except Exception as error:
             return self._handle_failure("client.handle", error)
 
+    def _prepare(self, item, answer):
+        """Encodes a handler's answer; returns False if it is not to be sent."""
+        if answer is None or item.data is not None or item.cancellation.is_cancelled:
+            return False
+        if self._state is _connectionstates.State.ENDED:
+            return False
+        self._set_answer(item, self._format(item, answer))
+        return True
+
     def _format(self, item, answer):
         """Encodes a handler's answer, or one that promises nothing if that fails."""
         try:
@@ -86,21 +104,14 @@
         self._server.log.write_exception(task, error)
         return answers.make_answer(FAILED_STATUS, b"host failed\n")
 
-    def _answer(self, item, answer):
-        if answer is None or item.data is not None or item.cancellation.is_cancelled:
-            return
-        if self._state is _connectionstates.State.ENDED:
-            return
-        self._set_answer(item, self._format(item, answer))
-        self._write_ready()
-
     def _set_answer(self, item, data):
+        self._release_answer(item)
         item.data = data
-        self._server.answer_buffers.hold(len(data))
+        self._server.answer_buffers.hold(len(data), self._holder)
 
     def _release_answer(self, item):
         if item.data is not None:
-            self._server.answer_buffers.release(len(item.data))
+            self._server.answer_buffers.release(len(item.data), self._holder)
 
     def _write_ready(self):
         """Writes the finished answers that are next in order, in one green thread at a time."""
@@ -111,10 +122,10 @@
             while self.pending and self.pending[0].data is not None:
                 if self._server.is_leaving:
                     self._take_no_more()
-                data = self.pending[0].data
+                item = self.pending[0]
                 if self._state is _connectionstates.State.ANSWERING and len(self.pending) == 1:
-                    data = answers.mark_last(data)
-                self._send(data[self._begun_bytes :])
+                    self._set_answer(item, answers.mark_last(item.data))
+                self._send(item.data)
                 if self._state is _connectionstates.State.ENDED:
                     return
                 self._begun_bytes = 0
@@ -131,13 +142,21 @@
             self._begin_lingering()
 
     def _send(self, data):
-        """Sends bytes; raises a TimeoutError once the client accepts none of them for too long."""
+        """Sends the rest of an answer.
+
+        Raises:
+          TimeoutError: If the client accepts nothing of it for too long.
+        """
         self._socket.settimeout(WRITE_TIMEOUT_S)
-        rest = memoryview(data)
+        rest = memoryview(data)[self._begun_bytes :]
+        self._holder.begun_at = time.monotonic()
+        self._sent_bytes = 0
         while rest:
             unsent_bytes = _connectionstates.count_unsent_bytes(self._socket)
             try:
-                rest = rest[self._socket.send(rest) :]
+                sent = self._socket.send(rest)
+                rest = rest[sent:]
+                self._sent_bytes += sent
             except TimeoutError:
                 # The kernel takes more only once much of its buffer is free.
                 if _connectionstates.count_unsent_bytes(self._socket) >= unsent_bytes:
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -1,6 +1,7 @@
 """One connection of a client to a host: what it waits for, its states, and how it ends."""
 
 import collections
+import math
 import struct
 import time
 
@@ -13,6 +14,7 @@
     _fairreads,
     _requestreading,
     answers,
+    bytebudget,
     halfclose,
     supervision,
 )
@@ -49,12 +51,13 @@
       server: The clientserver.ClientServer.
       client: The client's green socket.
       is_surplus: True to refuse the first request if the server is still crowded as it arrives.
+      address: IP address of the client, or None.
 
     Attributes:
       pending: Deque of the requests whose answers have not been sent.
     """
 
-    def __init__(self, server, client, is_surplus=False):
+    def __init__(self, server, client, is_surplus=False, address=None):
         self.pending = collections.deque()
         self._server = server
         self._socket = client
@@ -70,6 +73,7 @@
         self._dropped_ids = []
         # When the end of the client's stream was read, or None.
         self._half_closed_at = None
+        self._holder = bytebudget.Holder(address, self._make_room, self._count_moved)
         self._begin_answering()
         self._begin_reading()
 
@@ -150,6 +154,25 @@
         supervision.spawn(self._server.log, "client.answer", self._reject, 503, "stopping")
         return True
 
+    def _make_room(self):
+        """Gives up what is held for a client that sends or reads too slowly."""
+        if self._is_writing:
+            self._end(_connectionstates.Cause.NO_ROOM)
+            self._shut_down(socket.SHUT_RDWR)
+            return
+        if self._state is not _connectionstates.State.SERVING:
+            self._discard_partial_request()
+            return
+        self._refuse(503, "body too slow for the room left")
+        # A client that doesn't read delays no other.
+        supervision.spawn(self._server.log, "client.answer", self._write_ready)
+
+    def _count_moved(self):
+        """Returns the bytes that the client has received of the answer, or sent of the body."""
+        if self._is_writing:
+            return self._sent_bytes - _connectionstates.count_unsent_bytes(self._socket)
+        return self._body_bytes if self._body_bytes else math.inf
+
     def _report_end(self):
         """Counts the end of the connection; logs it if bytes of requests or answers are lost."""
         unsent_bytes = _connectionstates.count_unsent_bytes(self._socket)
@@ -242,7 +265,7 @@
                 # Their answers may change the state.
                 wakes_at = min(wakes_at, time.monotonic() + LINGER_TIMEOUT_S)
             try:
-                data = self._reader.receive(wakes_at)
+                data = self._reader.receive(wakes_at, self._server.read_bytes)
                 self._quiet_since = time.monotonic()
                 return data
             except TimeoutError:
--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -6,7 +6,7 @@
 import struct
 import termios
 
-from skylarksill.host import cancellation
+from skylarksill.host import cancellation, records
 
 # Bytes of a host name, a target or an id of a request in the log.
 MAX_LOGGED_NAME = 100
@@ -26,6 +26,7 @@
     LAST_ANSWER = "last_answer"
     NOT_RECEIVED = "not_received"
     WRITE_FAILED = "write_failed"
+    NO_ROOM = "no_room"
     STOP_IDLE = "stop_idle"
     STOP_DEADLINE = "stop_deadline"
     ERROR = "error"
@@ -55,12 +56,14 @@
     """A request whose answer has not been sent yet.
 
     Attributes:
+      request: The records.Request until its handler has ended, or None.
       data: The formatted answer, or None.
     """
 
     request_id: bytes | None
     method: bytes
     cancellation: cancellation.Cancellation
+    request: records.Request | None = None
     data: bytes | None = None
 
 
--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -10,6 +10,11 @@
 
 # Bytes outside the head and the body of a request, such as an extension of a chunk's length.
 MAX_FRAMING_BYTES = 16_384
+# Bytes of a body are kept in blocks of this size. One that grows as a whole is moved again and
+# again, which leaves holes in the memory of the process.
+BLOCK_BYTES = 65_536
+# Bytes of a body that are counted at a time at least; counting takes longer than a small chunk.
+COUNTED_BYTES = 1_024
 
 # A client whose request was refused here may send it to another host at once.
 REFUSED_RETRY_AFTER_S = 0.02
@@ -72,6 +77,8 @@
         """Starts a request."""
         self._begin_message()
         self._started_at = time.monotonic()
+        if not self._is_writing:
+            self._holder.begun_at = self._started_at
         self._limits = self._server.find_limits()
 
     def on_url(self, url):
@@ -97,13 +104,25 @@
     def on_body(self, body):
         """Appends a part of the body, within the limits of the server and of the client."""
         self._unreported_bytes = 0
+        if self._body_bytes + len(body) > self._limits.max_body_bytes:
+            raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
+        self._count_body(len(body), COUNTED_BYTES)
         self._body_bytes += len(body)
-        self._server.buffered_bytes += len(body)
-        if self._server.buffered_bytes > self._server.max_buffered_bytes:
+        if self._body and len(self._body[-1]) + len(body) <= BLOCK_BYTES:
+            self._body[-1] += body
+        else:
+            self._body.append(bytearray(body))
+
+    def _count_body(self, size, least):
+        """Counts further bytes of the body as held once they are as many as ``least``."""
+        uncounted = self._uncounted_bytes + size
+        if uncounted < least:
+            self._uncounted_bytes = uncounted
+            return
+        held = self._body_bytes - self._uncounted_bytes
+        if not self._server.take_body(uncounted, held, self._holder):
             raise _BadRequestError(503, "buffers of bodies are full")
-        if self._body_bytes > self._limits.max_body_bytes:
-            raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
-        self._body += body
+        self._uncounted_bytes = 0
 
     def on_message_complete(self):
         """Starts processing a complete request."""
@@ -113,21 +132,24 @@
         if self._is_surplus and self._server.is_crowded:
             raise _BadRequestError(503, "too many connections")
         self._is_surplus = False
+        self._count_body(0, 0)
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
         request = _requestfields.build_request(
-            method, self._target, self._headers, bytes(self._body), self._server.names
+            method, self._target, self._headers, b"".join(self._body), self._server.names
         )
         if request is None:
             raise _BadRequestError(400, "no site")
         item = _connectionstates.PendingRequest(
-            request.request_id, method, cancellation.Cancellation()
+            request.request_id, method, cancellation.Cancellation(), request
         )
         self.pending.append(item)
+        # The body is held until the request has been served.
+        self._server.answer_buffers.detach(self._body_bytes, self._holder)
         self._begin_message()
         if not is_persistent:
             self._take_no_more()
-        eventlet.spawn_n(self._serve, item, request)
+        eventlet.spawn_n(self._serve, item)
 
     def _begin_message(self):
         self._started_at = None
@@ -137,12 +159,15 @@
         self._head_bytes = 0
         self._unreported_bytes = 0
         self._owes_continue = False
-        self._body = bytearray()
+        self._body = []
         self._body_bytes = 0
+        self._uncounted_bytes = 0
 
     def _discard_partial_request(self):
         """Discards a partly read request."""
-        self._server.buffered_bytes -= self._body_bytes
+        counted = self._body_bytes - self._uncounted_bytes
+        self._server.buffered_bytes -= counted
+        self._server.answer_buffers.release(counted, self._holder)
         self._begin_message()
 
     def _count_head_bytes(self, size):
@@ -153,6 +178,11 @@
 
     def _reject(self, status, reason):
         """Answers an unreadable request with an error and closes the connection after it."""
+        self._refuse(status, reason)
+        self._write_ready()
+
+    def _refuse(self, status, reason):
+        """Makes the answer to an unreadable request ready."""
         if self._state is not _connectionstates.State.SERVING:
             # What follows the last request is no request, and its answer would follow the last one.
             return
@@ -164,6 +194,7 @@
             site=site[: _connectionstates.MAX_LOGGED_NAME].decode("latin-1"),
             target=self._target[: _connectionstates.MAX_LOGGED_NAME].decode("latin-1"),
         )
+        self._server.counters.count("requests_unreadable", str(status))
         self._take_no_more()
         item = _connectionstates.PendingRequest(None, b"GET", cancellation.Cancellation())
         headers = _REFUSAL_HEADERS if status == 503 else ()
@@ -171,7 +202,6 @@
         self._set_answer(item, data)
         self.pending.append(item)
         self._discard_partial_request()
-        self._write_ready()
 
     def _reject_failed(self, error):
         """Rejects a request after an exception while it was read; nothing of it was passed on."""
--- a/skylarksill/host/_responsereader.py
+++ b/skylarksill/host/_responsereader.py
@@ -76,7 +76,13 @@
             raise ResponseError("malformed response")
 
     def end_exchange(self):
-        """Releases the buffers of the exchange that ended and resets its bounds."""
+        """Releases the buffers of the exchange that ended and resets its bounds.
+
+        What is left of its answers is dropped at once: parser and reader refer to each other, so
+        that a closed connection's own would be kept until the next collection of such garbage.
+        """
+        self.responses.clear()
+        self._body = bytearray()
         self._buffers.release(self._buffered_bytes)
         self._buffered_bytes = 0
         self._received_bytes = 0
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -33,6 +33,8 @@
         b"upgrade",
     )
 )
+# Bodies up to this size are sent in one piece with the head; larger ones are not copied for that.
+MAX_JOINED_BYTES = 16_384
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -148,7 +150,7 @@
 
         Args:
           request: The records.Request.
-          message: The bytes to send.
+          message: The bytes that ``format_request`` has returned.
           deadline: Monotonic time at which the wait ends.
         Returns:
           Answered, NotRun, MayHaveRun or TimedOut.
@@ -156,6 +158,9 @@
         try:
             self._socket.settimeout(max(0.001, deadline - time.monotonic()))
             self._socket.sendall(message)
+            if len(request.body) > MAX_JOINED_BYTES:
+                # Without the view, each portion would copy the rest.
+                self._socket.sendall(memoryview(request.body))
             return self._read_answer(request, deadline)
         except TimeoutError:
             self.is_reusable = False
@@ -275,7 +280,7 @@
 
 
 def format_request(request, upstream_id, deadline_ms, names):
-    """Returns the bytes of a request to an upstream.
+    """Returns the bytes of a request to an upstream, without a body of over MAX_JOINED_BYTES.
 
     Args:
       request: The records.Request.
@@ -294,7 +299,8 @@
     lines.append(names.expected_upstream + b": " + upstream_id.encode())
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"content-length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    body = request.body if len(request.body) <= MAX_JOINED_BYTES else b""
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
 def filter_headers(headers):
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -8,11 +8,11 @@
 import eventlet
 from eventlet.green import socket
 
-from skylarksill import limits
 from skylarksill.host import (
     _clientconnection,
     _connectionstates,
     answers,
+    bytebudget,
     counters,
     supervision,
 )
@@ -33,6 +33,10 @@
 # Time in which refusals of requests that were read in part are sent, and the bytes that cross them
 # are discarded, since they would reset the connection.
 REFUSE_PARTIAL_S = 0.03
+# Bytes that all connections of a server may read before they are parsed, and the least and the most
+# of each: a crowd that waits for its turn to be parsed holds as many.
+MAX_READING_BYTES = 4 * 1024 * 1024
+MIN_READ_BYTES, MAX_READ_BYTES = 4_096, 65_536
 # Default limit of the request bodies held in memory; the smallest hosts have 300 MB.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
@@ -56,10 +60,13 @@
       names: The records.HeaderNames.
       log: The EventLog.
       max_buffered_bytes: Bytes of request bodies that all connections may hold together.
-      answer_buffers: The limits.BufferLimit that counts answers until they are delivered.
+      answer_buffers: The bytebudget.ByteBudget that counts bodies until they are served and
+        answers until they are delivered.
       counts: The counters.Counters of ended connections and unanswered requests.
       max_connections: Number of connections beyond which new ones are refused their first request.
       release_descriptors: Function that frees descriptors and returns True, or False if it can't.
+      max_single_bytes: Bytes of a body that is served although it exceeds ``max_buffered_bytes``,
+        while no other body is held.
 
     Attributes:
       buffered_bytes: Bytes of bodies that are being read or served.
@@ -77,16 +84,20 @@
         counts=None,
         max_connections=math.inf,
         release_descriptors=None,
+        max_single_bytes=0,
     ):
         self.handle = handle
         self.find_limits = find_limits
         self.names = names
         self.log = log
         self.max_buffered_bytes = max_buffered_bytes
-        self.answer_buffers = answer_buffers or limits.BufferLimit(max_buffered_bytes)
+        self.answer_buffers = answer_buffers or bytebudget.ByteBudget(
+            2 * max_buffered_bytes, time.monotonic
+        )
         self.counters = counts or counters.Counters()
         self._max_connections = max_connections
         self._release_descriptors = release_descriptors or (lambda: False)
+        self.max_single_bytes = max_single_bytes
         self.buffered_bytes = 0
         self.is_leaving = False
         self.connections = set()
@@ -109,11 +120,39 @@
         """True while connections are open, or wait in a listening socket that is to be closed."""
         return bool(self.connections) or self._has_waiting
 
+    @property
+    def read_bytes(self):
+        """Bytes that a connection may read at a time."""
+        share = MAX_READING_BYTES // max(1, len(self.connections))
+        return min(MAX_READ_BYTES, max(MIN_READ_BYTES, share))
+
     @property
     def is_crowded(self):
         """True if there are more connections than descriptors are kept for."""
         return len(self.connections) > self._max_connections
 
+    def take_body(self, size, held_bytes, holder):
+        """Counts bytes of a body as held if there is room, if need be after ending slow clients.
+
+        Args:
+          size: Number of bytes.
+          held_bytes: Bytes of the same body that are held already.
+          holder: The bytebudget.Holder of the connection.
+        Returns:
+          True if there is room.
+        """
+        if not self._has_room(size, held_bytes):
+            self.answer_buffers.make_room(lambda: self._has_room(size, held_bytes), holder)
+        if not self._has_room(size, held_bytes) or not self.answer_buffers.take(size, holder):
+            return False
+        self.buffered_bytes += size
+        return True
+
+    def _has_room(self, size, held_bytes):
+        is_alone = self.buffered_bytes == held_bytes
+        limit = max(self.max_buffered_bytes, self.max_single_bytes if is_alone else 0)
+        return self.buffered_bytes + size <= limit
+
     def start(self):
         """Starts accepting connections."""
         self._thread = supervision.spawn_lasting(self.log, "client.accept", self._accept)
@@ -209,12 +248,12 @@
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
             try:
-                client, _ = self._socket.accept()
+                client, address = self._socket.accept()
             except OSError as error:
                 if not self._has_released(error):
                     eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            self._open(client)
+            self._open(client, address)
             accepted += 1
             if accepted % MAX_ACCEPTED_IN_ROW == 0:
                 eventlet.sleep(0)
@@ -231,7 +270,7 @@
             if not self._has_waiting:
                 return False
             try:
-                client, _ = self._socket.accept()
+                client, address = self._socket.accept()
             except BlockingIOError:
                 self._has_waiting = False
                 self._socket.close()
@@ -239,7 +278,7 @@
                 if not self._has_released(error):
                     return False
             else:
-                self._open(socket.socket(client))
+                self._open(socket.socket(client), address)
         return True
 
     def _accept_rest(self, has_more):
@@ -252,8 +291,8 @@
         self.log.write("client.accept_failed", error=str(error))
         return error.errno in NO_DESCRIPTORS and self._release_descriptors()
 
-    def _open(self, client):
+    def _open(self, client, address):
         is_surplus = len(self.connections) >= self._max_connections
-        connection = _clientconnection.Connection(self, client, is_surplus)
+        connection = _clientconnection.Connection(self, client, is_surplus, address[0])
         self.connections.add(connection)
         supervision.spawn(self.log, "client.connection", connection.run)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -10,11 +10,13 @@
 
 import eventlet
 
-from skylarksill import limits, objectstore
+from skylarksill import objectstore
 from skylarksill import records as shared
 from skylarksill.host import (
+    allocation,
     answers,
     belief,
+    bytebudget,
     clientserver,
     counters,
     eventlog,
@@ -51,11 +53,14 @@
 # may be cut in the last sixth only, counted from the signal.
 MAX_RESERVE_SHARE = 0.16
 STOP_POLL_S = 0.05
-# Fraction of the host's memory that request bodies may occupy. Requests to upstreams are copies of
-# them, and the program itself takes about 35 MB.
+# Fractions of the host's memory that request bodies may occupy, that a single one may occupy while
+# no other is held, and that bodies and answers between upstreams and clients may occupy together.
+# The program itself takes about 42 MB, and a body is copied once as it gets complete.
 BODY_MEMORY_FRACTION = 0.2
-# Fraction of the host's memory that answers may occupy between upstreams and clients.
-ANSWER_MEMORY_FRACTION = 0.2
+SINGLE_BODY_MEMORY_FRACTION = 0.3
+BUFFER_MEMORY_FRACTION = 0.3
+# Bytes of a body of a request to the doors for lookups, readiness and metrics, which need none.
+MAX_CONTROL_BODY_BYTES = 65_536
 # Descriptors of the program itself: its sockets for the store, other hosts and all listening.
 OWN_DESCRIPTORS = 32
 # Share of the others that connections of clients may take, so that there are some for connections
@@ -88,8 +93,8 @@
         self.belief = belief.Belief()
         self.fleet = fleet.Fleet(settings.region)
         self.lateness = lateness.Lateness()
-        self.answer_buffers = limits.BufferLimit(
-            int(ANSWER_MEMORY_FRACTION * settings.memory_bytes)
+        self.answer_buffers = bytebudget.ByteBudget(
+            int(BUFFER_MEMORY_FRACTION * settings.memory_bytes), time.monotonic
         )
         self.pool = pool.ConnectionPool(names, self.answer_buffers)
         self.steering = steering.Steering(self.fleet, settings.bounds.max_shift)
@@ -158,6 +163,8 @@
         """
         self._store = store
         self._load_settings = load_settings
+        if not allocation.return_large_blocks():
+            self.log.write("host.allocator_unknown")
         self._belief_follower = following.BeliefFollower(
             self.own,
             self.peers,
@@ -220,7 +227,7 @@
             server = clientserver.ClientServer(
                 address,
                 handle,
-                self._find_limits,
+                self._find_limits if address == settings.entry else self._find_control_limits,
                 self._names,
                 self.log,
                 self._compute_max_buffered(),
@@ -228,6 +235,7 @@
                 self.counters,
                 _compute_max_connections(),
                 self.pool.release_idle,
+                self._compute_max_single(),
             )
             server.start()
             if address == settings.entry:
@@ -237,6 +245,14 @@
         configuration = self.belief.configuration
         return configuration.limits if configuration else records.ClientLimits()
 
+    def _find_control_limits(self):
+        found = self._find_limits()
+        most = min(found.max_body_bytes, MAX_CONTROL_BODY_BYTES)
+        return dataclasses.replace(found, max_body_bytes=most)
+
+    def _compute_max_single(self):
+        return int(SINGLE_BODY_MEMORY_FRACTION * self.settings.memory_bytes)
+
     def _compute_max_buffered(self):
         return int(BODY_MEMORY_FRACTION * self.settings.memory_bytes)
 
@@ -267,6 +283,7 @@
         )
         self.counters.set("configuration_problems", len(self._list_problems()))
         self.counters.set("store_lost", int(self._is_store_lost()))
+        self.counters.set("held_bytes", self.answer_buffers.used_bytes)
         self.counters.set("lateness_seconds", self.lateness.estimate_s())
         return answers.make_answer(200, self.counters.format().encode())
 
@@ -443,7 +460,8 @@
         self.steering.set_max_shift(self.settings.bounds.max_shift)
         if self._entry is not None:
             self._entry.max_buffered_bytes = self._compute_max_buffered()
-        self.answer_buffers.max_bytes = int(ANSWER_MEMORY_FRACTION * self.settings.memory_bytes)
+            self._entry.max_single_bytes = self._compute_max_single()
+        self.answer_buffers.max_bytes = int(BUFFER_MEMORY_FRACTION * self.settings.memory_bytes)
         self._apply_belief()
 
     def _stop_gracefully(self, stop_requested_at):
