Load of a host: leave out the control traffic of a large region

Cause: in a region of 48 small hosts each uses 6% of a core for some 7 requests a second, most of it for traffic with the other hosts. Change: up to half of its cores a host reports 2 ms a request at most.

--- a/features/host_entry_hosts.feature
+++ b/features/host_entry_hosts.feature
@@ -82,3 +82,9 @@
 
   Scenario: Heartbeats are in order where their low bits, which a datagram carries, start over
     Then heartbeat 65540 is 5 newer than 65535, which is not newer
+
+  Scenario: Control traffic of a large region is no load of requests
+    Guards against regions that name all their hosts, as each spends more on the others than on requests.
+    Given a host of 0.3 cores and a link of 1000000 bytes a second
+    When it serves 8 requests of 1200 bytes a second with 0.06 cores for 10 s, then 8 with 0.06
+    Then it reports at most 0.06 of its cores
--- a/features/steps/host_entry_hosts_steps.py
+++ b/features/steps/host_entry_hosts_steps.py
@@ -281,3 +281,8 @@
     assert _peerentries.count_steps(known, newer % cycle) == steps
     assert _peerentries.count_steps(newer, known % cycle) == -steps
     assert _peerentries.count_steps(0, newer % cycle) > 0
+
+
+@then("it reports at most {cores:g} of its cores")
+def step_little(context, cores):
+    assert context.load.processor_share <= cores, context.load
--- a/skylarksill/host/hostload.py
+++ b/skylarksill/host/hostload.py
@@ -27,6 +27,11 @@
 # Processor time a second that a host spends on control at most, by the goal of the design. It stays
 # on the host when clients move to another one.
 CONTROL_CORES = 0.038
+# Processor time of a request at most, in seconds. What a host uses beyond it is control traffic,
+# which grows with the hosts and does not move with the clients either. It counts on a host that
+# uses more than the given share of its cores, since that one may have slow requests.
+REQUEST_PROCESSOR_S = 0.002
+BUSY_SHARE = 0.5
 # Heads of a request and of its answer together; bodies are counted as they are.
 HEADS_BYTES = 800
 MAX_REQUESTS_PER_S = 2**31 - 1
@@ -149,8 +154,17 @@
         requests_per_s, bytes_per_s, cores = self._averages
         return records.HostLoad(
             requests_per_s,
-            max(0.0, cores - CONTROL_CORES) / self._cores if self._cores else None,
+            self._estimate_processor_share(requests_per_s, cores),
             bytes_per_s / self._link_bytes_per_s if self._link_bytes_per_s else None,
             memory_share,
             descriptor_share,
         )
+
+    def _estimate_processor_share(self, requests_per_s, cores):
+        """Returns the share of the processor that requests take, or None if it is unknown."""
+        if not self._cores:
+            return None
+        used = max(0.0, cores - CONTROL_CORES)
+        if used < BUSY_SHARE * self._cores:
+            used = min(used, REQUEST_PROCESSOR_S * requests_per_s)
+        return used / self._cores
