--- a/features/credit_builders.py
+++ b/features/credit_builders.py
@@ -52,6 +52,7 @@
         self._incarnations = itertools.count(1)
         self.tables = {}
         self._counted = {}
+        self._started_at = {}
         self.incarnations = {"other": next(self._incarnations)}
         for name in names:
             self.start(name)
@@ -59,6 +60,7 @@
     def start(self, name, is_counted=False):
         """Starts or restarts a host with nothing remembered; see HostView for ``is_counted``."""
         self._counted[name] = is_counted
+        self._started_at[name] = self.now
         table = self.tables[name] = accountcredit.CreditTable(name, self.now)
         self.incarnations[name] = next(self._incarnations)
         table.configure(self.accounts, BOUNDS, self.now)
@@ -67,7 +69,8 @@
     def update(self, name):
         """Tells a host which hosts there are."""
         view = build_view(name, self.names)
-        view = dataclasses.replace(view, is_counted=self._counted[name])
+        is_settled = self.now - self._started_at[name] >= quotas.SETTLE_S
+        view = dataclasses.replace(view, is_settled=is_settled, is_counted=self._counted[name])
         self.tables[name].update_view(view, frozenset(self.names), self.now)
 
     def advance(self, seconds):
--- a/features/host_account_quotas.feature
+++ b/features/host_account_quotas.feature
@@ -23,7 +23,7 @@
     Guards against accounts without any credit while all hosts restart together.
     Given 3 hosts with an account of 4 requests a second
     When a holder spends its share and restarts, and was registered before
-    Then it has no permits for 1.5 s
+    Then it has no permits for 0.5 s
     And it has its share again after 5 s
 
   Scenario Outline: A host that was frozen learns of new hosts before it uses its share
--- a/skylarksill/host/accountcredit.py
+++ b/skylarksill/host/accountcredit.py
@@ -34,7 +34,7 @@
 # After a shorter freeze a host is still counted by all others, which forget a dead one after 120 s:
 # it only has to learn of new hosts.
 MAX_KNOWN_PAUSE_S = 60.0
-# Time after a start or a freeze in which the view of the hosts may be that of before.
+# Time after a freeze in which the view of the hosts may be that of before.
 RESUME_S = 1.0
 # Accounts that are removed are remembered for this long, in case they come back.
 REMOVED_S = 10.0
@@ -75,7 +75,9 @@
     def __init__(self, own_id, now, rng=random, holders=None):
         self._own_id = own_id
         self._rng = rng
-        self._seen_at = self._resumed_at = now
+        self._seen_at = now
+        # When this host woke from its last freeze.
+        self._resumed_at = float("-inf")
         self._is_settled = self._is_counted = False
         # When the own buckets began to fill, or None while they don't.
         self._usable_since = None
