Bodies in small chunks: count them without a call for each chunk

Cause: since bodies count towards the bytes that a host holds, each chunk cost a call more. Change: a chunk is counted by adding two numbers; the budget is asked for each KiB.

--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -103,24 +103,24 @@
 
     def on_body(self, body):
         """Appends a part of the body, within the limits of the server and of the client."""
+        # Called for each chunk, of which a body of small ones has many: no calls unless needed.
         self._unreported_bytes = 0
-        if self._body_bytes + len(body) > self._limits.max_body_bytes:
+        size = len(body)
+        self._body_bytes += size
+        self._uncounted_bytes += size
+        if self._body_bytes > self._limits.max_body_bytes:
             raise _BadRequestError(413, f"body of more than {self._limits.max_body_bytes} bytes")
-        self._count_body(len(body), COUNTED_BYTES)
-        self._body_bytes += len(body)
-        if self._body and len(self._body[-1]) + len(body) <= BLOCK_BYTES:
-            self._body[-1] += body
-        else:
-            self._body.append(bytearray(body))
-
-    def _count_body(self, size, least):
-        """Counts further bytes of the body as held once they are as many as ``least``."""
-        uncounted = self._uncounted_bytes + size
-        if uncounted < least:
-            self._uncounted_bytes = uncounted
-            return
+        if self._uncounted_bytes >= COUNTED_BYTES:
+            self._count_body()
+        if len(self._block) + size > BLOCK_BYTES:
+            self._block = bytearray()
+            self._body.append(self._block)
+        self._block += body
+
+    def _count_body(self):
+        """Counts the further bytes of the body as held."""
         held = self._body_bytes - self._uncounted_bytes
-        if not self._server.take_body(uncounted, held, self._holder):
+        if not self._server.take_body(self._uncounted_bytes, held, self._holder):
             raise _BadRequestError(503, "buffers of bodies are full")
         self._uncounted_bytes = 0
 
@@ -132,7 +132,7 @@
         if self._is_surplus and self._server.is_crowded:
             raise _BadRequestError(503, "too many connections")
         self._is_surplus = False
-        self._count_body(0, 0)
+        self._count_body()
         method = self._parser.get_method()
         is_persistent = self._parser.should_keep_alive()
         request = _requestfields.build_request(
@@ -159,7 +159,8 @@
         self._head_bytes = 0
         self._unreported_bytes = 0
         self._owes_continue = False
-        self._body = []
+        self._block = bytearray()
+        self._body = [self._block]
         self._body_bytes = 0
         self._uncounted_bytes = 0
 
