--- a/features/host_account_quotas.feature
+++ b/features/host_account_quotas.feature
@@ -82,6 +82,13 @@
     When the host spends 10 permits and the account is removed for 2 s
     Then the account has at most 8 permits
 
+  Scenario: A holder is asked for an account whose limit it no longer has
+    Guards against an exception that ends the reading of datagrams while a configuration spreads.
+    Given 1 hosts with an account of 4 requests a second
+    When the limit of the account is removed and another host asks for a permit
+    Then none is lent, and the borrower is told to ask again later
+    And a refusal of the account still names a time
+
   Scenario: A permit ends soon after it was taken
     Guards against requests that wait for long and are sent together with later ones.
     Given 1 hosts with an account of 4 requests a second
--- a/features/host_odd_values.feature
+++ b/features/host_odd_values.feature
@@ -61,6 +61,17 @@
       | priority       | "high"             | no key  | 1     |
       | allowedRegions | "north"            | no key  | 1     |
 
+  Scenario Outline: A key stood in the report on accounts that can't be read
+    Given the operators' configuration whose accounts are <accounts>
+    Then a problem is reported, no account is known, and no report holds "secret-key"
+
+    Examples:
+      | accounts                                      |
+      | [{"name": "first", "apiKeys": ["secret-key"]}] |
+      | "secret-key"                                  |
+      | {"first": ["secret-key"]}                     |
+      | {"first": {"apiKeys": "secret-key"}}          |
+
   Scenario: A configuration that is accepted can be passed on and used
     Then 400 configurations with random values are rejected, or pass the codec and serve requests
 
--- a/features/steps/host_account_quotas_steps.py
+++ b/features/steps/host_account_quotas_steps.py
@@ -247,6 +247,23 @@
     context.event_at = hosts.now
 
 
+@when("the limit of the account is removed and another host asks for a permit")
+def step_ask_removed(context):
+    context.credit.configure({}, credit_builders.BOUNDS, context.hosts.now)
+    context.answer = context.hosts.ask("other", context.holder, ACCOUNT, 1)
+
+
+@then("none is lent, and the borrower is told to ask again later")
+def step_none_lent(context):
+    (granted,) = context.answer.granted
+    assert not granted.count and granted.retry_s > 0.0, granted
+
+
+@then("a refusal of the account still names a time")
+def step_refusal_time(context):
+    assert context.credit.estimate_retry_after_s(ACCOUNT, context.hosts.now) > 0.0
+
+
 @then("the account has at most {count:d} permits")
 def step_count(context, count):
     assert len(context.hosts.take_all(context.holder, ACCOUNT)) <= count
--- a/features/steps/host_odd_values_steps.py
+++ b/features/steps/host_odd_values_steps.py
@@ -109,6 +109,21 @@
     _use(configuration)
 
 
+@given("the operators' configuration whose accounts are {accounts}")
+def step_odd_accounts(context, accounts):
+    context.spec = platformdata.build_configuration_spec()
+    context.spec["tenants"] = json.loads(accounts)
+
+
+@then('a problem is reported, no account is known, and no report holds "{key}"')
+def step_no_key_reported(context, key):
+    _, wire, _ = host_builders.import_platform()
+    configuration = wire.decode_configuration(context.spec)
+    assert configuration.accounts == {}, configuration
+    assert configuration.has_unreadable_accounts
+    assert key not in repr(configuration.problems), configuration.problems
+
+
 @then("it is rejected as malformed")
 def step_rejected(context):
     _, wire, _ = host_builders.import_platform()
--- a/skylarksill/host/_creditbucket.py
+++ b/skylarksill/host/_creditbucket.py
@@ -72,10 +72,8 @@
             self.level = min(self._depth, self.level + count)
 
     def estimate_wait_s(self):
-        """Returns the seconds until there is a permit, or None if none comes in."""
-        if self.level >= 1.0:
-            return 0.0
-        return (1.0 - self.level) / self._rate if self._rate else None
+        """Returns the seconds until there is a permit; only for a bucket that fills."""
+        return max(0.0, 1.0 - self.level) / self._rate
 
 
 class DemandMeter:
--- a/skylarksill/host/accountcredit.py
+++ b/skylarksill/host/accountcredit.py
@@ -335,11 +335,11 @@
 
     def _fill(self, state, now):
         """Fills the bucket of an account; returns True if this host may use it."""
-        share = self._find_deal(state).share
+        quota = state.quota
+        share = self._find_deal(state).share if quota.rate else 0.0
         if not share or not self._is_usable(now):
             state.bucket.skip(now)
             return False
-        quota = state.quota
         state.bucket.fill(self._usable_since, now, quota.rate * share, quota.depth * share)
         return True
 
