Log which requests a host has cut, and what else ended in that moment

A request that the host has cancelled itself is no longer logged as left by its client. Metric: requests_cut by cause.

--- a/skylarksill/host/_answersending.py
+++ b/skylarksill/host/_answersending.py
@@ -5,7 +5,7 @@
 
 from eventlet.green import socket
 
-from skylarksill.host import _connectionstates, answers
+from skylarksill.host import _connectionstates, answers, cancellation
 
 # A connection whose client accepts no byte of an answer for this long is closed. The kernel's user
 # time-out can't do that: it may count from the first of several pauses of a client.
@@ -17,8 +17,6 @@
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
 FAILED_STATUS = 502
-# Requests without an answer whose ids are logged.
-MAX_LOGGED_REQUESTS = 4
 
 
 class AnswerSending:
@@ -190,11 +188,13 @@
             self.pending.pop()
 
     def _drop(self, items):
-        self._dropped += len(items)
+        self._dropped += items
+        reasons = cancellation.Reason
+        is_by_client = self._cause.is_by_client
+        reason = reasons.CLIENT_GONE if is_by_client else reasons.CONNECTION_ENDED
         for item in items:
-            if item.request_id is not None and len(self._dropped_ids) < MAX_LOGGED_REQUESTS:
-                request_id = item.request_id[: _connectionstates.MAX_LOGGED_NAME].decode("latin-1")
-                self._dropped_ids.append(request_id)
             self._release_answer(item)
             if item.data is None:
-                item.cancellation.cancel()
+                item.cancellation.cancel(reason)
+            # The log names the request until the connection ends; the answer goes at once.
+            item.data = None
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -15,6 +15,7 @@
     _requestreading,
     answers,
     bytebudget,
+    cancellation,
     halfclose,
     supervision,
 )
@@ -69,8 +70,8 @@
         self._received_at = None
         self._unsent_bytes = 0
         self._cause = None
-        self._dropped = 0
-        self._dropped_ids = []
+        # Requests that end without an answer.
+        self._dropped = []
         # When the end of the client's stream was read, or None.
         self._half_closed_at = None
         self._holder = bytebudget.Holder(address, self._make_room, self._count_moved)
@@ -177,21 +178,31 @@
         """Counts the end of the connection; logs it if bytes of requests or answers are lost."""
         unsent_bytes = _connectionstates.count_unsent_bytes(self._socket)
         self._server.counters.count("connections_ended", self._cause.value)
-        self._server.counters.count("requests_unanswered", self._cause.value, self._dropped)
+        self._server.counters.count("requests_unanswered", self._cause.value, len(self._dropped))
+        cut = self._count_cut()
+        self._server.counters.count("requests_cut", self._cause.value, cut)
+        self._server.ends.record(self._cause.value, len(self._dropped), cut)
         if self._dropped or unsent_bytes or self._unparsed_bytes or self._started_at is not None:
             self._server.log.write(
                 "client.closed",
                 cause=self._cause.value,
                 ended_by="client" if self._cause.is_by_client else "host",
                 half_closed_ms=self._find_half_closed_ms(),
-                unanswered=self._dropped,
-                requests=self._dropped_ids,
+                unanswered=len(self._dropped),
+                cut=cut,
+                **_connectionstates.describe_requests(self._dropped, time.monotonic()),
                 unparsed_bytes=self._unparsed_bytes,
                 is_reading=self._started_at is not None,
                 unsent_bytes=unsent_bytes,
                 is_leaving=self._server.is_leaving,
             )
 
+    def _count_cut(self):
+        """Returns the requests that were passed on and whose connection the host has ended."""
+        if self._cause.is_by_client:
+            return 0
+        return sum(item.cancellation.upstream_id is not None for item in self._dropped)
+
     def _find_half_closed_ms(self):
         """Returns the milliseconds since the end of the client's stream; None if it is open."""
         if self._half_closed_at is None:
@@ -212,7 +223,7 @@
         for item in unanswered:
             answer = answers.make_answer(status, b"host stops\n")
             self._set_answer(item, answers.format_answer(answer, item.method))
-            item.cancellation.cancel()
+            item.cancellation.cancel(cancellation.Reason.STOP_DEADLINE)
         # A client that doesn't read delays no other.
         supervision.spawn(self._server.log, "client.answer", self._write_ready)
 
--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -56,6 +56,8 @@
     """A request whose answer has not been sent yet.
 
     Attributes:
+      received_at: Monotonic time at which it was complete.
+      is_kept: Whether the connection had carried an earlier request.
       request: The records.Request until its handler has ended, or None.
       data: The formatted answer, or None.
     """
@@ -63,10 +65,31 @@
     request_id: bytes | None
     method: bytes
     cancellation: cancellation.Cancellation
+    received_at: float = 0.0
+    is_kept: bool = False
     request: records.Request | None = None
     data: bytes | None = None
 
 
+def describe_requests(items, now):
+    """Returns what the log says about requests that end without an answer.
+
+    Args:
+      items: The PendingRequests.
+      now: Monotonic seconds.
+    Returns:
+      A dict of lists with one value for each request: its id, the id of the upstream that it was
+      passed on to or None, whether the connection had carried an earlier one, and its age.
+    """
+    ids = [(item.request_id or b"")[:MAX_LOGGED_NAME].decode("latin-1") for item in items]
+    return {
+        "requests": ids,
+        "upstreams": [item.cancellation.upstream_id for item in items],
+        "are_kept": [item.is_kept for item in items],
+        "ages_ms": [int(1000 * (now - item.received_at)) for item in items],
+    }
+
+
 def count_unsent_bytes(sock):
     """Returns the bytes that the other side has not acknowledged; 0 if the socket is closed."""
     try:
--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -38,6 +38,8 @@
     def _begin_reading(self):
         self._parsing = _fairreads.FairParsing(self._feed)
         self._unparsed_bytes = 0
+        # Whether a request was complete.
+        self._has_carried = False
         self._begin_message()
         self._parser = httptools.HttpRequestParser(self)
 
@@ -141,8 +143,14 @@
         if request is None:
             raise _BadRequestError(400, "no site")
         item = _connectionstates.PendingRequest(
-            request.request_id, method, cancellation.Cancellation(), request
+            request.request_id,
+            method,
+            cancellation.Cancellation(),
+            received_at=time.monotonic(),
+            is_kept=self._has_carried,
+            request=request,
         )
+        self._has_carried = True
         self.pending.append(item)
         # The body is held until the request has been served.
         self._server.answer_buffers.detach(self._body_bytes, self._holder)
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -56,7 +56,7 @@
                 return _upstreamhttp.NotRun("unreachable", is_unreachable=True)
             cancellation.attach(connection)
             if cancellation.is_cancelled:
-                return _upstreamhttp.NotRun("client_gone")
+                return _upstreamhttp.NotRun(cancellation.reason.value)
             if not self._fleet.is_available(state):
                 return _upstreamhttp.NotRun("left_meanwhile", is_unsent=True)
             if not self._may_send(request, progress, upstream):
@@ -64,7 +64,7 @@
             begun = time.monotonic()
             if not self._fleet.admit_send(state, begun, connection.opened_at):
                 return _upstreamhttp.NotRun("limit_used_up", is_unsent=True)
-            outcome = self._exchange(request, progress, choice, connection)
+            outcome = self._exchange(request, progress, choice, connection, cancellation)
             # A cancelled send says nothing about the upstream.
             if not cancellation.is_cancelled:
                 self._learn(query, choice, outcome, connection, begun, is_reused)
@@ -83,7 +83,7 @@
             and self._crediting.is_covered(progress)
         )
 
-    def _exchange(self, request, progress, choice, connection):
+    def _exchange(self, request, progress, choice, connection, cancellation):
         """Sends a request on a connection and adds the send to the trace."""
         state = choice.upstream
         begun = time.monotonic()
@@ -101,6 +101,7 @@
         progress.trace.append(trace)
         # From here on the request may run, so its permit is used unless it certainly has not run.
         permit, progress.permit = progress.permit, None
+        passed_to, cancellation.upstream_id = cancellation.upstream_id, state.record.upstream_id
         try:
             outcome = connection.exchange(
                 request, message, progress.deadline_at + _admission.TIMEOUT_GRACE_S
@@ -110,6 +111,7 @@
             outcome = _upstreamhttp.MayHaveRun(_endings.FAILED_REASON)
         if isinstance(outcome, _upstreamhttp.NotRun):
             progress.permit = permit
+            cancellation.upstream_id = passed_to
         trace["outcome"] = _format_outcome(outcome)
         trace["ms"] = int((time.monotonic() - begun) * 1000)
         return outcome
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -13,6 +13,7 @@
     _connectionstates,
     answers,
     bytebudget,
+    connectionends,
     counters,
     supervision,
 )
@@ -67,6 +68,7 @@
       release_descriptors: Function that frees descriptors and returns True, or False if it can't.
       max_single_bytes: Bytes of a body that is served although it exceeds ``max_buffered_bytes``,
         while no other body is held.
+      ends: The connectionends.ConnectionEnds that sum up the ends of connections, or None.
 
     Attributes:
       buffered_bytes: Bytes of bodies that are being read or served.
@@ -85,6 +87,7 @@
         max_connections=math.inf,
         release_descriptors=None,
         max_single_bytes=0,
+        ends=None,
     ):
         self.handle = handle
         self.find_limits = find_limits
@@ -95,6 +98,7 @@
             2 * max_buffered_bytes, time.monotonic
         )
         self.counters = counts or counters.Counters()
+        self.ends = ends or connectionends.ConnectionEnds()
         self._max_connections = max_connections
         self._release_descriptors = release_descriptors or (lambda: False)
         self.max_single_bytes = max_single_bytes
--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -45,9 +45,12 @@
         self._dropped = 0
         self._counters = counters
         self._exceptions = {}
+        # When a line of each event was last written, or would have been.
+        self._written_at = {}
 
     def write(self, event, **fields):
-        """Logs an event; fields are strings, numbers, booleans, None or lists of them."""
+        """Logs an event; fields are values of JSON."""
+        self._written_at[event] = self._now()
         if not self._take_token() or len(self._buffer) > MAX_BUFFER_BYTES:
             self._dropped += 1
             return
@@ -80,6 +83,18 @@
         if logged_at is None and len(self._exceptions) <= MAX_PRINTED_TRACEBACKS:
             _print_error(f"exception in {task}\n{text}")
 
+    def list_recent(self, window_s):
+        """Returns the events of a time until now, also those whose lines were dropped.
+
+        Args:
+          window_s: The time in seconds.
+        Returns:
+          A dict of the seconds since an event was last logged, by event.
+        """
+        now = self._now()
+        ages_s = {event: now - at for event, at in self._written_at.items()}
+        return {event: age_s for event, age_s in ages_s.items() if age_s <= window_s}
+
     def flush(self):
         """Writes as much of the buffer as the output accepts without blocking."""
         while self._buffer:
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -154,7 +154,7 @@
             if isinstance(progress, _progress.Progress):
                 self._crediting.release(progress)
         if cancellation.is_cancelled:
-            self._endings.record_end(request, progress, 0, "client_gone")
+            self._endings.record_end(request, progress, 0, cancellation.reason.value)
             return None
         return answer
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -18,6 +18,7 @@
     belief,
     bytebudget,
     clientserver,
+    connectionends,
     counters,
     creditbroker,
     eventlog,
@@ -30,6 +31,7 @@
     lookup,
     peers,
     pool,
+    processreport,
     quotas,
     records,
     steering,
@@ -136,6 +138,8 @@
         self._settings_error = ""
         self._ignored_settings = []
         self._watcher = None
+        self._ends = connectionends.ConnectionEnds()
+        self._report = processreport.ProcessReport(self.log, self._ends, self._describe_use)
         self._belief_follower = None
         self._belief_server = None
         self._entry = None
@@ -220,6 +224,7 @@
         for task, interval_s, function in (
             ("host.housekeeping", HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
             ("host.settings", SETTINGS_POLL_INTERVAL_S, self._reload),
+            ("host.usage", processreport.USAGE_INTERVAL_S, self._report.report_usage),
         ):
             supervision.spawn_repeated(self.log, task, interval_s, function)
         supervision.spawn_lasting(self.log, "host.log", self._flush_log)
@@ -248,6 +253,7 @@
                 _compute_max_connections(),
                 self.pool.release_idle,
                 self._compute_max_single(),
+                self._ends,
             )
             server.start()
             if address == settings.entry:
@@ -383,8 +389,20 @@
             due_at = time.monotonic() + LOG_FLUSH_INTERVAL_S
             eventlet.sleep(LOG_FLUSH_INTERVAL_S)
             self.lateness.observe(due_at, time.monotonic())
+            supervision.attempt(self.log, "host.log", self._report.report_ends)
             self.log.flush()
 
+    def _describe_use(self):
+        """Returns what the process holds, for the log."""
+        entry = self._entry
+        return {
+            "state": self.state.value,
+            "open_connections": len(entry.connections) if entry else 0,
+            "in_flight": entry.in_flight if entry else 0,
+            "held_bytes": self.answer_buffers.used_bytes,
+            "lateness_ms": int(1000 * self.lateness.estimate_s()),
+        }
+
     def _expire_lapsed(self):
         changes = self.belief.expire_lapsed(time.monotonic())
         if changes:
@@ -535,6 +553,7 @@
             self._attempt_to_stop(self._entry.end_requests, 504)
             self._wait_for_connections(deadline)
             self._attempt_to_stop(self._entry.end)
+        self._attempt_to_stop(self._report.report_ends)
         self.log.write("host.stop", cut_off=cut_off)
         self._attempt_to_stop(self.log.flush)
 
