Log the host's own ends of connections as such

An answer of which the client accepted no byte for 10 s was logged as write_failed, ended by the client, though the host had ended the connection. After such an end, and each other one for which the host shuts the connection down, the reader saw the end of the stream and noted the client's: half_closed_ms was set, and the counter of half-closed connections rose.

The cause is write_timeout now, ended by the host, and an end of the host's own is not taken for the client's.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -283,6 +283,14 @@
     When a slow client sends a request for 4000000 bytes
     Then with a pause of 0.1 s after each 60000 bytes the client reads an answer of 4000000 bytes
 
+  # Guards against a log that takes the host's own time-out for the client's end.
+  Scenario: A client that accepts nothing of its answer is logged as ended by the host
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And a client may accept nothing of an answer for 0.5 s
+    When a slow client sends a request for 5000000 bytes
+    Then the server logs that a connection ended by write_timeout with 1 unanswered request
+    And the line says that the host ended it, with no time after the end of its stream
+
   # Guards against clients that are gone and hold their connection since the kernel took the answer.
   Scenario: A client that reads nothing of its answer loses its connection
     Given a client server that answers with as many bytes as its target says, after 0.0 s
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -330,6 +330,9 @@
 
     def _finish_half_closed(self):
         """Delivers what is due after the end of the client's stream while the client reads."""
+        if self._state is _connectionstates.State.ENDED:
+            # The host has ended the stream itself.
+            return
         is_answered = self._state is _connectionstates.State.LINGERING
         now = self._half_closed_at = time.monotonic()
         self._take_no_more()
--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -16,7 +16,8 @@
     """Why a connection ended, for logs and counters.
 
     HALF_CLOSED stands for requests that the host has dropped, as their client has ended its sending
-    side and can't be reached any more.
+    side and can't be reached any more, WRITE_TIMEOUT for a client that has accepted no byte of an
+    answer for too long, while WRITE_FAILED is an error of the connection.
     """
 
     CLIENT_LEFT = "client_left"
@@ -26,6 +27,7 @@
     LAST_ANSWER = "last_answer"
     NOT_RECEIVED = "not_received"
     WRITE_FAILED = "write_failed"
+    WRITE_TIMEOUT = "write_timeout"
     NO_ROOM = "no_room"
     STOP_IDLE = "stop_idle"
     STOP_DEADLINE = "stop_deadline"
