trace: show how the connection of a request without an answer ended

Such a request has no line of its own until its upstream is through, and none if the process ends; the line of its connection names it among others, which the command didn't look at. It prints that line and what the host has summed up of the same moment. The scenario fails before: no log line has the request id.

--- a/features/console.feature
+++ b/features/console.feature
@@ -234,3 +234,11 @@
     And the output does not contain "u2"
     When the trace of "r9" is requested
     Then it exits with 1 and prints "no log line has the request id 'r9'"
+
+  Scenario: Trace shows how the connection of a request without an answer ended
+    Given a console without settings
+    And a host's log in which the connection of requests "r1" and "r2" was closed by half_closed
+    When the trace of "r2" is requested
+    Then it exits with 0 and prints "client.closed cause=half_closed ended_by=host"
+    And the output contains "client.ends connections={'half_closed': 3}"
+    And the output does not contain "r3"
--- a/features/steps/console_steps.py
+++ b/features/steps/console_steps.py
@@ -298,6 +298,24 @@
             "sends": [send],
         },
     ]
+    _write_host_log(context, lines)
+
+
+@given(
+    'a host\'s log in which the connection of requests "{first}" and "{second}" was closed by '
+    "{cause}"
+)
+def step_closed_log(context, first, second, cause):
+    closed = {"time": 8.0, "host": "h1", "event": "client.closed", "cause": cause}
+    lines = [
+        closed | {"ended_by": "host", "requests": [first, second]},
+        closed | {"ended_by": "host", "requests": ["r3"]},
+        {"time": 8.1, "host": "h1", "event": "client.ends", "connections": {cause: 3}},
+    ]
+    _write_host_log(context, lines)
+
+
+def _write_host_log(context, lines):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.host_log = pathlib.Path(folder.name) / "host.log"
--- a/skylarksill/console/_tracing.py
+++ b/skylarksill/console/_tracing.py
@@ -8,11 +8,11 @@
 
 # Lines of the same host that are this close before or after a request may explain its outcome.
 CONTEXT_WINDOW_S = 2.0
-_CONTEXT_EVENTS = ("store.", "belief.", "upstream.", "host.", "log.")
+_CONTEXT_EVENTS = ("store.", "belief.", "upstream.", "host.", "log.", "client.ends")
 
 
 class TraceCommand(_command.ConsoleCommand):
-    """Shows a request, its sends and the state changes of its host around that time."""
+    """Shows a request, its sends, the end of its connection and its host's changes around it."""
 
     name = "trace"
     description = "Explains a request from the structured logs of the hosts."
@@ -60,8 +60,15 @@
 
 
 def find_relevant_lines(lines, request_id):
-    """Returns a request's lines and its host's state changes around it, sorted by time."""
-    request_lines = [line for line in lines if line.get("id") == request_id]
+    """Returns a request's lines and its host's state changes around it, sorted by time.
+
+    A connection that has ended without an answer to the request names it among others.
+    """
+    request_lines = [
+        line
+        for line in lines
+        if line.get("id") == request_id or request_id in line.get("requests", ())
+    ]
     relevant_lines = list(request_lines)
     for line in lines:
         if not line["event"].startswith(_CONTEXT_EVENTS):
