Half-closed clients with long round trips: wait for their acknowledgements

A client that has ended its sending side and acknowledged nothing for 0.3 s was taken for one that can't be reached, whatever its round trip: with one of over 0.3 s (also where packets wait that long at a link), the first probe dropped all of its requests that upstreams were at work on, 0.45 s after the end of its stream. The wait is now 0.3 s and two round trips, as the kernel has measured them on the connection, 1 s each at most; with 8 ms it is 0.316 s.

Loopback can't delay acknowledgements, so the scenario's kernel is a replaced one; a further scenario reads the round trip of a real connection.

--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -98,11 +98,28 @@
       | acknowledges nothing                                  | 0.15                               | is dropped at 0.45 s   |
       | acknowledges 0.2 s after it is probed                 | 0.15, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0 | is kept for 9.9 s      |
       | acknowledges 0.28 s after it is probed                | 0.15, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0 | is kept for 9.9 s      |
+      | acknowledges 0.4 s after it is probed, as always      | 0.15, 0.55, 1.05, 2.05, 4.05, 6.05, 8.05 | is kept for 9.9 s |
+      | acknowledges 0.9 s after it is probed, as always      | 0.15, 1.05, 1.95, 2.95, 4.95, 6.95, 8.95 | is kept for 9.9 s |
+      | acknowledges nothing, and took 0.4 s before           | 0.15                               | is dropped at 1.25 s   |
+      | acknowledges nothing, and took 5.0 s before           | 0.15                               | is dropped at 2.45 s   |
       | receives 100 bytes each 0.2 s of 2000 bytes           | 4.0, 4.35, 4.85, 5.85, 7.85, 9.85  | is kept for 9.9 s      |
       | receives nothing of 2000 bytes                        | no                                 | is dropped at 0.3 s    |
       | has no room for 2000 bytes                            | no                                 | is kept for 9.9 s      |
       | is always sent more before it acknowledges, 200 bytes each 0.03 s | no                     | is kept for 9.9 s      |
 
+  # Guards against LOST: a client with a round trip of over 0.3 s was taken for one that can't be reached.
+  Scenario: A client with a long round trip that ends its sending side gets all of its answers
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And a kernel that gets each acknowledgement after 0.4 s
+    When a client sends requests that take 0.1, 1.0 and 0.1 s and ends its sending side
+    Then the client reads 3 answers, of which only the last one says that it is the last
+    And the server counts a half-closed connection as answered
+
+  Scenario: The kernel tells the round trip of a connection
+    Given a client server that answers with as many bytes as its target says, after 0.5 s
+    When a client sends a request for 10 bytes and ends its sending side 0.0 s later
+    Then its round trip is found to take between 0.000001 and 0.01 s
+
   Scenario: There is a byte of the answer for each probe
     Then a client that acknowledges is probed once for each byte of the beginning of an answer
 
--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_halfclose.feature."""
 
+import dataclasses
 import struct
 import time
 
@@ -101,6 +102,29 @@
     context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
 
 
+@given("a kernel that gets each acknowledgement after {seconds:g} s")
+def step_long_round_trip(context, seconds):
+    observe = _clientconnection.Connection._observe_delivery
+    sent = {}
+
+    def observe_late(connection):
+        delivery = dataclasses.replace(observe(connection), round_trip_s=seconds)
+        since = sent.setdefault((connection, connection._begun_bytes), time.monotonic())
+        if time.monotonic() < since + seconds:
+            delivery = dataclasses.replace(delivery, is_in_flight=True, is_complete=False)
+        return dataclasses.replace(delivery, acknowledged_bytes=0)
+
+    _clientconnection.Connection._observe_delivery = observe_late
+    context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
+
+
+@then("its round trip is found to take between {least:f} and {most:g} s")
+def step_round_trip(context, least, most):
+    (connection,) = context.server.server.connections
+    found = connection._observe_delivery().round_trip_s
+    assert least <= found <= most, found
+
+
 @given("a kernel that tells of no reset")
 def step_no_reset(context):
     observe = _clientconnection.Connection._observe_delivery
@@ -190,6 +214,23 @@
     context.respond = respond
 
 
+@when("it acknowledges {seconds:g} s after it is probed, as always")
+def step_acknowledge_as_always(context, seconds):
+    step_acknowledge_late(context, seconds)
+    _add_round_trip(context, seconds)
+
+
+@when("it acknowledges nothing, and took {seconds:g} s before")
+def step_silent_after_slow(context, seconds):
+    step_silent(context)
+    _add_round_trip(context, seconds)
+
+
+def _add_round_trip(context, seconds):
+    respond = context.respond
+    context.respond = lambda *times: dataclasses.replace(respond(*times), round_trip_s=seconds)
+
+
 @when("it receives {part:d} bytes each {pause:g} s of {size:d} bytes")
 def step_receive(context, part, pause, size):
     def respond(now, probed_s):
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -38,9 +38,9 @@
 HALF_CLOSED_POLL_S = 0.03
 # Unread bytes that are discarded at most before a close that can't wait.
 MAX_DISCARDED_BYTES = 1_048_576
-# What the kernel tells of a connection (linux/tcp.h): its state, the segments on their way, and the
-# bytes that the other side has acknowledged.
-_TCP_INFO = struct.Struct("=B23xI92xQ")
+# What the kernel tells of a connection (linux/tcp.h): its state, the segments on their way, the
+# round trip in microseconds, and the bytes that the other side has acknowledged.
+_TCP_INFO = struct.Struct("=B23xI40xI48xQ")
 # State of a connection that was reset, or that both sides have ended.
 _TCP_CLOSE = 7
 
@@ -361,7 +361,7 @@
     def _observe_delivery(self):
         """Returns the halfclose.Delivery of what was sent to a client that reads on."""
         info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
-        state, unacknowledged_segments, acknowledged_bytes = _TCP_INFO.unpack(info)
+        state, unacknowledged_segments, round_trip_us, acknowledged_bytes = _TCP_INFO.unpack(info)
         return halfclose.Delivery(
             is_reset=state == _TCP_CLOSE,
             acknowledged_bytes=acknowledged_bytes,
@@ -370,6 +370,7 @@
             is_complete=not (
                 self._is_writing or _connectionstates.count_unsent_bytes(self._socket)
             ),
+            round_trip_s=round_trip_us / 1_000_000,
         )
 
     def _has_lingered(self, now):
--- a/skylarksill/host/halfclose.py
+++ b/skylarksill/host/halfclose.py
@@ -14,10 +14,13 @@
 # Pauses before the probes, one for each byte of answers.ANSWER_START. Answers that are ready within
 # the first one need no probe. Further ones notice a client that has closed meanwhile.
 PROBE_PAUSES_S = (0.15, 0.35, 0.5, 1.0, 2.0, 2.0, 2.0, 2.0, 2.0)
-# A client that acknowledges nothing for this long can't be reached: the kernel repeats a lost probe
-# after 0.2 s and a round trip. Upstreams may work for 0.5 s after the close has arrived, of which
-# the first pause has taken some.
+# A client that acknowledges nothing for this long and some round trips can't be reached: the kernel
+# repeats a lost probe after 0.2 s and a round trip, and its acknowledgement takes another one.
+# Upstreams may work for 0.5 s after the close has arrived, of which the first pause has taken some.
 UNACKNOWLEDGED_TIMEOUT_S = 0.3
+UNACKNOWLEDGED_ROUND_TRIPS = 2.0
+# Longest round trip that is waited for; the kernel measures more where a client pauses.
+MAX_ROUND_TRIP_S = 1.0
 
 
 class Decision(enum.Enum):
@@ -42,12 +45,14 @@
       is_in_flight: Whether bytes are on their way that it has not acknowledged. Bytes that wait for
         room at the client, which answers the kernel's probes, are not on their way.
       is_complete: Whether nothing is left to send or to be acknowledged.
+      round_trip_s: Smoothed time in seconds in which the client has acknowledged before.
     """
 
     is_reset: bool = False
     acknowledged_bytes: int = 0
     is_in_flight: bool = False
     is_complete: bool = True
+    round_trip_s: float = 0.0
 
 
 class HalfClosedClient:
@@ -74,7 +79,7 @@
         """
         if delivery.is_reset:
             return Decision.LEAVE
-        if self._measure_silence(now, delivery) >= UNACKNOWLEDGED_TIMEOUT_S:
+        if self._measure_silence(now, delivery) >= _find_timeout_s(delivery):
             return Decision.DROP
         if now < self._probes_at:
             return Decision.WAIT
@@ -99,3 +104,9 @@
         self._acknowledged_bytes = delivery.acknowledged_bytes
         self._was_in_flight = delivery.is_in_flight
         return now - self._silent_since
+
+
+def _find_timeout_s(delivery):
+    """Returns for how many seconds a client may acknowledge nothing of what is on its way."""
+    round_trip_s = min(delivery.round_trip_s, MAX_ROUND_TRIP_S)
+    return UNACKNOWLEDGED_TIMEOUT_S + UNACKNOWLEDGED_ROUND_TRIPS * round_trip_s
