Half-closed clients out of reach: don't fail where nothing is dropped

A client that has ended its sending side and acknowledges nothing loses the requests that have no answer yet, and is sent what is ready. Where all were ready, the reason of the cancellations, which the log has got lately, was asked of a cause that isn't known yet: an exception closed the connection in the middle of the answer that was being written (cause `error`).

--- a/features/host_halfclose.feature
+++ b/features/host_halfclose.feature
@@ -57,6 +57,14 @@
     And the server holds no bytes of answers
     And the server counts a half-closed connection as dropped
 
+  # Guards against LOST: dropping nothing failed, which closed the connection in the middle of an answer.
+  Scenario: A client that seems out of reach gets the rest of an answer that is ready
+    Given a client server that answers with as many bytes as its target says, after 0.0 s
+    And a kernel that gets no acknowledgement of what it sends after 0.0 s
+    When a client sends a request for 3000000 bytes, ends its sending side and pauses for 1.0 s
+    Then the client reads an answer of 3000000 bytes
+    And the server logs no failure
+
   Scenario: A client that closes its connection after the end of its sending side is noticed
     Given a client server that answers with as many bytes as its target says, after 5.0 s
     When a client sends a request for 10 bytes and ends its sending side 0.0 s later
--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -56,6 +56,19 @@
     context.client.sendall(client_builders.format_request(second, seconds))
 
 
+@when("a client sends a request for {size:d} bytes, ends its sending side and pauses for {pause:g} s")
+def step_pause(context, size, pause):
+    context.client = client_builders.connect(context, 4096)
+    context.client.sendall(client_builders.format_request(size))
+    context.client.shutdown(socket.SHUT_WR)
+    eventlet.sleep(pause)
+
+
+@then("the server logs no failure")
+def step_no_failure(context):
+    assert not context.server.list_lines("host.exception")
+
+
 @when("it ends its sending side and reads {count:d} bytes each {pause:g} s")
 def step_read_slowly(context, count, pause):
     context.client.shutdown(socket.SHUT_WR)
--- a/skylarksill/host/_answersending.py
+++ b/skylarksill/host/_answersending.py
@@ -184,8 +184,9 @@
         """Drops the first request without an answer, and those behind it."""
         ready = list(itertools.takewhile(lambda item: item.data is not None, self.pending))
         dropped = list(self.pending)[len(ready) :]
-        if dropped:
-            self._set_cause(_connectionstates.Cause.HALF_CLOSED)
+        if not dropped:
+            return
+        self._set_cause(_connectionstates.Cause.HALF_CLOSED)
         self._drop(dropped)
         for _ in dropped:
             self.pending.pop()
