--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_halfclose.feature."""
 
+import dataclasses
 import struct
 import time
 
@@ -55,6 +56,19 @@
     context.client.sendall(client_builders.format_request(second, seconds))
 
 
+@when("a client sends a request for {size:d} bytes, ends its sending side and pauses for {pause:g} s")
+def step_pause(context, size, pause):
+    context.client = client_builders.connect(context, 4096)
+    context.client.sendall(client_builders.format_request(size))
+    context.client.shutdown(socket.SHUT_WR)
+    eventlet.sleep(pause)
+
+
+@then("the server logs no failure")
+def step_no_failure(context):
+    assert not context.server.list_lines("host.exception")
+
+
 @when("it ends its sending side and reads {count:d} bytes each {pause:g} s")
 def step_read_slowly(context, count, pause):
     context.client.shutdown(socket.SHUT_WR)
@@ -101,6 +115,29 @@
     context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
 
 
+@given("a kernel that gets each acknowledgement after {seconds:g} s")
+def step_long_round_trip(context, seconds):
+    observe = _clientconnection.Connection._observe_delivery
+    sent = {}
+
+    def observe_late(connection):
+        delivery = dataclasses.replace(observe(connection), round_trip_s=seconds)
+        since = sent.setdefault((connection, connection._begun_bytes), time.monotonic())
+        if time.monotonic() < since + seconds:
+            delivery = dataclasses.replace(delivery, is_in_flight=True, is_complete=False)
+        return dataclasses.replace(delivery, acknowledged_bytes=0)
+
+    _clientconnection.Connection._observe_delivery = observe_late
+    context.add_cleanup(setattr, _clientconnection.Connection, "_observe_delivery", observe)
+
+
+@then("its round trip is found to take between {least:f} and {most:g} s")
+def step_round_trip(context, least, most):
+    (connection,) = context.server.server.connections
+    found = connection._observe_delivery().round_trip_s
+    assert least <= found <= most, found
+
+
 @given("a kernel that tells of no reset")
 def step_no_reset(context):
     observe = _clientconnection.Connection._observe_delivery
@@ -190,6 +227,23 @@
     context.respond = respond
 
 
+@when("it acknowledges {seconds:g} s after it is probed, as always")
+def step_acknowledge_as_always(context, seconds):
+    step_acknowledge_late(context, seconds)
+    _add_round_trip(context, seconds)
+
+
+@when("it acknowledges nothing, and took {seconds:g} s before")
+def step_silent_after_slow(context, seconds):
+    step_silent(context)
+    _add_round_trip(context, seconds)
+
+
+def _add_round_trip(context, seconds):
+    respond = context.respond
+    context.respond = lambda *times: dataclasses.replace(respond(*times), round_trip_s=seconds)
+
+
 @when("it receives {part:d} bytes each {pause:g} s of {size:d} bytes")
 def step_receive(context, part, pause, size):
     def respond(now, probed_s):
