Ignore signals that a host has no use for, and log them

Cause: the host set handlers for SIGTERM, SIGINT and SIGHUP only; the system's default for the others ends the process.

Change: the host handles these signals and logs host.signal_ignored. SIGQUIT and the signals of faults keep their effect.

Measured: the six examples fail before (the client's connection ends without an answer) and pass after; host_tasks.feature passes as a whole, 26 scenarios.

--- a/features/host_tasks.feature
+++ b/features/host_tasks.feature
@@ -63,6 +63,23 @@
       | SIGTERM |
       | SIGHUP  |
 
+  Scenario Outline: A signal that a host has no use for ended the process with its requests
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store
+    Then it is ready within 5 s and lookup lists it
+    When it gets <signal> during a request
+    Then that request is answered with 200 and the program runs on
+    And it has logged that it ignored <signal>
+
+    Examples:
+      | signal    |
+      | SIGUSR1   |
+      | SIGUSR2   |
+      | SIGALRM   |
+      | SIGVTALRM |
+      | SIGPROF   |
+      | SIGIO     |
+
   Scenario: A second stop signal that interrupted the handler of the first raised an exception
     Given a host whose handler of stop signals is interrupted by another one
     When it gets a stop signal
--- a/features/steps/host_tasks_steps.py
+++ b/features/steps/host_tasks_steps.py
@@ -73,17 +73,43 @@
 
 @when("it gets signals to stop, reload and stop during a request")
 def step_signals(context):
+    _signal_during_request(context, (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM))
+
+
+def _signal_during_request(context, numbers):
     for item in context.workers:
         item.work_s = 0.6
     client = socket.create_connection(("127.0.0.1", context.ports[1]))
     client.settimeout(host_world.ANSWER_TIMEOUT_S)
     client.sendall(platformdata.format_request("GET /read/1", "last"))
-    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+    for number in numbers:
         eventlet.sleep(0.1)
         context.process.send_signal(number)
     context.answer = platformdata.AnswerReader(client).read()
 
 
+@when("it gets {name} during a request")
+def step_signal_during_request(context, name):
+    _signal_during_request(context, [signal.Signals[name]])
+
+
+@then("that request is answered with {status:d} and the program runs on")
+def step_runs_on(context, status):
+    assert context.answer[0] == status, context.answer
+    assert context.process.poll() is None, context.process.returncode
+
+
+@then("it has logged that it ignored {name}")
+def step_ignored(context, name):
+    def is_logged():
+        return any(
+            line["event"] == "host.signal_ignored" and line["signal"] == name
+            for line in _read_lines(context)
+        )
+
+    host_world.wait_until(1.0, is_logged)
+
+
 @when("it is signaled to stop and gets {name} each {seconds:g} s until its end")
 def step_signals_until_end(context, name, seconds):
     context.process.send_signal(signal.SIGTERM)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -57,6 +57,15 @@
 # may be cut in the last sixth only, counted from the signal.
 MAX_RESERVE_SHARE = 0.16
 STOP_POLL_S = 0.05
+# Signals that ask for nothing a host does, and that would end the process at once.
+IGNORED_SIGNALS = (
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGPROF,
+    signal.SIGIO,
+)
 # Fractions of the host's memory that request bodies may occupy, that a single one may occupy while
 # no other is held, and that bodies and answers between upstreams and clients may occupy together.
 # The program itself takes about 42 MB, and a body is copied once as it gets complete.
@@ -213,6 +222,8 @@
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
+        for number in IGNORED_SIGNALS:
+            signal.signal(number, self._on_ignored)
         self._run_housekeeping()
         self._listen()
         self._gossip.start()
@@ -497,6 +508,13 @@
     def _on_reload(self, signal_number, frame):
         supervision.spawn(self.log, "host.reload", self._reload, True)
 
+    def _on_ignored(self, signal_number, frame):
+        name = signal.Signals(signal_number).name
+        supervision.spawn(self.log, "host.signal", self._report_ignored, name)
+
+    def _report_ignored(self, name):
+        self.log.write("host.signal_ignored", signal=name)
+
     def _reload(self, is_requested=False):
         """Applies changed settings; invalid ones are logged once and change nothing."""
         try:
