--- a/features/steps/host_halfclose_steps.py
+++ b/features/steps/host_halfclose_steps.py
@@ -56,7 +56,9 @@
     context.client.sendall(client_builders.format_request(second, seconds))
 
 
-@when("a client sends a request for {size:d} bytes, ends its sending side and pauses for {pause:g} s")
+@when(
+    "a client sends a request for {size:d} bytes, ends its sending side and pauses for {pause:g} s"
+)
 def step_pause(context, size, pause):
     context.client = client_builders.connect(context, 4096)
     context.client.sendall(client_builders.format_request(size))
