Log a connection that ends for the host's lack of memory as ended by the host

Any error of a read or a write was taken for one of the client: a read without memory (ENOBUFS, ENOMEM) was logged as `reset`, a write as `write_failed`, and the host's own time-out of an interim response as `reset`, all `ended_by` the client, so that `cut` and `client.ends` left their requests out.

Before: the new scenario ends with cause `reset`, `ended_by` the client. After: `error`, the host.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -14,6 +14,14 @@
       | closes its connection | client_left | a           |
       | resets its connection | reset       | no          |
 
+  # Guards against a log that takes the host's own lack of memory for a reset by the client.
+  Scenario: A connection that ends as the host lacks memory is logged as ended by the host
+    Given a client server that answers with as many bytes as its target says, after 1.0 s
+    When a client sends a request for 10 bytes
+    And the host has no memory to read what follows
+    Then the server logs that a connection ended by error with 1 unanswered request
+    And the line says that the host ended it, with no time after the end of its stream
+
   Scenario: A connection that the process ends with an unanswered request is logged as ended by the host
     Given a client server that answers with as many bytes as its target says, after 1.0 s
     When a client sends a request for 10 bytes
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -739,6 +739,15 @@
     context.server.server.end()
 
 
+@when("the host has no memory to read what follows")
+def step_no_memory(context):
+    host_world.wait_until(1.0, lambda: context.server.handled)
+    error = OSError(errno.ENOBUFS, os.strerror(errno.ENOBUFS))
+    with mock.patch.object(_fairreads.FairReader, "receive", side_effect=error):
+        context.client.sendall(b"G")
+        host_world.wait_until(1.0, lambda: not context.server.server.connections)
+
+
 @when("a client with a slow network sends a request for {size:d} bytes")
 def step_slow_network(context, size):
     context.client = client_builders.connect(context, 4096, SEGMENT_BYTES)
--- a/skylarksill/host/_answersending.py
+++ b/skylarksill/host/_answersending.py
@@ -132,10 +132,8 @@
                 self._send_continue()
         except OSError as error:
             self._server.log.write("client.write_failed", error=str(error))
-            # The kernel's own time-out has a number.
-            is_own = isinstance(error, TimeoutError) and error.errno is None
-            causes = _connectionstates.Cause
-            self._end(causes.WRITE_TIMEOUT if is_own else causes.WRITE_FAILED)
+            usual = _connectionstates.Cause.WRITE_FAILED
+            self._end(_connectionstates.find_cause(error, usual))
             self._shut_down(socket.SHUT_RDWR)
         finally:
             self._is_writing = False
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -85,7 +85,8 @@
             self._read_requests()
         except OSError as error:
             self._server.log.write("client.connection_lost", error=str(error))
-            self._set_cause(_connectionstates.Cause.RESET)
+            usual = _connectionstates.Cause.RESET
+            self._set_cause(_connectionstates.find_cause(error, usual))
         finally:
             self.close(_connectionstates.Cause.ERROR)
 
--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import errno
 import fcntl
 import struct
 import termios
@@ -10,6 +11,8 @@
 
 # Bytes of a host name, a target or an id of a request in the log.
 MAX_LOGGED_NAME = 100
+# Errors that mean that this host has no memory left; they tell nothing about the client.
+_OWN_ERRORS = frozenset((errno.ENOBUFS, errno.ENOMEM))
 
 
 class Cause(enum.StrEnum):
@@ -39,6 +42,19 @@
         return self in (Cause.CLIENT_LEFT, Cause.RESET, Cause.WRITE_FAILED)
 
 
+def find_cause(error, usual):
+    """Returns the Cause of a connection that ends by an error.
+
+    Args:
+      error: The OSError of a read or a write.
+      usual: The Cause of those that tell of the client or the network.
+    """
+    # The kernel's own time-out has a number.
+    if isinstance(error, TimeoutError) and error.errno is None:
+        return Cause.WRITE_TIMEOUT
+    return Cause.ERROR if error.errno in _OWN_ERRORS else usual
+
+
 class State(enum.Enum):
     """What a connection still does. States follow each other in this order; some are left out.
 
