Log a refusal that its client doesn't get with its age

The answer to an unreadable request had no time of receipt, so that `client.closed` told the time since the start of the clock as its age (1,679,477 ms in the new scenario, 0 to 1,000 expected). The time has no default any more. After: the scenario passes.

--- a/features/host_endings.feature
+++ b/features/host_endings.feature
@@ -14,6 +14,13 @@
       | closes its connection | client_left | a           |
       | resets its connection | reset       | no          |
 
+  Scenario: A refusal that its client doesn't get is logged with its age
+    Given a client server that answers with as many bytes as its target says, after 1.0 s
+    When a client sends a request for 10 bytes
+    And it sends bytes that are no request and resets its connection
+    Then the server logs that a connection ended by reset with 2 unanswered requests
+    And the line says that they are younger than 1.0 s
+
   # Guards against a log that takes the host's own lack of memory for a reset by the client.
   Scenario: A connection that ends as the host lacks memory is logged as ended by the host
     Given a client server that answers with as many bytes as its target says, after 1.0 s
--- a/features/steps/host_endings_steps.py
+++ b/features/steps/host_endings_steps.py
@@ -739,6 +739,20 @@
     context.server.server.end()
 
 
+@when("it sends bytes that are no request and resets its connection")
+def step_malformed(context):
+    context.client.sendall(b"none\r\n\r\n")
+    host_world.wait_until(1.0, lambda: context.server.list_lines("client.refused"))
+    context.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    context.client.close()
+
+
+@then("the line says that they are younger than {seconds:g} s")
+def step_logged_ages(context, seconds):
+    (line,) = context.server.list_lines("client.closed")
+    assert all(0 <= age_ms < 1000 * seconds for age_ms in line["ages_ms"]), line
+
+
 @when("the host has no memory to read what follows")
 def step_no_memory(context):
     host_world.wait_until(1.0, lambda: context.server.handled)
--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -83,7 +83,7 @@
     request_id: bytes | None
     method: bytes
     cancellation: cancellation.Cancellation
-    received_at: float = 0.0
+    received_at: float
     is_kept: bool = False
     request: records.Request | None = None
     data: bytes | None = None
--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -205,7 +205,9 @@
         )
         self._server.counters.count("requests_unreadable", str(status))
         self._take_no_more()
-        item = _connectionstates.PendingRequest(None, b"GET", cancellation.Cancellation())
+        item = _connectionstates.PendingRequest(
+            None, b"GET", cancellation.Cancellation(), received_at=time.monotonic()
+        )
         headers = _REFUSAL_HEADERS if status == 503 else ()
         data = answers.format_answer(answers.make_answer(status, b"", headers), b"GET")
         self._set_answer(item, data)
