Write the log without waiting for its reader

What callers saw: of a host whose standard output is a pipe that is full, nothing at once. But such a host took itself for punctual: after eight pauses of 0.25 s its metric of lateness was 0.0004 s, against 0.21 s of one whose log is read. A host that doesn't know that it is late listens and reads on in a stop as long as a punctual one does. Its lines client.ends and its counts of dropped lines stood still too.

Cause: the output is non-blocking, so that a full pipe refuses a write. But start.py patches os.write for green threads: it waits in the hub until the pipe accepts bytes. The task that writes the log also observes the lateness and sums up what has ended, and it waited for ever. A stop's own write of the log met the waiting one and raised an exception.

Change: the log is written with the unpatched function, so a full pipe refuses the write, the rest stays in the buffer, and lines beyond it are dropped and counted, as the module says.

Measured: the scenario fails before (lateness 0.0 after eight pauses) and passes after.

--- a/features/host_tasks.feature
+++ b/features/host_tasks.feature
@@ -96,3 +96,10 @@
     And the upstreams take 3.0 s
     When 3 clients send a request, and the end of the first connection's requests raises one
     Then the other 2 are answered with 504
+
+  Scenario: A host whose log nobody read did not observe how late it was
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store, with a full pipe as standard output
+    Then it is ready within 5 s and lookup lists it
+    When it is paused 8 times for 0.25 s
+    Then its metrics say that it is late by 0.05 s or more
--- a/features/steps/host_platform_steps.py
+++ b/features/steps/host_platform_steps.py
@@ -219,8 +219,8 @@
     context.process = subprocess.Popen(
         [sys.executable, *program, "--peer-keys", str(context.keys_path)],
         env={**os.environ, "SKYLARKSILL_BOOT": str(path)},
-        stdout=context.log_path.open("w"),
-        stderr=context.error_path.open("w"),
+        stdout=getattr(context, "log_output", None) or context.log_path.open("w"),
+        stderr=getattr(context, "error_output", None) or context.error_path.open("w"),
         cwd=ROOT,
     )
     context.add_cleanup(_kill_process, context.process)
--- a/features/steps/host_tasks_steps.py
+++ b/features/steps/host_tasks_steps.py
@@ -1,6 +1,7 @@
 """Steps of host_tasks.feature."""
 
 import json
+import os
 import signal
 import tempfile
 
@@ -30,6 +31,41 @@
     host_world.wait_until(seconds, lambda: "planted.over" in _list_events(context))
 
 
+@given("a host program that uses the store, with a full pipe as standard output")
+def step_full_output(context):
+    context.log_output = _fill_pipe(context)
+    context.execute_steps("Given a host program that uses the store")
+
+
+def _fill_pipe(context):
+    """Returns the descriptor to which a pipe that nobody reads is written."""
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, bytes(4_096))
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    return writer
+
+
+@when("it is paused {count:d} times for {seconds:g} s")
+def step_paused(context, count, seconds):
+    for _ in range(count):
+        context.process.send_signal(signal.SIGSTOP)
+        eventlet.sleep(seconds)
+        context.process.send_signal(signal.SIGCONT)
+        eventlet.sleep(0.05)
+
+
+@then("its metrics say that it is late by {seconds:g} s or more")
+def step_late(context, seconds):
+    lines = dict(line.split() for line in _read_metrics(context).splitlines() if "{" not in line)
+    assert float(lines["skylarksill_lateness_seconds"]) >= seconds, lines
+
+
 def _read_lines(context):
     text = context.log_path.read_text(encoding="utf-8")
     return [json.loads(line) for line in text.splitlines(keepends=True) if line.endswith("\n")]
@@ -55,12 +91,17 @@
 
 @then('its metrics count the exceptions of "{task}"')
 def step_counted(context, task):
+    body = _read_metrics(context)
+    assert f'skylarksill_exceptions_total{{label="{task}' in body, body
+
+
+def _read_metrics(context):
     client = socket.create_connection(("127.0.0.1", context.ports[0] + 1))
     client.settimeout(host_world.ANSWER_TIMEOUT_S)
     client.sendall(b"GET /metrics HTTP/1.1\r\nHost: host\r\n\r\n")
     body = platformdata.AnswerReader(client).read()[2].decode()
     client.close()
-    assert f'skylarksill_exceptions_total{{label="{task}' in body, body
+    return body
 
 
 @then("the program ends within {seconds:d} s with code {code:d} and no traceback")
--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -10,6 +10,8 @@
 import time
 import traceback
 
+from eventlet import patcher
+
 # Token bucket: lines a second and the size of a burst. A host takes some hundred requests a second.
 LINES_PER_S = 2_000
 BURST_LINES = 4_000
@@ -21,6 +23,8 @@
 # Tracebacks on standard error, one for each task and line of code. A pipe that nobody reads holds
 # 64 KB, and writes to a full one would wait for ever.
 MAX_PRINTED_TRACEBACKS = 12
+# The module that is patched for green threads waits until the output accepts a write.
+_unpatched_os = patcher.original("os")
 
 
 class EventLog:
@@ -145,7 +149,7 @@
 
     def write(data):
         try:
-            return os.write(descriptor, data)
+            return _unpatched_os.write(descriptor, data)
         except BlockingIOError:
             return 0
 
