siterun: reloads of most hosts, and disturbances that the store's first and last writers decide about

A cut path and a busy store count as disturbances of the store, a kill as one of its host only. The stand-in of the store records which objects callers have created under the condition that there is none. Overlapping disturbances of the store end for each host on its own.

--- a/bench/siterun/__main__.py
+++ b/bench/siterun/__main__.py
@@ -49,7 +49,7 @@
     site_rig = rig.Rig(seed, folder, share, busy_count, checkout, played)
     upstream_count = sum(sum(zone.upstreams.values()) for zone in site_rig.site.zones)
     events = schedule.make_schedule(
-        seed, length_s, len(site_rig.hosts), upstream_count, len(rig.CHANGED_SETTINGS)
+        seed, length_s, len(site_rig.hosts), upstream_count, len(rig.CHANGED_SETTINGS), played
     )
     events += disturbances.make_series(seed, length_s, len(site_rig.hosts), played)
     (folder / "schedule.txt").write_text("\n".join(map(repr, events)), encoding="utf-8")
--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -37,6 +37,13 @@
     upstreams and configurations that have gone are back, and others are missing, until their
     writers have written them again.
 
+    RELOADS sends SIGHUP to most hosts, again and again, with changed settings and with unchanged
+    ones. It takes the place of the planned stops, so that hosts stay in touch.
+
+    LEADER_CUT cuts the host that was the last to write to the store under a condition off from the
+    store's answers, and FIRST_WRITER_KILLED kills the one that was the first. STORE_BUSY has the
+    store refuse all calls of hosts.
+
     GROWN plays the grown fleet of the site, whose requests outlast the time that a stop has.
     """
 
@@ -53,6 +60,10 @@
     EARLY = "early"
     CROWD = "crowd"
     DRILL = "drill"
+    RELOADS = "reloads"
+    LEADER_CUT = "leader-cut"
+    FIRST_WRITER_KILLED = "first-writer-killed"
+    STORE_BUSY = "store-busy"
     GROWN = "grown"
 
 
--- a/bench/siterun/disturbances.py
+++ b/bench/siterun/disturbances.py
@@ -1,5 +1,6 @@
 """Disturbances and early signals of a run: drawn from its seed, and played on its processes."""
 
+import collections
 import dataclasses
 import enum
 import random
@@ -17,6 +18,9 @@
 STORE_PAUSE_S = 6.0
 EARLY_PAUSE_S = 5.0
 DRILL_PAUSE_S = 7.0
+CUT_PAUSE_S = 9.0
+WRITER_PAUSE_S = 6.0
+BUSY_PAUSE_S = 8.0
 MAX_GAP_S = 1.5
 MAX_HOSTS = 3
 # Times for which hosts are down or paused, and the store is disturbed.
@@ -26,6 +30,11 @@
 # Age of the copy from which the store returns, and the time for which it is away.
 COPY_AGE_S = (0.5, 5.0)
 AWAY_S = (0.1, 1.5)
+# Times of the host that is cut off from the store's answers, of the one that is killed as the first
+# writer, and of the store that refuses calls.
+CUT_S = 5.5
+WRITER_DOWN_S = 3.5
+BUSY_S = 4.5
 STORE_MODES = (proxies.Mode.DELAY, proxies.Mode.SILENT, proxies.Mode.RESET)
 # Early signals to a host in turn, and the longest times to them.
 MAX_EARLY_STOPS = 4
@@ -69,6 +78,27 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutLastWriter:
+    """Holds the store's answers back from the host that was the last to write under a condition."""
+
+    for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KillFirstWriter:
+    """Kills the host that was the first to write under a condition; it starts again later."""
+
+    down_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseCalls:
+    """Has the store refuse all calls with 503."""
+
+    for_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReturnStore:
     """Copies the store; ``age_s`` later it is away for ``away_s`` and returns from the copy."""
@@ -117,6 +147,12 @@
         sorts.append((_draw_store, STORE_PAUSE_S))
     if conditions.Condition.DRILL in played:
         sorts.append((_draw_return, DRILL_PAUSE_S))
+    if conditions.Condition.LEADER_CUT in played:
+        sorts.append((_draw_cut, CUT_PAUSE_S))
+    if conditions.Condition.FIRST_WRITER_KILLED in played:
+        sorts.append((_draw_first_writer, WRITER_PAUSE_S))
+    if conditions.Condition.STORE_BUSY in played:
+        sorts.append((_draw_busy_store, BUSY_PAUSE_S))
     if conditions.Condition.EARLY in played:
         sorts.append((_draw_early, EARLY_PAUSE_S))
     events = []
@@ -152,6 +188,18 @@
     return [ReturnStore(rng.uniform(*COPY_AGE_S), rng.uniform(*AWAY_S))]
 
 
+def _draw_cut(rng, host_count):
+    return [CutLastWriter(CUT_S)]
+
+
+def _draw_first_writer(rng, host_count):
+    return [KillFirstWriter(WRITER_DOWN_S)]
+
+
+def _draw_busy_store(rng, host_count):
+    return [RefuseCalls(BUSY_S)]
+
+
 def _draw_early(rng, host_count):
     return [
         StopEarly(host, tuple(_draw_stop(rng) for _ in range(rng.randint(1, MAX_EARLY_STOPS))))
@@ -181,7 +229,9 @@
 
     def __init__(self, rig):
         self._rig = rig
-        self._store_disturbances = 0
+        # Number of the disturbances on each path to the store, by index of the host.
+        self._cut_paths = collections.Counter()
+        self._refusals = 0
 
     def apply(self, event):
         """Plays an event to its end."""
@@ -191,7 +241,13 @@
             case PauseHost(index, frozen_s):
                 self._pause(self._rig.hosts[index], frozen_s)
             case DisturbStore(mode, for_s):
-                self._disturb_store(mode, for_s)
+                self._disturb_store(self._rig.hosts, mode, for_s)
+            case CutLastWriter(for_s):
+                self._disturb_store(self._rig.list_writers()[-1:], proxies.Mode.ONE_WAY, for_s)
+            case KillFirstWriter(down_s):
+                self._kill(self._rig.list_writers()[0], down_s)
+            case RefuseCalls(for_s):
+                self._refuse_calls(for_s)
             case ReturnStore(age_s, away_s):
                 self._return_store(age_s, away_s)
             case StopEarly(index, stops):
@@ -225,27 +281,34 @@
             process.send_signal(signal.SIGCONT)
         disturbance.ends_at = time.monotonic()
 
-    def _disturb_store(self, mode, for_s):
+    def _disturb_store(self, disturbed, mode, for_s):
         disturbance = self._begin(None)
-        self._store_disturbances += 1
-        self._set_store_mode(mode)
+        for host in disturbed:
+            self._cut_paths[host.index] += 1
+            host.store_proxy.set_mode(mode)
         eventlet.sleep(for_s)
-        self._store_disturbances -= 1
-        if not self._store_disturbances:
-            self._set_store_mode(proxies.Mode.PASS)
+        for host in disturbed:
+            self._cut_paths[host.index] -= 1
+            if not self._cut_paths[host.index]:
+                host.store_proxy.set_mode(proxies.Mode.PASS)
+        disturbance.ends_at = time.monotonic()
+
+    def _refuse_calls(self, for_s):
+        disturbance = self._begin(None)
+        self._refusals += 1
+        self._rig.refuse_calls(True)
+        eventlet.sleep(for_s)
+        self._refusals -= 1
+        self._rig.refuse_calls(self._refusals > 0)
         disturbance.ends_at = time.monotonic()
 
     def _return_store(self, age_s, away_s):
         rng = random.Random(f"{age_s} {away_s}")
         older = self._rig.store.copy()
         eventlet.sleep(age_s)
-        self._disturb_store(proxies.Mode.RESET, away_s)
+        self._disturb_store(self._rig.hosts, proxies.Mode.RESET, away_s)
         self._rig.observations.lost_writes += self._rig.store.return_from_copy(older, rng)
 
-    def _set_store_mode(self, mode):
-        for host in self._rig.hosts:
-            host.store_proxy.set_mode(mode)
-
     def _stop_early(self, host, stops):
         with self._rig.claim(host) as is_free:
             if not is_free:
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -275,7 +275,8 @@
             case schedule.StopHost(index, signals):
                 self._stop_host(self.hosts[index], signals)
             case schedule.ReloadHost(index, variant, has_signal):
-                self.hosts[index].write_settings(variant)
+                if variant is not None:
+                    self.hosts[index].write_settings(variant)
                 if has_signal:
                     self._reload(self.hosts[index])
             case schedule.ChangeRoutes(draw):
@@ -321,6 +322,15 @@
         stop = records.Stop(host.ip, requested_at, time.monotonic(), code)
         self.observations.stops.append(stop)
 
+    def list_writers(self):
+        """Returns the hosts in the order in which they wrote to the store under a condition."""
+        known = {f"host-{host.index}": host for host in self.hosts}
+        return [known[name] for name in self._metadata_store.created_names]
+
+    def refuse_calls(self, is_refusing):
+        """Has the store refuse all calls, or serve them again."""
+        self._metadata_store.failing_status = 503 if is_refusing else None
+
     def start_host(self, host):
         """Starts a new process of a host on the processors of the hosts."""
         self.observations.starts.append((host.ip, time.monotonic()))
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -5,6 +5,7 @@
   Scenario: A schedule depends on its seed only and has series that overlap
     Then the planned work of seeds 1 to 20 is the same twice, and differs from each other
     And each sort of planned work occurs in it, and stops overlap
+    And with reloads it has no stops, but 5 reloads or more of each host, with and without changes
 
   Scenario: Requests that are answered are not lost
     Given a run of the site with 40 answered requests
--- a/features/siterun_disturbances.feature
+++ b/features/siterun_disturbances.feature
@@ -34,6 +34,18 @@
     When a client with a small window reads 400000 bytes
     Then no part exceeds 4000 bytes, and it has paused for the time that it took beyond its parts
 
+  Scenario Outline: A disturbance that the first or the last writer of the store decides about
+    Given a run with hosts a to c at a store, to which b, then c and then a have written, and b again
+    When <event> is played
+    Then meanwhile <state>, and <what> counts as disturbed
+    And afterwards all hosts have the store's answers
+
+    Examples:
+      | event           | state                               | what      |
+      | CutLastWriter   | a gets no answers of the store      | the store |
+      | KillFirstWriter | b is down until the end of it       | b         |
+      | RefuseCalls     | the store answers all hosts by 503  | the store |
+
   Scenario: What a store that returns from an older copy has lost is written again
     Given a store whose writers have written u1 and u2
     When it is copied, u1 drains, u2 is deleted and u3 is written
--- a/features/steps/siterun_disturbance_steps.py
+++ b/features/steps/siterun_disturbance_steps.py
@@ -1,5 +1,7 @@
 """Steps of siterun_disturbances.feature."""
 
+import contextlib
+import json
 import random
 import time
 from unittest import mock
@@ -10,13 +12,16 @@
 
 from bench.siterun import (
     conditions,
+    disturbances,
     records,
+    rig,
     shape,
     storewriter,
     troubles,
     upstreams,
     windows,
 )
+from bench.soak import proxies
 from standins import metadatastore, platformdata
 
 SITE = shape.THREE_REGIONS
@@ -128,6 +133,77 @@
     assert pauses_s > 0.0 and pauses_s + 0.001 * len(context.parts) <= context.seconds
 
 
+@given(
+    "a run with hosts a to c at a store, to which b, then c and then a have written, and b again"
+)
+def step_writing_hosts(context):
+    context.store = metadatastore.MetadataStore()
+    context.add_cleanup(context.store.stop)
+    context.rig = mock.Mock(spec=rig.Rig, observations=records.Observations())
+    context.rig.hosts = []
+    for index, name in enumerate("abc"):
+        proxy = proxies.Proxy(context.store.address)
+        context.add_cleanup(proxy.stop)
+        host = mock.Mock(ip=name, store_proxy=proxy)
+        host.index, host.process.poll.return_value = index, None
+        context.rig.hosts.append(host)
+    context.rig._metadata_store = context.store
+    context.rig.claim.return_value = contextlib.nullcontext(True)
+    for method in ("list_writers", "refuse_calls"):
+        getattr(context.rig, method).side_effect = getattr(rig.Rig, method).__get__(context.rig)
+    statuses = [_register(context, index) for index in (1, 2, 0, 1)]
+    assert statuses == [200, 200, 200, 409], statuses
+
+
+def _register(context, index):
+    """Returns the status that a host gets as it registers, or None if it gets none."""
+    body = json.dumps({"metadata": {"name": f"host-{index}"}, "spec": {}})
+    address = context.rig.hosts[index].store_proxy.address
+    with socket.create_connection(address) as client:
+        client.settimeout(0.1)
+        client.sendall(
+            b"POST /v1/objects/hosts HTTP/1.1\r\nHost: store\r\n"
+            + f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        try:
+            return platformdata.AnswerReader(client).read()[0]
+        except TimeoutError:
+            return None
+
+
+@when("{name} is played")
+def step_play_event(context, name):
+    disturber = disturbances.Disturber(context.rig)
+    event = getattr(disturbances, name)(0.4)
+    context.playing = eventlet.spawn(disturber.apply, event)
+    eventlet.sleep(0.02)
+
+
+@then("meanwhile {state}, and {what} counts as disturbed")
+def step_meanwhile(context, state, what):
+    first, statuses = context.rig.hosts[1], [_register(context, index) for index in range(3)]
+    fits = {
+        "a gets no answers of the store": statuses == [None, 409, 409],
+        "b is down until the end of it": first.process.kill.called
+        and not context.rig.start_host.called,
+        "the store answers all hosts by 503": statuses == [503, 503, 503],
+    }
+    assert fits[state], statuses
+    (disturbance,) = context.rig.observations.disturbances
+    assert disturbance.host == (None if what == "the store" else what)
+    assert disturbance.ends_at == float("inf")
+    context.playing.wait()
+    assert 0.4 <= disturbance.ends_at - disturbance.begins_at < 2.0
+    started = [call.args[0] for call in context.rig.start_host.call_args_list]
+    assert started == ([first] if what == "b" else [])
+
+
+@then("afterwards all hosts have the store's answers")
+def step_afterwards(context):
+    statuses = [_register(context, index) for index in range(3)]
+    assert statuses == [409, 409, 409], statuses
+
+
 @given("a store whose writers have written u1 and u2")
 def step_writers(context):
     context.store = metadatastore.MetadataStore()
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -31,6 +31,7 @@
 SITE = shape.THREE_REGIONS
 HOST = "127.1.20.10"
 UPSTREAM_COUNT = 38
+HOST_COUNT = sum(zone.hosts for zone in SITE.zones)
 # Planned work begins at this time; requests of the calm run are sent long before and after it.
 WORK_AT = 100.0
 CALM_TIMES = (50.0, 150.0)
@@ -62,9 +63,25 @@
     assert len(overlapping) > len(context.schedules)
 
 
-def _make_schedule(seed):
-    host_count = sum(zone.hosts for zone in SITE.zones)
-    return schedule.make_schedule(seed, 30.0, host_count, UPSTREAM_COUNT, len(rig.CHANGED_SETTINGS))
+def _make_schedule(seed, played=()):
+    return schedule.make_schedule(
+        seed, 30.0, HOST_COUNT, UPSTREAM_COUNT, len(rig.CHANGED_SETTINGS), played
+    )
+
+
+@then(
+    "with {names} it has no stops, but {least:d} reloads or more of each host, with and without"
+    " changes"
+)
+def step_reloads(context, names, least):
+    played = conditions.parse_conditions(names)
+    for seed in range(1, len(context.schedules) + 1):
+        events = _make_schedule(seed, played)
+        assert _list_stops(events) == []
+        reloads = [event for _, event in events if isinstance(event, schedule.ReloadHost)]
+        assert {event.variant is None for event in reloads} == {True, False}, reloads
+        counts = collections.Counter(event.host for event in reloads if event.has_signal)
+        assert len(counts) == HOST_COUNT and min(counts.values()) >= least, counts
 
 
 def _list_stops(events):
@@ -133,6 +150,9 @@
         disturbances.PauseHost,
         disturbances.DisturbStore,
         disturbances.ReturnStore,
+        disturbances.CutLastWriter,
+        disturbances.KillFirstWriter,
+        disturbances.RefuseCalls,
         disturbances.StopEarly,
     }, events
     early = [event for event in events if isinstance(event, disturbances.StopEarly)]
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -26,6 +26,8 @@
       raw_values: Dict of the bytes that replace a string in all answers, for values that
         ``json.dumps`` does not write.
       era: Number of the present era, which rises with each return from a copy.
+      created_names: Names of the objects that callers have created on the condition that there is
+        none, in the order of the calls.
     """
 
     def __init__(self):
@@ -36,6 +38,7 @@
         self.calls = 0
         self.raw_values = {}
         self.era = 1
+        self.created_names = []
         self._objects = {}
         self._history = []
         self._oldest_revision = 0
@@ -172,6 +175,8 @@
         name = body["metadata"]["name"]
         if method == "POST" and (parts[0], name) in self._objects:
             return 409, self._objects[parts[0], name]
+        if method == "POST":
+            self.created_names.append(name)
         self.write(parts[0], name, body["spec"])
         return 200, self._objects[parts[0], name]
 
