Keep standard error from ending or stopping a host

What callers saw: a host whose standard error is a pipe without a reader ended at the first exception that reached eventlet's hub, and one whose standard error is a full pipe stood still for good. All its requests were cut, or stayed without an answer, in one moment.

Cause: the hub prints such exceptions to standard error in its own loop. A write that fails there ends the hub, the exception comes out of the main green thread, and the process ends with code 1; a write that waits stops all green threads. host.exception guards its own prints, not the hub's. What reaches the hub is an exception that no task handles, such as a lack of memory as a green thread starts.

Change: the host replaces standard error by an output that neither waits nor fails, and drops what can't be written at once.

--- a/features/host_tasks.feature
+++ b/features/host_tasks.feature
@@ -103,3 +103,15 @@
     Then it is ready within 5 s and lookup lists it
     When it is paused 8 times for 0.25 s
     Then its metrics say that it is late by 0.05 s or more
+
+  # Guards against a process that ended, or stood still, as it printed an exception.
+  Scenario Outline: An exception that reached the hub cut all requests of a host whose errors nobody read
+    Given a store with a configuration and 2 upstreams
+    And a host program with a fault in callbacks of the hub, with a <pipe> pipe as standard error
+    Then it logs within 8 s that the planted fault is over
+    And a request through it is answered with 200
+
+    Examples:
+      | pipe   |
+      | full   |
+      | closed |
--- a/features/steps/host_tasks_steps.py
+++ b/features/steps/host_tasks_steps.py
@@ -51,6 +51,21 @@
     return writer
 
 
+@given("a host program with a fault in {fault}, with a {pipe} pipe as standard error")
+def step_faulty_program_errors(context, fault, pipe):
+    context.error_output = _fill_pipe(context) if pipe == "full" else _open_closed_pipe(context)
+    context.program = [str(FAULTY_HOST), fault]
+    context.execute_steps("Given a host program that uses the store")
+
+
+def _open_closed_pipe(context):
+    """Returns the descriptor of a pipe whose reader has gone."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    context.add_cleanup(os.close, writer)
+    return writer
+
+
 @when("it is paused {count:d} times for {seconds:g} s")
 def step_paused(context, count, seconds):
     for _ in range(count):
--- a/skylarksill/host/eventlog.py
+++ b/skylarksill/host/eventlog.py
@@ -4,6 +4,8 @@
 rate, or that arrive while the buffer is full, are dropped and counted, and the count is logged.
 """
 
+import contextlib
+import io
 import json
 import os
 import sys
@@ -20,8 +22,7 @@
 MAX_TRACEBACK_CHARACTERS = 4_000
 # Least time between two lines about exceptions of one task and line of code.
 EXCEPTION_INTERVAL_S = 10.0
-# Tracebacks on standard error, one for each task and line of code. A pipe that nobody reads holds
-# 64 KB, and writes to a full one would wait for ever.
+# Tracebacks on standard error, one for each task and line of code.
 MAX_PRINTED_TRACEBACKS = 12
 # The module that is patched for green threads waits until the output accepts a write.
 _unpatched_os = patcher.original("os")
@@ -129,6 +130,31 @@
         return True
 
 
+class ErrorOutput(io.TextIOBase):
+    """Standard error that neither waits nor fails; what it can't take at once is dropped.
+
+    eventlet prints exceptions that reach its hub, where a write that waits stops all green threads,
+    and one that fails ends the process.
+
+    Args:
+      stream: The stream to whose descriptor it writes, or None if there is none.
+    """
+
+    def __init__(self, stream):
+        super().__init__()
+        self._descriptor = None if stream is None else stream.fileno()
+        if self._descriptor is not None:
+            os.set_blocking(self._descriptor, False)
+
+    def write(self, text):
+        """Writes a text, or as much of it as is taken at once; returns its length."""
+        if self._descriptor is not None:
+            # Nobody may read it, or there may be no room for it.
+            with contextlib.suppress(OSError):
+                _unpatched_os.write(self._descriptor, text.encode(errors="backslashreplace"))
+        return len(text)
+
+
 def _find_line(error):
     """Returns the file and the line of code that raised an exception, or None."""
     frames = traceback.extract_tb(error.__traceback__)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -6,6 +6,7 @@
 import random
 import resource
 import signal
+import sys
 import time
 
 import eventlet
@@ -187,6 +188,7 @@
         """
         self._store = store
         self._load_settings = load_settings
+        sys.stderr = eventlog.ErrorOutput(sys.stderr)
         if not allocation.return_large_blocks():
             self.log.write("host.allocator_unknown")
         self._belief_follower = following.BeliefFollower(
--- a/standins/faulty_host.py
+++ b/standins/faulty_host.py
@@ -9,14 +9,16 @@
 import signal
 import sys
 
-import eventlet
-
-eventlet.monkey_patch()
-
 PLATFORM_FOLDER = pathlib.Path(__file__).resolve().parent.parent / "platform"
 START_SCRIPT = PLATFORM_FOLDER / "start.py"
 sys.path.append(str(PLATFORM_FOLDER))
 
+import skylarksill  # noqa: E402, F401, I001  silences eventlet's notice
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
 import store  # noqa: E402
 
 from skylarksill.host import (  # noqa: E402
@@ -33,6 +35,9 @@
 # Calls before the fault, which a host makes as it starts, and calls that it makes fail.
 SOUND_CALLS = 2
 FAILED_CALLS = 2
+# Time from the start to the first fault in the hub, and the number of exceptions that reach it.
+HUB_FAULTS_AT_S = 2.0
+HUB_EXCEPTIONS = 10
 
 
 class PlantedError(Exception):
@@ -83,6 +88,20 @@
     program.Host._listen = stop_and_listen
 
 
+def _reach_hub():
+    """Raises exceptions in callbacks of the hub, after the host has started."""
+
+    def fail():
+        raise PlantedError("planted")
+
+    def end():
+        os.write(sys.stdout.fileno(), b'{"event":"planted.over"}\n')
+
+    for index in range(HUB_EXCEPTIONS):
+        eventlet.spawn_after(HUB_FAULTS_AT_S + 0.01 * index, fail)
+    eventlet.spawn_after(HUB_FAULTS_AT_S + 1.0, end)
+
+
 FAULTS = {
     "housekeeping": lambda: _fail_for_some_calls(program.Host, "_update_view"),
     "the log": lambda: _fail_for_some_calls(eventlog.EventLog, "flush"),
@@ -98,6 +117,7 @@
     "closing idle connections": lambda: _fail_always(clientserver.ClientServer, "close_idle"),
     "closing its socket": lambda: _fail_always(clientserver.ClientServer, "stop_listening"),
     "a stop while it starts": _stop_while_starting,
+    "callbacks of the hub": _reach_hub,
 }
 
 
