Start eventlet's hub anew after an exception of its own

What callers saw: an exception in the hub's own loop, as for lack of memory while it orders its timers, ended the process and cut all requests in one moment.

Cause: the hub's green thread ends with such an exception, which comes out of the main green thread. That one waited for the signal to stop, or ran the stop, and the interpreter ended.

Change: the stop runs in a green thread of its own, and the main one only waits for it. An exception of the hub is logged as host.exception of the task host.hub; waiting on starts the hub anew, with its timers and listeners. After 20 such exceptions within 10 s the process ends as before, since then it can't serve.

Evidence: the scenario plants a fault in the hub every 0.6 s.

--- a/features/host_tasks.feature
+++ b/features/host_tasks.feature
@@ -115,3 +115,11 @@
       | pipe   |
       | full   |
       | closed |
+
+  Scenario: An exception in the hub ended the process with its requests
+    Given a store with a configuration and 2 upstreams
+    And a host program that uses the store, with a fault in the hub
+    Then it has logged within 8 s an exception of "host.hub" with its traceback
+    And a request through it is answered with 200
+    When the host program is signaled to reload and to stop during a request
+    Then that request is answered with 200 and the program ends with code 0
--- a/features/steps/host_tasks_steps.py
+++ b/features/steps/host_tasks_steps.py
@@ -92,6 +92,15 @@
 
 @then('it has logged an exception of "{task}" with its traceback')
 def step_logged(context, task):
+    _await_exception(context, task, 1.0)
+
+
+@then('it has logged within {seconds:d} s an exception of "{task}" with its traceback')
+def step_logged_within(context, seconds, task):
+    _await_exception(context, task, seconds)
+
+
+def _await_exception(context, task, seconds):
     def is_logged():
         return any(
             line["event"] == "host.exception"
@@ -100,7 +109,7 @@
             for line in _read_lines(context)
         )
 
-    host_world.wait_until(1.0, is_logged)
+    host_world.wait_until(seconds, is_logged)
     assert "Traceback" in context.error_path.read_text(encoding="utf-8")
 
 
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -241,8 +241,8 @@
         ):
             supervision.spawn_repeated(self.log, task, interval_s, function)
         supervision.spawn_lasting(self.log, "host.log", self._flush_log)
-        stop_requested_at = self._stopping.wait()
-        self._stop_gracefully(stop_requested_at)
+        stopping = supervision.spawn(self.log, "host.stop", self._stop_when_requested)
+        supervision.wait_through_faults(self.log, stopping)
 
     def _listen(self):
         settings = self.settings
@@ -551,6 +551,9 @@
         self.answer_buffers.max_bytes = int(BUFFER_MEMORY_FRACTION * self.settings.memory_bytes)
         self._apply_belief()
 
+    def _stop_when_requested(self):
+        self._stop_gracefully(self._stopping.wait())
+
     def _stop_gracefully(self, stop_requested_at):
         """Answers the requests that were read, within the grace period, and closes connections.
 
--- a/skylarksill/host/supervision.py
+++ b/skylarksill/host/supervision.py
@@ -4,10 +4,15 @@
 logged and counted as host.exception, and what the host does for others goes on.
 """
 
+import collections
+import time
+
 import eventlet
 
 # Pause before a task that an exception has ended runs again.
 RESTART_PAUSE_S = 0.5
+# So many faults of the hub within this time show that it can't go on.
+MAX_HUB_FAULTS, HUB_FAULTS_WINDOW_S = 20, 10.0
 
 
 def attempt(log, task, function, *arguments):
@@ -57,3 +62,27 @@
 def spawn_repeated(log, task, interval_s, function):
     """Repeats a function in a green thread of its own, which it returns."""
     return eventlet.spawn(repeat, log, task, interval_s, function)
+
+
+def wait_through_faults(log, thread):
+    """Waits in the main green thread until another one has ended.
+
+    An exception in the hub itself comes out of the main green thread. It is logged, and waiting on
+    starts the hub anew, with all that others wait for.
+
+    Args:
+      log: The EventLog.
+      thread: The green thread.
+    Raises:
+      Exception: That of the hub, if it is the last of too many in a row.
+    """
+    faults = collections.deque(maxlen=MAX_HUB_FAULTS)
+    while True:
+        try:
+            thread.wait()
+            return
+        except Exception as error:
+            faults.append(time.monotonic())
+            if len(faults) == MAX_HUB_FAULTS and faults[-1] - faults[0] < HUB_FAULTS_WINDOW_S:
+                raise
+            log.write_exception("host.hub", error)
--- a/standins/faulty_host.py
+++ b/standins/faulty_host.py
@@ -35,9 +35,11 @@
 # Calls before the fault, which a host makes as it starts, and calls that it makes fail.
 SOUND_CALLS = 2
 FAILED_CALLS = 2
-# Time from the start to the first fault in the hub, and the number of exceptions that reach it.
+# Time from the start to the first fault in the hub, the number of exceptions that reach it, and the
+# time from one fault of its own to the next.
 HUB_FAULTS_AT_S = 2.0
 HUB_EXCEPTIONS = 10
+HUB_FAULTS_EACH_S = 0.6
 
 
 class PlantedError(Exception):
@@ -102,6 +104,21 @@
     eventlet.spawn_after(HUB_FAULTS_AT_S + 1.0, end)
 
 
+def _fail_in_hub():
+    """Has the hub itself fail once each HUB_FAULTS_EACH_S."""
+    hub = eventlet.hubs.get_hub()
+
+    def fail():
+        del hub.prepare_timers
+        eventlet.spawn_after(HUB_FAULTS_EACH_S, plant)
+        raise PlantedError("planted")
+
+    def plant():
+        hub.prepare_timers = fail
+
+    eventlet.spawn_after(HUB_FAULTS_AT_S, plant)
+
+
 FAULTS = {
     "housekeeping": lambda: _fail_for_some_calls(program.Host, "_update_view"),
     "the log": lambda: _fail_for_some_calls(eventlog.EventLog, "flush"),
@@ -118,6 +135,7 @@
     "closing its socket": lambda: _fail_always(clientserver.ClientServer, "stop_listening"),
     "a stop while it starts": _stop_while_starting,
     "callbacks of the hub": _reach_hub,
+    "the hub": _fail_in_hub,
 }
 
 
