siterun: play hosts with the memory that the site's sheet gives them

Cause: the rig gave hosts 4,100 descriptors beside a crowd, but no limit of memory, so that an end for lack of memory couldn't show.

Change: the condition memory-limit limits each host's address space to 300 MB. The limits are set in one function, which a scenario checks on a process of its own.

--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -38,6 +38,8 @@
     writers have written them again.
 
     GROWN plays the grown fleet of the site, whose requests outlast the time that a stop has.
+
+    MEMORY_LIMIT gives each host the address space that the site's sheet gives it as memory.
     """
 
     HALF_CLOSE = "half-close"
@@ -54,6 +56,7 @@
     CROWD = "crowd"
     DRILL = "drill"
     GROWN = "grown"
+    MEMORY_LIMIT = "memory-limit"
 
 
 def parse_conditions(text):
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -58,6 +58,8 @@
 CROWD_IDLE_COUNT = 2700
 BURST_SHARE = 0.7
 MAX_BURST_DELAY_S = 2.0
+# Address space of the smallest hosts of the sheet.
+MEMORY_BYTES = 300_000_000
 _BUSY_PROGRAM = """
 import time
 end = time.monotonic() + {seconds}
@@ -325,9 +327,7 @@
         """Starts a new process of a host on the processors of the hosts."""
         self.observations.starts.append((host.ip, time.monotonic()))
         host.start()
-        if conditions.Condition.CROWD in self._conditions:
-            descriptors = (CROWDED_DESCRIPTORS, CROWDED_DESCRIPTORS)
-            resource.prlimit(host.process.pid, resource.RLIMIT_NOFILE, descriptors)
+        limit_process(host.process.pid, self._conditions)
         if self._host_processors:
             os.sched_setaffinity(host.process.pid, self._host_processors)
 
@@ -433,3 +433,12 @@
         upstream.come_back(upstream_id)
         upstream.is_leaving = False
         self._register(upstream, "ready", COLD_S)
+
+
+def limit_process(pid, played):
+    """Limits the descriptors and the address space of a host's process as the Conditions ask."""
+    if conditions.Condition.CROWD in played:
+        descriptors = (CROWDED_DESCRIPTORS, CROWDED_DESCRIPTORS)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, descriptors)
+    if conditions.Condition.MEMORY_LIMIT in played:
+        resource.prlimit(pid, resource.RLIMIT_AS, (MEMORY_BYTES, MEMORY_BYTES))
--- a/features/siterun.feature
+++ b/features/siterun.feature
@@ -251,3 +251,14 @@
     When the site plays seed 5742 with a fifth of its clients for 8 s with kills,store,early,crowd
     Then it served requests beside planned work and lost none
     And hosts and the store were disturbed, and hosts were crowded
+
+  Scenario Outline: A host's process gets the limits of the conditions that are played
+    When a process gets the limits of <conditions>
+    Then it may have <descriptors> descriptors and <memory> MB of address space
+
+    Examples:
+      | conditions         | descriptors | memory    |
+      | crowd,memory-limit | 4100        | 300       |
+      | memory-limit       | as before   | 300       |
+      | crowd              | 4100        | as before |
+      | waves              | as before   | as before |
--- a/features/steps/siterun_steps.py
+++ b/features/steps/siterun_steps.py
@@ -4,7 +4,10 @@
 import json
 import pathlib
 import random
+import resource
 import struct
+import subprocess
+import sys
 import tempfile
 from unittest import mock
 
@@ -36,6 +39,8 @@
 CALM_TIMES = (50.0, 150.0)
 SHEET_PERIOD_S = shape.SHEET_WAVE.period_s
 WAVE_PARTS = 12
+# A process that ends with its standard input.
+_WAIT_PROGRAM = "import sys; sys.stdin.read()"
 
 
 @then("the planned work of seeds 1 to {last:d} is the same twice, and differs from each other")
@@ -540,3 +545,23 @@
     result = context.result
     assert result["disturbances"] >= 3 and result["burst_requests"] > 50, result
     assert result["crowd"] > 0.9 * 0.2 * rig.CROWD_IDLE_COUNT, result
+
+
+@when("a process gets the limits of {names}")
+def step_limit_process(context, names):
+    process = subprocess.Popen([sys.executable, "-S", "-c", _WAIT_PROGRAM], stdin=subprocess.PIPE)
+    context.add_cleanup(process.communicate)
+    rig.limit_process(process.pid, conditions.parse_conditions(names))
+    context.limits = [
+        resource.prlimit(process.pid, kind) for kind in (resource.RLIMIT_NOFILE, resource.RLIMIT_AS)
+    ]
+
+
+@then("it may have {descriptors} descriptors and {memory} MB of address space")
+def step_limits(context, descriptors, memory):
+    kinds = (resource.RLIMIT_NOFILE, resource.RLIMIT_AS)
+    for kind, limits, text, unit in zip(
+        kinds, context.limits, (descriptors, memory), (1, 1_000_000), strict=True
+    ):
+        own = resource.getrlimit(kind)
+        assert limits == (own if text == "as before" else (int(text) * unit,) * 2), limits
