--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -45,6 +45,8 @@
     store refuse all calls of hosts.
 
     GROWN plays the grown fleet of the site, whose requests outlast the time that a stop has.
+
+    MEMORY_LIMIT gives each host the address space that the site's sheet gives it as memory.
     """
 
     HALF_CLOSE = "half-close"
@@ -65,6 +67,7 @@
     FIRST_WRITER_KILLED = "first-writer-killed"
     STORE_BUSY = "store-busy"
     GROWN = "grown"
+    MEMORY_LIMIT = "memory-limit"
 
 
 def parse_conditions(text):
