siterun: clients that half-close often and give up in many ways, a relay, small segments

The rig's clients ended their sending side behind 2% of the requests on kept connections only, gave up by a plain close only, and reached hosts directly.

half-close-all has them end it behind 20% of all requests, the first of a connection and series of pipelined ones included, half of the time in the segment of the last byte. give-up has them give up 10% of the requests by a close, a reset, with bytes unread, or by a half-close before. With behind-proxy they reach hosts through a TCP relay that passes ends and resets on, stands still for 0.1 to 1 s at times, and holds its side open after a client has left. small-segments announces segments of 128 to 536 bytes and small windows, and delays acknowledgements.

The result counts by whom each connection of a request without an answer was ended, as its client and as its host saw it, lists those that differ, and counts the first requests of connections that were cut, which the clause on kept connections leaves out. Connections of clients and the watch for standstills have modules of their own.

The schedules and draws of the conditions of before are unchanged.

--- a/bench/siterun/__main__.py
+++ b/bench/siterun/__main__.py
@@ -14,6 +14,7 @@
     conditions,
     crowd,
     disturbances,
+    endviews,
     hostlogs,
     keptcuts,
     losses,
@@ -65,6 +66,8 @@
     log_paths = sorted(folder.glob("host-*.log"))
     ends_at_hosts = hostlogs.read_ends(log_paths)
     kept_cuts, cut_together = keptcuts.count_cuts(observations, judgement.kept_cuts)
+    sides = hostlogs.read_sides(log_paths)
+    sides_of_ends, differing = endviews.compare_ends(observations.attempts, sides)
     clauses = collections.Counter(loss.clause.value for loss in found)
     ends = collections.Counter(
         str(attempt.status) if attempt.end is records.End.ANSWERED else attempt.end.value
@@ -96,10 +99,17 @@
         "excuses": {excuse.value: count for excuse, count in judgement.excuses.most_common()},
         "kept_cuts": kept_cuts,
         "cut_together": cut_together,
+        "first_cuts": endviews.count_first_cuts(observations),
+        "ended_by_rig_and_host": dict(sides_of_ends.most_common()),
         "causes_at_hosts": dict(hostlogs.count_causes(log_paths).most_common()),
         "record": keptcuts.format_cuts(
             observations, site_rig.site, judgement.kept_cuts, ends_at_hosts
         ),
+        "differing": [
+            f"{attempt.request_id} ({attempt.kind}) at {attempt.host}: {attempt.end.value},"
+            f" host: {ends_at_hosts[attempt.request_id]}"
+            for attempt in differing
+        ],
         "losses": [f"{loss.describe()}{_find_end(loss, ends_at_hosts)}" for loss in found],
         "folder": str(folder),
     }
@@ -186,7 +196,7 @@
 
 
 def _print_result(result):
-    for text in (*result.pop("losses"), *result.pop("record")):
+    for text in (*result.pop("losses"), *result.pop("differing"), *result.pop("record")):
         print(f"seed {result['seed']}: {text}", flush=True)
     is_late = result["lateness_ms"] > 1000 * MAX_LATENESS_S
     note = " (the run itself was late)" if is_late else ""
--- a/bench/siterun/clients.py
+++ b/bench/siterun/clients.py
@@ -1,6 +1,5 @@
 """A process with the clients of a run: ``python -m bench.siterun.clients ORDER``, a JSON file."""
 
-import collections
 import dataclasses
 import json
 import pathlib
@@ -12,14 +11,13 @@
 
 import eventlet  # isort: skip
 import msgpack  # isort: skip
-from eventlet import event, queue  # isort: skip
 from eventlet.green import socket  # isort: skip
 
-from bench.siterun import conditions, records, shape, troubles, windows
-from bench.soak import channels, hosts
+from bench.siterun import conditions, connections, endings, links, records, shape, troubles
+from bench.siterun.standstills import sum_standstills, watch_standstills
+from bench.soak import hosts
 from standins import platformdata
 
-CONNECT_TIMEOUT_S = 1.0
 LOOKUP_TIMEOUT_S = 1.0
 # Pause before a client asks again if it got no answer.
 LOOKUP_PAUSE_S = 1.0
@@ -28,19 +26,11 @@
 # Clients honour a Retry-After of up to this share of the time that they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 PROMISES = (408, 421, 429, 503)
-# Clients reuse connections that were idle for up to four fifths of the limit of 2 s.
-REUSE_IDLE_S = 1.6
 MAX_PIPELINED = 6
 # Share of the clients that read slowly, and of the bodies that are sent in chunks and in parts.
 SLOW_SHARE = 0.1
 CHUNKED_SHARE = 0.3
 PART_COUNT = 3
-MAX_PART_PAUSE_S = 0.05
-# Share of the requests that their client gives up early.
-GIVE_UP_SHARE = 0.02
-WATCH_INTERVAL_S = 0.05
-# Share of the requests on kept connections after which a client ends its sending side.
-HALF_CLOSE_SHARE = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,167 +63,6 @@
         return conditions.build_site(self.conditions, self.share)
 
 
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    """An attempt on its way; ``ended`` is sent once it has ended."""
-
-    attempt: records.Attempt
-    ended: event.Event = dataclasses.field(default_factory=event.Event)
-    retry_after_s: float = 0.0
-
-    def end(self, how):
-        self.attempt.ended_at = time.monotonic()
-        self.attempt.end = how
-        if not self.ended.ready():
-            self.ended.send()
-
-
-class _DelayedReceiver:
-    """Delivers the bytes of a receiver a link's delay after their arrival."""
-
-    def __init__(self, receiver, delay_s):
-        self._receiver = receiver
-        self._delay_s = delay_s
-
-    def recv(self, size):
-        try:
-            return self._receiver.recv(size)
-        finally:
-            eventlet.sleep(self._delay_s)
-
-
-class _Connection:
-    """A connection to a host behind a link with a delay; raises OSError if it can't be opened.
-
-    Args:
-      host: IP address of the host.
-      delay_s: Delay of the link in seconds.
-      is_slow: Whether the client reads slowly.
-      window_rng: Random generator for a small receive window, or None for a usual one.
-    """
-
-    def __init__(self, host, delay_s, is_slow, window_rng=None):
-        self.host = host
-        self.waiting = collections.deque()
-        self.is_open = True
-        self.used_at = time.monotonic()
-        self._delay_s = delay_s
-        self.is_kept = False
-        self._has_left = False
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        window_bytes = windows.draw_window(window_rng) if window_rng else channels.SLOW_BUFFER_BYTES
-        if is_slow or window_rng:
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
-        self._socket.settimeout(CONNECT_TIMEOUT_S)
-        try:
-            self._socket.connect((host, hosts.FIRST_PORT))
-        except OSError:
-            self._socket.close()
-            raise
-        eventlet.sleep(2 * delay_s)
-        self._socket.settimeout(None)
-        self._receiver = channels.Receiver(self._socket, is_slow)
-        receiver = _DelayedReceiver(self._receiver, delay_s)
-        self._pauses = []
-        if window_rng:
-            receiver = windows.WindowReceiver(receiver, window_bytes, 2 * delay_s, window_rng)
-            self._pauses = receiver.pauses
-        self._reader = platformdata.AnswerReader(receiver)
-        self._unsent = queue.LightQueue()
-        self._sender = eventlet.spawn(self._send_parts)
-        eventlet.spawn_n(self._read_answers)
-
-    def is_reusable(self, addresses, most_waiting):
-        """Returns True if a further request may be sent on the connection."""
-        if not self.is_open or self.host not in addresses:
-            return False
-        if self.waiting:
-            return len(self.waiting) < most_waiting
-        return time.monotonic() < self.used_at + REUSE_IDLE_S
-
-    def send(self, attempt, parts, rng, half_close_share):
-        """Sends an attempt in parts with pauses; returns its _Exchange.
-
-        The connection's sending side is ended after a share of the attempts that aren't its first,
-        or after a share of the last ones that is as large as ``half_close_share``.
-        """
-        self.is_kept = True
-        exchange = _Exchange(attempt)
-        self.waiting.append(exchange)
-        due = time.monotonic() + self._delay_s
-        for index, part in enumerate(parts):
-            is_last = index == len(parts) - 1
-            self._unsent.put((due, part, exchange if is_last else None))
-            due += rng.uniform(0.0, MAX_PART_PAUSE_S)
-        if attempt.is_last:
-            self.is_open = False
-        if half_close_share and rng.random() < half_close_share:
-            attempt.is_half_closed = True
-            self.is_open = False
-            self._unsent.put((due, None, None))
-        return exchange
-
-    def leave(self):
-        """Closes the connection as its client gives up."""
-        self._has_left = True
-        self._close(records.End.CLIENT_LEFT)
-
-    def _send_parts(self):
-        while True:
-            due, data, completed = self._unsent.get()
-            eventlet.sleep(max(0.0, due - time.monotonic()))
-            try:
-                if data is None:
-                    self._receiver.end_sending()
-                    return
-                self._socket.sendall(data)
-            except OSError:
-                # The host has closed the connection; what it sent before is still read.
-                return
-            if completed is not None:
-                completed.attempt.completed_at = time.monotonic() - self._delay_s
-
-    def _read_answers(self):
-        end = records.End.HOST_CLOSED
-        try:
-            while self._read_answer():
-                pass
-        except EOFError:
-            end = records.End.HOST_CLOSED
-        except OSError:
-            end = records.End.HOST_RESET
-        except (ValueError, KeyError, IndexError):
-            end = records.End.NO_ANSWER
-        self._close(records.End.CLIENT_LEFT if self._has_left else end)
-
-    def _read_answer(self):
-        """Reads one answer; returns whether the connection stays open."""
-        status, headers, _ = self._reader.read()
-        if not self.waiting:
-            # It belongs to a request whose client has left.
-            return False
-        exchange = self.waiting.popleft()
-        exchange.attempt.status = status
-        exchange.attempt.is_signed = platformdata.is_signed(headers)
-        exchange.retry_after_s = float(headers.get("retry-after", "0"))
-        self.used_at = time.monotonic()
-        is_last = headers.get("connection") == "close"
-        if is_last:
-            self.is_open = False
-        exchange.end(records.End.ANSWERED)
-        return not is_last
-
-    def _close(self, end):
-        self.is_open = False
-        self._sender.kill()
-        self._socket.close()
-        while self.waiting:
-            exchange = self.waiting.popleft()
-            exchange.end(end)
-            exchange.attempt.standstill_s = sum_standstills(self._pauses, exchange.attempt)
-
-
 class _Client:
     """A client: it looks hosts up, keeps connections, and retries within its deadline.
 
@@ -241,7 +70,7 @@
       zone: Its shape.ZoneShape.
     """
 
-    def __init__(self, order, site, zone, number, attempts):
+    def __init__(self, order, site, zone, number, attempts, relay):
         self._order = order
         self._site = site
         self.zone = zone
@@ -254,7 +83,8 @@
         self._expires_at = 0.0
         self._is_slow = self._rng.random() < SLOW_SHARE
         self._habits = troubles.ClientHabits(self._rng, order.conditions)
-        self._is_half_closing = conditions.Condition.HALF_CLOSE in order.conditions
+        self._endings = endings.Endings(self._rng, order.conditions)
+        self._links = links.ClientLinks(self._rng, order.conditions, relay)
 
     def request(self):
         """Draws a request and sends it, with retries."""
@@ -275,19 +105,15 @@
             left_s = max(0.0, deadline - time.monotonic())
             eventlet.sleep(min(exchange.retry_after_s, MAX_RETRY_AFTER_SHARE * left_s))
 
+    def draw_count(self):
+        """Draws how many requests the client sends in one moment."""
+        return self._endings.draw_count()
+
     def leave(self):
         """Closes all connections, whatever waits on them."""
         for connection in self._connections:
             connection.leave()
 
-    def _find_half_close_share(self, attempt):
-        """Returns the probability that the client ends its sending side behind an attempt."""
-        if not self._is_half_closing:
-            return 0.0
-        if attempt.is_last:
-            return troubles.LAST_HALF_CLOSE_SHARE
-        return HALF_CLOSE_SHARE if attempt.is_kept else 0.0
-
     def _exchange(self, connection, kind, target, remaining_s):
         self._count += 1
         request_id = f"{self._name}-{self._count}"
@@ -304,15 +130,11 @@
         )
         self._attempts.append(attempt)
         parts = self._format(kind, target, attempt)
-        half_close_share = self._find_half_close_share(attempt)
-        exchange = connection.send(attempt, parts, self._rng, half_close_share)
-        patience_s = remaining_s
-        if self._rng.random() < GIVE_UP_SHARE:
-            patience_s *= self._rng.random()
-        with eventlet.Timeout(patience_s, False):
+        exchange = connection.send(attempt, parts, self._rng, self._endings.draw_half_close)
+        with eventlet.Timeout(self._endings.draw_patience_s(remaining_s), False):
             exchange.ended.wait()
         if not exchange.ended.ready():
-            connection.leave()
+            connection.leave(self._endings.draw_way())
         return exchange
 
     def _format(self, kind, target, attempt):
@@ -353,11 +175,12 @@
             return None
         host = self._rng.choice(addresses)
         try:
-            connection = _Connection(
+            connection = connections.Connection(
                 host,
                 self._site.client_delay_s,
                 self._is_slow,
                 self._rng if self._habits.has_small_window else None,
+                self._links,
             )
         except OSError:
             # The host may be down, or about to end.
@@ -427,8 +250,11 @@
     attempts = []
     standstills = []
     eventlet.spawn_n(watch_standstills, standstills)
+    relay = None
+    if conditions.Condition.BEHIND_PROXY in order.conditions:
+        relay = links.Relay(random.Random(f"{order.seed} {order.zones} relay"), order.hosts)
     clients = [
-        _Client(order, site, zone, number, attempts)
+        _Client(order, site, zone, number, attempts, relay)
         for zone in site.zones
         if zone.name in order.zones
         for number in range(zone.clients)
@@ -439,7 +265,8 @@
     pool = eventlet.GreenPool(len(clients) * MAX_PIPELINED)
     for at, client in draw_arrivals(rng, site, clients, time.monotonic(), order.ends_at):
         eventlet.sleep(max(0.0, at - time.monotonic()))
-        pool.spawn_n(client.request)
+        for _ in range(client.draw_count()):
+            pool.spawn_n(client.request)
     pool.waitall()
     for attempt in attempts:
         # Pauses of the client itself are known already.
@@ -480,25 +307,6 @@
         yield at, client
 
 
-def watch_standstills(standstills):
-    """Adds pairs of begin and end of the times in which this process got no processor time."""
-    while True:
-        due = time.monotonic() + WATCH_INTERVAL_S
-        eventlet.sleep(WATCH_INTERVAL_S)
-        standstills.append((due, time.monotonic()))
-
-
-def sum_standstills(standstills, attempt):
-    """Returns for how many seconds the process stood still between a last byte and the end."""
-    if attempt.completed_at is None:
-        return 0.0
-    return sum(
-        max(0.0, min(end, attempt.ended_at) - max(begin, attempt.completed_at))
-        for begin, end in standstills
-        if end > attempt.completed_at and begin < attempt.ended_at
-    )
-
-
 def main():
     """Runs the order of the file that the command line names."""
     order = Order(**json.loads(pathlib.Path(sys.argv[1]).read_text(encoding="utf-8")))
--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -12,8 +12,15 @@
 class Condition(enum.StrEnum):
     """A habit of clients, a state of the site or a disturbance that a run plays.
 
-    HALF_CLOSE has clients end their sending side after some requests and read on. WAVES has them
-    send the requests of the site's sheet, in waves of each zone's own phase.
+    HALF_CLOSE has clients end their sending side after some requests and read on. HALF_CLOSE_ALL
+    has them do so often, behind the first request of a connection and behind several pipelined ones
+    as well, at times in the segment of the request's last byte. GIVE_UP has them often end a
+    connection because of one request, by a close, a reset or with bytes unread, whatever others
+    wait on it. BEHIND_PROXY has them reach hosts through a TCP relay that stands still at times,
+    and SMALL_SEGMENTS has the kernel announce small segments and windows for them and delay their
+    acknowledgements.
+
+    WAVES has clients send the requests of the site's sheet, in waves of each zone's own phase.
 
     NOISE has upstreams be slower in spells, lose their caches and fail or reject some requests
     themselves, as those of the sheet do; hosts then place and retry under stops. BROKEN_UPSTREAMS
@@ -41,6 +48,10 @@
     """
 
     HALF_CLOSE = "half-close"
+    HALF_CLOSE_ALL = "half-close-all"
+    GIVE_UP = "give-up"
+    BEHIND_PROXY = "behind-proxy"
+    SMALL_SEGMENTS = "small-segments"
     WAVES = "waves"
     NOISE = "noise"
     BROKEN_UPSTREAMS = "broken-upstreams"
--- a/bench/siterun/crowd.py
+++ b/bench/siterun/crowd.py
@@ -20,7 +20,8 @@
 from eventlet import hubs  # isort: skip
 from eventlet.green import socket  # isort: skip
 
-from bench.siterun import clients, records
+from bench.siterun import records
+from bench.siterun.standstills import sum_standstills, watch_standstills
 from bench.soak import hosts
 from standins import platformdata
 
@@ -166,12 +167,12 @@
     """Runs the order of the file that the command line names."""
     order = Order(**json.loads(pathlib.Path(sys.argv[1]).read_text(encoding="utf-8")))
     standstills = []
-    eventlet.spawn_n(clients.watch_standstills, standstills)
+    eventlet.spawn_n(watch_standstills, standstills)
     crowd = Crowd(order)
     crowd.run()
     finished = [attempt for attempt in crowd.attempts if attempt.ended_at]
     for attempt in finished:
-        attempt.standstill_s = clients.sum_standstills(standstills, attempt)
+        attempt.standstill_s = sum_standstills(standstills, attempt)
     lateness_s = max((end - begin for begin, end in standstills), default=0.0)
     rows = [records.encode_attempt(attempt) for attempt in finished]
     pathlib.Path(order.path).write_bytes(msgpack.packb([lateness_s, rows, crowd.most_open]))
--- a/bench/siterun/hostlogs.py
+++ b/bench/siterun/hostlogs.py
@@ -23,6 +23,19 @@
     return ends
 
 
+def read_sides(paths):
+    """Returns a dict of the side that the host says has ended a connection, by ids of requests.
+
+    Args:
+      paths: Paths of the logs. Programs before issue 41 name neither.
+    """
+    sides = {}
+    for path in paths:
+        for _, fields in _read_lines(path, "client.closed"):
+            sides.update(dict.fromkeys(fields.get("requests", ()), fields.get("ended_by")))
+    return sides
+
+
 def count_causes(paths):
     """Returns a Counter of the requests without an answer in the logs, by side and cause."""
     causes = collections.Counter()
--- a/bench/siterun/rig.py
+++ b/bench/siterun/rig.py
@@ -26,6 +26,7 @@
     troubles,
     upstreams,
 )
+from bench.siterun.standstills import watch_standstills
 from bench.soak import hosts
 from skylarksill.host import keyfile, keyring
 from standins import metadatastore, platformdata
@@ -178,7 +179,7 @@
           events: The schedule.
           length_s: Length of the planned work in seconds.
         """
-        eventlet.spawn_n(clients.watch_standstills, self._standstills)
+        eventlet.spawn_n(watch_standstills, self._standstills)
         begins_at = self.observations.begins_at = time.monotonic() + 1.0
         ends_at = begins_at + WARM_UP_S + length_s + COOL_DOWN_S
         zones = [zone.name for zone in self.site.zones]
