siterun: know a relay's standstill while it lasts

A request that waited in a relay that stood still counted as read by the host if the connection ended by the other direction meanwhile, as the standstill was noted only at its end.

--- a/bench/siterun/links.py
+++ b/bench/siterun/links.py
@@ -165,9 +165,10 @@
                 due, data = held.get()
                 eventlet.sleep(max(0.0, due - time.monotonic()))
                 if self._rng.random() < STANDSTILL_SHARE:
-                    begin = time.monotonic()
-                    eventlet.sleep(self._rng.uniform(*STANDSTILLS_S))
-                    pauses.append((begin, time.monotonic()))
+                    ends_at = time.monotonic() + self._rng.uniform(*STANDSTILLS_S)
+                    # The connection may end by the other direction meanwhile.
+                    pauses.append((time.monotonic(), ends_at))
+                    eventlet.sleep(ends_at - time.monotonic())
                 if data is None:
                     if is_toward_host:
                         self._hold()
