--- a/bench/siterun/hostlogs.py
+++ b/bench/siterun/hostlogs.py
@@ -3,7 +3,7 @@
 import collections
 import json
 
-# What a host sums up belongs to the ends of connections in the time before; see ``client.ends``.
+# A host sums up what has ended within this time, see ``client.ends``, unless it is late itself.
 SUMMED_UP_S = 0.25
 
 
@@ -16,8 +16,8 @@
     """
     ends = {}
     for path in paths:
-        summaries = [fields for _, fields in _read_lines(path, "client.ends")]
-        for _, fields in _read_lines(path, "client.closed"):
+        summaries = list(_read_lines(path, "client.ends"))
+        for fields in _read_lines(path, "client.closed"):
             text = _format_end(fields) + _format_summary(fields, summaries)
             ends.update(dict.fromkeys(fields.get("requests", ()), text))
     return ends
@@ -31,7 +31,7 @@
     """
     sides = {}
     for path in paths:
-        for _, fields in _read_lines(path, "client.closed"):
+        for fields in _read_lines(path, "client.closed"):
             sides.update(dict.fromkeys(fields.get("requests", ()), fields.get("ended_by")))
     return sides
 
@@ -40,20 +40,20 @@
     """Returns a Counter of the requests without an answer in the logs, by side and cause."""
     causes = collections.Counter()
     for path in paths:
-        for _, fields in _read_lines(path, "client.closed"):
+        for fields in _read_lines(path, "client.closed"):
             side = fields.get("ended_by", "")
             causes[f"{side} {fields['cause']}".strip()] += fields.get("unanswered", 0)
     return +causes
 
 
 def _read_lines(path, event):
-    """Yields the number and the fields of the lines of an event."""
+    """Yields the fields of the lines of an event."""
     with path.open(encoding="utf-8") as file:
-        for number, line in enumerate(file):
+        for line in file:
             if f'"{event}"' not in line:
                 continue
             try:
-                yield number, json.loads(line)
+                yield json.loads(line)
             except json.JSONDecodeError:
                 # The host was killed while it wrote the line.
                 continue
@@ -73,10 +73,14 @@
 
 def _format_summary(fields, summaries):
     """Returns what else had ended in that moment, if the host has summed it up."""
-    for summary in summaries:
-        if 0.0 <= summary["time"] - fields["time"] <= SUMMED_UP_S:
-            return (
-                f", with connections {summary['connections']}, unanswered"
-                f" {summary['unanswered']}, after {summary['recent_ms']}"
-            )
-    return ""
+    later = [summary for summary in summaries if summary["time"] >= fields["time"]]
+    if not later:
+        return ""
+    summary = min(later, key=lambda item: item["time"])
+    # A moment with a request that the host has cut is always summed up, others may not be.
+    if not fields.get("cut") and summary["time"] - fields["time"] > SUMMED_UP_S:
+        return ""
+    return (
+        f", with connections {summary['connections']}, unanswered {summary['unanswered']},"
+        f" after {summary['recent_ms']}"
+    )
