--- a/bench/siterun/conditions.py
+++ b/bench/siterun/conditions.py
@@ -48,7 +48,7 @@
     ones. It takes the place of the planned stops, so that hosts stay in touch.
 
     LEADER_CUT cuts the host that was the last to write to the store under a condition off from the
-    store's answers, and FIRST_WRITER_KILLED kills the one that was the first. STORE_BUSY has the
+    store one way, and FIRST_WRITER_KILLED kills the one that was the first. STORE_BUSY has the
     store refuse all calls of hosts.
 
     GROWN plays the grown fleet of the site, whose requests outlast the time that a stop has.
--- a/bench/siterun/disturbances.py
+++ b/bench/siterun/disturbances.py
@@ -35,6 +35,7 @@
 CUT_S = 5.5
 WRITER_DOWN_S = 3.5
 BUSY_S = 4.5
+CUT_MODES = (proxies.Mode.ONE_WAY, proxies.Mode.TOWARD_TARGET)
 STORE_MODES = (proxies.Mode.DELAY, proxies.Mode.SILENT, proxies.Mode.RESET)
 # Early signals to a host in turn, and the longest times to them.
 MAX_EARLY_STOPS = 4
@@ -80,9 +81,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CutLastWriter:
-    """Holds the store's answers back from the host that was the last to write under a condition."""
+    """Cuts the host that was the last to write under a condition off from the store one way.
+
+    Attributes:
+      mode: Which direction is held back.
+    """
 
     for_s: float
+    mode: proxies.Mode = proxies.Mode.ONE_WAY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,7 +195,7 @@
 
 
 def _draw_cut(rng, host_count):
-    return [CutLastWriter(CUT_S)]
+    return [CutLastWriter(CUT_S, rng.choice(CUT_MODES))]
 
 
 def _draw_first_writer(rng, host_count):
@@ -242,8 +248,8 @@
                 self._pause(self._rig.hosts[index], frozen_s)
             case DisturbStore(mode, for_s):
                 self._disturb_store(self._rig.hosts, mode, for_s)
-            case CutLastWriter(for_s):
-                self._disturb_store(self._rig.list_writers()[-1:], proxies.Mode.ONE_WAY, for_s)
+            case CutLastWriter(for_s, mode):
+                self._disturb_store(self._rig.list_writers()[-1:], mode, for_s)
             case KillFirstWriter(down_s):
                 self._kill(self._rig.list_writers()[0], down_s)
             case RefuseCalls(for_s):
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -15,13 +15,15 @@
 class Mode(enum.Enum):
     """What the proxy does with the bytes of all connections.
 
-    SILENT holds back both directions, ONE_WAY only the bytes from the target.
+    SILENT holds back both directions, ONE_WAY only the bytes from the target, and TOWARD_TARGET
+    only those to it.
     """
 
     PASS = "pass"
     DELAY = "delay"
     SILENT = "silent"
     ONE_WAY = "one_way"
+    TOWARD_TARGET = "toward_target"
     RESET = "reset"
 
 
@@ -105,7 +107,8 @@
             _reset(sink)
 
     def _is_blocked(self, is_toward_target):
-        return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and not is_toward_target)
+        blocking = Mode.TOWARD_TARGET if is_toward_target else Mode.ONE_WAY
+        return self.mode in (Mode.SILENT, blocking)
 
 
 def _reset(connection):
--- a/features/siterun_disturbances.feature
+++ b/features/siterun_disturbances.feature
@@ -36,15 +36,16 @@
 
   Scenario Outline: A disturbance that the first or the last writer of the store decides about
     Given a run with hosts a to c at a store, to which b, then c and then a have written, and b again
-    When <event> is played
+    When <event> is played with <held> held back
     Then meanwhile <state>, and <what> counts as disturbed
     And afterwards all hosts have the store's answers
 
     Examples:
-      | event           | state                               | what      |
-      | CutLastWriter   | a gets no answers of the store      | the store |
-      | KillFirstWriter | b is down until the end of it       | b         |
-      | RefuseCalls     | the store answers all hosts by 503  | the store |
+      | event           | held             | state                              | what      |
+      | CutLastWriter   | what a receives  | a gets no answers of the store     | the store |
+      | CutLastWriter   | what a sends     | a gets no answers of the store     | the store |
+      | KillFirstWriter | nothing          | b is down until the end of it      | b         |
+      | RefuseCalls     | nothing          | the store answers all hosts by 503 | the store |
 
   Scenario: What a store that returns from an older copy has lost is written again
     Given a store whose writers have written u1 and u2
--- a/features/steps/siterun_disturbance_steps.py
+++ b/features/steps/siterun_disturbance_steps.py
@@ -171,10 +171,11 @@
             return None
 
 
-@when("{name} is played")
-def step_play_event(context, name):
+@when("{name} is played with {held} held back")
+def step_play_event(context, name, held):
     disturber = disturbances.Disturber(context.rig)
-    event = getattr(disturbances, name)(0.4)
+    modes = [proxies.Mode.TOWARD_TARGET] if held == "what a sends" else []
+    event = getattr(disturbances, name)(0.4, *modes)
     context.playing = eventlet.spawn(disturber.apply, event)
     eventlet.sleep(0.02)
 
