siterun: a request that waits at the relay hasn't reached its host

A long attempt to connect counts as a standstill of the relay now, as others do. The new scenario fails before.

--- a/bench/siterun/links.py
+++ b/bench/siterun/links.py
@@ -28,6 +28,9 @@
 # still leaves the host without room.
 SMALL_WINDOW_SHARE = 0.5
 SMALL_WINDOW_BYTES = 4_096
+# Connecting takes longer if the kernel has to send the first segment again, after 1 s. The client
+# has sent a request meanwhile that no host has got.
+USUAL_CONNECT_S = 0.05
 RELAY_NUMBER = 200
 # Sizes of segments from the host and of receive buffers.
 SEGMENT_BYTES = (128, 536)
@@ -120,15 +123,20 @@
             eventlet.spawn_n(self._forward, client, address, own_ip, host)
 
     def _forward(self, client, address, own_ip, host):
+        begins_at = time.monotonic()
+        pauses = self.pauses[address]
         try:
             server = self._connect(own_ip, host)
         except OSError:
             # The host is down; a reset shows this to the client.
+            server = None
+        if time.monotonic() > begins_at + USUAL_CONNECT_S:
+            pauses.append((begins_at, time.monotonic()))
+        if server is None:
             _reset(client)
             return
         for end in (client, server):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pauses = self.pauses[address]
         near, far = channels.Receiver(client, False), channels.Receiver(server, False)
         backward = eventlet.spawn(self._pass_on, (far, server), (near, client), pauses, False)
         self._pass_on((near, client), (far, server), pauses, True)
--- a/features/siterun_clients.feature
+++ b/features/siterun_clients.feature
@@ -20,6 +20,12 @@
     When the host is down and a client connects
     Then the client reads a reset, and no standstill is known
 
+  # Guards against a request that is taken for lost although its host never got it.
+  Scenario: A host that is reached late leaves its clients' requests with the relay
+    Given a host behind a relay that never stands still
+    When the host is down, which takes 0.2 s to tell, and a client connects
+    Then the client reads a reset, and standstills are known
+
   Scenario Outline: A client that gives up ends the connection itself, whatever waits on it
     Given a host that a client has sent 2 requests
     When the client gives up as one that <way>
--- a/features/steps/siterun_client_steps.py
+++ b/features/steps/siterun_client_steps.py
@@ -84,6 +84,18 @@
     _connect_to_relay(context)
 
 
+@when("the host is down, which takes {seconds:g} s to tell, and a client connects")
+def step_down_late(context, seconds):
+    connect = context.relay._connect
+
+    def connect_late(*arguments):
+        eventlet.sleep(seconds)
+        return connect(*arguments)
+
+    context.relay._connect = connect_late
+    _connect_to_relay(context)
+
+
 @then("the client reads {what}, and {known} known")
 def step_reads(context, what, known):
     data = b""
