siterun: count a relay's time to connect as a standstill

A client's connection to the relay is open at once, while the host's kernel may drop the relay's request for one as its listening ends, and is asked again after 1 s.

--- a/bench/siterun/links.py
+++ b/bench/siterun/links.py
@@ -101,7 +101,7 @@
     Attributes:
       addresses: Dict of the address to connect to by the host's IP address.
       pauses: Dict of lists of pairs of begin and end of the standstills of a connection, in
-        monotonic seconds, by the address of the client's side.
+        monotonic seconds, by the address of the client's side. The first is that of connecting.
     """
 
     def __init__(self, rng, targets):
@@ -120,15 +120,19 @@
             eventlet.spawn_n(self._forward, client, address, own_ip, host)
 
     def _forward(self, client, address, own_ip, host):
+        pauses = self.pauses[address]
+        begin = time.monotonic()
         try:
             server = self._connect(own_ip, host)
         except OSError:
             # The host is down; a reset shows this to the client.
+            pauses.append((begin, time.monotonic()))
             _reset(client)
             return
+        # A host without room for another connection lets the kernel ask again after 1 s.
+        pauses.append((begin, time.monotonic()))
         for end in (client, server):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pauses = self.pauses[address]
         near, far = channels.Receiver(client, False), channels.Receiver(server, False)
         backward = eventlet.spawn(self._pass_on, (far, server), (near, client), pauses, False)
         self._pass_on((near, client), (far, server), pauses, True)
--- a/features/siterun_clients.feature
+++ b/features/siterun_clients.feature
@@ -14,6 +14,7 @@
       | never stands still | sends 5 bytes and closes    | the 5 bytes | and no standstill is known |
       | never stands still | resets the connection       | a reset     | and no standstill is known |
       | often stands still | sends 5 bytes and closes    | the 5 bytes | and standstills are known  |
+      | connects slowly    | sends 5 bytes and closes    | the 5 bytes | and standstills are known  |
 
   Scenario: A relay resets the connection of a client that can't reach the host
     Given a host behind a relay that never stands still
--- a/features/steps/siterun_client_steps.py
+++ b/features/steps/siterun_client_steps.py
@@ -37,10 +37,19 @@
 
 @given("a host behind a relay that {stands_still}")
 def step_relay(context, stands_still):
-    share = {"never stands still": 0.0, "often stands still": 1.0}[stands_still]
+    share = 1.0 if stands_still == "often stands still" else 0.0
     patch = mock.patch.multiple(links, STANDSTILL_SHARE=share, STANDSTILLS_S=(0.05, 0.1))
     patch.start()
     context.add_cleanup(patch.stop)
+    if stands_still == "connects slowly":
+        connect = links.Relay._connect
+        patch = mock.patch.object(
+            links.Relay, "_connect", lambda *args: eventlet.sleep(0.1) or connect(*args)
+        )
+        patch.start()
+        context.add_cleanup(patch.stop)
+    else:
+        assert stands_still in ("never stands still", "often stands still"), stands_still
     context.relay = links.Relay(random.Random(1), [(HOST, "east-a")])
     context.links = links.ClientLinks(random.Random(1), (), context.relay)
 
@@ -93,8 +102,8 @@
     except ConnectionResetError:
         data = b"reset"
     assert data == {"the 5 bytes": b"bytes", "a reset": b"reset"}[what], data
-    has_pauses = bool(context.links.find_pauses(context.client))
-    assert has_pauses == (known == "standstills are")
+    pauses_s = sum(end - begin for begin, end in context.links.find_pauses(context.client))
+    assert (pauses_s > 0.04) == (known == "standstills are"), pauses_s
 
 
 def _send(connection, request_id, half_close=endings.HalfClose.NONE):
