--- a/bench/siterun/losses.py
+++ b/bench/siterun/losses.py
@@ -141,19 +141,19 @@
         if excuse is not None:
             excuses[excuse] += 1
             continue
-        kept = list(_judge_kept(observations, site, attempt, attempt_runs))
+        kept_cut = list(_judge_kept(observations, site, attempt, attempt_runs))
         excuse = _find_excuse(observations, site, attempt, attempt_runs)
         if excuse is not None:
             # The clause of kept connections knows none of these, but holds for hosts in touch only.
-            kept = [loss for loss in kept if loss.is_in_touch]
-            losses += kept
-            excuses[excuse] += not kept
+            kept_cut = [loss for loss in kept_cut if loss.is_in_touch]
+            losses += kept_cut
+            excuses[excuse] += not kept_cut
             continue
         if attempt.end is records.End.ANSWERED:
             found = list(_judge_replaced(observations, site, attempt, attempt_runs))
             excuse = Excuse.HOST_ANSWERED
         else:
-            found = kept + list(_judge_cut(observations, site, attempt, attempt_runs))
+            found = kept_cut + list(_judge_cut(observations, site, attempt, attempt_runs))
             excuse = _explain_cut(observations, site, attempt, attempt_runs)
             if excuse is not Excuse.DISTURBED:
                 cuts.append(attempt)
@@ -164,12 +164,12 @@
             excuse = Excuse.DISTURBED if is_own else Excuse.BESIDE_DISTURBED
         losses += remaining
         excuses[excuse] += not remaining
-    kept = [loss for loss in losses if loss.clause is Clause.KEPT_CUT]
-    if not lossrule.breaks_kept_clause(kept):
+    kept_cuts = [loss for loss in losses if loss.clause is Clause.KEPT_CUT]
+    if not lossrule.breaks_kept_clause(kept_cuts):
         losses = _excuse_losses(losses, (Clause.KEPT_CUT,), Excuse.FEW_KEPT, excuses)
     if not _is_frequent_beside_configurations(observations, site, cuts):
         losses = _excuse_losses(losses, _CONFIGURATION_CLAUSES, Excuse.USUAL, excuses)
-    return Judgement(losses, +excuses, kept)
+    return Judgement(losses, +excuses, kept_cuts)
 
 
 def _find_disturbed(observations, site, attempt):
@@ -267,8 +267,8 @@
         return
     if all(_is_broken_off_before(run, attempt.ended_at) for run in runs):
         return
-    is_near = is_in_touch(observations, site, attempt.host, attempt.ended_at)
-    loss = Loss(Clause.KEPT_CUT, attempt, None, tuple(runs), is_near)
+    in_touch = is_in_touch(observations, site, attempt.host, attempt.ended_at)
+    loss = Loss(Clause.KEPT_CUT, attempt, None, tuple(runs), in_touch)
     if not _is_excused(loss, _find_disturbed(observations, site, attempt)):
         yield loss
 
