--- a/features/host_hostile_clients.feature
+++ b/features/host_hostile_clients.feature
@@ -64,6 +64,66 @@
     And its memory and its descriptors have stayed within its limits
     And an ordinary request is answered with 200
 
+  # The smallest machine of the deployments in force, with all connections that its descriptors allow
+  # most crowds. Bytes that the host has received and not read count as its memory.
+  Scenario Outline: A crowd of many connections leaves the smallest host within its memory
+    Given a host program with 152 MB and 2870 descriptors
+    When <count> clients have sent its door for <door> <habit> for 8 s
+    Then the host program lives
+    And its memory and its descriptors have stayed within its limits
+    And an ordinary request is answered with 200
+
+    Examples: Heads
+      | count | door      | habit                                             |
+      | 1300  | clients   | heads of many fields and bodies without their end |
+      | 2000  | clients   | heads of many fields without their end            |
+      | 1300  | clients   | trailers of many fields without their end         |
+      | 1000  | clients   | whole requests with many fields in a row          |
+      | 500   | clients   | the smallest requests in a row                    |
+      | 1300  | lookups   | heads of many fields and bodies without their end |
+      | 1300  | metrics   | trailers of many fields without their end         |
+      | 1300  | readiness | whole requests with many fields in a row          |
+
+    Examples: Bodies
+      | count | door    | habit                                          |
+      | 2000  | clients | bodies in chunks of one byte without their end |
+      | 2000  | clients | chunks with long extensions                    |
+      | 2000  | clients | bodies that stop short of their end            |
+      | 500   | clients | whole uploads that wait for their upstream     |
+      | 2000  | metrics | bodies in chunks of one byte without their end |
+
+    Examples: Answers and silence
+      | count | door    | habit                                          |
+      | 2000  | clients | requests for many answers that are read slowly |
+      | 2500  | clients | nothing                                        |
+      | 2500  | hosts   | messages of hosts without their end            |
+
+  Scenario: Crowds of many connections at all doors together leave the smallest host within its memory
+    Given a host program with 152 MB and 2870 descriptors
+    When clients have done these for 8 s
+      | count | habit                                             | door      |
+      | 500   | heads of many fields and bodies without their end | clients   |
+      | 500   | trailers of many fields without their end         | lookups   |
+      | 500   | bodies in chunks of one byte without their end    | readiness |
+      | 500   | whole requests with many fields in a row          | metrics   |
+      | 500   | messages of hosts without their end               | hosts     |
+    Then the host program lives
+    And its memory and its descriptors have stayed within its limits
+    And an ordinary request is answered with 200
+
+  Scenario Outline: A host reloads, stops and starts while a crowd is at its door
+    Given a host program with 152 MB and 2870 descriptors
+    When <count> clients have sent it <habit> for 4 s
+    And the host program is asked to reload its settings, to stop, and is started again
+    Then an ordinary request is answered with 200
+    And the host program lives
+    And its memory and its descriptors have stayed within its limits
+
+    Examples:
+      | count | habit                                             |
+      | 1000  | heads of many fields and bodies without their end |
+      | 1000  | requests for many answers that are read slowly    |
+
   # Guards against a limit that refuses what the configuration permits.
   Scenario: The largest request and the largest answer are served in calm
     Given a host program with 152 MB and 600 descriptors
--- a/features/steps/host_hostile_clients_steps.py
+++ b/features/steps/host_hostile_clients_steps.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import resource
+import signal
 import subprocess
 import sys
 import tempfile
@@ -35,6 +36,8 @@
 SIZES = crowd.Sizes(LIMITS["maxBodyBytes"], LIMITS["maxHeaderBytes"])
 SOURCES = [f"127.93.7.{number}" for number in range(2, 6)]
 HOST_IP = "127.93.6.1"
+# State of a listening socket in the kernel's table.
+LISTENING = "0A"
 # Offsets of the ports for clients from the first one; None stands for the port between hosts.
 DOORS = {"clients": 0, "readiness": 1, "lookups": 2, "hosts": None, "metrics": None}
 
@@ -88,22 +91,44 @@
 
 
 def _sample(context):
-    """Notes the peaks of memory and descriptors until the process ends."""
+    """Notes the peaks of memory and descriptors until the process ends.
+
+    Bytes that the process has received and not read count as its memory.
+    """
     process = psutil.Process(context.process.pid)
     status_path = pathlib.Path(f"/proc/{process.pid}/status")
     while True:
         try:
             context.peak_descriptors = max(context.peak_descriptors, process.num_fds())
-            # The kernel's own peak, which no interval between samples can miss.
             lines = status_path.read_text().splitlines()
         except (psutil.Error, OSError):
             # The process has ended; a step finds that.
             return
-        (line,) = [line for line in lines if line.startswith("VmHWM:")]
-        context.peak_bytes = 1024 * int(line.split()[1])
+        # The kernel's own peak, which no interval between samples can miss.
+        peak_bytes = _read_size(lines, "VmHWM:")
+        with_unread_bytes = _read_size(lines, "VmRSS:") + _count_unread_bytes()
+        context.peak_bytes = max(context.peak_bytes, peak_bytes, with_unread_bytes)
         eventlet.sleep(SAMPLE_S)
 
 
+def _read_size(lines, name):
+    (line,) = [line for line in lines if line.startswith(name)]
+    return 1024 * int(line.split()[1])
+
+
+def _count_unread_bytes():
+    """Returns the bytes that wait in the sockets of the host's address, accepted or not."""
+    local = socket.inet_aton(HOST_IP)[::-1].hex().upper() + ":"
+    unread_bytes = 0
+    for name in ("tcp", "udp"):
+        rows = pathlib.Path(f"/proc/net/{name}").read_text().splitlines()[1:]
+        for fields in map(str.split, rows):
+            # A listening socket has a number of connections in this place.
+            if fields[1].startswith(local) and fields[3] != LISTENING:
+                unread_bytes += int(fields[4].partition(":")[2], 16)
+    return unread_bytes
+
+
 def _find_address(context, door):
     match door:
         case "hosts":
@@ -141,6 +166,18 @@
     _run(context, groups, seconds)
 
 
+@when("the host program is asked to reload its settings, to stop, and is started again")
+def step_restart(context):
+    context.process.send_signal(signal.SIGHUP)
+    eventlet.sleep(1.0)
+    assert context.process.poll() is None, context.process.returncode
+    context.process.send_signal(signal.SIGTERM)
+    host_world.wait_until(ASKING_S, lambda: context.process.poll() is not None)
+    assert context.process.returncode == 0, context.process.returncode
+    _start(context)
+    context.add_cleanup(eventlet.spawn(_sample, context).kill)
+
+
 @then("the host program lives")
 def step_lives(context):
     assert context.process.poll() is None, context.process.returncode
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -19,8 +19,10 @@
 
 # Interval at which each client sends and reads.
 TICK_S = 0.05
-# Pause of a client whose connection has ended before it opens the next one.
+# Pause of a client whose connection has ended before it opens the next one, and that of one which
+# takes each place that gets free.
 REOPEN_S = 0.3
+QUICK_REOPEN_S = 0.02
 # Bytes of one client that wait to be sent; the rest of what it sends is made later.
 MAX_WAITING_BYTES = 262_144
 # Bytes that a slow reader reads in a tick, and the kernel's buffer for it.
@@ -33,6 +35,20 @@
 LONG_ANSWER_KB = 4_000
 PIPELINED_ANSWER_KB = 60
 PIPELINED_REQUESTS = 64
+# Answers of one client that asks for many, their size in KiB, and the bytes it reads in a tick.
+MANY_ANSWERS = 16
+MANY_ANSWER_KB = 15
+MANY_ANSWERS_READ_BYTES = 512
+# Requests in a row with as many fields as their heads may hold, and the smallest field.
+FIELD_REQUESTS = 16
+SMALLEST_FIELD = b"a:\r\n"
+# Bytes of a head that are no such fields, at most.
+OTHER_HEAD_BYTES = 500
+EXTENSION_BYTES = 12_000
+CUT_BODY_BYTES, DECLARED_BODY_BYTES = 16_000, 17_000
+SMALLEST_REQUESTS = 1_500
+WAITING_UPLOADS = 16
+WAITING_BODY_BYTES = 60_000
 DATAGRAM_BYTES = 1_200
 DATAGRAMS_PER_TICK = 20
 
@@ -47,11 +63,42 @@
     IDLE = "nothing"
     UNREAD_PIPELINES = "pipelines whose answers are not read"
     LONG_UPLOADS = "whole bodies whose long answers are read slowly"
+    FIELDS = "heads of many fields and bodies without their end"
+    CUT_FIELDS = "heads of many fields without their end"
+    TRAILERS = "trailers of many fields without their end"
+    FIELD_PIPELINES = "whole requests with many fields in a row"
+    EXTENSIONS = "chunks with long extensions"
+    CUT_BODIES = "bodies that stop short of their end"
+    MANY_ANSWERS = "requests for many answers that are read slowly"
+    SMALLEST_REQUESTS = "the smallest requests in a row"
+    WAITING_UPLOADS = "whole uploads that wait for their upstream"
     GARBAGE = "bytes that mean nothing"
     CUT_MESSAGES = "messages of hosts without their end"
     DATAGRAMS = "datagrams that mean nothing"
 
 
+# Clients that read slowly, with the bytes that they read in a tick.
+_SLOW_READS = {
+    Habit.SLOW_READING: SLOW_READ_BYTES,
+    Habit.LONG_UPLOADS: SLOW_READ_BYTES,
+    Habit.MANY_ANSWERS: MANY_ANSWERS_READ_BYTES,
+}
+# Clients that come back at once.
+_QUICK = frozenset(
+    (
+        Habit.FIELDS,
+        Habit.CUT_FIELDS,
+        Habit.TRAILERS,
+        Habit.FIELD_PIPELINES,
+        Habit.EXTENSIONS,
+        Habit.CUT_BODIES,
+        Habit.MANY_ANSWERS,
+        Habit.SMALLEST_REQUESTS,
+        Habit.WAITING_UPLOADS,
+    )
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sizes:
     """Limits of the program under test, up to which the clients go.
@@ -118,6 +165,34 @@
         case Habit.LONG_UPLOADS:
             body = bytes(sizes.body_bytes)
             yield _format(f"POST /order/{number}/{LONG_ANSWER_KB}kb/", number, body)
+        case Habit.FIELDS:
+            yield chunked.removesuffix(b"\r\n") + _make_fields(sizes) + b"\r\n1\r\nx\r\n"
+        case Habit.CUT_FIELDS:
+            yield chunked.removesuffix(b"\r\n") + _make_fields(sizes)
+        case Habit.TRAILERS:
+            yield chunked + b"1\r\nx\r\n0\r\n" + _make_fields(sizes)
+        case Habit.FIELD_PIPELINES:
+            for index in range(FIELD_REQUESTS):
+                request = _format(f"GET /read/{number}/{index}", f"{number}-{index}")
+                yield request.removesuffix(b"\r\n") + _make_fields(sizes) + b"\r\n"
+        case Habit.EXTENSIONS:
+            yield chunked
+            chunk = b"1;" + b"e" * EXTENSION_BYTES + b"\r\nx\r\n"
+            yield from itertools.repeat(chunk, sizes.body_bytes - 1)
+        case Habit.CUT_BODIES:
+            request = _format(f"POST /order/{number}", number, bytes(DECLARED_BODY_BYTES))
+            yield request[: CUT_BODY_BYTES - DECLARED_BODY_BYTES]
+        case Habit.MANY_ANSWERS:
+            for index in range(MANY_ANSWERS):
+                target = f"GET /read/{number}/{MANY_ANSWER_KB}kb/{index}"
+                yield _format(target, f"{number}-{index}")
+        case Habit.SMALLEST_REQUESTS:
+            request = f"GET /read/1 HTTP/1.1\r\nHost:{platformdata.SITE}\r\n\r\n".encode()
+            yield request * SMALLEST_REQUESTS
+        case Habit.WAITING_UPLOADS:
+            for index in range(WAITING_UPLOADS):
+                line = f"POST /order/{number}/900ms/{index}"
+                yield _format(line, f"{number}-{index}", bytes(WAITING_BODY_BYTES))
         case Habit.GARBAGE:
             while True:
                 yield os.urandom(LARGE_CHUNK_BYTES)
@@ -127,6 +202,13 @@
             return
 
 
+def _make_fields(sizes):
+    """Returns as many of the smallest fields as a head may hold."""
+    # Hosts count a field's line end and its separator as four bytes.
+    counted_bytes = len(SMALLEST_FIELD) + 1
+    return SMALLEST_FIELD * ((sizes.head_bytes - OTHER_HEAD_BYTES) // counted_bytes)
+
+
 def _format(line, number, body=None):
     # An id of its own for each connection: a repeated one would be another case.
     request_id = f"crowd-{number}-{time.monotonic_ns()}"
@@ -171,7 +253,7 @@
         is_datagram = self._habit is Habit.DATAGRAMS
         kind = socket.SOCK_DGRAM if is_datagram else socket.SOCK_STREAM
         self._socket = socket.socket(socket.AF_INET, kind)
-        if self._habit in (Habit.SLOW_READING, Habit.LONG_UPLOADS):
+        if self._habit in _SLOW_READS:
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
         self._socket.setblocking(False)
         self._socket.bind((self._source, 0))
@@ -199,8 +281,8 @@
                 return
 
     def _read(self):
-        if self._habit in (Habit.SLOW_READING, Habit.LONG_UPLOADS):
-            data = self._socket.recv(SLOW_READ_BYTES)
+        if self._habit in _SLOW_READS:
+            data = self._socket.recv(_SLOW_READS[self._habit])
         else:
             data = self._socket.recv(1, socket.MSG_PEEK)
         if not data:
@@ -209,7 +291,7 @@
     def _close(self, now):
         self._socket.close()
         self._socket = None
-        self._opens_at = now + REOPEN_S
+        self._opens_at = now + (QUICK_REOPEN_S if self._habit in _QUICK else REOPEN_S)
 
 
 def main():
