Names of objects take 64 bytes at most in a host's tables

Cause: a client can name objects with keys as long as its head may be; hosts keep them in tables of 4,096 objects, as many rankings, and 64 for each upstream, at their length. Change: a key of more than 64 bytes is replaced by its digest as the request is read. Hosts place by the key only, so all of them agree. Measured: the new scenario fails on (a key of 7,000 bytes is kept) and passes.

--- a/features/host_requests.feature
+++ b/features/host_requests.feature
@@ -115,6 +115,10 @@
       | long chunked body   | 413    | /order/1 | body of more than 10000 bytes |
       | slow head           | 408    | /read/1  | head too slow                 |
 
+  # Names of objects are kept in tables by host and upstream.
+  Scenario: A long name of an object is kept as a digest, the same for the same name
+    Then names of objects of 64 bytes are kept, and those of 7000 bytes as 64 each
+
   Scenario: Requests whose bodies exceed the host's buffers are rejected as not run
     Given the host may buffer 5000 bytes of bodies
     And the upstreams take 0.5 s
--- a/features/steps/host_requests_steps.py
+++ b/features/steps/host_requests_steps.py
@@ -8,9 +8,10 @@
 from behave import given, then, when
 
 from features import host_builders, host_world
-from skylarksill.host import records, steering
+from skylarksill.host import _requestfields, records, steering
 from standins import platformdata, worker
 
+_, wire, _ = host_builders.import_platform()
 REQUEST_LINES = {"idempotent": "GET /read/1", "non-idempotent": "POST /order/1"}
 HOST_HEADER = b"Host: shop.example\r\n"
 RAW_REQUESTS = {
@@ -305,6 +306,19 @@
     assert sum(item.connections for item in context.world.workers.values()) == 2
 
 
+@then("names of objects of {kept:d} bytes are kept, and those of {size:d} bytes as {most:d} each")
+def step_object_names(context, kept, size, most):
+    def build(name):
+        cookie = wire.HEADER_NAMES.affinity_cookie + b"=" + name
+        fields = [(b"host", b"shop.example"), (b"cookie", cookie)]
+        return _requestfields.build_request(b"GET", b"/", fields, b"", wire.HEADER_NAMES)
+
+    assert build(b"k" * kept).affinity_key == b"k" * kept
+    first, again, other = (build(letter * size).affinity_key for letter in (b"a", b"a", b"b"))
+    assert len(first) == len(other) == most
+    assert first == again != other
+
+
 @given("the host may buffer {size:d} bytes of bodies")
 def step_max_buffered(context, size):
     context.world.server.max_buffered_bytes = size
--- a/skylarksill/host/_requestfields.py
+++ b/skylarksill/host/_requestfields.py
@@ -1,5 +1,6 @@
 """Records of clients' requests, from their lines and headers."""
 
+import hashlib
 import re
 import time
 
@@ -8,6 +9,8 @@
 # A later deadline bounds nothing, as each route has a time-out.
 MAX_DEADLINE_DIGITS = 12
 MAX_DEADLINE_S = 10**MAX_DEADLINE_DIGITS / 1000
+# Names of objects are kept in tables; longer ones are replaced by a digest.
+MAX_AFFINITY_KEY_BYTES = 64
 # A target in absolute form: authority, path and query (RFC 9112, section 3.2.2).
 _ABSOLUTE_TARGET = re.compile(rb"https?://([^/?#]*)([^#]*)", re.IGNORECASE)
 
@@ -43,7 +46,7 @@
         request_id=fields.get(names.request_id),
         site=_parse_site(site.decode("latin-1")),
         deadline_s=parse_deadline(fields.get(names.deadline)),
-        affinity_key=find_cookie(fields.get(b"cookie"), names.affinity_cookie),
+        affinity_key=_shorten(find_cookie(fields.get(b"cookie"), names.affinity_cookie)),
         received_at=time.monotonic(),
     )
 
@@ -78,6 +81,12 @@
     return None
 
 
+def _shorten(key):
+    if key is None or len(key) <= MAX_AFFINITY_KEY_BYTES:
+        return key
+    return hashlib.blake2b(key, digest_size=MAX_AFFINITY_KEY_BYTES).digest()
+
+
 def parse_deadline(value):
     """Returns the seconds of a deadline header in milliseconds, or None if it has no number."""
     if value is None or not value.isdigit():
