Streams between hosts: at most 256 without an authentic message

Cause: the door for hosts had no limit but descriptors: each stream took a green thread and a receive buffer for 3 s, whoever had opened it. Change: beyond 256 streams that have sent no authentic message, the oldest is closed and logged; the receive buffer is 4 KB, as requests take some hundred bytes.

--- a/bench/_virtualtime.py
+++ b/bench/_virtualtime.py
@@ -143,6 +143,9 @@
     def getsockname(self):
         return self._address
 
+    def setsockopt(self, *option):
+        """Does nothing: options bound what the kernel holds, and there is no kernel."""
+
     def put(self, stream):
         self._waiting.append(stream)
         if not self._event.ready():
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -6,6 +6,7 @@
 answer can't be repeated.
 """
 
+import contextlib
 import os
 import time
 
@@ -36,6 +37,11 @@
 # The kernel resets a connection whose bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 2_000
 LISTEN_BACKLOG = 256
+# Streams that have not proven yet that a host has opened them; of more, the oldest is ended. Hosts
+# send their first message with the connection.
+MAX_UNPROVEN_STREAMS = 256
+# Receive buffer that the kernel is asked for, for each stream; requests take some hundred bytes.
+RECEIVE_BUFFER_BYTES = 4_096
 REQUEST_PURPOSE = "belief request"
 UPDATE_PURPOSE = "belief update"
 
@@ -59,6 +65,9 @@
         self._encoded = (None, b"")
         self._changed = event.Event()
         self._socket = eventlet.listen(address, backlog=LISTEN_BACKLOG)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # Clients of streams without an authentic message, the oldest first.
+        self._unproven = {}
         self._thread = None
 
     @property
@@ -88,8 +97,20 @@
                 self._log.write("relay.accept_failed", error=str(error))
                 eventlet.sleep(FIRST_RETRY_S)
                 continue
+            self._unproven[client] = address
+            if len(self._unproven) > MAX_UNPROVEN_STREAMS:
+                self._end_oldest()
             supervision.spawn(self._log, "relay.serve", self._serve, client, address)
 
+    def _end_oldest(self):
+        """Ends the stream that has been without an authentic message for longest."""
+        client = next(iter(self._unproven))
+        address = self._unproven.pop(client)
+        self._log.write("relay.unproven_ended", peer=str(address))
+        # One that can't be shut down has ended already.
+        with contextlib.suppress(OSError):
+            client.shutdown(socket.SHUT_RDWR)
+
     def _serve(self, client, address):
         try:
             _set_options(client)
@@ -99,6 +120,7 @@
                 context = (REQUEST_PURPOSE, *self.address)
                 payload = keyring.unseal(self._get_keyring(), context, message)
                 request = _beliefcodec.decode_request(payload)
+                self._unproven.pop(client, None)
                 if self._belief.sequence == request.sequence:
                     self._wait_for_change(min(request.wait_s, LONG_POLL_S))
                 payload = self._encode_update(request.sequence, request.generation)
@@ -112,6 +134,7 @@
         except (OSError, _beliefcodec.CodecError, keyring.SealError) as error:
             self._log.write("relay.follower_lost", peer=str(address), error=str(error))
         finally:
+            self._unproven.pop(client, None)
             client.close()
 
     def _encode_update(self, sequence, generation):
