--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -11,6 +11,7 @@
 
 # Bytes of a host name, a target or an id of a request in the log.
 MAX_LOGGED_NAME = 100
+MAX_LOGGED_REQUESTS = 32
 # Errors that mean that this host has no memory left; they tell nothing about the client.
 _OWN_ERRORS = frozenset((errno.ENOBUFS, errno.ENOMEM))
 
@@ -96,10 +97,12 @@
       items: The PendingRequests.
       now: Monotonic seconds.
     Returns:
-      A dict of lists with one value for each request: its id, the id of the upstream that it was
-      passed on to or None, whether the connection had carried an earlier one, and its age.
+      A dict of lists with one value for each of the first requests: its id, the id of the upstream
+      that it was passed on to or None, whether the connection had carried an earlier one, and its
+      age.
     """
-    ids = [(item.request_id or b"")[:MAX_LOGGED_NAME].decode("latin-1") for item in items]
+    items = items[:MAX_LOGGED_REQUESTS]
+    ids = [item.request_id.decode("latin-1") for item in items]
     return {
         "requests": ids,
         "upstreams": [item.cancellation.upstream_id for item in items],
--- a/skylarksill/host/_endings.py
+++ b/skylarksill/host/_endings.py
@@ -11,7 +11,7 @@
 # once.
 UNCERTAIN_KEY_RETRY_AFTER_S = 0.02
 _CHALLENGE = (b"www-authenticate", b"Bearer")
-# Characters of a host name or a path in the log.
+# Characters of an id, a host name or a path in the log.
 MAX_LOGGED_NAME = 100
 # Reason of the end of a request on which the host itself has failed.
 FAILED_REASON = "host_failed"
@@ -132,7 +132,7 @@
             fields |= self._describe_target(request, now)
         self._log.write(
             "request",
-            id=(request.request_id or b"").decode("latin-1"),
+            id=(request.request_id or b"")[:MAX_LOGGED_NAME].decode("latin-1"),
             route=progress.route.route_id if progress else None,
             service=service_id,
             status=status,
