Places for connections: all doors share a number, and silent connections make room

Cause: each of four listeners had three quarters of the descriptors for itself, and no number followed from the memory: 2,000 connections take 48 MB and more on a host of 152 MB. Ordinary callers waited behind connections that carry nothing until the idle time was over. Change: connections of all doors have places for a quarter of the memory and three quarters of the descriptors. Beyond them, those that have waited longest for their clients are ended (2 s without a request, 1 s with a part of one or a slow reader), and a whole request of a surplus connection takes the place of one. Cause no_place in log and metric.

--- a/skylarksill/host/_connectionstates.py
+++ b/skylarksill/host/_connectionstates.py
@@ -33,6 +33,7 @@
     WRITE_FAILED = "write_failed"
     WRITE_TIMEOUT = "write_timeout"
     NO_ROOM = "no_room"
+    NO_PLACE = "no_place"
     STOP_IDLE = "stop_idle"
     STOP_DEADLINE = "stop_deadline"
     ERROR = "error"
--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -18,7 +18,7 @@
 
 # A client whose request was refused here may send it to another host at once.
 REFUSED_RETRY_AFTER_S = 0.02
-_REFUSAL_HEADERS = ((b"retry-after", b"%.3f" % REFUSED_RETRY_AFTER_S),)
+REFUSAL_HEADERS = ((b"retry-after", b"%.3f" % REFUSED_RETRY_AFTER_S),)
 
 
 class _BadRequestError(Exception):
@@ -131,7 +131,7 @@
         if self._state is not _connectionstates.State.SERVING:
             self._discard_partial_request()
             return
-        if self._is_surplus and self._server.is_crowded:
+        if self._is_surplus and not self._server.places.take_place():
             raise _BadRequestError(503, "too many connections")
         self._is_surplus = False
         self._count_body()
@@ -208,7 +208,7 @@
         item = _connectionstates.PendingRequest(
             None, b"GET", cancellation.Cancellation(), received_at=time.monotonic()
         )
-        headers = _REFUSAL_HEADERS if status == 503 else ()
+        headers = REFUSAL_HEADERS if status == 503 else ()
         data = answers.format_answer(answers.make_answer(status, b"", headers), b"GET")
         self._set_answer(item, data)
         self.pending.append(item)
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -2,7 +2,6 @@
 
 import errno
 import itertools
-import math
 import time
 
 import eventlet
@@ -14,6 +13,7 @@
     answers,
     bytebudget,
     connectionends,
+    connectionplaces,
     counters,
     supervision,
 )
@@ -68,7 +68,8 @@
       answer_buffers: The bytebudget.ByteBudget that counts bodies until they are served and
         answers until they are delivered.
       counts: The counters.Counters of ended connections and unanswered requests.
-      max_connections: Number of connections beyond which new ones are refused their first request.
+      places: The connectionplaces.ConnectionPlaces; beyond them new connections are refused their
+        first request, unless others can be ended.
       release_descriptors: Function that frees descriptors and returns True, or False if it can't.
       max_single_bytes: Bytes of a body that is served although it exceeds ``max_buffered_bytes``,
         while no other body is held.
@@ -88,7 +89,7 @@
         max_buffered_bytes=MAX_BUFFERED_BYTES,
         answer_buffers=None,
         counts=None,
-        max_connections=math.inf,
+        places=None,
         release_descriptors=None,
         max_single_bytes=0,
         ends=None,
@@ -103,12 +104,13 @@
         )
         self.counters = counts or counters.Counters()
         self.ends = ends or connectionends.ConnectionEnds()
-        self._max_connections = max_connections
+        self.places = places or connectionplaces.ConnectionPlaces()
         self._release_descriptors = release_descriptors or (lambda: False)
         self.max_single_bytes = max_single_bytes
         self.buffered_bytes = 0
         self.is_leaving = False
         self.connections = set()
+        self.places.add_group(self.connections)
         self._socket = eventlet.listen(address, backlog=LISTEN_BACKLOG)
         # Connections inherit it.
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -136,11 +138,6 @@
         share = MAX_READING_BYTES // max(1, len(self.connections))
         return min(MAX_READ_BYTES, max(MIN_READ_BYTES, share))
 
-    @property
-    def is_crowded(self):
-        """True if there are more connections than descriptors are kept for."""
-        return len(self.connections) > self._max_connections
-
     def take_body(self, size, held_bytes, holder):
         """Counts bytes of a body as held if there is room, if need be after ending slow clients.
 
@@ -254,7 +251,9 @@
     def _accept(self):
         accepted = 0
         while True:
-            if len(self.connections) >= (1.0 + MAX_REFUSED_SHARE) * self._max_connections:
+            if self.places.is_crowded:
+                self.places.make_places()
+            if self.places.count >= (1.0 + MAX_REFUSED_SHARE) * self.places.max_connections:
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
             try:
@@ -302,7 +301,7 @@
         return error.errno in NO_DESCRIPTORS and self._release_descriptors()
 
     def _open(self, client, address):
-        is_surplus = len(self.connections) >= self._max_connections
+        is_surplus = self.places.count >= self.places.max_connections
         connection = _clientconnection.Connection(self, client, is_surplus, address[0])
         self.connections.add(connection)
         supervision.spawn(self.log, "client.connection", connection.run)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-import math
 import random
 import resource
 import signal
@@ -20,11 +19,13 @@
     bytebudget,
     clientserver,
     connectionends,
+    connectionplaces,
     counters,
     creditbroker,
     eventlog,
     fleet,
     following,
+    footprint,
     forwarder,
     gossip,
     hostload,
@@ -80,6 +81,8 @@
 # Share of the others that connections of clients may take, so that there are some for connections
 # to upstreams.
 CLIENT_DESCRIPTOR_SHARE = 0.75
+# Share of the memory that connections of clients may take, with what the kernel holds unread.
+CONNECTION_MEMORY_FRACTION = 0.25
 HOUSEKEEPING_INTERVAL_S = 0.25
 LOG_FLUSH_INTERVAL_S = 0.1
 # Problems of one configuration that are logged; the metric counts all.
@@ -110,6 +113,9 @@
         self.answer_buffers = bytebudget.ByteBudget(
             int(BUFFER_MEMORY_FRACTION * settings.memory_bytes), time.monotonic
         )
+        self.places = connectionplaces.ConnectionPlaces(
+            compute_max_connections(settings.memory_bytes)
+        )
         self.pool = pool.ConnectionPool(names, self.answer_buffers)
         self.steering = steering.Steering(self.fleet, settings.bounds.max_shift)
         now = time.monotonic()
@@ -263,7 +269,7 @@
                 self._compute_max_buffered(),
                 self.answer_buffers,
                 self.counters,
-                _compute_max_connections(),
+                self.places,
                 self.pool.release_idle,
                 self._compute_max_single(),
                 self._ends,
@@ -438,7 +444,7 @@
                 entry.buffered_bytes / max(1, entry.max_buffered_bytes),
                 self.answer_buffers.used_bytes / max(1, self.answer_buffers.max_bytes),
             )
-            descriptor_share = len(entry.connections) / _compute_max_connections()
+            descriptor_share = len(entry.connections) / self.places.max_connections
         load = self._load_meter.observe(
             time.monotonic(), time.process_time(), memory_share, descriptor_share
         )
@@ -549,6 +555,7 @@
             self._entry.max_buffered_bytes = self._compute_max_buffered()
             self._entry.max_single_bytes = self._compute_max_single()
         self.answer_buffers.max_bytes = int(BUFFER_MEMORY_FRACTION * self.settings.memory_bytes)
+        self.places.max_connections = compute_max_connections(self.settings.memory_bytes)
         self._apply_belief()
 
     def _stop_when_requested(self):
@@ -607,12 +614,14 @@
     return grace_s - share * reserve_s, grace_s - share * SHUTDOWN_RESERVE_S
 
 
-def _compute_max_connections():
-    """Returns how many connections of clients the limit of descriptors permits."""
+def compute_max_connections(memory_bytes):
+    """Returns how many connections of clients descriptors and memory permit, at all doors."""
+    connection_bytes = footprint.CONNECTION_BYTES + clientserver.RECEIVE_BUFFER_BYTES
+    most = max(1, int(CONNECTION_MEMORY_FRACTION * memory_bytes / connection_bytes))
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if limit == resource.RLIM_INFINITY:
-        return math.inf
-    return max(1, int(CLIENT_DESCRIPTOR_SHARE * (limit - OWN_DESCRIPTORS)))
+        return most
+    return min(most, max(1, int(CLIENT_DESCRIPTOR_SHARE * (limit - OWN_DESCRIPTORS))))
 
 
 def _list_changed_settings(before, after):
