Connections to upstreams: a receive buffer of 64 KB; long answers for 2,000 slow readers

Cause: the kernel lets the buffer of a connection to an upstream grow to megabytes while the host is slow to read, and what is unread there counts as memory of the host. The check of memory looked at the host's own address only, which these connections don't have. Change: the buffer is bounded; the check counts them, and notes the unread bytes. Two more crowds.

--- a/features/host_hostile_clients.feature
+++ b/features/host_hostile_clients.feature
@@ -93,10 +93,12 @@
       | 2000  | metrics | bodies in chunks of one byte without their end |
 
     Examples: Answers and silence
-      | count | door    | habit                                          |
-      | 2000  | clients | requests for many answers that are read slowly |
-      | 2500  | clients | nothing                                        |
-      | 2500  | hosts   | messages of hosts without their end            |
+      | count | door    | habit                                           |
+      | 2000  | clients | requests for many answers that are read slowly  |
+      | 2500  | clients | nothing                                         |
+      | 2500  | hosts   | messages of hosts without their end             |
+      | 2000  | clients | long answers that are read slowly               |
+      | 500   | clients | whole bodies whose long answers are read slowly |
 
   Scenario: Crowds of many connections at all doors together leave the smallest host within its memory
     Given a host program with 152 MB and 2870 descriptors
--- a/features/steps/host_hostile_clients_steps.py
+++ b/features/steps/host_hostile_clients_steps.py
@@ -49,15 +49,17 @@
     context.add_cleanup(context.store.stop)
     spec = platformdata.build_configuration_spec()
     context.store.write("config", "main", {**spec, "limits": LIMITS})
+    context.upstream_ports = set()
     for name in ("u1", "u2"):
         upstream = worker.Worker(name)
         context.add_cleanup(upstream.stop)
         address = "{}:{}".format(*upstream.address)
+        context.upstream_ports.add(f"{upstream.address[1]:04X}")
         entry = platformdata.build_upstream_spec(address=address, slots=64)
         context.store.write("servers", name, entry)
     context.first_port = random.randrange(20_000, 30_000, 32)
     _start(context)
-    context.peak_bytes = context.peak_descriptors = 0
+    context.peak_bytes = context.peak_descriptors = context.peak_unread_bytes = 0
     context.add_cleanup(eventlet.spawn(_sample, context).kill)
     host_world.wait_until(READY_S, lambda: _ask(context, b"GET /read/1") == 200)
 
@@ -106,7 +108,9 @@
             return
         # The kernel's own peak, which no interval between samples can miss.
         peak_bytes = _read_size(lines, "VmHWM:")
-        with_unread_bytes = _read_size(lines, "VmRSS:") + _count_unread_bytes()
+        unread_bytes = _count_unread_bytes(context)
+        context.peak_unread_bytes = max(context.peak_unread_bytes, unread_bytes)
+        with_unread_bytes = _read_size(lines, "VmRSS:") + unread_bytes
         context.peak_bytes = max(context.peak_bytes, peak_bytes, with_unread_bytes)
         eventlet.sleep(SAMPLE_S)
 
@@ -116,15 +120,18 @@
     return 1024 * int(line.split()[1])
 
 
-def _count_unread_bytes():
-    """Returns the bytes that wait in the sockets of the host's address, accepted or not."""
+def _count_unread_bytes(context):
+    """Returns the bytes that wait in the sockets of the host, accepted or not."""
     local = socket.inet_aton(HOST_IP)[::-1].hex().upper() + ":"
     unread_bytes = 0
     for name in ("tcp", "udp"):
         rows = pathlib.Path(f"/proc/net/{name}").read_text().splitlines()[1:]
         for fields in map(str.split, rows):
+            is_of_host = fields[1].startswith(local)
+            # Its connections to upstreams have another address.
+            is_of_host |= fields[2].partition(":")[2] in context.upstream_ports
             # A listening socket has a number of connections in this place.
-            if fields[1].startswith(local) and fields[3] != LISTENING:
+            if is_of_host and fields[3] != LISTENING:
                 unread_bytes += int(fields[4].partition(":")[2], 16)
     return unread_bytes
 
@@ -186,7 +193,10 @@
 @then("its memory and its descriptors have stayed within its limits")
 def step_within(context):
     eventlet.sleep(2 * SAMPLE_S)
-    measured = f"{context.peak_bytes / 1e6:.1f} MB, {context.peak_descriptors} descriptors"
+    measured = (
+        f"{context.peak_bytes / 1e6:.1f} MB, {context.peak_descriptors} descriptors, "
+        f"{context.peak_unread_bytes / 1e6:.1f} MB unread at most"
+    )
     if path := os.environ.get(PEAKS_VARIABLE):
         with open(path, "a", encoding="utf-8") as file:
             file.write(f"{context.scenario.name}: {measured}\n")
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -12,6 +12,9 @@
 # The kernel resets a connection whose bytes stay unacknowledged for this long, so that a peer that
 # no longer responds is noticed.
 USER_TIMEOUT_MS = 4_000
+# Receive buffer that the kernel is asked for. What it holds unread counts as memory of the process;
+# it holds up to twice as much, and left alone it would grow to megabytes a connection.
+RECEIVE_BUFFER_BYTES = 65_536
 # Time to parse bytes that had arrived by the deadline of a request, but were read after it.
 LATE_PARSING_S = 0.02
 # Largest numbers of a load report; no upstream has as many requests or is as slow.
@@ -261,6 +264,7 @@
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.settimeout(timeout_s)
         _connect(sock, upstream.address)
     except BaseException:
