Crowds at a full host: short queue, slow clients ended together, connections take turns

Cause: a host with no places left let 1,024 connections queue, ended a fixed batch of slow clients at a time, and ran up to 16 requests of each pipeline in a round, which took seconds. Change: the queue of a listener has 64 while there are no places, all clients that are slow for a second are ended together, and pipelines run one request at a time also while half of the places are used.

--- a/bench/request_matching.py
+++ b/bench/request_matching.py
@@ -16,7 +16,13 @@
 import eventlet
 
 from features import host_builders
-from skylarksill.host import _clientconnection, bytebudget, counters, routes
+from skylarksill.host import (
+    _clientconnection,
+    bytebudget,
+    connectionplaces,
+    counters,
+    routes,
+)
 
 _, wire, _ = host_builders.import_platform()
 
@@ -73,6 +79,7 @@
         self.buffered_bytes = 0
         self.answer_buffers = bytebudget.ByteBudget(10_000_000, time.monotonic)
         self.counters = counters.Counters()
+        self.places = connectionplaces.ConnectionPlaces()
         self.connections = set()
         self.is_leaving = False
         self.log = self
--- a/features/host_connectionplaces.feature
+++ b/features/host_connectionplaces.feature
@@ -15,6 +15,18 @@
     Then the connections c were ended
     And there are no more connections than places
 
+  Scenario: Those whose clients are slow are ended together, before the silent ones
+    Given 4 places for connections
+    And connections that have waited for their clients
+      | connection | door    | seconds | client |
+      | a          | clients | 9.0     | silent |
+      | b          | clients | 1.0     | slow   |
+      | c          | clients | 1.1     | slow   |
+      | d          | metrics | 1.2     | slow   |
+      | e          | clients | 0.0     | slow   |
+    When places are made
+    Then the connections b, c, d were ended
+
   Scenario: A request of a connection beyond the places takes the place of one that was ended
     Given 1 places for connections
     And connections that have waited for their clients
--- a/features/steps/host_connectionplaces_steps.py
+++ b/features/steps/host_connectionplaces_steps.py
@@ -11,14 +11,17 @@
 class _Connection:
     """A connection that has waited for its client for some seconds at time 0."""
 
-    def __init__(self, name, waited_s, group):
+    def __init__(self, name, waited_s, is_slow, group):
         self.name = name
         self._waited_s = waited_s
+        self._is_slow = is_slow
         self._group = group
         group.add(self)
 
-    def find_waited_s(self, now):
-        return self._waited_s + now if self._waited_s else 0.0
+    def find_wait(self, now):
+        if not self._waited_s:
+            return None
+        return connectionplaces.Wait(self._is_slow, self._waited_s + now)
 
     def give_up_place(self):
         self._group.remove(self)
@@ -38,7 +41,9 @@
             doors[row["door"]] = set()
             context.places.add_group(doors[row["door"]])
         group = doors[row["door"]]
-        context.connections.append(_Connection(row["connection"], float(row["seconds"]), group))
+        is_slow = row.get("client") == "slow"
+        connection = _Connection(row["connection"], float(row["seconds"]), is_slow, group)
+        context.connections.append(connection)
     context.groups = doors.values()
 
 
--- a/skylarksill/host/_answersending.py
+++ b/skylarksill/host/_answersending.py
@@ -15,9 +15,10 @@
 # Bytes of answers that the kernel takes at most as a stop ends, to send them after the process; it
 # grants this many unless it is set up otherwise, and reserves twice as many.
 MAX_HANDED_OVER_BYTES = 212_992
-# Requests of one connection that are processed at the same time, and while little room is left.
+# Requests of one connection that are processed at the same time, and while half of the room or of
+# the places is used, so that connections take turns.
 MAX_RUNNING = 16
-MAX_RUNNING_PRESSED = 1
+MAX_RUNNING_IN_CROWD = 1
 # What a client that waits for it before it sends the body of its request is sent.
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Answer to a request whose handler failed. It promises nothing, as the request may have run.
@@ -64,7 +65,8 @@
         """Starts processing pending requests as far as their number and the room permit."""
         buffers = self._server.answer_buffers
         while self._unstarted:
-            if self._running >= (MAX_RUNNING_PRESSED if buffers.is_pressed else MAX_RUNNING):
+            is_crowd = buffers.is_half_used or self._server.places.is_half_used
+            if self._running >= (MAX_RUNNING_IN_CROWD if is_crowd else MAX_RUNNING):
                 return
             item = self._unstarted.popleft()
             if item.data is not None or item.cancellation.is_cancelled:
--- a/skylarksill/host/_clientconnection.py
+++ b/skylarksill/host/_clientconnection.py
@@ -20,7 +20,7 @@
     supervision,
 )
 
-# Requests of one connection that are processed at the same time; further ones stay unread.
+# Requests of one connection that have no answer yet, beyond which no more bytes are read.
 MAX_PIPELINED = 16
 # After the last answer the server goes on reading until the client has received and sent nothing
 # for this long, since what arrives after the close resets the connection, and the client can lose
--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -152,7 +152,8 @@
         Returns:
           The bytes of its head and its record that are held.
         """
-        record_bytes = footprint.REQUEST_BYTES + self._held_head_bytes
+        # Upstreams get a message of its own with the head.
+        record_bytes = footprint.REQUEST_BYTES + self._held_head_bytes + self._head_bytes
         head_bytes = record_bytes - self._counted_head_bytes
         body_bytes = self._body_bytes - self._counted_body_bytes
         if not self._server.take_complete(head_bytes, body_bytes, self._counted_body_bytes):
--- a/skylarksill/host/_roommaking.py
+++ b/skylarksill/host/_roommaking.py
@@ -5,7 +5,7 @@
 
 from eventlet.green import socket
 
-from skylarksill.host import _connectionstates, answers, supervision
+from skylarksill.host import _connectionstates, answers, connectionplaces, supervision
 
 # A connection without a request may be ended for the sake of others after this long, and one that
 # has sent its last answer after its client has been silent for this long.
@@ -19,8 +19,8 @@
     It takes the socket, the state, the holder and the pending requests from there.
     """
 
-    def find_waited_s(self, now):
-        """Returns for how many seconds it has waited for its client; 0 if it may wait on.
+    def find_wait(self, now):
+        """Returns the connectionplaces.Wait for the client, or None if it may take longer.
 
         That is so for a client that sends or reads at an ordinary pace, and for one that has been
         silent for a short time between its requests.
@@ -29,14 +29,17 @@
           now: Monotonic seconds.
         """
         if self._state is _connectionstates.State.ENDED:
-            return 0.0
+            return None
         if self._state is _connectionstates.State.LINGERING:
             silent_s = now - max(self._received_at, self._quiet_since)
-            return silent_s if silent_s >= MIN_LINGERED_S else 0.0
+            return connectionplaces.Wait(True, silent_s) if silent_s >= MIN_LINGERED_S else None
         if self._is_writing or (self._started_at is not None and not self.pending):
-            return now - self._holder.begun_at if self._holder.is_slow(now) else 0.0
+            is_slow = self._holder.is_slow(now)
+            return connectionplaces.Wait(True, now - self._holder.begun_at) if is_slow else None
         silent_s = now - self._quiet_since
-        return 0.0 if self._has_work() or silent_s < MIN_SILENT_S else silent_s
+        if self._has_work() or silent_s < MIN_SILENT_S:
+            return None
+        return connectionplaces.Wait(False, silent_s)
 
     def give_up_place(self):
         """Ends the connection, which has waited for its client."""
--- a/skylarksill/host/bytebudget.py
+++ b/skylarksill/host/bytebudget.py
@@ -80,7 +80,7 @@
         self._is_making_room = False
 
     @property
-    def is_pressed(self):
+    def is_half_used(self):
         """True if more than half of the limit is used."""
         return 2 * self.used_bytes > self.max_bytes
 
--- a/skylarksill/host/clientserver.py
+++ b/skylarksill/host/clientserver.py
@@ -18,7 +18,10 @@
     supervision,
 )
 
+# Connections that wait to be accepted at most, and while there are no places left: in a long queue
+# each waits for all before it, and its client gives up before its turn has come.
 LISTEN_BACKLOG = 1024
+CROWDED_BACKLOG = 64
 ACCEPT_RETRY_S = 0.05
 # Connections that are accepted in a row; then what else is due runs, also if more are waiting.
 MAX_ACCEPTED_IN_ROW = 256
@@ -112,6 +115,7 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._thread = None
         self._has_waiting = False
+        self._backlog = LISTEN_BACKLOG
 
     @property
     def address(self):
@@ -313,6 +317,7 @@
     def _accept(self):
         accepted = 0
         while True:
+            self._adjust_backlog()
             if self.places.is_crowded:
                 self.places.make_places()
             if self.places.count >= (1.0 + MAX_REFUSED_SHARE) * self.places.max_connections:
@@ -329,6 +334,18 @@
             if accepted % MAX_ACCEPTED_IN_ROW == 0:
                 eventlet.sleep(0)
 
+    def _adjust_backlog(self):
+        """Shortens the queue of new connections while there are no places left."""
+        if self.places.is_crowded:
+            backlog = CROWDED_BACKLOG
+        elif self.places.is_half_used:
+            return
+        else:
+            backlog = LISTEN_BACKLOG
+        if backlog != self._backlog:
+            self._backlog = backlog
+            self._socket.listen(backlog)
+
     def _accept_waiting(self):
         """Accepts what waits in the listening socket, whose close would reset it, and closes it.
 
--- a/skylarksill/host/connectionplaces.py
+++ b/skylarksill/host/connectionplaces.py
@@ -8,6 +8,7 @@
 import heapq
 import math
 import time
+import typing
 
 # Free places that are made at a time, as a share of all, and the time after which more are made at
 # the earliest: looking at all connections takes milliseconds, and those that were ended still count
@@ -16,6 +17,18 @@
 INTERVAL_S = 0.05
 
 
+class Wait(typing.NamedTuple):
+    """For how long a connection has waited for its client, which may be ended for others.
+
+    Attributes:
+      is_slow: True if the client is in the middle of a request or an answer.
+      seconds: The time.
+    """
+
+    is_slow: bool
+    seconds: float
+
+
 class ConnectionPlaces:
     """Limits the connections of several listeners together.
 
@@ -35,9 +48,9 @@
     def add_group(self, connections):
         """Adds the set of a listener's open connections, which the listener maintains.
 
-        A connection has a method ``find_waited_s`` of the monotonic time, which returns for how
-        many seconds it has waited for its client, or 0 if it may not be ended for others; and a
-        method ``give_up_place``, which ends it without waiting.
+        A connection has a method ``find_wait`` of the monotonic time, which returns its Wait, or
+        None if it may not be ended for others; and a method ``give_up_place``, which ends it
+        without waiting.
         """
         self._groups.append(connections)
 
@@ -46,13 +59,21 @@
         """Number of open connections."""
         return sum(map(len, self._groups))
 
+    @property
+    def is_half_used(self):
+        """True if more than half of the places are used."""
+        return 2 * self.count > self.max_connections
+
     @property
     def is_crowded(self):
         """True if there are more connections than places."""
         return self.count > self.max_connections
 
     def make_places(self):
-        """Ends some connections that have waited longest for their clients.
+        """Ends connections that have waited for their clients.
+
+        Those whose clients are slow are ended together, as a crowd of them comes back at once; of
+        the silent ones, as many as are too many, those that have waited longest first.
 
         Returns:
           True if any was ended.
@@ -62,16 +83,18 @@
             return False
         self._made_at = now
         waiting = [
-            (waited_s, number, connection)
+            (wait, number, connection)
             for number, connection in enumerate(
                 connection for group in self._groups for connection in group
             )
-            if (waited_s := connection.find_waited_s(now)) > 0.0
+            if (wait := connection.find_wait(now)) is not None
         ]
         if not waiting:
             return False
         free = int(FREE_SHARE * self.max_connections)
-        ended = heapq.nlargest(max(1, self.count - self.max_connections + free), waiting)
+        slow_count = sum(wait.is_slow for wait, _, _ in waiting)
+        surplus = self.count - self.max_connections + free
+        ended = heapq.nlargest(max(1, slow_count, surplus), waiting)
         for _, _, connection in ended:
             connection.give_up_place()
         self._made_places = len(ended)
