Clients that send one long field move bytes; clients that wait for 100 Continue don't have to

Cause: by reading: a field that is not complete counted as nothing moved, which is taken for a client that is not waited for, so that neither room nor places could be made of it before the time for heads; and a client that waits behind its earlier requests for 100 Continue would be taken for slow. Change: unreported bytes count as moved; a client that the host owes the interim answer is not judged.

--- a/skylarksill/host/_roommaking.py
+++ b/skylarksill/host/_roommaking.py
@@ -70,4 +70,7 @@
         """Returns the bytes that the client has received of the answer, or sent of the request."""
         if self._is_writing:
             return self._sent_bytes - _connectionstates.count_unsent_bytes(self._socket)
-        return (self._head_bytes + self._body_bytes) or math.inf
+        if self._owes_continue:
+            # The client waits for the host.
+            return math.inf
+        return (self._head_bytes + self._unreported_bytes + self._body_bytes) or math.inf
