--- a/bench/_virtualtime.py
+++ b/bench/_virtualtime.py
@@ -180,6 +180,10 @@
     def setsockopt(self, *_):
         """Does nothing."""
 
+    def shutdown(self, _):
+        """Ends the stream in both directions."""
+        self.close()
+
     def settimeout(self, _):
         """Does nothing."""
 
@@ -240,4 +244,7 @@
         IPPROTO_TCP=socket.IPPROTO_TCP,
         TCP_NODELAY=socket.TCP_NODELAY,
         TCP_USER_TIMEOUT=socket.TCP_USER_TIMEOUT,
+        SOL_SOCKET=socket.SOL_SOCKET,
+        SO_RCVBUF=socket.SO_RCVBUF,
+        SHUT_RDWR=socket.SHUT_RDWR,
     )
