--- a/review/8/case.py
+++ b/review/8/case.py
@@ -62,9 +62,7 @@
     # Requests that were answered before their time-out don't last longer than it.
     longer = [taken_s for taken_s in outcomes if taken_s is None or taken_s > TIMEOUT_MS / 1000]
     late = [
-        taken_s
-        for taken_s in longer
-        if taken_s is None or taken_s > TIMEOUT_MS / 1000 + SLACK_S
+        taken_s for taken_s in longer if taken_s is None or taken_s > TIMEOUT_MS / 1000 + SLACK_S
     ]
     never = sum(taken_s is None for taken_s in longer)
     record.write(
@@ -95,9 +93,7 @@
 def send_upload(record, address, number, outcomes):
     request_id = f"upload{number:010d}"
     body = bytes([97 + number % 26]) * BODY_BYTES
-    message = deployment.format_request(
-        "POST", f"/uploads/{number}", request_id, DEADLINE_MS, body
-    )
+    message = deployment.format_request("POST", f"/uploads/{number}", request_id, DEADLINE_MS, body)
     taken_s = None
     try:
         with socket.create_connection(address, 1.0) as client:
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -61,7 +61,8 @@
     """Writes what happens to ``record.txt``, with the seconds since the start."""
 
     def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+        path = pathlib.Path(folder) / "record.txt"
+        self._file = path.open("w", encoding="utf-8")  # noqa: SIM115
         self._lock = threading.Lock()
         self.started_at = time.monotonic()
 
@@ -95,16 +96,16 @@
         }
         self._environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
 
-    def start_store(self, *arguments):
+    def start_store(self):
         """Starts the store."""
         environment = dict(self._environment)
         environment["PYTHONPATH"] += f"{os.pathsep}{ROOT}"
         self._store = subprocess.Popen(
-            [sys.executable, "-W", "ignore", str(ROOT / "review/lib2/store.py"), *arguments],
+            [sys.executable, "-W", "ignore", str(ROOT / "review/lib2/store.py")],
             cwd=ROOT,
             env=environment,
             stdout=subprocess.PIPE,
-            stderr=open(pathlib.Path(self._folder.name) / "store.err", "wb"),
+            stderr=subprocess.DEVNULL,
         )
         line = self._store.stdout.readline().decode().strip()
         if not line:
@@ -115,7 +116,10 @@
     def write(self, kind, name, spec):
         """Writes an object as its owner would; returns the time at which the store has answered."""
         body = json.dumps({"metadata": {"name": name}, "spec": spec}).encode()
-        for method, path in (("POST", f"/v1/objects/{kind}"), ("PUT", f"/v1/objects/{kind}/{name}")):
+        for method, path in (
+            ("POST", f"/v1/objects/{kind}"),
+            ("PUT", f"/v1/objects/{kind}/{name}"),
+        ):
             request = urllib.request.Request(
                 f"http://{self.store_address}{path}", data=body, method=method
             )
@@ -150,7 +154,7 @@
         spec = {
             "configVersion": version,
             "routes": routes,
-            "services": {name: service for name in services},
+            "services": dict.fromkeys(services, service),
             "limits": {
                 "maxHeaderBytes": 16384,
                 "maxBodyBytes": 67108864,
@@ -202,12 +206,6 @@
         except OSError:
             return False
 
-    def kill_host(self, index):
-        """Kills a host with SIGKILL."""
-        self._hosts[index].kill()
-        self._hosts[index].wait()
-        self.record.write(f"host {index} killed")
-
     def pid(self, index):
         """Returns the process id of a host."""
         return self._hosts[index].pid
