Count what an upstream gets across its incarnations

Cause: a host made a new state for each incarnation, with an empty count of sends, no open requests, and nothing of what the process had stated. But hosts reach a process by its address before the store names it, so the count started anew while the process was the same.

Change: sends and open requests belong to the upstream's id (UpstreamUse). The state of a new incarnation takes over how long the upstream may be cold, and what was stated since the host noticed the restart; statements made before it end with their process. An answer that comes after the entry counts for the process that its connection leads to. States are kept by id, so an entry that went and comes back under another name goes on with the count. Sends are logged with the incarnation and the count.

--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -18,3 +18,29 @@
       | the upstream accepts connections         | the entry goes and incarnation 2 comes   |
       | the entry goes and incarnation 2 comes   | the entry goes and incarnation 3 comes   |
       | the entry of incarnation 2 comes         | incarnation 2 comes at another address   |
+
+  Scenario Outline: What an upstream asked for holds for the process that asked
+    Given a host that found upstream "a" unreachable at 9.0 s and reachable at 10.0 s
+    When an answer at <at> s <demand>
+    And the entry of incarnation 2 comes at 10.5 s
+    Then what it asked for <fate>
+
+    Examples:
+      | at   | demand                     | fate  |
+      | 10.2 | states a rate limit        | holds |
+      | 10.2 | asks for a pause           | holds |
+      | 10.2 | says that it leaves        | holds |
+      | 8.0  | states a rate limit        | ends  |
+      | 8.0  | asks for a pause           | ends  |
+      | 8.0  | says that it leaves        | ends  |
+
+  Scenario: An answer that comes after the entry counts for the process that gave it
+    Given a host that found upstream "a" unreachable at 9.0 s and reachable at 10.0 s
+    When the entry of incarnation 2 comes at 10.5 s
+    Then a connection opened at 10.1 s leads to incarnation 2
+    And a connection opened at 8.9 s leads to incarnation 1
+
+  Scenario: Requests in flight count for an upstream's connections when its entry comes
+    Given a host that knows upstream "a"
+    When 330 requests are in flight as the entry of incarnation 2 of "a" comes
+    Then the host has no connection left for "a" until one ends
--- a/features/steps/host_restarted_upstreams_steps.py
+++ b/features/steps/host_restarted_upstreams_steps.py
@@ -1,8 +1,14 @@
 """Steps of host_restarted_upstreams.feature."""
 
+import time
+
 from behave import given, then, when
 
-from features import host_builders
+from features import host_builders, host_world
+from skylarksill.host import restarts
+from standins import platformdata, worker
+
+PAUSE_S = 500.0
 
 
 def _build_entry(incarnation, upstream_id="a", **changes):
@@ -53,6 +59,11 @@
     context.fleet = host_builders.build_fleet([_build_entry(1, cold_s=0.0)], now=5.0)
 
 
+@given('a host that knows incarnation {incarnation:d} of upstream "a"')
+def step_host_knows_incarnation(context, incarnation):
+    context.fleet = host_builders.build_fleet([_build_entry(incarnation, cold_s=0.0)], now=5.0)
+
+
 @given('a host that found upstream "a" unreachable at {at:g} s')
 def step_unreachable(context, at):
     step_host_knows(context)
@@ -60,6 +71,14 @@
     context.sent_times = []
 
 
+@given('a host that found upstream "a" unreachable at {at:g} s and reachable at {back:g} s')
+def step_returned(context, at, back):
+    step_unreachable(context, at)
+    context.former = context.fleet.find("a")
+    context.fleet.mark_reachable(context.former, back)
+    context.returned_at = back
+
+
 @when("{news} at {now:g} s and the host sends what it may")
 def step_news(context, news, now):
     _NEWS[news](context, now)
@@ -79,3 +98,118 @@
     assert len(context.sent_times) == count, context.sent_times
     _send_all(context, later)
     assert len(context.sent_times) == count + more, context.sent_times
+
+
+@when('the entry of incarnation {incarnation:d} of upstream "{name}" comes without a cold time')
+def step_entry_without_cold_time(context, incarnation, name):
+    entries = {"a": _build_entry(1, cold_s=0.0)}
+    entries[name] = _build_entry(incarnation, name, cold_s=0.0)
+    _apply_entries(context, 10.0, *entries.values())
+
+
+@when('the entries of incarnations 2, 1, 2 and 1 of "a" come 0.1 s apart')
+def step_alternating(context):
+    for index, incarnation in enumerate((2, 1, 2, 1)):
+        _apply_entries(context, 9.7 + 0.1 * index, _build_entry(incarnation, cold_s=0.0))
+
+
+@then('upstream "{name}" is {expected} for {length_s:g} s')
+def step_state_lasts(context, name, expected, length_s):
+    state = context.fleet.find(name)
+    for now in (10.01, 9.99 - 0.3 + length_s):
+        assert state.is_cold(now) == (expected == "cold"), now
+    assert not state.is_cold(10.01 + length_s)
+
+
+@when("an answer at {at:g} s {demand}")
+def step_demand(context, at, demand):
+    state = context.former
+    context.demand = demand
+    match demand:
+        case "states a rate limit":
+            context.fleet.set_rate_limit(state, 2.0, at)
+        case "asks for a pause":
+            context.fleet.pause(state, PAUSE_S, at)
+        case "says that it leaves":
+            context.fleet.mark_leaving(state, at)
+        case _:
+            raise ValueError(demand)
+
+
+@when("the entry of incarnation 2 comes at {now:g} s")
+def step_second_entry(context, now):
+    _apply_entries(context, now, _build_entry(2))
+
+
+@then("what it asked for {fate}")
+def step_demand_fate(context, fate):
+    state = context.fleet.find("a")
+    assert state.record.incarnation == 2
+    observed = {
+        "states a rate limit": state.rate_limit == 2.0,
+        "asks for a pause": state.paused_until > 100.0,
+        "says that it leaves": not context.fleet.is_available(state),
+    }
+    assert observed == {name: name == context.demand and fate == "holds" for name in observed}
+
+
+@then("a connection opened at {opened_at:g} s leads to incarnation {incarnation:d}")
+def step_connection_leads(context, opened_at, incarnation):
+    state = context.fleet.find_process(context.former, opened_at)
+    assert state.record.incarnation == incarnation, state.record
+
+
+@when('{count:d} requests are in flight as the entry of incarnation 2 of "a" comes')
+def step_in_flight(context, count):
+    context.former = context.fleet.find("a")
+    for _ in range(count):
+        context.former.record_send(9.9)
+    assert not context.fleet.has_connection_capacity(context.former)
+    _apply_entries(context, 10.0, _build_entry(2))
+
+
+@then('the host has no connection left for "a" until one ends')
+def step_no_connection(context):
+    state = context.fleet.find("a")
+    assert state is not context.former and not context.fleet.has_connection_capacity(state)
+    context.former.record_end(False, 10.1)
+    assert context.fleet.has_connection_capacity(state)
+
+
+@when('a peer reports a restart of incarnation {incarnation:d} of upstream "a"')
+def step_report_of_incarnation(context, incarnation):
+    report = restarts.RestartReport("a", incarnation, 9.8, 9.0)
+    context.fleet.apply_restart_report(report, 9.9)
+
+
+@given('a host whose only upstream "a" is unreachable')
+def step_only_unreachable(context):
+    context.world = host_world.HostWorld(("a",))
+    context.add_cleanup(context.world.stop)
+    context.world.workers["a"].shut_down()
+    assert _send_request(context.world) in (502, 503)
+    assert context.world.fleet.find("a").is_unreachable
+
+
+@when("the upstream accepts connections again")
+def step_accepts_again(context):
+    address = context.world.workers["a"].address
+    context.world.workers["a"] = worker.Worker("a", address=address)
+    state = context.world.fleet.find("a")
+    host_world.wait_until(3.0, lambda: not state.is_unreachable)
+
+
+@then('the host reports a restart of "a" to its peers')
+def step_reported(context):
+    (report,) = context.world.forwarder.restart_reports.list_recent(time.monotonic())
+    assert report.upstream_id == "a"
+    assert report.at >= context.world.fleet.find("a").cold_until - 3.0 - 0.001
+
+
+def _send_request(world):
+    client = world.connect()
+    try:
+        client.sendall(platformdata.format_request("GET /read/1", "lost"))
+        return platformdata.AnswerReader(client).read()[0]
+    finally:
+        client.close()
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -3,7 +3,15 @@
 import time
 
 from skylarksill import records as shared
-from skylarksill.host import _admission, _endings, _upstreamhttp, accounts, connector, restarts
+from skylarksill.host import (
+    _admission,
+    _endings,
+    _upstreamhttp,
+    accounts,
+    connector,
+    restarts,
+    tracking,
+)
 
 
 class Sender:
@@ -123,7 +131,7 @@
             self._record_outcome(query, choice, outcome, begun)
             self._probe_if_suspect(state, outcome, begun, is_reused)
             self._check_continuity(state, connection, outcome)
-            self._apply_demands(state, outcome)
+            self._apply_demands(self._fleet.find_process(state, connection.opened_at), outcome)
         except Exception as error:
             self._log.write_exception("request.learn", error)
 
@@ -165,9 +173,11 @@
         """Records whether the upstream runs on, or may have restarted."""
         match outcome:
             case _upstreamhttp.Answered() | _upstreamhttp.NotRun(is_shed=True):
-                state.record_alive(connection.opened_at, time.monotonic())
+                process = self._fleet.find_process(state, connection.opened_at)
+                process.record_alive(connection.opened_at, time.monotonic())
             case _upstreamhttp.MayHaveRun(is_broken=True):
-                self._suspect_restart(state, "broken")
+                process = self._fleet.find_process(state, connection.opened_at)
+                self._suspect_restart(process, "broken")
 
     def _apply_demands(self, state, outcome):
         """Applies what the upstream asks of the hosts in its answer."""
@@ -178,7 +188,7 @@
                 pass
             case _:
                 return
-        if demands.is_leaving and self._fleet.mark_leaving(state):
+        if demands.is_leaving and self._fleet.mark_leaving(state, time.monotonic()):
             self._log.write("upstream.leaving", upstream=state.record.upstream_id)
         if demands.pause_s:
             self._fleet.pause(state, demands.pause_s, time.monotonic())
@@ -193,6 +203,9 @@
             )
 
     def _suspect_restart(self, state, cause):
+        if self._fleet.find(state.record.upstream_id) is not state:
+            # The store has named the process that took over, or lists none.
+            return
         now = time.monotonic()
         if now >= state.suspect_until:
             self._log.write("upstream.suspect", upstream=state.record.upstream_id, cause=cause)
@@ -211,7 +224,9 @@
         "upstream": state.record.upstream_id,
         "expected_ms": int((choice.wait_s + choice.service_time_s) * 1000),
         "known_object": choice.knows_object,
+        "incarnation": state.record.incarnation,
         "is_cold": state.is_cold(now),
+        "counted_sends": state.use.sends.count(tracking.MAX_SEND_WINDOW_S, now),
         "load": round(state.estimate_load(now), 1),
         "slots": state.record.slots,
         "pace": round(state.estimate_pace(now), 2),
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -8,8 +8,9 @@
 from skylarksill.host import quotas, records, tracking
 
 MAX_RANKINGS = 4_096
-# Incarnations of upstreams whose entries have vanished, and may come back with what they asked for.
+# Upstreams with incarnations that the store names no more, and may name again.
 MAX_FORMER_UPSTREAMS = 1_024
+MAX_FORMER_INCARNATIONS = 4
 UNLIMITED = 1_000_000
 # Part of the permitted rate of a cold upstream that the hosts use together. The rest covers sends
 # of hosts that don't know of each other.
@@ -85,6 +86,18 @@
         """Returns the TrackedUpstream of an upstream, or None."""
         return self._upstream_states.get(upstream_id)
 
+    def find_process(self, state, opened_at):
+        """Returns the TrackedUpstream of the process that a connection leads to.
+
+        The store may have named it since the request was placed.
+
+        Args:
+          state: The TrackedUpstream for which the connection was opened.
+          opened_at: Monotonic time at which the connection was opened.
+        """
+        current = self._upstream_states.get(state.record.upstream_id, state)
+        return current if current.begun_at <= opened_at else state
+
     def is_available(self, state):
         """Returns True if requests may be sent to an upstream.
 
@@ -164,6 +177,8 @@
 
         The store tells of a restart late, or not at all while it is away.
         """
+        if not state.is_cold(now):
+            state.record_restart_sign(now)
         state.suspect_until = now + self._find_cold_s(state.record)
 
     def apply_restart_report(self, report, now):
@@ -191,6 +206,7 @@
         state.is_unreachable = False
         state.down_until = 0.0
         state.down_s = tracking.INITIAL_DOWN_S
+        state.record_restart_sign(now)
         self.mark_cold(state, self._find_cold_s(state.record), now)
 
     def has_connection_capacity(self, state):
@@ -205,14 +221,14 @@
         if state.connection_view is not self.view or state.connection_service is not service:
             state.connection_view, state.connection_service = self.view, service
             state.connection_part = self._count_connections(state.record, service)
-        return state.in_flight < state.connection_part
+        return state.use.open_requests < state.connection_part
 
     def has_cold_capacity(self, state, now):
         """Returns True if the permitted rate of a cold upstream allows one more request now."""
         self._update_parts(state)
-        return state.sends.count(COLD_WINDOW_S, now) < state.cold_part
+        return state.use.sends.count(COLD_WINDOW_S, now) < state.cold_part
 
-    def mark_leaving(self, state):
+    def mark_leaving(self, state, now):
         """Sends nothing more to an incarnation of an upstream whose answer says that it leaves.
 
         Returns:
@@ -220,7 +236,7 @@
         """
         if state.is_leaving:
             return False
-        state.is_leaving = True
+        state.leaving_since = now
         self._rebuild_pools()
         return True
 
@@ -232,6 +248,7 @@
         """
         if rate_limit is not None:
             state.limit_probe_at = now + self._draw_probe_interval_s(rate_limit)
+            state.limited_at = now
         if state.rate_limit == rate_limit:
             return False
         state.rate_limit = rate_limit
@@ -241,6 +258,7 @@
     def pause(self, state, pause_s, now):
         """Sends nothing to an upstream for ``pause_s`` seconds, as its answer asks for."""
         state.paused_until = max(state.paused_until, now + min(pause_s, MAX_PAUSE_S))
+        state.paused_at = now
 
     def compute_wait_s(self, state, now):
         """Returns the seconds until what an upstream asks for permits a send by this host."""
@@ -248,7 +266,7 @@
         if state.rate_limit is None:
             return pause_s
         self._update_parts(state)
-        wait_s = state.sends.compute_wait_s(state.limit_part, LIMIT_WINDOW_S, now)
+        wait_s = state.use.sends.compute_wait_s(state.limit_part, LIMIT_WINDOW_S, now)
         if wait_s is None:
             wait_s = state.limit_probe_at - now
         return max(pause_s, wait_s)
@@ -271,7 +289,7 @@
             return False
         if state.rate_limit is not None:
             state.limit_probe_at = now + self._draw_probe_interval_s(state.rate_limit)
-        state.sends.add(now)
+        state.use.sends.add(now)
         return True
 
     def _update_parts(self, state):
@@ -330,9 +348,7 @@
     def _apply_upstream(self, upstream, now):
         state = self._upstream_states.get(upstream.upstream_id)
         if state is None or state.record.incarnation != upstream.incarnation:
-            state = self._restore_upstream(upstream, now)
-            if state is None:
-                state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
+            state = self._replace_state(state, upstream, now)
             self._upstream_states[upstream.upstream_id] = state
         elif state.record.cold_s < upstream.cold_s:
             self.mark_cold(state, upstream.cold_s, now)
@@ -343,22 +359,56 @@
         state.record = upstream
 
     def _remove_upstream(self, upstream_id):
-        state = self._upstream_states.pop(upstream_id)
-        self._former[_identify(state.record)] = state
+        self._keep_former(self._upstream_states.pop(upstream_id))
+
+    def _keep_former(self, state):
+        """Keeps the state of an incarnation that the store names no more."""
+        upstream_id = state.record.upstream_id
+        former = self._former.pop(upstream_id, None)
+        if former is None:
+            former = collections.deque(maxlen=MAX_FORMER_INCARNATIONS)
+        former.append(state)
+        self._former[upstream_id] = former
         if len(self._former) > MAX_FORMER_UPSTREAMS:
             self._former.popitem(last=False)
 
-    def _restore_upstream(self, upstream, now):
-        """Returns the state of an upstream whose entry has come back, or None.
+    def _replace_state(self, known, upstream, now):
+        """Returns the state of an upstream whose entry names another incarnation than before.
+
+        Args:
+          known: The TrackedUpstream that the entry had until now, or None if it was missing.
+          upstream: The records.Upstream of the entry.
+          now: Monotonic seconds.
+        """
+        former = self._former.get(upstream.upstream_id, ())
+        previous = known or (former[-1] if former else None)
+        if known is not None:
+            self._keep_former(known)
+        if previous is None:
+            return tracking.TrackedUpstream(upstream, now + upstream.cold_s)
+        state = self._restore_state(upstream, now)
+        if state is None:
+            return previous.make_successor(upstream, now + upstream.cold_s, now)
+        # Requests may have reached a process that was cold under the other name.
+        state.cold_until = max(state.cold_until, previous.cold_until)
+        state.suspect_until = max(state.suspect_until, previous.suspect_until)
+        return state
+
+    def _restore_state(self, upstream, now):
+        """Returns the state of an incarnation that the store names again, or None.
 
         What it asked for, and what it has got, still counts. That its entry is back shows that it
         runs, so connections are tried again; it may have restarted before.
         """
-        state = self._former.pop(_identify(upstream), None)
-        if state is not None:
-            state.is_misdirected = False
-            if state.is_unreachable:
-                self.mark_reachable(state, now)
+        former = self._former.get(upstream.upstream_id, ())
+        found = [state for state in former if _identify(state.record) == _identify(upstream)]
+        if not found:
+            return None
+        (state,) = found
+        former.remove(state)
+        state.is_misdirected = False
+        if state.is_unreachable:
+            self.mark_reachable(state, now)
         return state
 
     def _apply_evacuation_end(self, zone, ended_at):
@@ -381,7 +431,7 @@
 
 
 def _identify(record):
-    return record.upstream_id, record.incarnation, record.address
+    return record.incarnation, record.address
 
 
 def _hash_upstream(upstream_id, key):
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -34,26 +34,54 @@
 MAX_SEND_WINDOW_S = 4.0
 
 
+class UpstreamUse:
+    """What this host sends to an upstream's id, whichever process runs under it.
+
+    Requests reach a process before the store names it, so that limits on what a process gets count
+    across names.
+
+    Attributes:
+      sends: The limits.SlidingCount of the sends.
+      open_requests: Number of requests that have not ended; each may have a connection.
+    """
+
+    __slots__ = ("sends", "open_requests")
+
+    def __init__(self):
+        self.sends = limits.SlidingCount(MAX_SEND_WINDOW_S)
+        self.open_requests = 0
+
+
 class TrackedUpstream:
     """Learned state of one incarnation of an upstream.
 
+    Args:
+      record: The records.Upstream.
+      cold_until: Monotonic time until which the upstream is treated as cold.
+      use: The UpstreamUse of the incarnation before, or None without one.
+
     Attributes:
       record: The records.Upstream.
+      use: The UpstreamUse, which all incarnations share.
+      begun_at: Monotonic time from which connections lead to this incarnation.
+      restarted_at: Monotonic time of the last sign that another process may have taken over before
+        the store names it, None without one. Connections that were opened later may lead to it.
       in_flight: Number of this host's requests to it that have not ended.
       cold_until: Monotonic time until which the upstream is treated as cold.
       down_until: Monotonic time of the next probe while the upstream is unreachable.
       down_s: Pause before the next probe in seconds.
-      is_leaving: True once an answer of the upstream has said that it leaves.
       is_misdirected: True once another upstream answered at its address.
       is_unreachable: True from a failed connection until one succeeds.
       is_probed: True while probes try to connect to the upstream in the background.
       suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
         requests on connections that may be younger than the restart are limited as if it were cold.
       proven_at: Monotonic time at which the process that this host knows last answered, 0 if never.
-      sends: The limits.SlidingCount of this host's sends.
+      leaving_since: Monotonic time at which an answer said so first; None without one.
       paused_until: Monotonic time until which the upstream takes nothing from this host.
+      paused_at: Monotonic time of the answer that asked for the pause.
       rate_limit: Requests a second that the upstream takes from all hosts together, as its last
         answer says; None without a limit.
+      limited_at: Monotonic time of the last answer that stated the limit.
       limit_probe_at: Monotonic time from which a host without a part of the limit may send one
         request, whose answer tells whether the limit still holds.
       cold_part: Requests that this host may send within a window while the upstream is cold.
@@ -66,11 +94,14 @@
 
     __slots__ = (
         "record",
+        "use",
+        "begun_at",
+        "restarted_at",
         "in_flight",
         "cold_until",
         "down_until",
         "down_s",
-        "is_leaving",
+        "leaving_since",
         "is_misdirected",
         "is_probed",
         "is_unreachable",
@@ -86,9 +117,10 @@
         "_failure_at",
         "_recent_objects",
         "suspect_until",
-        "sends",
         "paused_until",
+        "paused_at",
         "rate_limit",
+        "limited_at",
         "limit_probe_at",
         "cold_part",
         "limit_part",
@@ -99,13 +131,16 @@
         "proven_at",
     )
 
-    def __init__(self, record, cold_until):
+    def __init__(self, record, cold_until, use=None):
         self.record = record
+        self.use = use or UpstreamUse()
+        self.begun_at = float("-inf")
+        self.restarted_at = None
         self.in_flight = 0
         self.cold_until = cold_until
         self.down_until = 0.0
         self.down_s = INITIAL_DOWN_S
-        self.is_leaving = False
+        self.leaving_since = None
         self.is_misdirected = False
         self.is_probed = False
         self.is_unreachable = False
@@ -121,9 +156,10 @@
         self._failure_at = 0.0
         self._recent_objects = collections.OrderedDict()
         self.suspect_until = 0.0
-        self.sends = limits.SlidingCount(MAX_SEND_WINDOW_S)
         self.paused_until = 0.0
+        self.paused_at = 0.0
         self.rate_limit = None
+        self.limited_at = 0.0
         self.limit_probe_at = 0.0
         self.cold_part = 0
         self.limit_part = 0
@@ -133,6 +169,37 @@
         self.connection_service = None
         self.proven_at = 0.0
 
+    def make_successor(self, record, cold_until, now):
+        """Returns the TrackedUpstream of the incarnation that the store names after this one.
+
+        Its process may have run for a while, so what counts against the limits of an upstream goes
+        on. What this host has learned since the process took over holds for it too.
+
+        Args:
+          record: The records.Upstream of the new incarnation.
+          cold_until: Monotonic time until which it is treated as cold.
+          now: Monotonic seconds.
+        """
+        successor = TrackedUpstream(record, max(cold_until, self.cold_until), self.use)
+        successor.suspect_until = self.suspect_until
+        successor.begun_at = now if self.restarted_at is None else self.restarted_at
+        begun_at = successor.begun_at
+        if self.proven_at >= begun_at:
+            successor.proven_at = self.proven_at
+        if self.leaving_since is not None and self.leaving_since >= begun_at:
+            successor.leaving_since = self.leaving_since
+        if self.paused_at >= begun_at:
+            successor.paused_until, successor.paused_at = self.paused_until, self.paused_at
+        if self.limited_at >= begun_at:
+            successor.rate_limit, successor.limited_at = self.rate_limit, self.limited_at
+            successor.limit_probe_at = self.limit_probe_at
+        return successor
+
+    @property
+    def is_leaving(self):
+        """True once an answer of the upstream has said that it leaves."""
+        return self.leaving_since is not None
+
     def estimate_load(self, now):
         """Returns the estimated number of requests that run or wait at the upstream."""
         age = now - self._reported_at
@@ -164,10 +231,12 @@
         if self.in_flight == 0:
             self._waiting_since = now
         self.in_flight += 1
+        self.use.open_requests += 1
 
     def record_end(self, has_answered, now):
         """Counts the end of a request; ``has_answered`` if the upstream answered it."""
         self.in_flight -= 1
+        self.use.open_requests -= 1
         if has_answered:
             self._waiting_since = now
             self._answered_at = now
@@ -207,10 +276,16 @@
         """
         return opened_at <= self.proven_at
 
+    def record_restart_sign(self, now):
+        """Records that connections which are opened from now on may lead to another process."""
+        self.restarted_at = now
+
     def record_alive(self, opened_at, now):
         """Records an answer on a connection; it shows whether a suspected restart happened."""
         if self.is_proven(opened_at):
             self.suspect_until = 0.0
+            if self.restarted_at is not None and self.proven_at < self.restarted_at:
+                self.restarted_at = None
         if now >= self.suspect_until:
             self.proven_at = now
 
