Treat upstreams as cold that start during traffic without stating a cold time

Callers: an upstream that started again and whose entry states no cold time, or 0, got requests at the full rate (FAILBACK).

Cause: a host took the cold time from the entry alone. The users' pages say that an upstream is cold for the service's cold time after each start during traffic.

Change: an incarnation that was not listed before is cold for the time that its entry states, or else for that of its service. Only what the first list holds may have run for long.

Measured: the scenarios fail before (a new incarnation, a new upstream, and an entry that alternates between two names: not cold at all) and pass.

--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -19,6 +19,22 @@
       | the entry goes and incarnation 2 comes   | the entry goes and incarnation 3 comes   |
       | the entry of incarnation 2 comes         | incarnation 2 comes at another address   |
 
+  Scenario Outline: An upstream that starts during traffic is cold whatever its entry says
+    Given a host that knows upstream "a"
+    When the entry of incarnation <incarnation> of upstream "<name>" comes without a cold time
+    Then upstream "<name>" is <state> for 3 s
+
+    Examples:
+      | name | incarnation | state |
+      | a    | 2           | cold  |
+      | b    | 1           | cold  |
+      | a    | 1           | warm  |
+
+  Scenario: An entry that alternates between two names leaves a cold upstream cold
+    Given a host that knows upstream "a"
+    When the entries of incarnations 2, 1, 2 and 1 of "a" come 0.1 s apart
+    Then upstream "a" is cold for 3 s
+
   Scenario Outline: What an upstream asked for holds for the process that asked
     Given a host that found upstream "a" unreachable at 9.0 s and reachable at 10.0 s
     When an answer at <at> s <demand>
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -69,6 +69,7 @@
           now: Monotonic seconds.
           evacuation_ends: Dict of the monotonic time at which a zone's last evacuation ended.
         """
+        is_first_list = not self._upstream_states and not self._former
         self._services = services
         self._evacuated = frozenset(evacuated)
         self._bounds = bounds
@@ -77,7 +78,7 @@
         for upstream_id in [item for item in self._upstream_states if item not in upstreams]:
             self._remove_upstream(upstream_id)
         for upstream in upstreams.values():
-            self._apply_upstream(upstream, now)
+            self._apply_upstream(upstream, is_first_list, now)
         for zone, ended_at in (evacuation_ends or {}).items():
             self._apply_evacuation_end(zone, ended_at)
         self._rebuild_pools()
@@ -345,9 +346,12 @@
         service = self._services.get(record.service_id)
         return service.cold_s if service else 0.0
 
-    def _apply_upstream(self, upstream, now):
+    def _apply_upstream(self, upstream, is_first_list, now):
         state = self._upstream_states.get(upstream.upstream_id)
-        if state is None or state.record.incarnation != upstream.incarnation:
+        if state is None and is_first_list:
+            state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
+            self._upstream_states[upstream.upstream_id] = state
+        elif state is None or state.record.incarnation != upstream.incarnation:
             state = self._replace_state(state, upstream, now)
             self._upstream_states[upstream.upstream_id] = state
         elif state.record.cold_s < upstream.cold_s:
@@ -384,11 +388,14 @@
         previous = known or (former[-1] if former else None)
         if known is not None:
             self._keep_former(known)
+        # An incarnation that was not listed before started during traffic, so it is cold also if
+        # its entry states no cold time.
+        cold_until = now + (upstream.cold_s or self._find_cold_s(upstream))
         if previous is None:
-            return tracking.TrackedUpstream(upstream, now + upstream.cold_s)
+            return tracking.TrackedUpstream(upstream, cold_until)
         state = self._restore_state(upstream, now)
         if state is None:
-            return previous.make_successor(upstream, now + upstream.cold_s, now)
+            return previous.make_successor(upstream, cold_until, now)
         # Requests may have reached a process that was cold under the other name.
         state.cold_until = max(state.cold_until, previous.cold_until)
         state.suspect_until = max(state.suspect_until, previous.suspect_until)
