Believe reports of restarts under any name, and report returns of upstreams

Cause: a report named the incarnation that its sender knew, and a host to which the store had named another one dropped it. A host also dropped a report if the new process had answered it already, and hosts that found an upstream refusing connections and then back told nobody.

Change: reports are matched by the upstream's id. A host knows better only if answers on overlapping connections show one process from before the report's time to after it. A host whose connections were refused reports the return. Time-outs alone, as of a cut between host and upstream, are not reported.

Measured: four scenarios fail before and pass.

--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -60,3 +60,24 @@
     Given a host that knows upstream "a"
     When 330 requests are in flight as the entry of incarnation 2 of "a" comes
     Then the host has no connection left for "a" until one ends
+
+  Scenario Outline: A restart that a peer knows under another name is noticed
+    Given a host that knows incarnation <known> of upstream "a"
+    When a peer reports a restart of incarnation <reported> of upstream "a"
+    Then upstream "a" is cold for 3 s
+
+    Examples:
+      | known | reported |
+      | 1     | 2        |
+      | 2     | 1        |
+
+  Scenario: A host tells its peers that an upstream has returned
+    Given a host whose only upstream "a" is unreachable
+    When the upstream accepts connections again
+    Then the host reports a restart of "a" to its peers
+
+  Scenario: A report of a restart is believed by a host that has answers of the new process only
+    Given a host that knows upstream "a"
+    When it got an answer at 9.95 s on a connection opened at 9.9 s
+    And a peer reports a restart of incarnation 1 of upstream "a"
+    Then upstream "a" is cold for 3 s
--- a/features/steps/host_exceptions_steps.py
+++ b/features/steps/host_exceptions_steps.py
@@ -342,7 +342,12 @@
 @when("the host connects to an upstream")
 def step_connect(context):
     connections = connector.Connector(
-        context.world.fleet, context.world.pool, context.world.log, context.world.counters, None
+        context.world.fleet,
+        context.world.pool,
+        context.world.log,
+        context.world.counters,
+        None,
+        None,
     )
     context.connection = connections.connect(context.state, time.monotonic() + 1.0)
 
--- a/features/steps/host_restarted_upstreams_steps.py
+++ b/features/steps/host_restarted_upstreams_steps.py
@@ -182,6 +182,11 @@
     context.fleet.apply_restart_report(report, 9.9)
 
 
+@when("it got an answer at {at:g} s on a connection opened at {opened_at:g} s")
+def step_answer(context, at, opened_at):
+    context.fleet.find("a").record_alive(opened_at, at)
+
+
 @given('a host whose only upstream "a" is unreachable')
 def step_only_unreachable(context):
     context.world = host_world.HostWorld(("a",))
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -43,7 +43,9 @@
         self._log = log
         self._admission = admission
         self._crediting = crediting
-        self._connector = connector.Connector(fleet, pool, log, counters, on_unreachable)
+        self._connector = connector.Connector(
+            fleet, pool, log, counters, on_unreachable, self._report_restart
+        )
 
     def send(self, request, progress, query, choice, cancellation):
         """Sends a request to the chosen upstream; returns its outcome."""
@@ -210,11 +212,15 @@
         if now >= state.suspect_until:
             self._log.write("upstream.suspect", upstream=state.record.upstream_id, cause=cause)
         self._fleet.suspect_restart(state, now)
+        self._report_restart(state, state.proven_at)
+
+    def _report_restart(self, state, alive_at):
+        """Tells the peers that another process may have taken over; see RestartReport."""
         record = state.record
-        report = restarts.RestartReport(
-            record.upstream_id, record.incarnation, now, state.proven_at
+        now = time.monotonic()
+        self.restart_reports.add(
+            restarts.RestartReport(record.upstream_id, record.incarnation, now, alive_at)
         )
-        self.restart_reports.add(report)
 
 
 def _describe_choice(choice, now):
--- a/skylarksill/host/connector.py
+++ b/skylarksill/host/connector.py
@@ -27,14 +27,17 @@
       log: The EventLog.
       counters: The Counters.
       on_unreachable: Function of a records.Upstream that is called when it becomes unreachable.
+      on_restarted: Function of a TrackedUpstream and the monotonic time at which no process had
+        listened, called when the upstream accepts connections again.
     """
 
-    def __init__(self, fleet, pool, log, counters, on_unreachable):
+    def __init__(self, fleet, pool, log, counters, on_unreachable, on_restarted):
         self._fleet = fleet
         self._pool = pool
         self._log = log
         self._counters = counters
         self._on_unreachable = on_unreachable
+        self._on_restarted = on_restarted
 
     def connect(self, state, deadline):
         """Opens a connection to an upstream.
@@ -101,8 +104,11 @@
             self._handle_connect_failure(state, error)
             return False
         if state.is_unreachable:
+            refused_at = state.refused_at
             self._fleet.mark_reachable(state, time.monotonic())
             self._log.write("upstream.returned", upstream=state.record.upstream_id)
+            if refused_at is not None:
+                self._on_restarted(state, refused_at)
         self._pool.put_back(connection)
         return True
 
@@ -116,7 +122,10 @@
 
     def _handle_connect_failure(self, state, error):
         was_already_unreachable = state.is_unreachable
-        retry_delay_s = self._fleet.mark_unreachable(state, time.monotonic())
+        now = time.monotonic()
+        retry_delay_s = self._fleet.mark_unreachable(state, now)
+        if isinstance(error, ConnectionRefusedError):
+            state.refused_at = now
         if not was_already_unreachable:
             self._on_unreachable(state.record)
             self._log.write(
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -185,14 +185,23 @@
     def apply_restart_report(self, report, now):
         """Suspects an upstream of the restart that a peer reports.
 
-        A host that has got answers later than the peer knows better.
+        The peer may know the process by another name, as the store names it to hosts at different
+        times. A host knows better if answers show that the process which ran when the peer last
+        knew one to run is the one that it knows.
+
+        Returns:
+          True if the upstream is suspected.
         """
-        state = self._upstream_states.get(report.upstream_id)
-        if state is None or state.record.incarnation != report.incarnation:
-            return
+        state = self._find_last(report.upstream_id)
+        if state is None or state.ran_at(report.alive_at):
+            return False
         until = report.at + self._find_cold_s(state.record)
-        if until > now and not state.is_proven(report.alive_at):
-            state.suspect_until = max(state.suspect_until, until)
+        if until <= max(now, state.suspect_until):
+            return False
+        if not state.is_cold(now):
+            state.record_restart_sign(report.at)
+        state.suspect_until = until
+        return True
 
     def mark_unreachable(self, state, now):
         """Marks an upstream as unreachable; returns the seconds until the next probe."""
@@ -205,6 +214,7 @@
     def mark_reachable(self, state, now):
         """Marks an unreachable upstream as reachable again and treats it as cold, as it may be."""
         state.is_unreachable = False
+        state.refused_at = None
         state.down_until = 0.0
         state.down_s = tracking.INITIAL_DOWN_S
         state.record_restart_sign(now)
@@ -376,6 +386,12 @@
         if len(self._former) > MAX_FORMER_UPSTREAMS:
             self._former.popitem(last=False)
 
+    def _find_last(self, upstream_id):
+        """Returns the TrackedUpstream that the store named last, or None."""
+        state = self._upstream_states.get(upstream_id)
+        former = self._former.get(upstream_id)
+        return state or (former[-1] if former else None)
+
     def _replace_state(self, known, upstream, now):
         """Returns the state of an upstream whose entry names another incarnation than before.
 
@@ -384,8 +400,7 @@
           upstream: The records.Upstream of the entry.
           now: Monotonic seconds.
         """
-        former = self._former.get(upstream.upstream_id, ())
-        previous = known or (former[-1] if former else None)
+        previous = self._find_last(upstream.upstream_id)
         if known is not None:
             self._keep_former(known)
         # An incarnation that was not listed before started during traffic, so it is cold also if
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -335,7 +335,8 @@
         self._watcher.handle_changes(changes, source)
 
     def _handle_restart_report(self, report):
-        self.fleet.apply_restart_report(report, time.monotonic())
+        if self.fleet.apply_restart_report(report, time.monotonic()):
+            self.log.write("upstream.suspect", upstream=report.upstream_id, cause="peer")
 
     def _get_view(self):
         return self.fleet.view
--- a/skylarksill/host/restarts.py
+++ b/skylarksill/host/restarts.py
@@ -17,11 +17,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RestartReport:
-    """A host's connection to an upstream has ended early.
+    """A host's connection to an upstream has ended early, or the upstream accepts them again.
 
     Attributes:
+      incarnation: The incarnation that the host knew; the store may have named another to others.
       at: Monotonic time at which the host noticed it.
-      alive_at: Monotonic time at which the process that it knew had last answered.
+      alive_at: Monotonic time of the last answer before, or of the last refused connection. A host
+        that knows the same process to have run before and after it knows better.
     """
 
     upstream_id: str
@@ -38,12 +40,11 @@
 
     def add(self, report):
         """Adds a report; returns True if it is news."""
-        key = (report.upstream_id, report.incarnation)
-        known = self._reports.get(key)
+        known = self._reports.get(report.upstream_id)
         if known is not None and report.at <= known.at + SAME_RESTART_S:
             return False
-        self._reports[key] = report
-        self._reports.move_to_end(key)
+        self._reports[report.upstream_id] = report
+        self._reports.move_to_end(report.upstream_id)
         if len(self._reports) > MAX_REPORTS:
             self._reports.popitem(last=False)
         return True
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -72,10 +72,13 @@
       down_s: Pause before the next probe in seconds.
       is_misdirected: True once another upstream answered at its address.
       is_unreachable: True from a failed connection until one succeeds.
+      refused_at: Monotonic time of the last refused connection, when no process listened; None
+        without one since the upstream became unreachable.
       is_probed: True while probes try to connect to the upstream in the background.
       suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
         requests on connections that may be younger than the restart are limited as if it were cold.
       proven_at: Monotonic time at which the process that this host knows last answered, 0 if never.
+      proven_since: Monotonic time since which that is known to be the same process.
       leaving_since: Monotonic time at which an answer said so first; None without one.
       paused_until: Monotonic time until which the upstream takes nothing from this host.
       paused_at: Monotonic time of the answer that asked for the pause.
@@ -105,6 +108,7 @@
         "is_misdirected",
         "is_probed",
         "is_unreachable",
+        "refused_at",
         "_waiting_since",
         "_answered_at",
         "_other_load",
@@ -129,6 +133,7 @@
         "connection_view",
         "connection_service",
         "proven_at",
+        "proven_since",
     )
 
     def __init__(self, record, cold_until, use=None):
@@ -144,6 +149,7 @@
         self.is_misdirected = False
         self.is_probed = False
         self.is_unreachable = False
+        self.refused_at = None
         self._waiting_since = 0.0
         self._answered_at = 0.0
         self._other_load = 0.0
@@ -168,6 +174,7 @@
         self.connection_view = None
         self.connection_service = None
         self.proven_at = 0.0
+        self.proven_since = 0.0
 
     def make_successor(self, record, cold_until, now):
         """Returns the TrackedUpstream of the incarnation that the store names after this one.
@@ -186,6 +193,7 @@
         begun_at = successor.begun_at
         if self.proven_at >= begun_at:
             successor.proven_at = self.proven_at
+            successor.proven_since = max(self.proven_since, begun_at)
         if self.leaving_since is not None and self.leaving_since >= begun_at:
             successor.leaving_since = self.leaving_since
         if self.paused_at >= begun_at:
@@ -286,9 +294,17 @@
             self.suspect_until = 0.0
             if self.restarted_at is not None and self.proven_at < self.restarted_at:
                 self.restarted_at = None
+            self.proven_since = min(self.proven_since, opened_at)
+        elif now >= self.suspect_until:
+            # Another process may have answered before.
+            self.proven_since = opened_at
         if now >= self.suspect_until:
             self.proven_at = now
 
+    def ran_at(self, at):
+        """Returns True if answers show that the known process ran at a monotonic time."""
+        return self.proven_since <= at <= self.proven_at
+
     def apply_report(self, report, now):
         """Applies the LoadReport of an answer.
 
