Ask upstreams whether they are cold after a freeze of the host

Callers: a host that was frozen while an upstream started again, and had no connection to it, sent to the cold upstream at the full rate (FAILBACK).

Cause: as with a host that starts late: it has seen nothing of the restart.

Change: after a freeze each upstream is asked as after a start, unless a kept connection leads to the process that the host knew; such connections need no question after a start either.

Measured: without the change the scenario's second example has no health check.

--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -98,3 +98,15 @@
     Given a running upstream that is warm
     When a host that started 3.1 s ago gets 30 requests at once
     Then the upstream runs 30 of them after 0 health checks
+
+  Scenario Outline: A host that was frozen asks an upstream unless a kept connection leads to it
+    Given a running upstream that is warm
+    When a host that started 3.1 s ago gets 1 requests at once
+    And the upstream <event> while the host is frozen
+    And 5 further requests arrive one by one
+    Then the upstream has run <runs> requests after <checks> health checks
+
+    Examples:
+      | event         | runs | checks |
+      | runs on       | 6    | 0      |
+      | starts again  | 5    | 1      |
--- a/features/steps/host_restarted_upstreams_steps.py
+++ b/features/steps/host_restarted_upstreams_steps.py
@@ -261,3 +261,27 @@
 def step_runs(context, count, checks):
     assert context.worker.health_checks == checks, context.worker.health_checks
     assert len(context.worker.runs) == count, len(context.worker.runs)
+
+
+@when("the upstream {event} while the host is frozen")
+def step_frozen(context, event):
+    assert event in ("runs on", "starts again")
+    if event == "starts again":
+        address = context.worker.address
+        context.worker.shut_down()
+        # Not told to the host, as if it had closed the connection itself.
+        context.world.pool.release_idle()
+        context.worker = worker.Worker("a", address=address)
+        context.add_cleanup(context.worker.stop)
+    context.world.fleet.recheck_all(time.monotonic())
+
+
+@when("{count:d} further requests arrive one by one")
+def step_further_requests(context, count):
+    for _ in range(count):
+        assert _send_request(context.world) == 200
+
+
+@then("the upstream has run {count:d} requests after {checks:d} health checks")
+def step_has_run(context, count, checks):
+    step_runs(context, count, checks)
--- a/skylarksill/host/_startchecks.py
+++ b/skylarksill/host/_startchecks.py
@@ -1,4 +1,4 @@
-"""Questions of a host that has just started to its upstreams: whether they are cold.
+"""Questions of a host that has just started, or was frozen: whether its upstreams are cold.
 
 A process that restarted under its id may not be named by the store yet. Hosts that were there
 noticed the restart; one that starts meanwhile reads the entry of the process before.
@@ -44,7 +44,7 @@
             # Another request asks; what it learns holds for this one.
             state.health_answer.wait()
         now = time.monotonic()
-        target = self._fleet.find_health_target(state, now)
+        target = self._fleet.find_health_target(state, connection.opened_at, now)
         if target is None:
             return True
         round_trip_s = self._fleet.estimate_round_trip_s(state.record.region)
@@ -73,7 +73,7 @@
         """Applies the outcome of a question."""
         now = time.monotonic()
         upstream_id = state.record.upstream_id
-        state.listed_at = None
+        state.unchecked_since = None
         match outcome:
             case _upstreamhttp.Health(answering_id, cold_s, demands) if answering_id == upstream_id:
                 state.record_alive(connection.opened_at, now)
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -167,16 +167,28 @@
         current_s = self._round_trips.get(region)
         self._round_trips[region] = seconds if current_s is None else min(current_s * 1.05, seconds)
 
-    def find_health_target(self, state, now):
+    def recheck_all(self, now):
+        """Has all upstreams asked whether they are cold, as the host may have missed restarts."""
+        for state in self._upstream_states.values():
+            state.unchecked_since = now
+
+    def find_health_target(self, state, opened_at, now):
         """Returns the target at which an upstream is to be asked whether it is cold, or None.
 
         The entry that a host reads as it starts may be that of a process which has ended, and the
         host has noticed nothing of a restart before. What ran then is warm after the cold time.
+
+        Args:
+          state: The TrackedUpstream.
+          opened_at: Monotonic time at which the connection of the next request was opened.
+          now: Monotonic seconds.
         """
         service = self._services.get(state.record.service_id)
-        if service is None or not service.cold_rate or state.listed_at is None:
+        if service is None or not service.cold_rate or state.unchecked_since is None:
+            return None
+        if state.is_cold(now) or state.is_proven(opened_at):
             return None
-        if state.is_cold(now) or now >= state.listed_at + service.cold_s:
+        if now >= state.unchecked_since + service.cold_s:
             return None
         return service.health_target
 
@@ -373,7 +385,7 @@
         state = self._upstream_states.get(upstream.upstream_id)
         if state is None and is_first_list:
             state = tracking.TrackedUpstream(upstream, now + upstream.cold_s)
-            state.listed_at = now
+            state.unchecked_since = now
             self._upstream_states[upstream.upstream_id] = state
         elif state is None or state.record.incarnation != upstream.incarnation:
             state = self._replace_state(state, upstream, now)
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -460,6 +460,7 @@
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
         if self._settling.observe(now):
             self.log.write("host.frozen")
+            self.fleet.recheck_all(time.monotonic())
             supervision.spawn_lasting(self.log, "host.register", self._register)
         view = quotas.HostView(
             self.settings.host_id,
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -64,8 +64,8 @@
       record: The records.Upstream.
       use: The UpstreamUse, which all incarnations share.
       begun_at: Monotonic time from which connections lead to this incarnation.
-      listed_at: Monotonic time at which the host's first list of upstreams named this one; None if
-        it was named later, or has said since whether it is cold.
+      unchecked_since: Monotonic time of the first list or the last freeze of the host; None
+        if the upstream was named later, or has said since whether it is cold.
       health_answer: The eventlet Event of a question for its health that is under way, or None.
       restarted_at: Monotonic time of the last sign that another process may have taken over before
         the store names it, None without one. Connections that were opened later may lead to it.
@@ -103,7 +103,7 @@
         "use",
         "begun_at",
         "restarted_at",
-        "listed_at",
+        "unchecked_since",
         "health_answer",
         "in_flight",
         "cold_until",
@@ -146,7 +146,7 @@
         self.use = use or UpstreamUse()
         self.begun_at = float("-inf")
         self.restarted_at = None
-        self.listed_at = None
+        self.unchecked_since = None
         self.health_answer = None
         self.in_flight = 0
         self.cold_until = cold_until
