Tell reports of a return from those of the crash before it

Callers: a host whose peers reported a crash, and soon after the return, limited the upstream from the crash on only, so that the cold time lasted longer than the limit.

Cause: a second report within 0.5 s counted as the same restart. Also, a health check that the deadline of its request cut short made an upstream suspect.

Change: a report of a refused connection after the known one is news. A report changes nothing for an upstream that is known to be cold for longer. States of former incarnations keep no objects.

Measured: the scenario's first example fails before and passes.

--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -110,3 +110,14 @@
       | event         | runs | checks |
       | runs on       | 6    | 0      |
       | starts again  | 5    | 1      |
+
+  Scenario Outline: A return soon after a crash is news beside the report of the crash
+    Given a report at 10.0 s that "a" ended a connection and had answered at 9.9 s
+    When another host reports at <at> s that "a" is back and refused a connection at <refused> s
+    Then that is <news>
+
+    Examples:
+      | at   | refused | news     |
+      | 10.3 | 10.2    | news     |
+      | 10.3 | 9.8     | no news  |
+      | 10.6 | 9.8     | news     |
--- a/features/steps/host_restarted_upstreams_steps.py
+++ b/features/steps/host_restarted_upstreams_steps.py
@@ -285,3 +285,19 @@
 @then("the upstream has run {count:d} requests after {checks:d} health checks")
 def step_has_run(context, count, checks):
     step_runs(context, count, checks)
+
+
+@given('a report at {at:g} s that "a" ended a connection and had answered at {last:g} s')
+def step_known_report(context, at, last):
+    context.reports = restarts.RestartReports()
+    assert context.reports.add(restarts.RestartReport("a", 1, at, last))
+
+
+@when('another host reports at {at:g} s that "a" is back and refused a connection at {last:g} s')
+def step_second_report(context, at, last):
+    context.is_news = context.reports.add(restarts.RestartReport("a", 1, at, last))
+
+
+@then("that is {expected}")
+def step_is_news(context, expected):
+    assert context.is_news == (expected == "news")
--- a/skylarksill/host/_startchecks.py
+++ b/skylarksill/host/_startchecks.py
@@ -48,13 +48,15 @@
         if target is None:
             return True
         round_trip_s = self._fleet.estimate_round_trip_s(state.record.region)
-        wait_s = ANSWER_TIMEOUT_S + ANSWER_ROUND_TRIPS * round_trip_s
+        due_at = now + ANSWER_TIMEOUT_S + ANSWER_ROUND_TRIPS * round_trip_s
         state.health_answer = eventlet.event.Event()
         try:
             # The question counts as a request to the upstream.
             state.use.sends.add(now)
-            outcome = self._ask(connection, target, min(deadline, now + wait_s))
-            if not cancellation.is_cancelled:
+            outcome = self._ask(connection, target, min(deadline, due_at))
+            # A question that its request cut short says nothing about the upstream.
+            is_cut_short = deadline < due_at and isinstance(outcome, _upstreamhttp.TimedOut)
+            if not cancellation.is_cancelled and not is_cut_short:
                 self._apply(state, connection, outcome)
             return connection.is_reusable
         finally:
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -221,7 +221,7 @@
         if state is None or state.ran_at(report.alive_at):
             return False
         until = report.at + self._find_cold_s(state.record)
-        if until <= max(now, state.suspect_until):
+        if until <= max(now, state.suspect_until, state.cold_until):
             return False
         if not state.is_cold(now):
             state.record_restart_sign(report.at)
@@ -428,6 +428,7 @@
         """
         previous = self._find_last(upstream.upstream_id)
         if known is not None:
+            known.forget_objects()
             self._keep_former(known)
         # An incarnation that was not listed before started during traffic, so it is cold also if
         # its entry states no cold time.
--- a/skylarksill/host/restarts.py
+++ b/skylarksill/host/restarts.py
@@ -41,7 +41,11 @@
     def add(self, report):
         """Adds a report; returns True if it is news."""
         known = self._reports.get(report.upstream_id)
-        if known is not None and report.at <= known.at + SAME_RESTART_S:
+        if (
+            known is not None
+            and report.at <= known.at + SAME_RESTART_S
+            and report.alive_at <= known.at
+        ):
             return False
         self._reports[report.upstream_id] = report
         self._reports.move_to_end(report.upstream_id)
