--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -36,19 +36,44 @@
     Then upstream "a" is cold for 3 s
 
   Scenario Outline: What an upstream asked for holds for the process that asked
-    Given a host that found upstream "a" unreachable at 9.0 s and reachable at 10.0 s
+    Given a host that found upstream "a" unreachable at 9.0 s and reachable at <back> s
     When an answer at <at> s <demand>
-    And the entry of incarnation 2 comes at 10.5 s
-    Then what it asked for <fate>
+    And the entry of incarnation 2 comes at <named> s
+    Then what it asked for <fate>, and 10 s later it gets requests
+
+    Examples:
+      | back | at    | named | demand               | fate  |
+      | 10.0 | 10.2  | 10.5  | states a rate limit  | holds |
+      | 10.0 | 10.2  | 10.5  | asks for a pause     | holds |
+      | 10.0 | 10.2  | 10.5  | says that it leaves  | holds |
+      | 10.0 | 8.0   | 10.5  | states a rate limit  | ends  |
+      | 10.0 | 8.0   | 10.5  | asks for a pause     | ends  |
+      | 10.0 | 8.0   | 10.5  | says that it leaves  | ends  |
+      | 10.0 | 100.0 | 102.0 | asks for a pause     | ends  |
+      | 10.0 | 100.0 | 102.0 | says that it leaves  | ends  |
+
+  Scenario Outline: A new name does not shorten the time for which an upstream may be cold
+    Given a host that knows upstream "a"
+    When a restart shows at 10.0 s, as <sign>
+    And the entry of incarnation 2 comes at 10.2 s and says that it is cold for 0.5 s
+    Then upstream "a" is cold for 3 s
 
     Examples:
-      | at   | demand                     | fate  |
-      | 10.2 | states a rate limit        | holds |
-      | 10.2 | asks for a pause           | holds |
-      | 10.2 | says that it leaves        | holds |
-      | 8.0  | states a rate limit        | ends  |
-      | 8.0  | asks for a pause           | ends  |
-      | 8.0  | says that it leaves        | ends  |
+      | sign                             |
+      | the upstream accepts connections |
+      | the upstream ends a connection   |
+      | a peer reports a restart         |
+
+  Scenario: An incarnation that is named at two addresses in turn is found again
+    Given a host that knows upstream "a"
+    When its entry goes and comes back at ports 2, 1, 2, 1, 2 and 1 in turn
+    Then the host knows upstream "a" at port 1
+
+  Scenario: An answer that was sent before a freeze proves nothing about later connections
+    Given a host that knows upstream "a"
+    When it reads at 20.0 s the answer to a request sent at 8.0 s on a connection opened at 7.0 s
+    And the host was frozen until 20.0 s
+    Then it asks on a connection opened at 19.9 s whether upstream "a" is cold
 
   Scenario: An answer that comes after the entry counts for the process that gave it
     Given a host that found upstream "a" unreachable at 9.0 s and reachable at 10.0 s
@@ -86,13 +111,14 @@
     Given a running upstream that <condition>
     When a host starts and 30 requests arrive at once
     Then the upstream runs <runs> of them after <checks> health checks
+    And <arrivals> messages have arrived there
 
     Examples:
-      | condition                          | runs    | checks |
-      | is cold                            | 16      | 1      |
-      | is warm                            | 30      | 1      |
-      | doesn't answer health checks       | 16      | 0      |
-      | is another one at the same address | 0       | 1      |
+      | condition                          | runs | checks | arrivals |
+      | is cold                            | 16   | 1      | 17       |
+      | is warm                            | 30   | 1      | 31       |
+      | doesn't answer health checks       | 16   | 0      | 17       |
+      | is another one at the same address | 0    | 1      | 1        |
 
   Scenario: A host that started longer ago than upstreams are cold asks none
     Given a running upstream that is warm
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -141,7 +141,7 @@
         try:
             self._record_outcome(query, choice, outcome, begun)
             self._probe_if_suspect(state, outcome, begun, is_reused)
-            self._check_continuity(state, connection, outcome)
+            self._check_continuity(state, connection, outcome, begun)
             self._apply_outcome_demands(
                 self._fleet.find_process(state, connection.opened_at), outcome
             )
@@ -182,15 +182,15 @@
             case _upstreamhttp.TimedOut() if not state.has_answered_since(begun):
                 self._connector.start_probe(state)
 
-    def _check_continuity(self, state, connection, outcome):
+    def _check_continuity(self, state, connection, outcome, begun):
         """Records whether the upstream runs on, or may have restarted."""
         match outcome:
             case _upstreamhttp.Answered() | _upstreamhttp.NotRun(is_shed=True):
                 process = self._fleet.find_process(state, connection.opened_at)
-                process.record_alive(connection.opened_at, time.monotonic())
+                process.record_alive(connection.opened_at, begun)
             case _upstreamhttp.MayHaveRun(is_broken=True):
                 process = self._fleet.find_process(state, connection.opened_at)
-                self._suspect_restart(process, "broken")
+                self._suspect_restart(process, "broken", connection.opened_at)
 
     def _apply_outcome_demands(self, state, outcome):
         """Applies what the upstream asks of the hosts in its answer to a request."""
@@ -216,7 +216,8 @@
                 rate_limit=demands.rate_limit,
             )
 
-    def _suspect_restart(self, state, cause):
+    def _suspect_restart(self, state, cause, alive_at=0.0):
+        """Suspects an upstream that ran at a monotonic time, and reports it to the peers."""
         if self._fleet.find(state.record.upstream_id) is not state:
             # The store has named the process that took over, or lists none.
             return
@@ -224,7 +225,7 @@
         if now >= state.suspect_until:
             self._log.write("upstream.suspect", upstream=state.record.upstream_id, cause=cause)
         self._fleet.suspect_restart(state, now)
-        self._report_restart(state, state.proven_at)
+        self._report_restart(state, max(alive_at, state.proven_at))
 
     def _report_restart(self, state, alive_at):
         """Tells the peers that another process may have taken over; see RestartReport."""
--- a/skylarksill/host/_startchecks.py
+++ b/skylarksill/host/_startchecks.py
@@ -49,15 +49,18 @@
             return True
         round_trip_s = self._fleet.estimate_round_trip_s(state.record.region)
         due_at = now + ANSWER_TIMEOUT_S + ANSWER_ROUND_TRIPS * round_trip_s
+        if deadline < due_at:
+            # The request would cut the question short.
+            return False
         state.health_answer = eventlet.event.Event()
         try:
             # The question counts as a request to the upstream.
             state.use.sends.add(now)
-            outcome = self._ask(connection, target, min(deadline, due_at))
-            # A question that its request cut short says nothing about the upstream.
-            is_cut_short = deadline < due_at and isinstance(outcome, _upstreamhttp.TimedOut)
-            if not cancellation.is_cancelled and not is_cut_short:
-                self._apply(state, connection, outcome)
+            outcome = self._ask(connection, target, due_at)
+            if not cancellation.is_cancelled:
+                state.unchecked_since = None
+                process = self._fleet.find_process(state, connection.opened_at)
+                self._apply(process, connection, outcome, now)
             return connection.is_reusable
         finally:
             answer, state.health_answer = state.health_answer, None
@@ -71,16 +74,15 @@
             self._log.write_exception("upstream.health", error)
             return None
 
-    def _apply(self, state, connection, outcome):
-        """Applies the outcome of a question."""
+    def _apply(self, state, connection, outcome, asked_at):
+        """Applies the outcome of a question that was asked at a monotonic time."""
         now = time.monotonic()
         upstream_id = state.record.upstream_id
-        state.unchecked_since = None
         match outcome:
             case _upstreamhttp.Health(answering_id, cold_s, demands) if answering_id == upstream_id:
-                state.record_alive(connection.opened_at, now)
+                state.record_alive(connection.opened_at, asked_at)
                 if cold_s > 0.0:
-                    self._fleet.mark_cold(state, cold_s, now)
+                    self._fleet.apply_health(state, cold_s, now)
                     self._log.write("upstream.cold", upstream=upstream_id, cold_s=cold_s)
                 self._on_demands(state, demands)
             case _upstreamhttp.Health(answering_id) if answering_id is not None:
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -183,7 +183,7 @@
           target: Request target of the health answer.
           deadline: Monotonic time at which the wait ends.
         Returns:
-          Health, MayHaveRun or TimedOut.
+          Health, NotRun, MayHaveRun or TimedOut.
         """
         now = time.monotonic()
         request = records.Request(b"GET", target, (), b"", None, "", None, None, now)
@@ -271,7 +271,9 @@
         return Answered(answer, load, demands)
 
     def _classify_health(self, _request, response):
-        """Returns the Health that an answer states."""
+        """Returns the Health that an answer states; only a 200 says that the upstream is sound."""
+        if response.status != 200:
+            return NotRun("no_health")
         names = self._names
         headers = dict(response.headers)
         self.keep_alive_s = parse_keep_alive(headers.get(b"keep-alive"))
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -192,6 +192,10 @@
             return None
         return service.health_target
 
+    def apply_health(self, state, cold_s, now):
+        """Applies the time for which an upstream says at its health path that it stays cold."""
+        self.mark_cold(state, min(cold_s, self._find_cold_s(state.record)), now)
+
     def mark_cold(self, state, cold_s, now):
         """Treats an upstream as cold for ``cold_s`` seconds from ``now`` on."""
         if state.cold_until < now + cold_s:
@@ -205,7 +209,7 @@
         """
         if not state.is_cold(now):
             state.record_restart_sign(now)
-        state.suspect_until = now + self._find_cold_s(state.record)
+        state.suspect(now, now + self._find_cold_s(state.record))
 
     def apply_restart_report(self, report, now):
         """Suspects an upstream of the restart that a peer reports.
@@ -225,7 +229,7 @@
             return False
         if not state.is_cold(now):
             state.record_restart_sign(report.at)
-        state.suspect_until = until
+        state.suspect(report.at, until)
         return True
 
     def mark_unreachable(self, state, now):
@@ -407,6 +411,8 @@
         former = self._former.pop(upstream_id, None)
         if former is None:
             former = collections.deque(maxlen=MAX_FORMER_INCARNATIONS)
+        for other in [item for item in former if _identify(item.record) == _identify(state.record)]:
+            former.remove(other)
         former.append(state)
         self._former[upstream_id] = former
         if len(self._former) > MAX_FORMER_UPSTREAMS:
@@ -453,7 +459,7 @@
         found = [state for state in former if _identify(state.record) == _identify(upstream)]
         if not found:
             return None
-        (state,) = found
+        state = found[-1]
         former.remove(state)
         state.is_misdirected = False
         if state.is_unreachable:
--- a/skylarksill/host/tracking.py
+++ b/skylarksill/host/tracking.py
@@ -30,6 +30,9 @@
 # Pause before an unreachable upstream is probed again; it doubles up to the maximum.
 INITIAL_DOWN_S = 0.3
 MAX_DOWN_S = 2.0
+# Longest time by which the store names a process after it has begun to listen, unless the store is
+# away. A pause that may be another process's is not kept for longer.
+MAX_UNNAMED_S = 10.0
 # Longest window in which sends are counted.
 MAX_SEND_WINDOW_S = 4.0
 
@@ -78,9 +81,11 @@
       refused_at: Monotonic time of the last refused connection, when no process listened; None
         without one since the upstream became unreachable.
       is_probed: True while probes try to connect to the upstream in the background.
+      suspected_at: Monotonic time of the last sign that the upstream may have restarted unnoticed.
       suspect_until: Monotonic time until which the upstream may have restarted unnoticed, so that
         requests on connections that may be younger than the restart are limited as if it were cold.
-      proven_at: Monotonic time at which the process that this host knows last answered, 0 if never.
+      proven_at: Monotonic time of the last request that the process which this host knows has
+        answered, 0 without one; the answer may have been read much later.
       proven_since: Monotonic time since which that is known to be the same process.
       leaving_since: Monotonic time at which an answer said so first; None without one.
       paused_until: Monotonic time until which the upstream takes nothing from this host.
@@ -126,6 +131,7 @@
         "_failure_at",
         "_recent_objects",
         "suspect_until",
+        "suspected_at",
         "paused_until",
         "paused_at",
         "rate_limit",
@@ -169,6 +175,7 @@
         self._failure_at = 0.0
         self._recent_objects = collections.OrderedDict()
         self.suspect_until = 0.0
+        self.suspected_at = 0.0
         self.paused_until = 0.0
         self.paused_at = 0.0
         self.rate_limit = None
@@ -196,15 +203,20 @@
         """
         successor = TrackedUpstream(record, max(cold_until, self.cold_until), self.use)
         successor.suspect_until = self.suspect_until
-        successor.begun_at = now if self.restarted_at is None else self.restarted_at
-        begun_at = successor.begun_at
+        successor.suspected_at = self.suspected_at
+        has_sign = self.restarted_at is not None and self.restarted_at >= now - MAX_UNNAMED_S
+        begun_at = successor.begun_at = self.restarted_at if has_sign else now
         if self.proven_at >= begun_at:
             successor.proven_at = self.proven_at
             successor.proven_since = max(self.proven_since, begun_at)
-        if self.leaving_since is not None and self.leaving_since >= begun_at:
-            successor.leaving_since = self.leaving_since
+        kept_until = now + MAX_UNNAMED_S
         if self.paused_at >= begun_at:
-            successor.paused_until, successor.paused_at = self.paused_until, self.paused_at
+            successor.paused_until = min(self.paused_until, kept_until)
+            successor.paused_at = self.paused_at
+        if self.leaving_since is not None and self.leaving_since >= begun_at:
+            # Nothing that is sent would correct it, so it is tried again.
+            successor.paused_until = kept_until
+            successor.paused_at = self.leaving_since
         if self.limited_at >= begun_at:
             successor.rate_limit, successor.limited_at = self.rate_limit, self.limited_at
             successor.limit_probe_at = self.limit_probe_at
@@ -295,18 +307,33 @@
         """Records that connections which are opened from now on may lead to another process."""
         self.restarted_at = now
 
-    def record_alive(self, opened_at, now):
-        """Records an answer on a connection; it shows whether a suspected restart happened."""
+    def suspect(self, at, until):
+        """Limits sends until a time as if the upstream were cold, as it may have restarted."""
+        self.suspected_at = at
+        self.suspect_until = max(self.suspect_until, until)
+
+    def record_alive(self, opened_at, sent_at):
+        """Records an answer, which may show whether a suspected restart happened.
+
+        Args:
+          opened_at: Monotonic time at which the connection was opened.
+          sent_at: Monotonic time at which the answered request was sent. The process ran then; it
+            may have ended before the answer was read.
+        """
         if self.is_proven(opened_at):
-            self.suspect_until = 0.0
-            if self.restarted_at is not None and self.proven_at < self.restarted_at:
-                self.restarted_at = None
+            if sent_at < self.proven_since:
+                # An earlier process gave it.
+                return
             self.proven_since = min(self.proven_since, opened_at)
-        elif now >= self.suspect_until:
+            if sent_at >= self.suspected_at:
+                self.suspect_until = 0.0
+            if self.restarted_at is not None and self.proven_at < self.restarted_at <= sent_at:
+                self.restarted_at = None
+        elif sent_at >= self.suspect_until:
             # Another process may have answered before.
             self.proven_since = opened_at
-        if now >= self.suspect_until:
-            self.proven_at = now
+        if sent_at >= self.suspect_until:
+            self.proven_at = max(self.proven_at, sent_at)
 
     def ran_at(self, at):
         """Returns True if answers show that the known process ran at a monotonic time."""
