Count crashes of upstreams that the store has not named yet each, and one crash once

Callers: a request that crashes upstreams reached more of them than permitted (BUDGET), as a process that crashed, came back under its id and crashed again before its entry came counted once.

Cause: crashes were kept by (id, incarnation), the name that the store gave to the host. The next process had the same name until its entry came; a crash that was found after the entry came matched no broken connection; and hosts that knew one process by two names counted its crash twice if they noticed it over 0.4 s apart.

Change: a crash is of another process if that accepted the host's connection after the crash before; without such evidence the number tells, and crashes of one upstream under different numbers are the same within 1 s. A later crash whose number is taken gets a higher one, so that peers count it; the format of gossip stays. Broken requests are matched by id and address.

--- a/features/steps/host_poison_steps.py
+++ b/features/steps/host_poison_steps.py
@@ -1,5 +1,6 @@
 """Steps of host_poison.feature."""
 
+import dataclasses
 import json
 
 import eventlet
@@ -10,11 +11,15 @@
 from standins import platformdata, worker
 
 FINGERPRINT = b"fingerprint"
+# Age of a connection as it breaks, unless a step says when it was opened.
+CONNECTION_AGE_S = 0.5
+RESTART_TIMEOUT_S = 5.0
 
 
 @given("a table of suspected requests")
 def step_poison_table(context):
     context.poisons = poison.PoisonTable()
+    context.peer_poisons = poison.PoisonTable()
 
 
 @when('upstream "{name}" crashes at {at:g} s while it runs the request')
@@ -100,7 +105,130 @@
     assert sum(line["event"] == "request.blocked" for line in lines) == 1
 
 
+@when(
+    "it is back at {back_at:g} s and crashes at {at:g} s under the name of incarnation"
+    " {incarnation:d}"
+)
+def step_crashes_again(context, back_at, at, incarnation):
+    _send_to_peer(context, back_at)
+    upstream = host_builders.build_upstream("a", incarnation=incarnation)
+    context.poisons.record_broken(FINGERPRINT, upstream, back_at + 0.1, at)
+    context.poisons.record_down(upstream, at + 0.1)
+
+
+@when("it is back at {back_at:g} s and crashes at {at:g} s under the same name")
+def step_crashes_under_same_name(context, back_at, at):
+    step_crashes_again(context, back_at, at, 1)
+
+
+@when('the connection to "a", open since {opened_at:g} s, breaks at {broken_at:g} s as "a" crashes')
+def step_breaks_late(context, opened_at, broken_at):
+    upstream = host_builders.build_upstream("a")
+    context.poisons.record_broken(FINGERPRINT, upstream, opened_at, broken_at)
+    context.poisons.record_down(upstream, broken_at + 0.1)
+
+
+@when("a peer reports the crash at {at:g} s under the name of incarnation {incarnation:d}")
+@when("another peer reports the crash at {at:g} s under the name of incarnation {incarnation:d}")
+def step_peer_reports_name(context, at, incarnation):
+    for table in (context.poisons, context.peer_poisons):
+        table.record_crash(poison.Crash(FINGERPRINT, "a", incarnation, at), at + 0.2)
+
+
+@when('a peer that knows the crash of "a" at {at:g} s has not told of it')
+def step_peer_knows(context, at):
+    context.peer_poisons.record_crash(poison.Crash(FINGERPRINT, "a", 1, at), at + 0.1)
+
+
+@when(
+    "the peer gets the reports and tells of the crash at {at:g} s under the same name at {now:g} s"
+)
+def step_peer_tells(context, at, now):
+    _send_to_peer(context, now)
+    context.poisons.record_crash(poison.Crash(FINGERPRINT, "a", 1, at), now)
+
+
+@then("the request is blocked at {at:g} s, also at a peer that has got the reports")
+def step_blocked_at_peer(context, at):
+    _send_to_peer(context, at)
+    assert context.poisons.is_blocked(FINGERPRINT, at)
+    assert context.peer_poisons.is_blocked(FINGERPRINT, at)
+
+
+@when('the request breaks at incarnation 1 of "a", which is found down {how}')
+def step_down_otherwise(context, how):
+    upstream = host_builders.build_upstream("a")
+    context.poisons.record_broken(FINGERPRINT, upstream, 0.5, 1.0)
+    match how:
+        case "as incarnation 2":
+            found = dataclasses.replace(upstream, incarnation=2)
+        case "at another address":
+            found = dataclasses.replace(upstream, incarnation=2, address=("127.0.0.1", 2))
+        case _:
+            raise ValueError(how)
+    context.poisons.record_down(found, 1.1)
+
+
+@when(
+    'the request\'s connections to "a" break at {first:g} s and {second:g} s'
+    " and it is found down at {down:g} s"
+)
+def step_breaks_twice(context, first, second, down):
+    upstream = host_builders.build_upstream("a")
+    context.poisons.record_broken(FINGERPRINT, upstream, first - CONNECTION_AGE_S, first)
+    context.poisons.record_broken(FINGERPRINT, upstream, first + 0.1, second)
+    context.poisons.record_down(upstream, down)
+
+
+@then("the request is suspected")
+def step_suspected(context):
+    assert context.poisons.is_suspect(FINGERPRINT)
+
+
+@when(
+    "the client sends the same request {count:d} times, and the upstream is back after each crash"
+)
+def step_send_to_restarted(context, count):
+    context.run_count = 0
+    for index in range(count):
+        (name,) = context.world.workers
+        item = context.world.workers[name]
+        _send_order(context.world, f"r{index}", b"same")
+        context.run_count += len(item.runs)
+        if item.runs:
+            state = context.world.fleet.find(name)
+            # A crash on a kept connection is found by the next request.
+            _send_order(context.world, f"n{index}", b"next")
+            host_world.wait_until(RESTART_TIMEOUT_S, lambda state=state: state.is_unreachable)
+            eventlet.sleep(poison.CRASH_SEPARATION_S)
+            item = worker.Worker(name, address=item.address)
+            item.fault = worker.Fault.CRASH
+            context.world.workers[name] = item
+            host_world.wait_until(RESTART_TIMEOUT_S, lambda state=state: not state.is_unreachable)
+
+
+@then("{runs:d} requests have run, and the host logs that the request is blocked")
+def step_runs_of_restarted(context, runs):
+    assert context.run_count == runs, context.run_count
+    step_logged(context)
+
+
+def _send_order(world, request_id, body):
+    client = world.connect()
+    client.sendall(platformdata.format_request("POST /order/1", request_id, body))
+    platformdata.AnswerReader(client).read()
+    client.close()
+
+
 def _break_and_find_down(context, name, broken_at, down_at):
     upstream = host_builders.build_upstream(name)
-    context.poisons.record_broken(FINGERPRINT, upstream, broken_at)
+    opened_at = broken_at - CONNECTION_AGE_S
+    context.poisons.record_broken(FINGERPRINT, upstream, opened_at, broken_at)
     context.poisons.record_down(upstream, down_at)
+
+
+def _send_to_peer(context, now):
+    """Passes on the crashes that the table sends to peers."""
+    for crash in context.poisons.list_recent_crashes(now):
+        report = poison.Crash(crash.fingerprint, crash.upstream_id, crash.incarnation, crash.at)
+        context.peer_poisons.record_crash(report, now)
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -93,10 +93,12 @@
 
     Attributes:
       is_broken: True if the connection was reset or closed before the answer was complete.
+      opened_at: Monotonic time at which the upstream had accepted a connection that is broken.
     """
 
     reason: str
     is_broken: bool = False
+    opened_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,7 +207,7 @@
             return TimedOut()
         except OSError:
             self.is_reusable = False
-            return MayHaveRun("connection_reset", True)
+            return MayHaveRun("connection_reset", True, self.opened_at)
         except _responsereader.ResponseError:
             self.is_reusable = False
             return MayHaveRun("malformed_answer")
@@ -240,7 +242,7 @@
                 reader.end_of_stream()
                 if reader.responses:
                     continue
-                return MayHaveRun("connection_closed", True)
+                return MayHaveRun("connection_closed", True, self.opened_at)
             self._parsing.parse(data, max(deadline, time.monotonic() + LATE_PARSING_S))
             if request.method == b"HEAD" and reader.is_head_complete:
                 reader.complete_response(False)
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -247,11 +247,11 @@
                     return None
                 rejection = placement.Rejection(reason, max(MIN_RETRY_AFTER_S, choice.wait_s))
                 return self._endings.end_unplaced(request, progress, rejection)
-            case _upstreamhttp.MayHaveRun(reason, is_broken):
+            case _upstreamhttp.MayHaveRun(reason, is_broken, opened_at):
                 progress.attempts += 1
                 if is_broken:
-                    upstream = choice.upstream.record
-                    self.poisons.record_broken(progress.fingerprint, upstream, time.monotonic())
+                    upstream, now = choice.upstream.record, time.monotonic()
+                    self.poisons.record_broken(progress.fingerprint, upstream, opened_at, now)
                 if is_idempotent and self._take_retry_after_run(progress, choice):
                     return None
                 return self._endings.end_run(request, progress, 502, reason)
--- a/skylarksill/host/poison.py
+++ b/skylarksill/host/poison.py
@@ -3,6 +3,10 @@
 The client retries such a request after each crash, at any host. An upstream that crashes breaks
 all of its requests, so one crash is weak evidence against each of them: a request is blocked once
 it was in progress at several upstreams as they crashed and has not been answered in between.
+
+Requests reach a process before the store names it, so names don't tell crashes of an upstream
+apart. A host knows that another process has crashed if that had accepted its connection after the
+crash before.
 """
 
 import collections
@@ -16,6 +20,9 @@
 # Crashes within this time count once: a power cut takes down many upstreams together, while a
 # request that crashes upstreams reaches the next one only after its client got an answer.
 CRASH_SEPARATION_S = 0.4
+# Crashes of one upstream that hosts report under different names are the same within this time: it
+# has to start and to get the request again in between.
+UPSTREAM_CRASH_SEPARATION_S = 1.0
 # How long a request is blocked, and how long a crash is remembered.
 BLOCK_DURATION_S = 120.0
 CRASH_TTL_S = 120.0
@@ -36,14 +43,55 @@
     Attributes:
       fingerprint: Identifies copies of the request.
       upstream_id: The upstream.
-      incarnation: The incarnation of the upstream that crashed.
+      incarnation: The incarnation that the store named to the host, or a higher number if another
+        crash bears that.
       at: Monotonic time at which the request's connection broke.
+      ran_at: Monotonic time at which the process that crashed had accepted the connection; None if
+        a peer reports the crash.
     """
 
     fingerprint: bytes
     upstream_id: str
     incarnation: int
     at: float
+    ran_at: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _KnownCrash:
+    """A crash of a process, which may have been reported several times.
+
+    Attributes:
+      at: Monotonic time of the first report.
+      ran_at: Latest monotonic time at which the process is known to have run, or None.
+      incarnations: Numbers under which it was reported.
+    """
+
+    upstream_id: str
+    at: float
+    ran_at: float | None
+    incarnations: set[int]
+
+    def is_same(self, crash):
+        """Returns True if a Crash is of the same process."""
+        if crash.upstream_id != self.upstream_id:
+            return False
+        if _is_later(crash.ran_at, self.at) or _is_later(self.ran_at, crash.at):
+            return False
+        if crash.incarnation in self.incarnations:
+            return True
+        if _is_between(crash.ran_at, self.at, crash.at):
+            return True
+        if _is_between(self.ran_at, crash.at, self.at):
+            return True
+        return abs(crash.at - self.at) <= UPSTREAM_CRASH_SEPARATION_S
+
+    def merge(self, crash):
+        """Adds a Crash of the same process."""
+        self.at = min(self.at, crash.at)
+        known = [at for at in (self.ran_at, crash.ran_at) if at is not None]
+        self.ran_at = max(known, default=None)
+        self.incarnations.add(crash.incarnation)
 
 
 class PoisonTable:
@@ -65,28 +113,40 @@
         """Returns True if an upstream has crashed while it ran the request."""
         return fingerprint in self._crashes
 
-    def record_broken(self, fingerprint, upstream, now):
-        """Records that a connection broke while the upstream ran a request on it."""
-        self._broken_requests.append(
-            Crash(fingerprint, upstream.upstream_id, upstream.incarnation, now)
-        )
-        while self._broken_requests[0].at < now - MAX_BROKEN_AGE_S:
+    def record_broken(self, fingerprint, upstream, opened_at, now):
+        """Records that a connection broke while the upstream ran a request on it.
+
+        Args:
+          fingerprint: Identifies copies of the request.
+          upstream: The records.Upstream.
+          opened_at: Monotonic time at which the upstream had accepted the connection.
+          now: Monotonic seconds.
+        """
+        crash = Crash(fingerprint, upstream.upstream_id, upstream.incarnation, now, opened_at)
+        self._broken_requests.append((upstream.address, crash))
+        while self._broken_requests[0][1].at < now - MAX_BROKEN_AGE_S:
             self._broken_requests.popleft()
 
     def record_down(self, upstream, now):
         """Records that an upstream is down; requests whose connections to it broke are suspected.
 
+        The store may have named it anew since the connections broke.
+
         Returns:
           A list of the fingerprints that are blocked from now on.
         """
-        incarnation_id = (upstream.upstream_id, upstream.incarnation)
-        crashes = [
-            crash
-            for crash in self._broken_requests
-            if (crash.upstream_id, crash.incarnation) == incarnation_id
-            and now - crash.at <= MAX_BROKEN_AGE_S
+        crashes = {}
+        kept = collections.deque()
+        for address, crash in self._broken_requests:
+            if (crash.upstream_id, address) != (upstream.upstream_id, upstream.address):
+                kept.append((address, crash))
+            elif now - crash.at <= MAX_BROKEN_AGE_S:
+                # Of several breaks, the last one is the crash.
+                crashes[crash.fingerprint] = crash
+        self._broken_requests = kept
+        return [
+            fingerprint for fingerprint, crash in crashes.items() if self.record_crash(crash, now)
         ]
-        return [crash.fingerprint for crash in crashes if self.record_crash(crash, now)]
 
     def record_crash(self, crash, now):
         """Records a crash that this host or a peer has seen.
@@ -99,15 +159,16 @@
         if answered_at is not None and now - answered_at < MAX_ANSWER_AGE_S:
             return False
         self._expire_crashes(now)
-        crash_times = self._crashes.setdefault(fingerprint, {})
-        if (crash.upstream_id, crash.incarnation) in crash_times:
-            return False
-        crash_times[crash.upstream_id, crash.incarnation] = crash.at
+        known_crashes = self._crashes.setdefault(fingerprint, [])
+        for known in known_crashes:
+            if known.is_same(crash):
+                known.merge(crash)
+                return False
+        self._share(crash, known_crashes, now)
         self._crashes.move_to_end(fingerprint)
-        self._recent_crashes.append((now, crash))
         if (
             self.is_blocked(fingerprint, now)
-            or _count_separate(crash_times.values()) < MIN_BLOCK_CRASHES
+            or _count_separate(known.at for known in known_crashes) < MIN_BLOCK_CRASHES
         ):
             return False
         self._blocked_until[fingerprint] = now + BLOCK_DURATION_S
@@ -129,11 +190,34 @@
         recent.sort(key=lambda crash: -len(self._crashes[crash.fingerprint]))
         return recent[:MAX_SHARED_CRASHES]
 
+    def _share(self, crash, known_crashes, now):
+        """Adds a crash to the known ones, and to those that are sent to peers.
+
+        If an earlier crash of the upstream has its number, the later one of the two gets a new
+        number: peers that know the earlier one would take it for the same.
+        """
+        added = _KnownCrash(crash.upstream_id, crash.at, crash.ran_at, {crash.incarnation})
+        same_upstream = [known for known in known_crashes if known.upstream_id == crash.upstream_id]
+        same_number = [known for known in same_upstream if crash.incarnation in known.incarnations]
+        known_crashes.append(added)
+        later = max([added, *same_number], key=lambda known: known.at)
+        if later is not added or not same_number:
+            self._recent_crashes.append((now, crash))
+        if not same_number:
+            return
+        number = 1 + max(max(known.incarnations) for known in same_upstream)
+        renamed = dataclasses.replace(crash, incarnation=number, at=later.at, ran_at=later.ran_at)
+        self._recent_crashes.append((now, renamed))
+        if later is added:
+            later.incarnations = {number}
+        else:
+            later.incarnations.add(number)
+
     def _expire_crashes(self, now):
         _trim(self._crashes)
         while self._crashes:
-            fingerprint, crash_times = next(iter(self._crashes.items()))
-            if max(crash_times.values(), default=now) > now - CRASH_TTL_S:
+            fingerprint, known_crashes = next(iter(self._crashes.items()))
+            if max((known.at for known in known_crashes), default=now) > now - CRASH_TTL_S:
                 return
             del self._crashes[fingerprint]
 
@@ -153,6 +237,16 @@
     return digest.digest()
 
 
+def _is_later(ran_at, crashed_at):
+    """Returns True if a process ran after another one had crashed."""
+    return ran_at is not None and ran_at > crashed_at
+
+
+def _is_between(ran_at, first_at, second_at):
+    """Returns True if the first report is of the process that ended by the second one."""
+    return ran_at is not None and ran_at <= first_at <= second_at
+
+
 def _count_separate(times):
     """Counts crashes; one within CRASH_SEPARATION_S after a counted crash does not count."""
     count = 0
