Let the soak's upstreams start again under their id before the store names them

Cause: the soak's upstreams either restarted without any sign in the store or came back under another id.

Change: RebootUpstream ends the process of an upstream, refuses connections for up to 3 s and starts another process under its id and address, cold. Its entry comes up to 2 s after it listens; the former one stays or is deleted before, the new one states what remains of the cold time, 0 or nothing, and an older copy may come back for a moment. Some come within 1 s of the end of a host. Upstreams state truthfully at the health path, and in their entries, how long they stay cold. Runs record the process that ran them.

--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -9,6 +9,7 @@
 READ_BYTES = 65_536
 DELAY_S = 0.3
 POLL_S = 0.02
+BACKLOG = 50
 _ABORT_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -62,6 +63,21 @@
         self._socket.close()
         self.set_mode(Mode.RESET)
 
+    def refuse(self):
+        """Resets all connections and refuses new ones until ``listen_again``."""
+        self.stop()
+        # A socket that is bound and doesn't listen keeps the port from other processes.
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(self.address)
+
+    def listen_again(self, target):
+        """Accepts connections at the same address again and forwards them to another target."""
+        self.target = target
+        self.mode = Mode.PASS
+        self._socket.listen(BACKLOG)
+        self._thread = eventlet.spawn(self._accept)
+
     def _accept(self):
         while True:
             client, _ = self._socket.accept()
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -48,7 +48,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """The start of a request at an upstream; ``at`` is in monotonic seconds."""
+    """The start of a request at an upstream.
+
+    Attributes:
+      at: Monotonic seconds.
+      process: Number of the process that ran it, among those under the upstream's id.
+    """
 
     request_id: str
     upstream_id: str
@@ -56,6 +61,21 @@
     region: str
     at: float
     service: str = "catalogue"
+    process: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reboot:
+    """The start of a new process under an upstream's id, whose connections were refused before.
+
+    Attributes:
+      process: Number of the new process among those under the id.
+      at: Monotonic time at which it listens, cold.
+    """
+
+    upstream_id: str
+    process: int
+    at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,6 +159,7 @@
       refusals: The requests that upstreams refused, with a time to return.
       demands: What upstreams asked for.
       restarts: Pairs of an upstream's id and the time at which it restarted under that id.
+      reboots: The restarts under the same id before which connections were refused.
       client_delays: Pairs of begin and end of the times in which the process of the clients stood
         still.
       recovered: Whether a host served again after the last fault, by host.
@@ -158,6 +179,7 @@
     refusals: list[Refusal] = dataclasses.field(default_factory=list)
     demands: list[Demand] = dataclasses.field(default_factory=list)
     restarts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    reboots: list[Reboot] = dataclasses.field(default_factory=list)
     client_delays: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     recovered: dict[int, bool] = dataclasses.field(default_factory=dict)
     crashes: list[str] = dataclasses.field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -1,6 +1,8 @@
 """Draws the schedule of faults from a seed, before any process is started."""
 
 import dataclasses
+import enum
+import math
 import random
 
 from bench.soak import configurations, hosts, records
@@ -24,6 +26,17 @@
 BURST_SHARE = 0.15
 BURST_EDITS = (3, 8)
 BURST_PAUSE_S = 0.02
+# Upstreams that crash and start again under their id: the mean time between them, how long they
+# refuse connections and their entry is late, and the share with an older copy of the entry, whose
+# length is fixed, or with an end of a host at about the same time.
+REBOOT_PAUSE_S = 7.0
+MAX_REFUSED_S = 3.0
+MAX_ENTRY_DELAY_S = 2.0
+COPY_SHARE = 0.25
+MAX_COPY_DELAY_S = 1.0
+COPY_LENGTH_S = 0.5
+ACCOMPANIED_SHARE = 0.6
+MAX_DISTANCE_S = 1.0
 # Length of the phase in which every second host is spared, and the mean time between its faults.
 PARTIAL_PHASE_S = 14.0
 PARTIAL_PAUSE_S = 2.5
@@ -139,6 +152,43 @@
     upstream: int
 
 
+class ColdStatement(enum.Enum):
+    """What the entry of an upstream that started again says about its cold time."""
+
+    REMAINING = "remaining"
+    ZERO = "zero"
+    MISSING = "missing"
+
+
+class Removal(enum.Enum):
+    """When the entry of the process before is deleted; NEVER if the new entry replaces it."""
+
+    NEVER = "never"
+    AT_CRASH = "at_crash"
+    AT_RETURN = "at_return"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RebootUpstream:
+    """Ends the process of an upstream; another one starts under the same id and address, cold.
+
+    Attributes:
+      refused_s: Time during which connections are refused.
+      entry_s: Time from which the new process listens until the store names it.
+      statement: What the new entry says about the cold time.
+      removal: When the former entry is deleted.
+      copy_s: Time from the new entry until the former one is written again, for COPY_LENGTH_S;
+        None if it isn't.
+    """
+
+    upstream: int
+    refused_s: float
+    entry_s: float
+    statement: ColdStatement
+    removal: Removal
+    copy_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopWithSignals:
     """Stops a host with further signals: pairs of seconds from SIGTERM, also before, and a name."""
@@ -203,6 +253,7 @@
     schedule += _make_upstream_events(seed, length_s, upstream_count)
     schedule += _make_planned_events(seed, length_s, host_count)
     schedule += _make_route_edits(random.Random(f"{seed} routes"), 0.0, length_s)
+    schedule += _make_reboots(seed, length_s, host_count, upstream_count, schedule)
     return sorted(schedule, key=_get_start)
 
 
@@ -221,6 +272,35 @@
     return events
 
 
+def _make_reboots(seed, length_s, host_count, upstream_count, schedule):
+    """Draws upstreams that start again under their id, some beside the end of a host's process.
+
+    What an upstream asks for in its answers ends with its process, so those that ask for something
+    are left out.
+    """
+    rng = random.Random(f"{seed} reboots")
+    asking = {event.upstream for _, event in schedule if isinstance(event, StateDemand)}
+    quiet = [index for index in range(upstream_count) if index not in asking]
+    events = []
+    for _ in range(math.ceil(length_s / REBOOT_PAUSE_S)):
+        at = rng.uniform(0.1, 0.9) * length_s
+        event = RebootUpstream(
+            rng.choice(quiet),
+            round(rng.uniform(0.0, MAX_REFUSED_S), 3),
+            round(rng.uniform(0.0, MAX_ENTRY_DELAY_S), 3),
+            rng.choice(list(ColdStatement)),
+            rng.choice((Removal.NEVER, *Removal)),
+            round(rng.uniform(0.0, MAX_COPY_DELAY_S), 3) if rng.random() < COPY_SHARE else None,
+        )
+        events.append((at, event))
+        if rng.random() < ACCOMPANIED_SHARE:
+            near = at + rng.choice((0.0, event.refused_s))
+            near += rng.uniform(-MAX_DISTANCE_S, MAX_DISTANCE_S)
+            end = rng.choice((KillHost, StopHost))(rng.randrange(host_count))
+            events.append((min(max(near, MIN_FAULT_DURATION_S), length_s), end))
+    return [(round(at, 3), event) for at, event in events if at < length_s]
+
+
 def _make_planned_events(seed, length_s, host_count):
     """Draws stops, reloads and changes of the configuration, in series and overlapping."""
     rng = random.Random(f"{seed} planned")
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -1,8 +1,9 @@
 """The upstreams of a soak run."""
 
+import functools
 import time
 
-from bench.soak import demandchecks, proxies, records
+from bench.soak import demandchecks, proxies, records, schedule
 from standins import platformdata, worker
 
 ZONES = ("north-a", "north-b", "south-a", "south-b")
@@ -17,6 +18,8 @@
         self.index = index
         self.zone = zone
         self.incarnation = 0
+        # Number of the process under the current id.
+        self.process = 0
         self.worker = None
         self.proxy = None
         self._world = world
@@ -30,23 +33,56 @@
     def start_incarnation(self):
         """Starts the next incarnation and registers it."""
         self.incarnation += 1
-        self.worker = worker.Worker(self.upstream_id, WORK_S)
-        self.worker.on_run = self._record_run
-        self.worker.on_refuse = self._record_refusal
+        self.process = 0
+        self._start_process()
         self.proxy = proxies.Proxy(self.worker.address)
+        # Upstreams that start during traffic are cold.
+        if self.incarnation > 1:
+            self.become_cold()
         self.register("ready")
 
-    def register(self, state):
-        """Writes the entry of the upstream to the store."""
+    def _start_process(self):
+        self.process += 1
+        self.worker = worker.Worker(self.upstream_id, WORK_S)
+        self.worker.on_run = functools.partial(self._record_run, self.process)
+        self.worker.on_refuse = self._record_refusal
+
+    def become_cold(self):
+        """Makes the current process cold from now on, which it says at its health path."""
+        self.worker.cold_until = time.monotonic() + demandchecks.COLD_S
+
+    def crash(self):
+        """Ends the process: resets all connections and refuses new ones until ``return_cold``."""
+        self.proxy.refuse()
+        self.worker.stop()
+
+    def return_cold(self):
+        """Starts another process, cold, under the same id and address; the store isn't told."""
+        self._start_process()
+        self.become_cold()
+        self.proxy.listen_again(self.worker.address)
+        reboot = records.Reboot(self.upstream_id, self.process, time.monotonic())
+        self._world.observations.reboots.append(reboot)
+
+    def register(self, state, statement=schedule.ColdStatement.REMAINING):
+        """Writes the entry of the upstream to the store.
+
+        Args:
+          state: ``ready`` or ``draining``.
+          statement: The schedule.ColdStatement of the entry.
+        """
+        cold_s = round(max(0.0, self.worker.cold_until - time.monotonic()), 3)
+        is_stated = statement is schedule.ColdStatement.REMAINING
         spec = platformdata.build_upstream_spec(
             address=f"{self.proxy.address[0]}:{self.proxy.address[1]}",
             service=self._service,
             zone=self.zone,
             state=state,
-            born=1_700_000_000_000 + self.incarnation,
-            # Upstreams that start during traffic are cold.
-            **platformdata.build_cold_fields(demandchecks.COLD_S if self.incarnation > 1 else 0.0),
+            born=1_700_000_000_000 + 1_000 * self.incarnation + self.process,
+            **platformdata.build_cold_fields(cold_s if is_stated else 0.0),
         )
+        if statement is schedule.ColdStatement.MISSING:
+            del spec["coldRemaining"]
         self._world.store.write("servers", self.upstream_id, spec)
 
     def shut_down(self):
@@ -58,9 +94,15 @@
         refusal = records.Refusal(request_id, self.upstream_id, time.monotonic())
         self._world.observations.refusals.append(refusal)
 
-    def _record_run(self, request_id):
+    def _record_run(self, process, request_id):
         region = REGIONS[self.zone]
         run = records.Run(
-            request_id, self.upstream_id, self.zone, region, time.monotonic(), self._service
+            request_id,
+            self.upstream_id,
+            self.zone,
+            region,
+            time.monotonic(),
+            self._service,
+            process,
         )
         self._world.observations.runs.append(run)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -216,6 +216,11 @@
                 self._state_demand(self.upstreams[index], records.DemandKind(kind), length_s)
             case schedule.RestartUpstream(index):
                 self._run_exclusively(("up", index), self._restart_upstream, self.upstreams[index])
+            case schedule.RebootUpstream(index):
+                while ("up", index) in self._active_targets:
+                    eventlet.sleep(POLL_S)
+                upstream = self.upstreams[index]
+                self._run_exclusively(("up", index), self._reboot_upstream, upstream, event)
             case schedule.ChangeConfiguration():
                 self.write_configuration()
             case schedule.EvacuateZone(index, length_s):
@@ -417,9 +422,31 @@
         upstream.proxy.set_mode(proxies.Mode.RESET)
         eventlet.sleep(RESTART_RESET_S)
         self.observations.restarts.append((upstream.upstream_id, time.monotonic()))
+        upstream.become_cold()
         upstream.proxy.set_mode(proxies.Mode.PASS)
         record_end()
 
+    def _reboot_upstream(self, upstream, event):
+        """Plays a schedule.RebootUpstream until the store names the new process for good."""
+        name = upstream.upstream_id
+        former = self.store.read("servers", name)
+        record_end = self._record_upstream_fault(upstream)
+        upstream.crash()
+        if event.removal is schedule.Removal.AT_CRASH:
+            self.store.delete("servers", name)
+        eventlet.sleep(event.refused_s)
+        upstream.return_cold()
+        record_end()
+        if event.removal is schedule.Removal.AT_RETURN:
+            self.store.delete("servers", name)
+        eventlet.sleep(event.entry_s)
+        upstream.register("ready", event.statement)
+        if event.copy_s is not None:
+            eventlet.sleep(event.copy_s)
+            self.store.write("servers", name, former)
+            eventlet.sleep(schedule.COPY_LENGTH_S)
+            upstream.register("ready", event.statement)
+
     def _crash(self, upstream, length_s):
         self._record_upstream_fault(upstream)
         upstream.shut_down()
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,21 @@
       | 4 requests before the time to return        | time to return       |
       | 10 requests after a restart under its id    | after its restart    |
 
+  Scenario: Upstreams that start again under their id are drawn in all forms
+    Then the schedules of seeds 1 to 40 hold 2 returns each, with early and late entries
+    And they concern no upstream that asks for something
+    And some have the end of a host within 1.0 s
+
+  Scenario: An upstream that starts again is cold, and the store names it later
+    Given an upstream of the soak that is registered
+    When its process ends
+    Then connections to it are refused
+    When it listens again
+    Then it says at the health path that it is cold for 3 s, and runs count for process 2
+    And the store's entry is the former one
+    When it is registered without a cold time
+    Then the store's entry names another incarnation without a cold time
+
   Scenario Outline: Trouble that excuses a late request is taken into account
     Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
     When a request <late> s after its upstream left is planted
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,13 +6,15 @@
 import sys
 import tempfile
 import time
+import types
 
 import eventlet
 from behave import given, then, when
 from eventlet.green import socket
 
 from bench.soak import __main__ as soak
-from bench.soak import channels, checks, clients, lossrule, records, schedule
+from bench.soak import channels, checks, clients, lossrule, records, schedule, upstreams
+from standins import metadatastore, platformdata
 
 HOSTS, UPSTREAMS, ZONES = 4, 8, 4
 # Requests are sent at 100 s, long after the last event, so that no bound is still running.
@@ -46,7 +48,7 @@
 @then("each kind of fault occurs in them")
 def step_kinds(context):
     kinds = {type(event) for events in context.schedules for _, event in events}
-    assert len(kinds) == 19, kinds
+    assert len(kinds) == 20, kinds
     assert all(0.0 < at < 10.0 for events in context.schedules for at, _ in events)
 
 
@@ -366,6 +368,114 @@
         _add_served(context.observations, f"cold-{index}", "/read/1", True, NOW + 1.1 + index / 20)
 
 
+@then(
+    "the schedules of seeds 1 to {last:d} hold {count:d} returns each, with early and late entries"
+)
+def step_returns(context, last, count):
+    context.schedules = [
+        schedule.make_schedule(seed, 10.0, HOSTS, UPSTREAMS, ZONES) for seed in range(1, last + 1)
+    ]
+    context.reboots = [
+        [(at, event) for at, event in events if isinstance(event, schedule.RebootUpstream)]
+        for events in context.schedules
+    ]
+    assert all(len(events) == count for events in context.reboots), context.reboots
+    events = [event for items in context.reboots for _, event in items]
+    assert {event.statement for event in events} == set(schedule.ColdStatement)
+    assert {event.removal for event in events} == set(schedule.Removal)
+    assert {event.copy_s is None for event in events} == {False, True}
+    assert min(event.refused_s for event in events) < 0.5
+    assert 2.5 < max(event.refused_s for event in events) <= 3.0
+    assert min(event.entry_s for event in events) < 0.5
+    assert 1.5 < max(event.entry_s for event in events) <= 2.0
+
+
+@then("they concern no upstream that asks for something")
+def step_asking(context):
+    for events, reboots in zip(context.schedules, context.reboots, strict=True):
+        asking = {event.upstream for _, event in events if isinstance(event, schedule.StateDemand)}
+        assert len(asking) == 3
+        assert not any(event.upstream in asking for _, event in reboots), reboots
+
+
+@then("some have the end of a host within {distance:g} s")
+def step_accompanied(context, distance):
+    ends = (schedule.KillHost, schedule.StopHost)
+    near = [
+        any(
+            isinstance(other, ends)
+            and min(abs(at - other_at), abs(at + event.refused_s - other_at)) <= distance
+            for other_at, other in events
+        )
+        for events, reboots in zip(context.schedules, context.reboots, strict=True)
+        for at, event in reboots
+    ]
+    assert sum(near) > len(near) / 2, near
+
+
+@given("an upstream of the soak that is registered")
+def step_soak_upstream(context):
+    context.world = types.SimpleNamespace(
+        store=metadatastore.MetadataStore(), observations=records.Observations()
+    )
+    context.add_cleanup(context.world.store.stop)
+    context.upstream = upstreams.SoakUpstream(0, "north-a", context.world)
+    context.upstream.start_incarnation()
+    context.add_cleanup(context.upstream.shut_down)
+    context.former = context.world.store.read("servers", "u0.1")
+    context.address = context.upstream.proxy.address
+
+
+@when("its process ends")
+def step_crash(context):
+    context.upstream.crash()
+
+
+@then("connections to it are refused")
+def step_refused(context):
+    try:
+        socket.create_connection(context.address, CLIENT_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("a connection was accepted")
+
+
+@when("it listens again")
+def step_return(context):
+    context.upstream.return_cold()
+
+
+@then("it says at the health path that it is cold for 3 s, and runs count for process 2")
+def step_cold(context):
+    with socket.create_connection(context.address, CLIENT_TIMEOUT_S) as client:
+        client.sendall(f"GET {platformdata.HEALTH_PATH} HTTP/1.1\r\n\r\n".encode())
+        status, fields, _ = platformdata.AnswerReader(client).read()
+        assert status == 200 and 2_000 < int(fields["x-skylarksill-cold-ms"]) <= 3_000, fields
+        expected = f"{platformdata.EXPECTED_UPSTREAM_FIELD}: u0.1"
+        client.sendall(f"GET /read/1 HTTP/1.1\r\n{expected}\r\n\r\n".encode())
+        assert platformdata.AnswerReader(client).read()[0] == 200
+    (run,) = context.world.observations.runs
+    (reboot,) = context.world.observations.reboots
+    assert run.process == reboot.process == 2 and reboot.at <= run.at
+
+
+@then("the store's entry is the former one")
+def step_former(context):
+    assert context.world.store.read("servers", "u0.1") == context.former
+
+
+@when("it is registered without a cold time")
+def step_register(context):
+    context.upstream.register("ready", schedule.ColdStatement.MISSING)
+
+
+@then("the store's entry names another incarnation without a cold time")
+def step_entry(context):
+    entry = context.world.store.read("servers", "u0.1")
+    assert entry["born"] > context.former["born"] and "coldRemaining" not in entry
+    assert entry["address"] == context.former["address"]
+
+
 @then("no promise is violated")
 def step_none(context):
     step_count(context, 0)
