--- a/features/host_builders.py
+++ b/features/host_builders.py
@@ -3,9 +3,11 @@
 import pathlib
 import random
 import sys
+import tempfile
 
 from skylarksill import records as shared
-from skylarksill.host import fleet, placement, quotas, records
+from skylarksill.host import eventlog, fleet, placement, program, quotas, records
+from standins import platformdata
 
 PLATFORM_FOLDER = pathlib.Path(__file__).resolve().parent.parent / "platform"
 BOUNDS = records.Bounds(
@@ -34,6 +36,20 @@
     return hostfile, wire, store
 
 
+def build_program(context):
+    """Builds a program.Host that has not been started, and writes its log nowhere."""
+    hostfile, wire, _ = import_platform()
+    lines = platformdata.build_settings_lines("127.0.0.1", ("127.0.0.1", 9), 7200, 7300)
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write("\n".join(lines))
+        file.flush()
+        settings = hostfile.load_settings(file.name)
+    # The tests have no standard output that a log can be written to.
+    context.add_cleanup(setattr, eventlog, "_make_writer", eventlog._make_writer)
+    eventlog._make_writer = lambda: len
+    return program.Host(settings, wire.HEADER_NAMES, wire.LOOKUP_CODEC)
+
+
 def build_route(**changes):
     """Builds a Route; ``changes`` replace its fields."""
     fields = {
--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -52,6 +52,28 @@
       | 10.0 | 100.0 | 102.0 | asks for a pause     | ends  |
       | 10.0 | 100.0 | 102.0 | says that it leaves  | ends  |
 
+  Scenario Outline: What an upstream asked for after a suspected restart holds unless it ran on
+    Given a host that knows upstream "a"
+    When it got an answer at 9.9 s on a connection opened at 9.5 s
+    And a restart shows at 10.0 s, as <sign>
+    And an answer at 10.2 s asks for a pause
+    And the host <event>
+    And the entry of incarnation 2 comes at 10.5 s
+    Then what it asked for <fate>, and 10 s later it gets requests
+
+    Examples:
+      | sign                           | event                                            | fate  |
+      | the upstream ends a connection | gets no other answer                             | holds |
+      | a peer reports a restart       | gets no other answer                             | holds |
+      | the upstream ends a connection | gets an answer on the connection opened at 9.5 s | ends  |
+
+  Scenario: A name that comes back does not shorten the time for which an upstream is suspected
+    Given a host that knows upstream "a"
+    When the entry of incarnation 2 comes at 6.0 s
+    And a restart shows at 10.0 s, as the upstream ends a connection
+    And the entry of incarnation 1 comes at 10.2 s
+    Then upstream "a" is cold for 3 s
+
   Scenario Outline: A new name does not shorten the time for which an upstream may be cold
     Given a host that knows upstream "a"
     When a restart shows at 10.0 s, as <sign>
@@ -147,3 +169,8 @@
       | 10.3 | 10.2    | news     |
       | 10.3 | 9.8     | no news  |
       | 10.6 | 9.8     | news     |
+
+  Scenario: A host notices that it was frozen and asks its upstreams
+    Given a host program that knows upstream "a" and has run for 10 s
+    When it runs on after 3 s without processor time
+    Then it asks whether upstream "a" is cold
--- a/features/steps/host_restarted_upstreams_steps.py
+++ b/features/steps/host_restarted_upstreams_steps.py
@@ -125,7 +125,7 @@
 
 @when("an answer at {at:g} s {demand}")
 def step_demand(context, at, demand):
-    state = context.former
+    state = context.fleet.find("a")
     context.demand = demand
     match demand:
         case "states a rate limit":
@@ -138,10 +138,10 @@
             raise ValueError(demand)
 
 
-@when("the entry of incarnation 2 comes at {now:g} s")
-def step_second_entry(context, now):
+@when("the entry of incarnation {incarnation:d} comes at {now:g} s")
+def step_entry(context, incarnation, now):
     context.named_at = now
-    _apply_entries(context, now, _build_entry(2))
+    _apply_entries(context, now, _build_entry(incarnation))
 
 
 @then("what it asked for {fate}, and 10 s later it gets requests")
@@ -176,6 +176,16 @@
     _apply_entries(context, now, _build_entry(2, cold_s=cold_s))
 
 
+@when("the host gets no other answer")
+def step_no_answer(context):
+    assert context.fleet.find("a").restarted_at is not None
+
+
+@when("the host gets an answer on the connection opened at {opened_at:g} s")
+def step_older_answer(context, opened_at):
+    context.fleet.find("a").record_alive(opened_at, 10.3)
+
+
 @when("its entry goes and comes back at ports 2, 1, 2, 1, 2 and 1 in turn")
 def step_other_ports(context):
     for index, port in enumerate((2, 1) * 3):
@@ -362,3 +372,33 @@
 @then("that is {expected}")
 def step_is_news(context, expected):
     assert context.is_news == (expected == "news")
+
+
+@given('a host program that knows upstream "a" and has run for {age_s:g} s')
+def step_program(context, age_s):
+    context.host = host_builders.build_program(context)
+    context.now = time.monotonic()
+    upstream = _build_entry(1, cold_s=0.0)
+    services = {"catalogue": host_builders.build_service()}
+    arguments = ({"a": upstream}, services, (), host_builders.BOUNDS, context.now - age_s)
+    context.host.fleet.apply(*arguments)
+    context.host._update_view()
+    assert not _asks_health(context)
+
+
+def _asks_health(context):
+    state = context.host.fleet.find("a")
+    return context.host.fleet.find_health_target(state, context.now, context.now) is not None
+
+
+@when("it runs on after {seconds:g} s without processor time")
+def step_run_on(context, seconds):
+    # What follows a freeze in the store has tests of its own.
+    context.host._register = lambda: None
+    context.host._settling._seen_at -= seconds
+    context.host._update_view()
+
+
+@then('it asks whether upstream "a" is cold')
+def step_asks_again(context):
+    assert _asks_health(context)
--- a/features/steps/host_tasks_steps.py
+++ b/features/steps/host_tasks_steps.py
@@ -3,14 +3,13 @@
 import json
 import os
 import signal
-import tempfile
 
 import eventlet
 from behave import given, then, when
 from eventlet.green import socket
 
 from features import host_builders, host_world
-from skylarksill.host import _clientconnection, eventlog, program
+from skylarksill.host import _clientconnection
 from standins import platformdata
 
 FAULTY_HOST = host_builders.PLATFORM_FOLDER.parent / "standins" / "faulty_host.py"
@@ -185,16 +184,7 @@
 
 @given("a host whose handler of stop signals is interrupted by another one")
 def step_interrupted_handler(context):
-    hostfile, wire, _ = host_builders.import_platform()
-    lines = platformdata.build_settings_lines("127.0.0.1", ("127.0.0.1", 9), 7200, 7300)
-    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
-        file.write("\n".join(lines))
-        file.flush()
-        settings = hostfile.load_settings(file.name)
-    # The tests have no standard output that a log can be written to.
-    context.add_cleanup(setattr, eventlog, "_make_writer", eventlog._make_writer)
-    eventlog._make_writer = lambda: len
-    context.host = program.Host(settings, wire.HEADER_NAMES, wire.LOOKUP_CODEC)
+    context.host = host_builders.build_program(context)
     send = context.host._stopping.send
     context.stops = []
 
