--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -82,7 +82,7 @@
             **platformdata.build_cold_fields(cold_s if is_stated else 0.0),
         )
         if statement is schedule.ColdStatement.MISSING:
-            del spec["coldRemaining"]
+            platformdata.remove_cold_fields(spec)
         self._world.store.write("servers", self.upstream_id, spec)
 
     def shut_down(self):
--- a/standins/platformdata.py
+++ b/standins/platformdata.py
@@ -41,6 +41,12 @@
     return {"coldRemaining": f"{cold_s}s"}
 
 
+def remove_cold_fields(spec):
+    """Removes the fields of ``build_cold_fields`` from the spec of an upstream's entry."""
+    for field in build_cold_fields(0.0):
+        del spec[field]
+
+
 def build_route_spec(path, kind, service="catalogue", regions=(), site=SITE):
     """Builds a route of the operators' configuration in the format of the platform's store.
 
