Share blocks of requests that crash upstreams with hosts that start

Callers saw orders of theirs fail with 502 each time a host was stopped and started: a request that had crashed three upstreams was let through again by the new process, three to four times at each.

Cause: blocks lived in the process that had counted the crashes. Crashes were sent to peers for 3 s, blocks never, so a process that started later counted anew, alone. A block also ended after 120 s and was forgotten, so that three more crashes were needed everywhere.

Change: blocks are records that hosts merge (blocks.py), so one that arrives twice, late or by two ways counts once. Each datagram states a summary of the blocks that its sender knows, as two keys that hosts of the version before look up in vain; a host whose summary differs answers with blocks and asks back. A host that has just started asks for all, with the crashes of requests that are not blocked yet, and is ready once a serving peer has answered, 1 s after its start at the latest (briefing.py). After its end a block is followed by a trial, copy by copy and at a different time on each host; one crash blocks again for four times as long, one answer ends the block on all hosts.

--- a/features/key_builders.py
+++ b/features/key_builders.py
@@ -75,6 +75,7 @@
     table: peers.PeerTable
     counts: counters.Counters
     gossip: gossip.Gossip
+    poisons: poison.PoisonTable
 
     def list_alive(self, now):
         """Returns the names of the other hosts that it counts as alive."""
@@ -101,12 +102,13 @@
     )
     table = peers.PeerTable(record, now)
     counts = counters.Counters()
-    host = LoopbackHost(name, ring, table, counts, None)
+    poisons = poison.PoisonTable(name)
+    host = LoopbackHost(name, ring, table, counts, None, poisons)
     host.gossip = gossip.Gossip(
         addresses[name],
         list(addresses.values()),
         table,
-        poison.PoisonTable(),
+        poisons,
         eventlog.EventLog(name, len),
         counts,
         lambda: (records.HostState.SERVING, {}, False),
--- a/features/steps/host_peers_steps.py
+++ b/features/steps/host_peers_steps.py
@@ -9,6 +9,7 @@
 from features import host_builders
 from skylarksill.host import (
     _peercodec,
+    blocks,
     eventlog,
     exchange,
     hostload,
@@ -98,7 +99,10 @@
     ]
     crashes = [poison.Crash(b"request", "u1", 7, 99.5)]
     wanted = [b"w%04d" % index for index in range(count)]
-    context.whole = _peercodec.Digest(context.digest, beats, crashes, wanted)
+    known_blocks = [blocks.Block(b"request", 2, 90.5), blocks.Block(b"other", 1, 60.0, 70.5)]
+    context.whole = _peercodec.Digest(
+        context.digest, beats, crashes, wanted, [], b"summa", known_blocks
+    )
     datagram = _peercodec.encode_digest(context.whole, 100.0)
     assert _peercodec.decode_digest(datagram, 100.0) == context.whole
 
--- a/skylarksill/host/_admission.py
+++ b/skylarksill/host/_admission.py
@@ -66,7 +66,7 @@
         if isinstance(identity, accounts.Denial):
             return self._endings.deny(request, identity)
         fingerprint = poison.fingerprint_request(request)
-        if self._poisons.is_blocked(fingerprint, request.received_at):
+        if not self._poisons.blocks.admit(fingerprint, time.monotonic()):
             return self._endings.reject(request, "blocked", BLOCKED_RETRY_AFTER_S)
         remaining_s = route.timeout_s
         if request.deadline_s is not None:
@@ -87,6 +87,14 @@
             self._find_table(),
         )
 
+    def is_blocked(self, progress):
+        """Returns True if a request has been blocked since it began, as one that crashes upstreams.
+
+        Args:
+          progress: Its Progress.
+        """
+        return self._poisons.is_blocked(progress.fingerprint, time.monotonic())
+
     def renew_identity(self, request, progress):
         """Identifies a request again if the configuration has changed since.
 
--- a/skylarksill/host/_peercodec.py
+++ b/skylarksill/host/_peercodec.py
@@ -1,4 +1,9 @@
-"""Codec of gossip datagrams: peers, heartbeats and crashes as msgpack."""
+"""Codec of gossip datagrams: peers, heartbeats, crashes and blocks as msgpack.
+
+Hosts of two versions exchange datagrams during an upgrade. Fields that are added stand behind those
+of VERSION, where decoders ignore what they don't know. Decoders of before accept no further field,
+so one is only sent to a host that has asked for it, by keys that other hosts ignore.
+"""
 
 import dataclasses
 import struct
@@ -6,7 +11,7 @@
 import msgpack
 
 from skylarksill import records as shared
-from skylarksill.host import fields, hostload, peers, poison, records, restarts
+from skylarksill.host import blocks, fields, hostload, peers, poison, records, restarts
 
 VERSION = 9
 MAX_DATAGRAM_BYTES = 16_384
@@ -24,6 +29,8 @@
 # Largest numbers that a host can pass on again.
 MAX_HEARTBEAT = 2**32 - 1
 MAX_AGE_MS = 10**15
+# Among the wanted keys, the one before a summary of the sender's blocks. No host has it as its own.
+_BLOCKS_KEY = b"\0blks"
 
 
 class CodecError(shared.SkylarksillError):
@@ -40,6 +47,9 @@
       crashes: List of poison.Crash.
       wanted: List of keys of incarnations whose full records the sender asks for.
       restart_reports: List of restarts.RestartReport.
+      block_summary: What blocks.BlockTable.summarize returns, if the sender asks for blocks that it
+        doesn't know; None if it doesn't ask.
+      known_blocks: List of blocks.Block if the receiver has asked for them, else None.
     """
 
     peers: list[peers.Peer]
@@ -47,6 +57,8 @@
     crashes: list[poison.Crash]
     wanted: list[bytes] = dataclasses.field(default_factory=list)
     restart_reports: list[restarts.RestartReport] = dataclasses.field(default_factory=list)
+    block_summary: bytes | None = None
+    known_blocks: list[blocks.Block] | None = None
 
 
 def encode_digest(digest, now):
@@ -84,7 +96,12 @@
         for report in digest.restart_reports
     ]
     wanted = b"".join(digest.wanted)
-    return msgpack.packb((VERSION, entries, beats, crash_items, wanted, restart_items))
+    if digest.block_summary is not None:
+        wanted += _BLOCKS_KEY + digest.block_summary
+    content = [VERSION, entries, beats, crash_items, wanted, restart_items]
+    if digest.known_blocks is not None:
+        content.append([_encode_block(block, now) for block in digest.known_blocks])
+    return msgpack.packb(content)
 
 
 def decode_digest(datagram, now):
@@ -102,13 +119,16 @@
         version, *rest = msgpack.unpackb(datagram, raw=False)
         if version != VERSION:
             raise CodecError(f"unknown version {version!r}")
-        entries, beats, crash_items, wanted, restart_items = rest
+        entries, beats, crash_items, wanted, restart_items, *rest = rest
+        wanted, block_summary = _decode_wanted(wanted)
         return Digest(
             [_decode_peer(entry, now) for entry in entries],
             _decode_heartbeats(beats),
             [_decode_crash(crash, now) for crash in crash_items],
-            [key for (key,) in _KEY.iter_unpack(fields.check(wanted, bytes))],
+            wanted,
             [_decode_restart(item, now) for item in restart_items],
+            block_summary,
+            [_decode_block(item, now) for item in rest[0]] if rest else None,
         )
     except (
         ValueError,
@@ -123,7 +143,7 @@
 
 def _decode_peer(item, now):
     host_id, incarnation, zone, region, entry, gossip, heartbeat, state, *rest = item
-    shares, is_store_lost, age, capacity, load = rest
+    shares, is_store_lost, age, capacity, load, *_ = rest
     record = records.HostRecord(
         fields.check(host_id, str),
         fields.check_range(incarnation, 0, fields.MAX_INTEGER),
@@ -190,7 +210,7 @@
 
 
 def _decode_restart(item, now):
-    upstream_id, incarnation, age_ms, alive_age_ms = item
+    upstream_id, incarnation, age_ms, alive_age_ms, *_ = item
     return restarts.RestartReport(
         fields.check(upstream_id, str),
         fields.check_integer(incarnation),
@@ -200,10 +220,34 @@
 
 
 def _decode_crash(item, now):
-    fingerprint, upstream_id, incarnation, age_ms = item
+    fingerprint, upstream_id, incarnation, age_ms, *_ = item
     return poison.Crash(
         fields.check(fingerprint, bytes),
         fields.check(upstream_id, str),
         fields.check_integer(incarnation),
         now - _decode_ms(age_ms),
     )
+
+
+def _decode_wanted(wanted):
+    """Returns the keys of the wanted records, and the summary of blocks or None."""
+    keys = [key for (key,) in _KEY.iter_unpack(fields.check(wanted, bytes))]
+    if len(keys) >= 2 and keys[-2] == _BLOCKS_KEY:
+        return keys[:-2], keys[-1]
+    return keys, None
+
+
+def _encode_block(block, now):
+    answered_at = block.answered_at
+    answered_ms = None if answered_at == float("-inf") else _encode_ms(answered_at, now)
+    return block.fingerprint, block.round, _encode_ms(block.began_at, now), answered_ms
+
+
+def _decode_block(item, now):
+    fingerprint, block_round, age_ms, answered_ms, *_ = item
+    return blocks.Block(
+        fields.check(fingerprint, bytes),
+        fields.check_range(block_round, 1, blocks.MAX_ROUND),
+        now - _decode_ms(age_ms),
+        float("-inf") if answered_ms is None else now - _decode_ms(answered_ms),
+    )
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -97,7 +97,8 @@
     def _may_send(self, request, progress, upstream):
         """Returns True if what was checked before the connection was there still holds."""
         return (
-            self._admission.renew_identity(request, progress) is None
+            not self._admission.is_blocked(progress)
+            and self._admission.renew_identity(request, progress) is None
             and accounts.permits_region(progress.route, progress.identity, upstream.region)
             and self._crediting.is_covered(progress)
         )
--- a/skylarksill/host/exchange.py
+++ b/skylarksill/host/exchange.py
@@ -8,7 +8,7 @@
 import dataclasses
 import random
 
-from skylarksill.host import _peercodec, peers
+from skylarksill.host import _peercodec, blocks, peers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,12 +46,46 @@
     return Reception(tuple(newly_alive), reply)
 
 
-def make_introduction(table):
-    """Makes the answer to a sender that doesn't know this process: the own record."""
-    return _peercodec.Digest([table.own_peer], [], [])
+def make_introduction(table, block_summary=None):
+    """Makes the answer to a sender that doesn't know this process: the own record.
+
+    Args:
+      table: The peers.PeerTable.
+      block_summary: Summary of the own blocks to ask for others with, or None not to ask.
+    """
+    return _peercodec.Digest([table.own_peer], [], [], block_summary=block_summary)
+
+
+def answer_blocks(table, poisons, digest, reply, is_asking, now):
+    """Adds to the answer to a digest the blocks of requests that the sender lacks.
+
+    Args:
+      table: The peers.PeerTable.
+      poisons: The poison.PoisonTable.
+      digest: The _peercodec.Digest received, whose blocks the table knows already.
+      reply: The _peercodec.Digest to send back, or None.
+      is_asking: True if this host has just started and asks for all that the sender knows.
+      now: Monotonic seconds.
+    Returns:
+      The _peercodec.Digest to send back, or None.
+    """
+    known = poisons.blocks
+    own_summary = blocks.UNINFORMED if is_asking else known.summarize(now)
+    found = told = summary = None
+    if digest.block_summary == blocks.UNINFORMED:
+        found, told = known.list_all(), poisons.list_told_crashes(now)
+    elif digest.block_summary not in (None, known.summarize(now)):
+        found = known.list_some()
+    # An answer is not answered, unless it comes before this host has asked.
+    if digest.known_blocks is None and (is_asking or found is not None):
+        summary = own_summary
+    if found is None and summary is None:
+        return reply
+    reply = reply or make_introduction(table)
+    return dataclasses.replace(reply, crashes=told or [], block_summary=summary, known_blocks=found)
 
 
-def make_messages(table, crashes, seeds, now, rng=random, restarts=()):
+def make_messages(table, crashes, seeds, now, rng=random, restarts=(), block_summary=None):
     """Makes what a host sends in a round.
 
     Args:
@@ -61,6 +95,7 @@
       now: Monotonic seconds.
       rng: Source of randomness.
       restarts: Recent restarts.RestartReport.
+      block_summary: Summary of the own blocks of requests, or None.
     Returns:
       A list of pairs of a _peercodec.Digest and the list of the addresses that get it.
     """
@@ -77,6 +112,6 @@
     for is_local, addresses in ((True, local), (False, remote)):
         if addresses:
             whole, beats = table.make_digest(now, rng, is_local)
-            digest = _peercodec.Digest(whole, beats, crashes, [], list(restarts))
+            digest = _peercodec.Digest(whole, beats, crashes, [], list(restarts), block_summary)
             messages.append((digest, addresses))
     return messages
--- a/skylarksill/host/forwarder.py
+++ b/skylarksill/host/forwarder.py
@@ -48,6 +48,7 @@
       counters: The Counters.
       bounds: The records.Bounds.
       lateness: The lateness.Lateness of the process.
+      host_id: Name of this host.
       credit: The broker of the accounts' credit, see ``_crediting``; None without quotas.
 
     Attributes:
@@ -67,9 +68,10 @@
         bounds,
         lateness,
         *,
+        host_id="",
         credit=None,
     ):
-        self.poisons = poison.PoisonTable()
+        self.poisons = poison.PoisonTable(host_id)
         self._belief = belief
         self._steering = steering
         self._log = log
@@ -230,7 +232,8 @@
             case _upstreamhttp.Answered(answer):
                 progress.attempts += 1
                 progress.last_answer = answer
-                self.poisons.record_answer(progress.fingerprint, time.monotonic())
+                if self.poisons.record_answer(progress.fingerprint, time.monotonic()):
+                    self._log.write("request.unblocked", fingerprint=progress.fingerprint.hex())
                 if (
                     answer.status >= 500
                     and is_idempotent
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -1,4 +1,4 @@
-"""Gossip between hosts: exchanges heartbeats and crash reports in UDP datagrams.
+"""Gossip between hosts: exchanges heartbeats, crash reports and blocks in UDP datagrams.
 
 The socket also carries messages about the credit of accounts.
 """
@@ -10,6 +10,8 @@
 
 from skylarksill.host import (
     _peercodec,
+    blocks,
+    briefing,
     creditcodec,
     envelope,
     exchange,
@@ -40,6 +42,10 @@
       on_restart: Function of a RestartReport of a peer that is news.
       on_credit: Function of an envelope.Sender, a payload about credit and the sender's address;
         it may raise a creditcodec.CreditCodecError.
+      on_informed: Function that is called once the briefing is over because peers have answered.
+
+    Attributes:
+      briefing: The briefing.Briefing of this host.
     """
 
     def __init__(
@@ -55,9 +61,11 @@
         reports=None,
         on_restart=None,
         on_credit=None,
+        on_informed=None,
     ):
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
+        self.briefing = briefing.Briefing(self._seeds, time.monotonic())
         self._table = table
         self._poisons = poisons
         self._log = log
@@ -66,6 +74,7 @@
         self._reports = reports or restarts.RestartReports()
         self._on_restart = on_restart
         self._on_credit = on_credit
+        self._on_informed = on_informed
         self._mailbox = envelope.Mailbox(address, get_keyring)
         self._socket = None
         self._threads = []
@@ -96,7 +105,14 @@
         self._table.increment_heartbeat(state, now, spill_shares, is_store_lost)
         crashes = self._poisons.list_recent_crashes(now)
         reports = self._reports.list_recent(now)
-        messages = exchange.make_messages(self._table, crashes, self._seeds, now, restarts=reports)
+        messages = exchange.make_messages(
+            self._table,
+            crashes,
+            self._seeds,
+            now,
+            restarts=reports,
+            block_summary=self._summarize_blocks(now),
+        )
         for digest, addresses in messages:
             payload = _peercodec.encode_digest(digest, now)
             for address in addresses:
@@ -136,19 +152,22 @@
         if opened.payload is None:
             # The sender knows a process of this host that started before its clock was set back.
             self._table.supersede(opened.receiver)
-            reply = exchange.make_introduction(self._table)
+            summary = blocks.UNINFORMED if self.briefing.is_asking(now) else None
+            reply = exchange.make_introduction(self._table, summary)
         elif self._on_credit is not None and creditcodec.is_credit(opened.payload):
             self._on_credit(opened.sender, opened.payload, address)
             reply = None
         else:
             digest = _peercodec.decode_digest(opened.payload, now)
-            reply = self._apply_digest(digest, now)
+            reply = self._apply_digest(digest, opened.sender, address, now)
         if reply is not None:
             payload = _peercodec.encode_digest(reply, now)
             self._send_datagram(payload, address, opened.sender.incarnation)
 
-    def _apply_digest(self, digest, now):
+    def _apply_digest(self, digest, sender, address, now):
         """Applies a digest; returns the Digest to answer with, or None."""
+        if digest.known_blocks is not None:
+            self._apply_blocks(digest, sender, address, now)
         for crash in digest.crashes:
             if self._poisons.record_crash(crash, now):
                 self._log.write("request.blocked", fingerprint=crash.fingerprint.hex())
@@ -158,7 +177,27 @@
         reception = exchange.receive_digest(self._table, digest, now)
         for host_id in reception.newly_alive:
             self._log.write("peer.alive", peer=host_id)
-        return reception.reply
+        is_asking = self.briefing.is_asking(now)
+        return exchange.answer_blocks(
+            self._table, self._poisons, digest, reception.reply, is_asking, now
+        )
+
+    def _apply_blocks(self, digest, sender, address, now):
+        """Applies the blocks that a peer has told."""
+        for block in self._poisons.merge_blocks(digest.known_blocks, now):
+            event = "request.unblocked" if block.is_refuted else "request.blocked"
+            fingerprint = block.fingerprint.hex()
+            self._log.write(event, fingerprint=fingerprint, round=block.round, peer=sender.host_id)
+        states = [peer.state for peer in digest.peers if peer.record.host_id == sender.host_id]
+        was_over = self.briefing.is_over(now)
+        self.briefing.record_answer(address, states[0] if states else None)
+        if not was_over and self.briefing.is_over(now) and self._on_informed is not None:
+            self._on_informed()
+
+    def _summarize_blocks(self, now):
+        if self.briefing.is_asking(now):
+            return blocks.UNINFORMED
+        return self._poisons.blocks.summarize(now)
 
     def _reject(self, address, error):
         """Counts a datagram that is malformed or not authentic."""
--- a/skylarksill/host/poison.py
+++ b/skylarksill/host/poison.py
@@ -13,7 +13,7 @@
 import dataclasses
 import hashlib
 
-from skylarksill.host import records
+from skylarksill.host import blocks, records
 
 # Number of separate crashes after which a request is blocked. The users permit three and few more.
 MIN_BLOCK_CRASHES = 3
@@ -23,16 +23,15 @@
 # Crashes of one upstream that hosts report under different names are the same within this time: it
 # has to start and to get the request again in between.
 UPSTREAM_CRASH_SEPARATION_S = 1.0
-# How long a request is blocked, and how long a crash is remembered.
-BLOCK_DURATION_S = 120.0
+# How long a crash is remembered.
 CRASH_TTL_S = 120.0
 # A crash counts against requests that broke at most this long before the upstream was found down.
 MAX_BROKEN_AGE_S = 1.5
-# A request that was answered this recently is not suspected: upstreams have run copies of it.
-MAX_ANSWER_AGE_S = 30.0
 # New crashes are sent to peers with the heartbeats of this many seconds, see peers.ROUND_S.
 SHARE_WINDOW_S = 3.0
 MAX_SHARED_CRASHES = 16
+# Crashes that a host which has just started is told of, of requests that are not blocked yet.
+MAX_TOLD_CRASHES = 32
 MAX_TRACKED_REQUESTS = 4_096
 
 
@@ -95,23 +94,30 @@
 
 
 class PoisonTable:
-    """Requests that are suspected of crashing upstreams."""
+    """Requests that are suspected of crashing upstreams, and those that are blocked.
 
-    def __init__(self):
+    Args:
+      host_id: Name of this host, see blocks.BlockTable.
+
+    Attributes:
+      blocks: The blocks.BlockTable.
+    """
+
+    def __init__(self, host_id=""):
+        self.blocks = blocks.BlockTable(host_id)
         self._broken_requests = collections.deque()
         self._crashes = collections.OrderedDict()
         self._answered_at = collections.OrderedDict()
-        self._blocked_until = collections.OrderedDict()
         self._recent_crashes = collections.deque()
 
     def is_blocked(self, fingerprint, now):
         """Returns True if no upstream may run the request."""
-        until = self._blocked_until.get(fingerprint)
-        return until is not None and now < until
+        return self.blocks.is_blocked(fingerprint, now)
 
     def is_suspect(self, fingerprint):
         """Returns True if an upstream has crashed while it ran the request."""
-        return fingerprint in self._crashes
+        block = self.blocks.find(fingerprint)
+        return fingerprint in self._crashes or (block is not None and not block.is_refuted)
 
     def record_broken(self, fingerprint, upstream, opened_at, now):
         """Records that a connection broke while the upstream ran a request on it.
@@ -155,8 +161,7 @@
           True if it blocks the request from now on.
         """
         fingerprint = crash.fingerprint
-        answered_at = self._answered_at.get(fingerprint)
-        if answered_at is not None and now - answered_at < MAX_ANSWER_AGE_S:
+        if self._is_answered(fingerprint, crash.at):
             return False
         self._expire_crashes(now)
         known_crashes = self._crashes.setdefault(fingerprint, [])
@@ -166,21 +171,59 @@
                 return False
         self._share(crash, known_crashes, now)
         self._crashes.move_to_end(fingerprint)
-        if (
-            self.is_blocked(fingerprint, now)
-            or _count_separate(known.at for known in known_crashes) < MIN_BLOCK_CRASHES
-        ):
+        if not self._is_to_be_blocked(crash, known_crashes):
             return False
-        self._blocked_until[fingerprint] = now + BLOCK_DURATION_S
-        _trim(self._blocked_until)
+        self.blocks.begin(fingerprint, crash.at)
         return True
 
+    def _is_to_be_blocked(self, crash, known_crashes):
+        block = self.blocks.find(crash.fingerprint)
+        if block is not None and not block.is_refuted:
+            return self.blocks.is_on_trial(crash.fingerprint, crash.at)
+        return _count_separate(known.at for known in known_crashes) >= MIN_BLOCK_CRASHES
+
+    def _is_answered(self, fingerprint, at):
+        """Returns True if the request is known to have been answered shortly before a crash."""
+        block = self.blocks.find(fingerprint)
+        answered_at = self._answered_at.get(fingerprint, float("-inf"))
+        if block is not None:
+            answered_at = max(answered_at, block.answered_at)
+        return at < answered_at + blocks.MAX_ANSWER_AGE_S
+
     def record_answer(self, fingerprint, now):
-        """Records that an upstream has answered the request, so it did not crash."""
+        """Records that an upstream has answered the request, so it did not crash.
+
+        Returns:
+          True if the request was blocked or on trial, and no longer is.
+        """
         self._answered_at[fingerprint] = now
         self._answered_at.move_to_end(fingerprint)
         _trim(self._answered_at)
         self._crashes.pop(fingerprint, None)
+        return self.blocks.refute(fingerprint, now)
+
+    def merge_blocks(self, received, now):
+        """Adds the Blocks that a peer knows.
+
+        An answer that this host has seen refutes a block that a peer began later; peers learn that
+        as this host tells them its blocks.
+
+        Returns:
+          A list of the Blocks that are news to this host.
+        """
+        news = []
+        for block in received:
+            merged = self.blocks.merge(block, now)
+            if merged is None:
+                continue
+            answered_at = self._answered_at.get(block.fingerprint)
+            if answered_at is not None:
+                self.blocks.refute(block.fingerprint, answered_at)
+                merged = self.blocks.find(block.fingerprint)
+            if merged.is_refuted:
+                self._crashes.pop(block.fingerprint, None)
+            news.append(merged)
+        return news
 
     def list_recent_crashes(self, now):
         """Returns the Crashes to send to peers, those of requests with most crashes first."""
@@ -190,6 +233,31 @@
         recent.sort(key=lambda crash: -len(self._crashes[crash.fingerprint]))
         return recent[:MAX_SHARED_CRASHES]
 
+    def list_told_crashes(self, now):
+        """Returns the Crashes to tell a host that has just started, those that matter most first.
+
+        Crashes of blocked requests are left out, as the host is told the blocks.
+        """
+        suspected = [
+            (_count_separate(known.at for known in known_crashes), fingerprint)
+            for fingerprint, known_crashes in reversed(self._crashes.items())
+            if self.blocks.find(fingerprint) is None
+        ]
+        # Of requests with as many crashes, those that crashed an upstream last come first.
+        suspected.sort(key=lambda item: -item[0])
+        told = []
+        for count, fingerprint in suspected:
+            if len(told) >= MAX_TOLD_CRASHES:
+                break
+            if count < MIN_BLOCK_CRASHES:
+                told += [
+                    # The highest number tells the crash from earlier ones of the upstream.
+                    Crash(fingerprint, known.upstream_id, max(known.incarnations), known.at)
+                    for known in self._crashes[fingerprint]
+                    if known.at > now - CRASH_TTL_S
+                ]
+        return told[:MAX_TOLD_CRASHES]
+
     def _share(self, crash, known_crashes, now):
         """Adds a crash to the known ones, and to those that are sent to peers.
 
@@ -214,7 +282,10 @@
             later.incarnations.add(number)
 
     def _expire_crashes(self, now):
-        _trim(self._crashes)
+        if len(self._crashes) > MAX_TRACKED_REQUESTS:
+            # One upstream that crashes makes all of its requests suspected.
+            once = (item for item, known in self._crashes.items() if len(known) <= 1)
+            del self._crashes[next(once, next(iter(self._crashes)))]
         while self._crashes:
             fingerprint, known_crashes = next(iter(self._crashes.items()))
             if max((known.at for known in known_crashes), default=now) > now - CRASH_TTL_S:
--- a/skylarksill/host/program.py
+++ b/skylarksill/host/program.py
@@ -143,6 +143,7 @@
             self.counters,
             settings.bounds,
             self.lateness,
+            host_id=settings.host_id,
             credit=self.credit,
         )
         self.state = records.HostState.STARTING
@@ -171,6 +172,7 @@
             self.forwarder.restart_reports,
             self._handle_restart_report,
             self.credit.receive,
+            self._begin_serving,
         )
         self._stopping = eventlet.event.Event()
         self._is_applied = True
@@ -363,10 +365,18 @@
             time.monotonic(),
             self.belief.evacuation_ends,
         )
-        if self.belief.is_complete and self.state is records.HostState.STARTING:
-            self._set_state(records.HostState.SERVING)
+        self._begin_serving()
         self._is_applied = True
 
+    def _begin_serving(self):
+        """Serves once this host knows what its peers know, or has waited for that."""
+        if (
+            self.state is records.HostState.STARTING
+            and self.belief.is_complete
+            and self._gossip.briefing.is_over(time.monotonic())
+        ):
+            self._set_state(records.HostState.SERVING)
+
     def _report_problems(self):
         """Logs the problems of a configuration once."""
         configuration = self.belief.configuration
@@ -393,6 +403,7 @@
 
     def _run_housekeeping(self):
         for step in (
+            self._begin_serving,
             self._expire_lapsed,
             self._drop_stale_connections,
             self._update_view,
