End each send by a deadline for the whole, and see answers that come while a body is sent

Callers saw no answer to uploads, neither at their route's time-out nor by their own deadline, while an upstream read a body slowly. Orders that an upstream had refused before it read them ended as ones that may have run, and counted as signs of a crash.

Cause: eventlet's sendall applies the time-out of a socket to each of its steps, so a send went on as long as the peer took a few bytes a step, and the deadline was looked at only after it. Nothing was read meanwhile; an early answer was lost with the reset that follows it. The first request on a new connection to the store had no time-out at all: the wrapped socket lost that of its connect.

Change: _boundedsends sends up to one deadline. An exchange with an upstream watches for an answer while it sends, stops at a complete one or at the head of a failure, and reads what came before a reset (RFC 9112, 9.5 and 9.6). A connection on which a request was sent in part is closed at once, and the kernel drops the rest. Streams between hosts, calls of the store and the interim answer that a client waits for have one deadline as well. Answers to slow clients are bounded together instead.

--- a/features/wire_builders.py
+++ b/features/wire_builders.py
@@ -100,10 +100,27 @@
 )
 
 
-def build_request(request_id=b"r1"):
-    """Builds a Request without a body."""
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n"
+# Answers that an upstream sends before it has read a body.
+EARLY_ANSWERS = {
+    "a refusal": format_refusal(b"r1"),
+    "a refusal after another": format_refusal(b"r0") + format_refusal(b"r1"),
+    "an interim, then a refusal": INTERIM + format_refusal(b"r1"),
+    "a failure": b"HTTP/1.1 500 Failed\r\n" + ID + b"r1\r\n" + SEAL + NO_BODY,
+    "a success": format_answer("a length"),
+    "a cut refusal": FULL + ID + b"r1\r\n" + NOT_RUN + b"Content-Length: 9\r\n\r\nshort",
+    "a success without length": format_answer("neither length nor chunks"),
+    "nothing that counts": INTERIM + format_refusal(b"r0"),
+    "no answer": b"this is no answer\r\n\r\n",
+    "an interim answer": INTERIM,
+    "an earlier refusal": format_refusal(b"r0"),
+}
+
+
+def build_request(request_id=b"r1", body=b""):
+    """Builds a Request."""
     return records.Request(
-        b"POST", b"/order/1", (), b"", request_id, "shop.example", None, None, time.monotonic()
+        b"POST", b"/order/1", (), body, request_id, "shop.example", None, None, time.monotonic()
     )
 
 
--- a/skylarksill/host/_answersending.py
+++ b/skylarksill/host/_answersending.py
@@ -7,7 +7,14 @@
 import eventlet
 from eventlet.green import socket
 
-from skylarksill.host import _connectionstates, answers, cancellation, footprint, supervision
+from skylarksill.host import (
+    _boundedsends,
+    _connectionstates,
+    answers,
+    cancellation,
+    footprint,
+    supervision,
+)
 
 # A connection whose client accepts no byte of an answer for this long is closed. The kernel's user
 # time-out can't do that: it may count from the first of several pauses of a client.
@@ -59,7 +66,8 @@
             and not self.pending
         ):
             self._owes_continue = False
-            self._socket.sendall(_CONTINUE_RESPONSE)
+            deadline = time.monotonic() + WRITE_TIMEOUT_S
+            _boundedsends.send_all(self._socket, _CONTINUE_RESPONSE, deadline)
 
     def _start_next(self):
         """Starts processing pending requests as far as their number and the room permit."""
@@ -187,6 +195,10 @@
     def _send(self, data):
         """Sends the rest of an answer.
 
+        The time of the whole answer has no bound, as clients may be slow. What slow clients keep is
+        bounded together: by the bytes of unsent answers and the number of connections, for which
+        the slowest make room, and by the end of the process.
+
         Raises:
           TimeoutError: If the client accepts nothing of it for too long.
         """
--- a/skylarksill/host/_responsereader.py
+++ b/skylarksill/host/_responsereader.py
@@ -75,6 +75,13 @@
         if self._is_broken:
             raise ResponseError("malformed response")
 
+    def find_open_head(self):
+        """Returns the head of the response that is not complete yet as a Response, or None."""
+        if not self.is_head_complete:
+            return None
+        status = self._parser.get_status_code()
+        return Response(status, self._reason, tuple(self._headers), b"", False)
+
     def end_exchange(self):
         """Releases the buffers of the exchange that ended and resets its bounds.
 
--- a/skylarksill/host/_upstreamhttp.py
+++ b/skylarksill/host/_upstreamhttp.py
@@ -3,11 +3,20 @@
 import contextlib
 import dataclasses
 import math
+import struct
 import time
 
+import eventlet
 from eventlet.green import socket
 
-from skylarksill.host import _fairreads, _responsereader, accounts, fields, records
+from skylarksill.host import (
+    _boundedsends,
+    _fairreads,
+    _responsereader,
+    accounts,
+    fields,
+    records,
+)
 
 # The kernel resets a connection whose bytes stay unacknowledged for this long, so that a peer that
 # no longer responds is noticed.
@@ -39,6 +48,10 @@
 # Bodies up to this size are sent in one piece with the head; larger ones are not copied for that.
 MAX_JOINED_BYTES = 16_384
 _BODILESS_STATUSES = (204, 304)
+# Linger option with which a close drops what the kernel has not sent yet.
+_NO_LINGER = struct.pack("ii", 1, 0)
+# Statuses from which on an answer that comes early says that the rest of the body is not wanted.
+_MIN_ERROR_STATUS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +152,8 @@
         self.keep_alive_s = None
         self.is_reusable = True
         self._socket = sock
+        # False while a request has been sent in part only.
+        self._is_sent = True
         self._names = names
         self._reader = _fairreads.FairReader(sock)
         self._responses = _responsereader.ResponseReader(buffers)
@@ -162,8 +177,11 @@
             self._socket.shutdown(socket.SHUT_RDWR)
 
     def close(self):
-        """Closes the connection."""
+        """Closes the connection; the kernel drops what it holds of a request sent in part."""
         self.is_reusable = False
+        if not self._is_sent:
+            with contextlib.suppress(OSError):
+                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
         self._socket.close()
 
     def exchange(self, request, message, deadline):
@@ -194,13 +212,12 @@
         return self._run_exchange(request, message, deadline, self._classify_health)
 
     def _run_exchange(self, request, message, deadline, classify):
-        """Sends a message, and returns what ``classify`` makes of the answer, or a failure."""
+        """Sends a message, and returns what ``classify`` makes of the answer, or a failure.
+
+        One deadline holds for the whole exchange.
+        """
         try:
-            self._socket.settimeout(max(0.001, deadline - time.monotonic()))
-            self._socket.sendall(message)
-            if len(request.body) > MAX_JOINED_BYTES:
-                # Without the view, each portion would copy the rest.
-                self._socket.sendall(memoryview(request.body))
+            self._send(request, message, deadline)
             return self._read_answer(request, deadline, classify)
         except TimeoutError:
             self.is_reusable = False
@@ -216,8 +233,93 @@
             self.is_reusable = False
             raise
         finally:
+            if not self._is_sent:
+                # The upstream takes further bytes for the rest of the body.
+                self.is_reusable = False
             self._responses.end_exchange()
 
+    def _send(self, request, message, deadline):
+        """Sends a request, or as much of it as the upstream wants.
+
+        An upstream may answer before it has read a body, and reset the connection then (RFC 9112,
+        sections 9.5 and 9.6). So what it sends is read meanwhile, and what came before a reset.
+        """
+        parts = [message]
+        if len(request.body) > MAX_JOINED_BYTES:
+            # Without a copy of the body.
+            parts.append(request.body)
+        self._is_sent = False
+        try:
+            self._is_sent = all(self._send_part(request, part, deadline) for part in parts)
+        except TimeoutError:
+            raise
+        except OSError:
+            self._receive_rest(deadline)
+            if not self._has_answer(request):
+                raise
+
+    def _send_part(self, request, part, deadline):
+        """Sends a part of a request; returns False if the upstream has answered already."""
+        rest = memoryview(part)
+        while True:
+            sent = _boundedsends.send_some(self._socket, rest)
+            rest = rest[sent:]
+            if not rest:
+                return True
+            if sent:
+                # A fast upstream must not keep the processor to itself.
+                eventlet.sleep(0)
+                _boundedsends.check_deadline(deadline)
+            else:
+                _boundedsends.wait_for_progress(self._socket, deadline)
+            has_ended = self._receive_early(deadline) == b""
+            if has_ended or self._has_answer(request) or self._is_rejected(request):
+                return False
+
+    def _receive_early(self, deadline):
+        """Parses bytes that have arrived while a request is sent.
+
+        Returns:
+          The bytes, empty at the end of the stream, or None if there are none.
+        """
+        try:
+            data = self._socket.fd.recv(_fairreads.READ_BYTES)
+        except BlockingIOError:
+            return None
+        except TimeoutError as error:
+            # The kernel has given the connection up; it isn't that the deadline has passed.
+            raise ConnectionAbortedError(error.errno, error.strerror) from error
+        if data:
+            self._parsing.parse(data, deadline)
+            if len(self._responses.responses) > _responsereader.MAX_FOREIGN_ANSWERS:
+                raise _responsereader.ResponseError("too many answers to other requests")
+        return data
+
+    def _receive_rest(self, deadline):
+        """Parses what had arrived before the connection was reset."""
+        try:
+            while self._receive_early(deadline):
+                pass
+        except TimeoutError:
+            raise
+        except OSError:
+            # Nothing more can be read.
+            return
+
+    def _has_answer(self, request):
+        """Returns True if a complete answer to a request has arrived."""
+        responses = self._responses.responses
+        return any(not _is_foreign(request, response, self._names) for response in responses)
+
+    def _is_rejected(self, request):
+        """Returns True if the head of an answer has arrived that says the request has failed."""
+        head = self._responses.find_open_head()
+        return (
+            head is not None
+            and head.status >= _MIN_ERROR_STATUS
+            and not _is_foreign(request, head, self._names)
+        )
+
     def _read_answer(self, request, deadline, classify):
         """Reads until the answer to the request is complete and returns its outcome."""
         reader = self._responses
--- a/skylarksill/host/boundedpool.py
+++ b/skylarksill/host/boundedpool.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import math
 import time
 
 import eventlet
@@ -12,6 +13,8 @@
 from eventlet import greenio
 from eventlet.green import socket
 
+from skylarksill.host import _boundedsends
+
 # Range of statuses of final answers (RFC 9110, section 15).
 MIN_FINAL_STATUS, MAX_STATUS = 200, 599
 # The largest answer lists a page of objects of 1 MB in all, or the changes of some seconds.
@@ -19,7 +22,9 @@
 
 
 class BoundedSocket(greenio.GreenSocket):
-    """A socket on which each answer has to arrive within the time-out that is set, as a whole.
+    """A socket on which requests and answers have to pass within the time-out that is set.
+
+    It holds for each request as a whole, and for each answer as a whole.
 
     Args:
       connected: The connected green socket.
@@ -30,14 +35,24 @@
         # The file descriptor is closed with the object that opened it.
         self._connected = connected
         self._deadline = None
+        # The time at which the parts of a request must have been sent; None between requests.
+        self._send_deadline = None
         self._received_bytes = 0
         self._returned_at = None
 
     def sendall(self, data, flags=0):
-        """Sends a request or a part of it; the next bytes that are read begin its answer."""
+        """Sends a request or a part of it; the next bytes that are read begin its answer.
+
+        Raises:
+          TimeoutError: If the time of the whole request has passed.
+        """
         self._deadline = None
         self._received_bytes = 0
-        return super().sendall(data, flags)
+        timeout_s = self.gettimeout()
+        if self._send_deadline is None:
+            limit_s = math.inf if timeout_s is None else timeout_s
+            self._send_deadline = time.monotonic() + limit_s
+        _boundedsends.send_all(self, data, self._send_deadline)
 
     def recv_into(self, buffer, nbytes=0, flags=0):
         """Receives a part of the answer and leaves time to other green threads.
@@ -47,6 +62,7 @@
           ConnectionError: If the answer is too long.
         """
         self._leave_time()
+        self._send_deadline = None
         now = time.monotonic()
         timeout_s = self.gettimeout()
         if self._deadline is None and timeout_s is not None:
@@ -104,7 +120,10 @@
             raise urllib3.exceptions.NewConnectionError(self, f"no connection: {error}") from error
         for option in self.socket_options or ():
             connected.setsockopt(*option)
-        return BoundedSocket(connected)
+        bounded = BoundedSocket(connected)
+        # Until the first answer is read, urllib3 sets no other.
+        bounded.settimeout(self.timeout)
+        return bounded
 
     @property
     def is_connected(self):
--- a/skylarksill/host/following.py
+++ b/skylarksill/host/following.py
@@ -14,7 +14,14 @@
 from eventlet import event
 from eventlet.green import socket
 
-from skylarksill.host import _beliefcodec, _fairreads, keyring, relay, supervision
+from skylarksill.host import (
+    _beliefcodec,
+    _boundedsends,
+    _fairreads,
+    keyring,
+    relay,
+    supervision,
+)
 
 # Longest time that a source waits for a change before it answers that there is none.
 LONG_POLL_S = 0.7
@@ -116,7 +123,8 @@
             _set_options(client)
             reader = _fairreads.FairReader(client)
             while True:
-                message = _read_message(reader, _beliefcodec.MAX_REQUEST_BYTES, FOLLOWER_TIMEOUT_S)
+                deadline = time.monotonic() + FOLLOWER_TIMEOUT_S
+                message = _read_message(reader, _beliefcodec.MAX_REQUEST_BYTES, deadline)
                 context = (REQUEST_PURPOSE, *self.address)
                 payload = keyring.unseal(self._get_keyring(), context, message)
                 request = _beliefcodec.decode_request(payload)
@@ -126,8 +134,8 @@
                 payload = self._encode_update(request.sequence, request.generation)
                 context = (UPDATE_PURPOSE, request.nonce)
                 sealed = keyring.seal(self._get_keyring(), context, payload)
-                client.settimeout(ANSWER_TIMEOUT_S)
-                client.sendall(_beliefcodec.frame(sealed))
+                deadline = time.monotonic() + ANSWER_TIMEOUT_S
+                _boundedsends.send_all(client, _beliefcodec.frame(sealed), deadline)
         except EOFError:
             # The follower has closed the stream.
             return
@@ -196,7 +204,6 @@
         source = socket.create_connection(self.record.gossip, CONNECT_TIMEOUT_S)
         try:
             _set_options(source)
-            source.settimeout(ANSWER_TIMEOUT_S)
             reader = _fairreads.FairReader(source)
             position = relay.StreamPosition()
             is_first = True
@@ -220,8 +227,9 @@
         context = (REQUEST_PURPOSE, *self.record.gossip)
         payload = _beliefcodec.encode_request(request)
         sealed = keyring.seal(self._get_keyring(), context, payload)
-        source.sendall(_beliefcodec.frame(sealed))
-        message = _read_message(reader, _beliefcodec.MAX_MESSAGE_BYTES, ANSWER_TIMEOUT_S)
+        deadline = time.monotonic() + ANSWER_TIMEOUT_S
+        _boundedsends.send_all(source, _beliefcodec.frame(sealed), deadline)
+        message = _read_message(reader, _beliefcodec.MAX_MESSAGE_BYTES, deadline)
         context = (UPDATE_PURPOSE, request.nonce)
         payload = keyring.unseal(self._get_keyring(), context, message)
         return _beliefcodec.decode_update(payload)
@@ -311,8 +319,7 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def _read_message(reader, limit, timeout_s):
-    """Returns the payload of the next message, which must be complete within ``timeout_s``."""
-    deadline = time.monotonic() + timeout_s
+def _read_message(reader, limit, deadline):
+    """Returns the payload of the next message, which must be complete by a monotonic time."""
     header = reader.read_exactly(_beliefcodec.HEADER_BYTES, deadline)
     return reader.read_exactly(_beliefcodec.parse_length(header, limit), deadline)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -14,6 +14,11 @@
 # The pause between portions of an endless answer leaves processor time to the tests beside it.
 ENDLESS_PORTION_BYTES = 16_384
 ENDLESS_PAUSE_S = 0.005
+# Links with a small window: the receive buffer, and segments as on Ethernet.
+WINDOW_BYTES = 4_096
+SEGMENT_BYTES = 1_460
+# Bodies from this size on that a worker with EARLY_REFUSAL refuses before it has read them.
+LONG_BODY_BYTES = 16_384
 
 
 class Fault(enum.Enum):
@@ -36,6 +41,7 @@
     UNSIGNED = "unsigned"
     ERROR = "error"
     CRASH = "crash"
+    EARLY_REFUSAL = "early_refusal"
 
 
 class Worker:
@@ -56,6 +62,8 @@
       cold_until: Monotonic time until which its health answers say that it is cold.
       answers_health: False if it treats questions for its health like other requests.
       health_checks: Number of questions for its health.
+      read_bytes: Bytes of a body that it reads at a time.
+      read_pause_s: Pause after each read of a body, in seconds.
       on_refuse: Function called with the id of each request that it refuses, or None.
       on_run: Function called with the id of each request that starts, or None.
     """
@@ -72,6 +80,8 @@
         self.cold_until = 0.0
         self.answers_health = True
         self.health_checks = 0
+        self.read_bytes = 65_536
+        self.read_pause_s = 0.0
         self.on_run = None
         self.on_refuse = None
         self.connections = 0
@@ -81,6 +91,11 @@
         self.address = self._socket.getsockname()
         self._thread = eventlet.spawn(self._accept)
 
+    def set_small_window(self):
+        """Makes the links to it have a small window, from the next connection on."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+
     def stop(self):
         """Stops accepting connections."""
         self._thread.kill()
@@ -115,11 +130,16 @@
                 head, _, data = data.partition(b"\r\n\r\n")
                 fields = platformdata.parse_fields(head)
                 size = int(fields.get("content-length", "0"))
+                if self.fault is Fault.EARLY_REFUSAL and size >= LONG_BODY_BYTES:
+                    self._refuse_early(client, fields)
+                    return
                 while len(data) < size:
-                    received = client.recv(65536)
+                    received = client.recv(self.read_bytes)
                     if not received:
                         return
                     data += received
+                    if self.read_pause_s:
+                        eventlet.sleep(self.read_pause_s)
                 body, data = data[:size], data[size:]
                 self.heads.append(head.decode())
                 self.bodies.append(body)
@@ -162,6 +182,14 @@
         body = platformdata.build_answer_body(self.worker_id, request_id, target)
         return _FAULTS[fault](client, echo, previous_id, body)
 
+    def _refuse_early(self, client, fields):
+        """Refuses a request whose body is not read; closing the connection then resets it."""
+        request_id = fields.get("x-skylarksill-request-id", "")
+        if self.on_refuse is not None:
+            self.on_refuse(request_id)
+        echo = f"X-Skylarksill-Request-Id: {request_id}"
+        _send(client, 503, [echo, "X-Skylarksill-Not-Executed: 1", *self.extra_headers], b"")
+
     def _list_health_headers(self):
         cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
         return [
@@ -295,4 +323,5 @@
     Fault.NO_HTTP: _answer_without_http,
     Fault.UNSIGNED: _answer_unsigned,
     Fault.ERROR: _answer_error,
+    Fault.EARLY_REFUSAL: _answer,
 }
