Find crashes on kept connections, and tell peers which upstreams a new host found cold

Cause: a broken request on a kept connection started no probe, so no crash was found within 1.5 s and none counted. A host that asks an upstream as it starts, and learns that it is cold, told nobody.

Change: each broken request starts a probe. What the health path says of a cold upstream is reported to the peers like a restart at the time that the answer implies; hosts that have got answers of one process before and after that time know better.

--- a/features/host_poison.feature
+++ b/features/host_poison.feature
@@ -102,3 +102,8 @@
     Given a host whose 1 upstreams crash when they run a request
     When the client sends the same request 5 times, and the upstream is back after each crash
     Then 3 requests have run, and the host logs that the request is blocked
+
+  Scenario: A crash on a kept connection is found without another request
+    Given a host with a kept connection to its only upstream
+    When the upstream crashes as it runs an order on that connection
+    Then the order is suspected within 1.5 s
--- a/features/host_restarted_upstreams.feature
+++ b/features/host_restarted_upstreams.feature
@@ -142,6 +142,18 @@
       | doesn't answer health checks       | 16   | 0      | 17       |
       | is another one at the same address | 0    | 1      | 1        |
 
+  Scenario Outline: A host that finds an upstream cold tells hosts that can't have noticed
+    Given a running upstream that is cold
+    And its service's upstreams are cold for <total> s
+    When a host starts and 1 requests arrive at once
+    Then another host that <knows> suspects the upstream <suspects>
+
+    Examples:
+      | total | knows                                        | suspects |
+      | 60    | had an answer 1 s before                     | at once  |
+      | 70    | had an answer 11 s before                    | at once  |
+      | 70    | has got answers of one process for 20 s      | never    |
+
   Scenario: A host that started longer ago than upstreams are cold asks none
     Given a running upstream that is warm
     When a host that started 3.1 s ago gets 30 requests at once
--- a/features/steps/host_poison_steps.py
+++ b/features/steps/host_poison_steps.py
@@ -213,6 +213,28 @@
     step_logged(context)
 
 
+@given("a host with a kept connection to its only upstream")
+def step_kept_connection(context):
+    context.world = host_world.HostWorld(("a",))
+    context.add_cleanup(context.world.stop)
+    _send_order(context.world, "r0", b"sound")
+
+
+@when("the upstream crashes as it runs an order on that connection")
+def step_crash_on_kept(context):
+    (item,) = context.world.workers.values()
+    item.fault = worker.Fault.CRASH
+    connections = item.connections
+    _send_order(context.world, "r1", b"same")
+    assert item.runs == ["r0", "r1"] and item.connections == connections
+
+
+@then("the order is suspected within {seconds:g} s")
+def step_suspected_soon(context, seconds):
+    poisons = context.world.forwarder.poisons
+    host_world.wait_until(seconds, lambda: poisons._crashes)
+
+
 def _send_order(world, request_id, body):
     client = world.connect()
     client.sendall(platformdata.format_request("POST /order/1", request_id, body))
--- a/features/steps/host_restarted_upstreams_steps.py
+++ b/features/steps/host_restarted_upstreams_steps.py
@@ -307,6 +307,43 @@
     _send_to_new_host(context, 0.0, count)
 
 
+@given("its service's upstreams are cold for {seconds:g} s")
+def step_cold_time(context, seconds):
+    context.cold_s = seconds
+
+
+def _build_cold_service(context):
+    return dataclasses.replace(host_builders.build_service(), cold_s=context.cold_s)
+
+
+@then("another host that {knows} suspects the upstream {suspects}")
+def step_told_cold(context, knows, suspects):
+    now = time.monotonic()
+    fleet = host_builders.build_fleet([_build_entry(1, cold_s=0.0)], now=now - 100.0)
+    fleet.apply(
+        {"a": _build_entry(1, cold_s=0.0)},
+        {"catalogue": _build_cold_service(context)},
+        (),
+        host_builders.BOUNDS,
+        now - 100.0,
+    )
+    state = fleet.find("a")
+    match knows:
+        case "had an answer 1 s before":
+            state.record_alive(now - 50.0, now - 1.0)
+        case "had an answer 11 s before":
+            state.record_alive(now - 50.0, now - 11.0)
+        case "has got answers of one process for 20 s":
+            state.record_alive(now - 20.0, now - 20.0)
+            state.record_alive(now - 20.0, now)
+        case _:
+            raise ValueError(knows)
+    reports = context.world.forwarder.restart_reports.list_recent(now)
+    for report in reports:
+        fleet.apply_restart_report(report, now)
+    assert state.is_cold(now) == (suspects == "at once"), reports
+
+
 @then("{count:d} messages have arrived there")
 def step_arrivals(context, count):
     assert len(context.worker.heads) == count, context.worker.heads
@@ -323,6 +360,8 @@
     context.add_cleanup(world.stop)
     state = world.fleet.find("a")
     state.record = dataclasses.replace(state.record, slots=2 * count)
+    if hasattr(context, "cold_s"):
+        world.fleet._services = {"catalogue": _build_cold_service(context)}
     threads = [eventlet.spawn(_send_request, world) for _ in range(count)]
     for thread in threads:
         thread.wait()
--- a/skylarksill/host/_sending.py
+++ b/skylarksill/host/_sending.py
@@ -47,7 +47,9 @@
         self._connector = connector.Connector(
             fleet, pool, log, counters, on_unreachable, self._report_restart
         )
-        self._start_checks = _startchecks.StartChecks(fleet, log, self._apply_demands)
+        self._start_checks = _startchecks.StartChecks(
+            fleet, log, self._apply_demands, self._report_cold
+        )
 
     def send(self, request, progress, query, choice, cancellation):
         """Sends a request to the chosen upstream; returns its outcome."""
@@ -61,7 +63,6 @@
             connection, has_lost = self._pool.pop_idle(upstream, is_idempotent)
             if has_lost:
                 self._suspect_restart(state, "closed")
-            is_reused = connection is not None
             if connection is None:
                 connection = self._connector.connect(state, progress.deadline_at)
             if connection is None:
@@ -86,7 +87,7 @@
             outcome = self._exchange(request, progress, choice, connection, cancellation)
             # A cancelled send says nothing about the upstream.
             if not cancellation.is_cancelled:
-                self._learn(query, choice, outcome, connection, begun, is_reused)
+                self._learn(query, choice, outcome, connection, begun)
             return outcome
         finally:
             state.record_end(isinstance(outcome, _upstreamhttp.Answered), time.monotonic())
@@ -136,12 +137,12 @@
         trace["ms"] = int((time.monotonic() - begun) * 1000)
         return outcome
 
-    def _learn(self, query, choice, outcome, connection, begun, is_reused):
+    def _learn(self, query, choice, outcome, connection, begun):
         """Learns from the outcome of a send; a fault there must not cost the client its answer."""
         state = choice.upstream
         try:
             self._record_outcome(query, choice, outcome, begun)
-            self._probe_if_suspect(state, outcome, begun, is_reused)
+            self._probe_if_suspect(state, outcome, begun)
             self._check_continuity(state, connection, outcome, begun)
             self._apply_outcome_demands(
                 self._fleet.find_process(state, connection.opened_at), outcome
@@ -171,14 +172,14 @@
             case _upstreamhttp.TimedOut():
                 self._steering.record_timeout(choice, seconds, now)
 
-    def _probe_if_suspect(self, state, outcome, begun, is_reused):
+    def _probe_if_suspect(self, state, outcome, begun):
         """Probes an upstream that may have crashed or lost power.
 
-        A crash breaks all connections, and on one connection it can't be told from a reset. An
-        upstream that lost power answers no request at all.
+        A crash breaks all connections, and on one connection it can't be told from a reset, nor on
+        a kept one from an end of its idle time. An upstream that lost power answers no request.
         """
         match outcome:
-            case _upstreamhttp.MayHaveRun(is_broken=True) if not is_reused:
+            case _upstreamhttp.MayHaveRun(is_broken=True):
                 self._connector.start_probe(state)
             case _upstreamhttp.TimedOut() if not state.has_answered_since(begun):
                 self._connector.start_probe(state)
@@ -228,14 +229,24 @@
         self._fleet.suspect_restart(state, now)
         self._report_restart(state, max(alive_at, state.proven_at))
 
-    def _report_restart(self, state, alive_at):
+    def _report_restart(self, state, alive_at, at=None):
         """Tells the peers that another process may have taken over; see RestartReport."""
         record = state.record
-        now = time.monotonic()
+        at = time.monotonic() if at is None else at
         self.restart_reports.add(
-            restarts.RestartReport(record.upstream_id, record.incarnation, now, alive_at)
+            restarts.RestartReport(record.upstream_id, record.incarnation, at, alive_at)
         )
 
+    def _report_cold(self, state, cold_s, now):
+        """Tells the peers of an upstream that says it is cold, as if it had restarted by then.
+
+        Hosts that have got answers of one process before and after that time know better.
+        """
+        restarted_at = self._fleet.estimate_restart_at(state, cold_s, now)
+        # Reports of what happened earlier are not passed on.
+        reported_at = max(restarted_at, now - restarts.REPORT_TTL_S / 2)
+        self._report_restart(state, restarted_at, reported_at)
+
 
 def _describe_choice(choice, now):
     """Returns the estimates that led to the choice of an upstream, for the log."""
--- a/skylarksill/host/_startchecks.py
+++ b/skylarksill/host/_startchecks.py
@@ -22,12 +22,15 @@
       fleet: The Fleet.
       log: The EventLog.
       on_demands: Function of a TrackedUpstream and the Demands that its answer states.
+      on_cold: Function of a TrackedUpstream that says it is cold, for how many seconds, and the
+        monotonic time.
     """
 
-    def __init__(self, fleet, log, on_demands):
+    def __init__(self, fleet, log, on_demands, on_cold):
         self._fleet = fleet
         self._log = log
         self._on_demands = on_demands
+        self._on_cold = on_cold
 
     def run(self, state, connection, deadline, cancellation):
         """Finds out whether an upstream is cold, if the host can't know.
@@ -84,6 +87,7 @@
                 if cold_s > 0.0:
                     self._fleet.apply_health(state, cold_s, now)
                     self._log.write("upstream.cold", upstream=upstream_id, cold_s=cold_s)
+                    self._on_cold(state, cold_s, now)
                 self._on_demands(state, demands)
             case _upstreamhttp.Health(answering_id) if answering_id is not None:
                 state.is_misdirected = True
--- a/skylarksill/host/fleet.py
+++ b/skylarksill/host/fleet.py
@@ -232,6 +232,10 @@
         state.suspect(report.at, until)
         return True
 
+    def estimate_restart_at(self, state, cold_s, now):
+        """Returns when an upstream has become cold that stays cold for ``cold_s`` from now on."""
+        return now - max(0.0, self._find_cold_s(state.record) - cold_s)
+
     def mark_unreachable(self, state, now):
         """Marks an upstream as unreachable; returns the seconds until the next probe."""
         state.is_unreachable = True
