Route a path in a time that grows with its length at most

Cause: RouteTable.find looked up each prefix of the path that ends with a slash, and copied and hashed it for that, so its time grew with the square of the slashes.

Change: routes are kept as a tree by the segments of their prefixes, which a path follows until no route shares its beginning. Prefixes that don't end with a slash match no path, as before.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -2,6 +2,16 @@
   Guards against a host that returns to an older configuration, sends requests to upstreams that
   must not get any, or wastes slots when there are more requests than slots.
 
+  Scenario Outline: A path with many slashes takes no longer to route than its length explains
+    Given a route whose prefix has <slashes> slashes
+    Then a path of 15900 slashes is routed within 10 ms, and one of 64000 within 40 ms
+
+    Examples:
+      | slashes |
+      | 1       |
+      | 200     |
+      | 60000   |
+
   Scenario: The longest prefix selects the route
     Given routes with the prefixes "/", "/a/" and "/a/b/"
     Then the path "/a/b/c" is routed by "/a/b/"
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 
 from behave import given, then, when
 
@@ -25,6 +26,26 @@
     )
 
 
+@given("a route whose prefix has {count:d} slashes")
+def step_deep_route(context, count):
+    context.prefix = "/" * count
+    context.route_table = routes.RouteTable([host_builders.build_route(prefix=context.prefix)])
+
+
+@then(
+    "a path of {first:d} slashes is routed within {first_ms:g} ms, and one of {second:d} within"
+    " {second_ms:g} ms"
+)
+def step_routing_time(context, first, first_ms, second, second_ms):
+    for count, most_ms in ((first, first_ms), (second, second_ms)):
+        path = "/" * count
+        started_at = time.process_time()
+        route = context.route_table.find("shop.example", path)
+        taken_ms = 1000 * (time.process_time() - started_at)
+        assert (route is not None) == (count >= len(context.prefix))
+        assert taken_ms <= most_ms, (count, taken_ms)
+
+
 @then('the path "{path}" is routed by "{prefix}"')
 def step_route_found(context, path, prefix):
     assert context.route_table.find("shop.example", path).prefix == prefix
--- a/skylarksill/host/routes.py
+++ b/skylarksill/host/routes.py
@@ -1,6 +1,7 @@
 """Choice of the route and the service of a request."""
 
 import collections
+import dataclasses
 
 MAX_SPLIT_ROUTES = 4_096
 
@@ -14,22 +15,49 @@
     """
 
     def __init__(self, routes, unreadable=()):
-        self._prefixes = {(route.site, route.prefix): route for route in (*routes, *unreadable)}
+        self._sites = {}
+        for route in (*routes, *unreadable):
+            # Prefixes that end within a segment match no path.
+            if route.prefix.endswith("/"):
+                node = self._sites.setdefault(route.site, _Node())
+                for segment in route.prefix.split("/")[:-1]:
+                    node = node.children.setdefault(segment, _Node())
+                node.route = route
 
     def find(self, site, path):
         """Returns the Route or UnreadableRoute of a request, or None.
 
+        Takes a time that grows with the length of the longest prefix that the path shares with a
+        route, whatever the path is.
+
         Args:
           site: Host name that the client asked for, without a port.
           path: Path without a query.
         """
-        end = path.rfind("/")
-        while end >= 0:
-            route = self._prefixes.get((site, path[: end + 1]))
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end) if end else -1
-        return None
+        node = self._sites.get(site)
+        found = None
+        begin = 0
+        while node is not None:
+            found = node.route or found
+            end = path.find("/", begin)
+            if end < 0:
+                break
+            node = node.children.get(path[begin:end])
+            begin = end + 1
+        return found
+
+
+@dataclasses.dataclass(slots=True)
+class _Node:
+    """What a RouteTable knows of paths that begin in the same way, up to a slash.
+
+    Attributes:
+      route: The route whose prefix ends here, or None.
+      children: Dict of the nodes of longer beginnings by their next segment.
+    """
+
+    route: object = None
+    children: dict = dataclasses.field(default_factory=dict)
 
 
 class SplitTable:
