--- a/features/host_platform.feature
+++ b/features/host_platform.feature
@@ -108,6 +108,8 @@
       | a port out of range          |
       | a line break in its name     |
       | a lone surrogate as service  |
+      | a service that is no UTF-8   |
+      | a raw control character      |
 
   Scenario: A dead connection to the store is closed within 3 s
     Given a store with a configuration and 2 upstreams
--- a/features/steps/host_odd_entries_steps.py
+++ b/features/steps/host_odd_entries_steps.py
@@ -20,6 +20,8 @@
     "a start time of 30 digits": ({"born": 10**30}, b""),
     "a port out of range": ({"address": "127.0.0.1:99999"}, b""),
     "a line break in its name": ({}, b""),
+    "a service that is no UTF-8": ({"service": RAW_MARK}, b'"\xff\xfe\xfd"'),
+    "a raw control character": ({"service": RAW_MARK}, b'"a\x01b"'),
     "a lone surrogate as service": ({"service": "\ud800"}, b""),
 }
 
