Decline offers of another protocol, and read such requests whole

Cause: the parser reports a message with such an offer as complete at the end of its head and then takes what follows for the other protocol. The host started the request there, and rejected the rest.

Change: a head with an offer starts nothing. Another parser is given the same head without the offer (RFC 9110, 7.8), and reads on behind it. A request for a tunnel is refused once, before it is placed.

--- a/skylarksill/host/_requestreading.py
+++ b/skylarksill/host/_requestreading.py
@@ -55,8 +55,6 @@
             self._reject(error.status, str(error))
         except httptools.HttpParserCallbackError as error:
             self._reject_failed(error.__context__ or error)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrade")
         except httptools.HttpParserError as error:
             self._reject(400, str(error))
         except OSError:
@@ -70,7 +68,15 @@
         """Parses bytes; counts those that the parser reports only with the rest of their part."""
         self._unparsed_bytes -= len(data)
         self._unreported_bytes += len(data)
-        self._parser.feed_data(data)
+        rest = memoryview(data)
+        while True:
+            try:
+                self._parser.feed_data(rest)
+                break
+            except httptools.HttpParserUpgrade as error:
+                rest = rest[error.args[0] :]
+                self._decline_upgrade()
+                self._unreported_bytes = len(rest)
         is_inside_head = self._started_at is not None and not self._is_head_complete
         if is_inside_head and self._unreported_bytes > self._limits.max_head_bytes:
             raise _BadRequestError(431, f"head of more than {self._limits.max_head_bytes} bytes")
@@ -79,6 +85,25 @@
             raise _BadRequestError(status, f"framing of more than {MAX_FRAMING_BYTES} bytes")
         self._count_partial()
 
+    def _decline_upgrade(self):
+        """Reads on after the head of a request that offers another protocol, without the offer.
+
+        The parser stops behind such a head, and takes what follows for the other protocol. A server
+        that doesn't speak it ignores the offer (RFC 9110, section 7.8), so another parser is given
+        the same head without it.
+        """
+        method, version = self._parser.get_method(), self._parser.get_http_version().encode()
+        if method == b"CONNECT":
+            raise _BadRequestError(400, "tunnel")
+        lines = [method + b" " + self._target + b" HTTP/" + version]
+        lines += [name + b": " + value for name, value in self._headers if name != b"upgrade"]
+        started_at = self._started_at
+        self._discard_partial_request()
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+        if self._started_at is not None:
+            self._started_at = started_at
+
     def on_message_begin(self):
         """Starts a request."""
         self._begin_message()
@@ -164,6 +189,9 @@
 
     def on_message_complete(self):
         """Starts processing a complete request."""
+        if self._parser.should_upgrade():
+            # The parser stops here, whatever follows the head; see _decline_upgrade.
+            return
         if self._state is not _connectionstates.State.SERVING:
             self._discard_partial_request()
             return
