--- a/features/host_blocks.feature
+++ b/features/host_blocks.feature
@@ -26,6 +26,11 @@
     And host "b" notices that the request has crashed a third upstream
     Then hosts "a, b" block the request within 2 s
 
+  Scenario: A host that starts again is told at once what is blocked
+    Given hosts "a, b" that send each other heartbeats over loopback
+    When host "b" starts again and waits for 0.3 s
+    Then it has been told what is blocked
+
   Scenario Outline: A host counts as ready once a serving peer has told it what is blocked
     Given a host that starts with seeds "<seeds>"
     When it gets answers of "<answers>" within 0.2 s
--- a/features/steps/host_blocks_steps.py
+++ b/features/steps/host_blocks_steps.py
@@ -78,6 +78,24 @@
         eventlet.sleep(PAUSE_S)
 
 
+@when('host "{name}" starts again and waits for {seconds:g} s')
+def step_start_and_wait(context, name, seconds):
+    context.hosts[name].gossip.stop()
+    now = time.monotonic()
+    incarnation = int(now * 1000)
+    context.restarted = key_builders.start_host(
+        name, context.addresses, context.ring, now, incarnation
+    )
+    context.hosts[name] = context.restarted
+    eventlet.sleep(seconds)
+
+
+@then("it has been told what is blocked")
+def step_told(context):
+    own_briefing = context.restarted.gossip.briefing
+    assert own_briefing.is_over(time.monotonic()) and not own_briefing.is_asking(time.monotonic())
+
+
 def _lose_datagrams(own_gossip, count):
     send = own_gossip._send_datagram
     lost = []
--- a/skylarksill/host/briefing.py
+++ b/skylarksill/host/briefing.py
@@ -7,9 +7,9 @@
 
 from skylarksill.host import records
 
-# Longest time that a host waits before it serves. Two round trips between regions and one lost
-# datagram take less.
-MAX_WAIT_S = 1.0
+# Longest time that a host waits before it serves. Two round trips between regions take less; a host
+# whose datagrams are lost learns the rest as it serves.
+MAX_WAIT_S = 0.5
 # Time for which it asks for all that peers know; later it compares what it knows with them.
 MAX_ASKING_S = 4.0
 
--- a/skylarksill/host/gossip.py
+++ b/skylarksill/host/gossip.py
@@ -88,6 +88,8 @@
             supervision.spawn_lasting(self._log, "gossip.receive", self._receive),
             supervision.spawn_repeated(self._log, "gossip.send", peers.ROUND_S, self.send),
         ]
+        # This host waits for what its peers know.
+        supervision.attempt(self._log, "gossip.send", self.send)
 
     def stop(self):
         """Stops receiving and sending."""
