Play orders that crash upstreams and uploads to slow upstreams in the soak

A service of its own (frail.py), which no other fault concerns: the same order comes each 1.5 s at the hosts in turn and crashes each upstream that runs it, and long orders meet upstreams that read 160 KB a second on links with a small window. Also a scenario for a request that is blocked while its connection opens.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -13,7 +13,7 @@
 
 import eventlet  # isort: skip
 
-from bench.soak import checks, clients, schedule, upstreams, world
+from bench.soak import checks, clients, frail, schedule, upstreams, world
 
 FAULTS_S = 10.0
 # A run takes about 35 s; one that hangs is killed and reported as a violation.
@@ -37,9 +37,11 @@
     )
     events += schedule.make_partial_phase(seed, faults_s, len(soak_world.hosts))
     load = clients.Clients(soak_world, seed, load_factor)
+    frail_load = frail.FrailClients(soak_world, seed)
     try:
         soak_world.start()
         load.start()
+        frail_load.start()
         key_changes = eventlet.spawn(soak_world.replace_keys)
         threads = []
         for at, event in events:
@@ -49,6 +51,7 @@
         key_changes.kill()
         soak_world.check_recovery(load.probe)
         load.finish()
+        frail_load.finish()
     finally:
         soak_world.stop()
     (folder / "schedule.txt").write_text("\n".join(map(repr, events)), encoding="utf-8")
@@ -63,6 +66,8 @@
         "requests": len(soak_world.observations.client_requests),
         "served": sum(request.status == 200 for request in soak_world.observations.client_requests),
         "runs": len(soak_world.observations.runs),
+        "crashes": len(soak_world.observations.crash_runs),
+        "uploads": len(soak_world.observations.uploads),
         "versions": len(soak_world.observations.versions),
         "faults": sum(not isinstance(event, schedule.EditRoutes) for _, event in events),
         "standstill_s": max((e - b for b, e in soak_world.observations.client_delays), default=0.0),
@@ -83,6 +88,7 @@
     except (IndexError, json.JSONDecodeError):
         failure = f"the run failed: {result.stderr.strip()[-300:]}"
     empty = {"seed": seed, "requests": 0, "served": 0, "runs": 0, "versions": 0, "faults": 0}
+    empty.update(crashes=0, uploads=0)
     empty["standstill_s"] = 0.0
     return {**empty, "violations": [failure], "folder": str(folder)}
 
@@ -111,7 +117,7 @@
     violated = sum(len(result["violations"]) for result in results)
     totals = " ".join(
         f"{name}={sum(item[name] for item in results)}"
-        for name in ("requests", "served", "versions", "faults")
+        for name in ("requests", "served", "versions", "faults", "crashes", "uploads")
     )
     print(f"soak: seeds={len(results)} {totals} violations={violated}")
     sys.exit(1 if violated else 0)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from bench.soak import bounds, demandchecks, denialchecks, losschecks, records
+from bench.soak import bounds, demandchecks, denialchecks, frailchecks, losschecks, records
 from standins import platformdata
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -32,6 +32,7 @@
         losschecks.check_kept_connections,
         denialchecks.check_denials,
         *demandchecks.CHECKS,
+        *frailchecks.CHECKS,
     )
     return [text for check in checks for text in check(observations)] + observations.crashes
 
--- a/bench/soak/configurations.py
+++ b/bench/soak/configurations.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from bench.soak import checks, demandchecks, denialchecks, losschecks
+from bench.soak import checks, demandchecks, denialchecks, frail, losschecks
 from standins import platformdata
 
 # The service of the upstreams that no fault of the schedule concerns.
@@ -92,6 +92,7 @@
         "r-order": build("/order/", "non_idempotent"),
         "r-home": build(checks.HOME_PREFIX, "idempotent", regions=[checks.HOME_REGION]),
         "r-long": build(losschecks.LONG_PREFIX, "idempotent"),
+        "r-frail": build(frail.PREFIX, "non_idempotent", frail.SERVICE),
     }
     routes["r-long"]["timeout"] = f"{losschecks.LONG_TIMEOUT_S}s"
     for number in range(1, generation + 1):
@@ -107,6 +108,8 @@
     spec = platformdata.build_configuration_spec(
         version, routes=routes, cold_rate=demandchecks.COLD_RATE
     )
+    spec["services"][frail.SERVICE] = dict(spec["services"]["catalogue"])
+    spec["limits"]["maxBodyBytes"] = frail.MAX_BODY_BYTES
     if any(CALM_SERVICE in names for names in denialchecks.list_routes(spec).values()):
         spec["services"][CALM_SERVICE] = dict(spec["services"]["catalogue"])
     return spec
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -160,6 +160,9 @@
       demands: What upstreams asked for.
       restarts: Pairs of an upstream's id and the time at which it restarted under that id.
       reboots: The restarts under the same id before which connections were refused.
+      crash_requests: The copies of an order that crashes upstreams, as sent.
+      crash_runs: Ids of the copies that have reached upstreams, in order.
+      uploads: The long orders to upstreams that read slowly.
       client_delays: Pairs of begin and end of the times in which the process of the clients stood
         still.
       recovered: Whether a host served again after the last fault, by host.
@@ -180,6 +183,9 @@
     demands: list[Demand] = dataclasses.field(default_factory=list)
     restarts: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     reboots: list[Reboot] = dataclasses.field(default_factory=list)
+    crash_requests: list[ClientRequest] = dataclasses.field(default_factory=list)
+    crash_runs: list[str] = dataclasses.field(default_factory=list)
+    uploads: list[ClientRequest] = dataclasses.field(default_factory=list)
     client_delays: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     recovered: dict[int, bool] = dataclasses.field(default_factory=dict)
     crashes: list[str] = dataclasses.field(default_factory=list)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -13,6 +13,7 @@
     configurations,
     demandchecks,
     denialchecks,
+    frail,
     hosts,
     proxies,
     records,
@@ -93,6 +94,8 @@
             )
             for index, zone in enumerate(CALM_ZONES)
         ]
+        self.is_stopping = False
+        self._frail_upstreams = frail.make_upstreams(upstreams.ZONES, self)
         self._routes_variant = 0
         self._test_routes = configurations.build_test_routes()
         self._version_steps = random.Random(f"{seed} versions")
@@ -110,6 +113,8 @@
         self.write_configuration()
         for upstream in self.upstreams + self._calm_upstreams:
             upstream.start_incarnation()
+        for upstream in self._frail_upstreams:
+            upstream.start()
         for host in self.hosts:
             host.start()
         end = time.monotonic() + READY_TIMEOUT_S
@@ -259,7 +264,8 @@
                     f"host {host.index}: {errors.strip().splitlines()[-1]}"
                 )
             host.store_proxy.stop()
-        for upstream in self.upstreams + self._calm_upstreams:
+        self.is_stopping = True
+        for upstream in self.upstreams + self._calm_upstreams + self._frail_upstreams:
             upstream.shut_down()
         self.store.stop()
 
--- a/features/host_poison.feature
+++ b/features/host_poison.feature
@@ -107,3 +107,8 @@
     Given a host with a kept connection to its only upstream
     When the upstream crashes as it runs an order on that connection
     Then the order is suspected within 1.5 s
+
+  Scenario: A request that is blocked while its connection opens is not sent
+    Given a host whose 2 upstreams are sound
+    When a request is blocked while the host opens a connection for it
+    Then its client gets 503, and no upstream has run it
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,8 @@
       | 4 requests before the time to return        | time to return       |
       | 10 requests after a restart under its id    | after its restart    |
       | 10 requests 0.1 s after a return to process 2 | listened again     |
+      | 9 crashes by an order 2.0 s apart           | 4 late retries       |
+      | 4 long orders answered 2.0 s after they were sent | 4 of 4 long orders |
 
   Scenario Outline: What an upstream that refused connections gets is counted once it listens again
     Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
@@ -59,6 +61,22 @@
       | 9        | 2.8  | 2       | process | 0     |
       | 9        | 0.0  | 1       | process | 0     |
 
+  Scenario Outline: Crashes by an order and late answers to long orders are excused as the rules do
+    Given a run in which upstream "u1.1" served an idempotent and a non-idempotent request
+    When <what> is planted
+    And a disturbance of the <trouble> is recorded meanwhile
+    Then <count> promises are violated
+
+    Examples:
+      | what                                              | trouble    | count |
+      | 8 crashes by an order 2.0 s apart                 | process    | 0     |
+      | 7 crashes by an order 1.0 s apart                 | process    | 0     |
+      | 9 crashes by an order 2.0 s apart                 | process    | 1     |
+      | 4 long orders answered 1.7 s after they were sent | process    | 0     |
+      | 4 long orders answered 2.0 s after they were sent | process    | 0     |
+      | 4 long orders answered 2.0 s after they were sent | store      | 0     |
+      | 3 long orders answered 2.0 s after they were sent | store_path | 0     |
+
   Scenario: Upstreams that start again under their id are drawn in all forms
     Then the schedules of seeds 1 to 40 hold 2 returns each, with early and late entries
     And they concern no upstream that asks for something
--- a/features/steps/host_poison_steps.py
+++ b/features/steps/host_poison_steps.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import time
 
 import eventlet
 from behave import given, then, when
@@ -213,6 +214,37 @@
     step_logged(context)
 
 
+@given("a host whose {count:d} upstreams are sound")
+def step_sound_host(context, count):
+    context.world = host_world.HostWorld([f"u{index}" for index in range(count)])
+    context.add_cleanup(context.world.stop)
+
+
+@when("a request is blocked while the host opens a connection for it")
+def step_block_meanwhile(context):
+    forwarder = context.world.forwarder
+    connector, admission = forwarder._sender._connector, forwarder._admission
+    connect, begin = connector.connect, admission.begin
+    begun = []
+
+    def begin_and_note(request):
+        begun.append(begin(request))
+        return begun[-1]
+
+    def block_and_connect(*arguments):
+        forwarder.poisons.blocks.begin(begun[-1].fingerprint, time.monotonic())
+        return connect(*arguments)
+
+    admission.begin, connector.connect = begin_and_note, block_and_connect
+    context.status = _send_order(context.world, "r0", b"same")
+
+
+@then("its client gets {status:d}, and no upstream has run it")
+def step_not_run(context, status):
+    assert context.status == status, context.status
+    assert context.world.count_runs() == 0
+
+
 @given("a host with a kept connection to its only upstream")
 def step_kept_connection(context):
     context.world = host_world.HostWorld(("a",))
@@ -238,8 +270,9 @@
 def _send_order(world, request_id, body):
     client = world.connect()
     client.sendall(platformdata.format_request("POST /order/1", request_id, body))
-    platformdata.AnswerReader(client).read()
+    status = platformdata.AnswerReader(client).read()[0]
     client.close()
+    return status
 
 
 def _break_and_find_down(context, name, broken_at, down_at):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -60,6 +60,27 @@
     _add_served(context.observations, "order", "/order/1", False)
 
 
+@when("{count:d} crashes by an order {pause:g} s apart is planted")
+def step_crashes(context, count, pause):
+    for index in range(count):
+        request = _add_aside(context.observations.crash_requests, index, NOW + pause * index)
+        context.observations.crash_runs.append(request.request_id)
+
+
+@when("{count:d} long orders answered {late:g} s after they were sent is planted")
+def step_late_uploads(context, count, late):
+    for index in range(count):
+        request = _add_aside(context.observations.uploads, index, NOW)
+        request.completed_at, request.ended_at = NOW, NOW + late
+
+
+def _add_aside(requests, index, sent_at):
+    """Adds a request to host 3 that the other checks don't see."""
+    target = "/frail/1"
+    requests.append(records.ClientRequest(f"aside{index}", target, False, 3, sent_at, sent_at))
+    return requests[-1]
+
+
 @when("a second run of the non-idempotent request is planted")
 def step_second_run(context):
     _add_run(context.observations, "order", NOW + 0.2)
