Keep a block that began after an answer had ended an earlier one on another host

Found by reading: a host that had seen an answer, and missed the reports of the three crashes after it, merged the block of another host with its own void one, and the request was let through on both.

Cause: of two blocks of one round the earlier one won, though an answer had ended it.

Change: a block that begins after the earlier one is over, by its time or by an answer, is the next.

Measured: the new scenario of host_blocks.feature fails before and passes now.

--- a/features/host_blocks.feature
+++ b/features/host_blocks.feature
@@ -78,6 +78,14 @@
     And the hosts tell each other "a-b, b-a" from 143 s on, each message 0 s late
     Then the request is blocked for the 2nd time at hosts "a, b" from 144 s to 600 s
 
+  Scenario: A block that an answer has ended does not end a later one of another host
+    Given the hosts "a, b", which share blocks
+    When the request crashes upstreams "u1, u2, u3" at host "a" from 10 s on
+    And the request is answered at host "a" at 14 s
+    And the request crashes upstreams "u4, u5, u6" at host "b" from 55 s on
+    And the hosts tell each other "a-b, b-a" from 58 s on, each message 0 s late
+    Then the request is blocked for the 2nd time at hosts "a, b" from 59 s to 530 s
+
   Scenario Outline: An answer ends a block on all hosts
     Given the hosts "a, b, c", which share blocks
     When the request crashes upstreams "u1, u2, u3" at host "a" from 10 s on
--- a/skylarksill/host/blocks.py
+++ b/skylarksill/host/blocks.py
@@ -66,6 +66,13 @@
         """Returns True until the block no longer matters."""
         return now < self.ends_at + KEPT_AFTER_END_S
 
+    @property
+    def over_at(self):
+        """Monotonic time from which a crash is no part of what led to this block."""
+        if self.is_refuted:
+            return min(self.ends_at, self.answered_at + MAX_ANSWER_AGE_S)
+        return self.ends_at
+
     def is_in_force(self, now):
         """Returns True until the trial begins, unless the request has been shown to be sound."""
         return not self.is_refuted and now < self.ends_at
@@ -84,8 +91,8 @@
     """Returns what two Blocks of one request, known to different hosts, say together."""
     earlier, later = sorted((first, second), key=lambda block: block.began_at)
     block_round = max(first.round, second.round)
-    if later.began_at > earlier.ends_at:
-        # The host that knows the later one may not have known that the request was on trial.
+    if later.began_at > earlier.over_at:
+        # The host that knows the later one may not have known the earlier one.
         block_round = min(MAX_ROUND, max(block_round, earlier.round + 1))
         began_at = later.began_at
     elif first.round == second.round:
